--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ApplyCommand.java
@@ -0,0 +1,59 @@
+package org.lacewingcroft.cli;
+
+import io.vertx.core.http.HttpMethod;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.error.GatewayException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Applies a selectors document through the control role, with a client change id (so a resend is
+ * applied once) and an expected version (so racing changes cannot both win).
+ */
+@Command(name = "apply", description = "Apply a selectors document through the control role.")
+final class ApplyCommand implements Callable<Integer> {
+  @Option(names = "-f", required = true, description = "the YAML document")
+  Path file;
+
+  @Option(names = "--server", required = true, description = "a control daemon's base URL")
+  String server;
+
+  @Option(
+      names = "--expected-version",
+      description = "version the change is based on; default: the one in force now")
+  Long expectedVersion;
+
+  @Option(names = "--change-id", description = "client change id; default: a new UUID")
+  String changeId;
+
+  @Override
+  public Integer call() throws Exception {
+    String document = Files.readString(file);
+    try {
+      ConfigParser.parse(document);
+    } catch (GatewayException e) {
+      System.err.println("lacewingcroft apply: " + e.getMessage());
+      return 2;
+    }
+    try (Http http = new Http()) {
+      long expected =
+          expectedVersion != null
+              ? expectedVersion
+              : Long.parseLong(http.get(server + "/v1/config").headers().get("X-Config-Version"));
+      String id = changeId != null ? changeId : UUID.randomUUID().toString();
+      Http.Reply reply =
+          http.send(
+              HttpMethod.PUT,
+              server + "/v1/config",
+              Map.of("X-Change-Id", id, "X-Expected-Version", Long.toString(expected)),
+              document);
+      System.out.println(reply.body());
+      return reply.status() == 200 ? 0 : 1;
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
@@ -0,0 +1,15 @@
+package org.lacewingcroft.cli;
+
+import picocli.CommandLine.Command;
+
+/** The load and experiment tool's command group. */
+@Command(
+    name = "bench",
+    description = "Load and experiment tool.",
+    subcommands = {OverheadBenchCommand.class})
+final class BenchCommand implements Runnable {
+  @Override
+  public void run() {
+    new picocli.CommandLine(this).usage(System.out);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/DemoCommand.java
@@ -0,0 +1,59 @@
+package org.lacewingcroft.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.bench.DemoDeployment;
+import org.lacewingcroft.bench.LocalDeployment;
+import org.lacewingcroft.bench.ReplayResult;
+import org.lacewingcroft.bench.TraceReplayer;
+import org.lacewingcroft.bench.TraceRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Runs the main job on the embedded default: starts the demo deployment as separate processes on
+ * loopback, replays the shipped trace through the caller path, prints a summary and stops
+ * everything gracefully.
+ */
+@Command(name = "demo", description = "Start a local deployment, replay the demo trace, stop.")
+final class DemoCommand implements Callable<Integer> {
+  @Option(names = "--work-dir", description = "logs and data; default: a new temporary folder")
+  Path workDir;
+
+  @Override
+  public Integer call() throws Exception {
+    Path dir = workDir != null ? workDir : Files.createTempDirectory("lacewingcroft-demo");
+    System.out.println("lacewingcroft demo: starting processes; logs in " + dir);
+    List<TraceRequest> trace = DemoDeployment.trace();
+    ReplayResult result;
+    int stopFailures;
+    try (LocalDeployment deployment = LocalDeployment.start(DemoDeployment.topology(), dir)) {
+      Map<String, String> entryByRegion = new java.util.HashMap<>();
+      try (Http http = new Http()) {
+        String anyDaemon = deployment.entries().values().iterator().next();
+        for (String region : DemoDeployment.REGIONS) {
+          entryByRegion.put(
+              region,
+              TraceReplayer.firstEntry(
+                  http.get(anyDaemon + "/v1/entries?region=" + region).body()));
+        }
+      }
+      try (TraceReplayer replayer = new TraceReplayer()) {
+        result = replayer.replay(trace, r -> entryByRegion.get(r.region()));
+      }
+      stopFailures = deployment.stop();
+    }
+    System.out.print(result.report("lacewingcroft demo: " + trace.size() + " requests"));
+    System.out.println("  processes stopped with errors: " + stopFailures);
+    boolean ok =
+        result.corrupted == 0
+            && result.outsideResidency == 0
+            && result.outcome("served") > 0
+            && stopFailures == 0;
+    System.out.println("  verdict: " + (ok ? "ok" : "FAILED"));
+    return ok ? 0 : 1;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/EntriesCommand.java
@@ -0,0 +1,24 @@
+package org.lacewingcroft.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Asks any daemon which entry instances a caller in a region should use, ranked. */
+@Command(name = "entries", description = "List the entry instances a caller should use, ranked.")
+final class EntriesCommand implements Callable<Integer> {
+  @Option(names = "--server", required = true, description = "any daemon's base URL")
+  String server;
+
+  @Option(names = "--region", required = true, description = "the caller's region")
+  String region;
+
+  @Override
+  public Integer call() throws Exception {
+    try (Http http = new Http()) {
+      Http.Reply reply = http.get(server + "/v1/entries?region=" + region);
+      System.out.println(reply.body());
+      return reply.status() == 200 ? 0 : 1;
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
@@ -0,0 +1,33 @@
+package org.lacewingcroft.cli;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The operator and caller tool, {@code lacewingcroft}. */
+@Command(
+    name = "lacewingcroft",
+    mixinStandardHelpOptions = true,
+    version = "lacewingcroft 0.1.0",
+    description = "Operate and call a lacewingcroft gateway.",
+    subcommands = {
+      EntriesCommand.class,
+      ApplyCommand.class,
+      GetCommand.class,
+      EndpointsCommand.class,
+      TimelineCommand.class,
+      DemoCommand.class,
+      BenchCommand.class
+    })
+public final class Main implements Runnable {
+  @CommandLine.Spec CommandLine.Model.CommandSpec spec;
+
+  /** Runs the tool and exits with the subcommand's status. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new Main()).execute(args));
+  }
+
+  @Override
+  public void run() {
+    spec.commandLine().usage(System.out);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/OverheadBenchCommand.java
@@ -0,0 +1,47 @@
+package org.lacewingcroft.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.bench.DemoDeployment;
+import org.lacewingcroft.bench.LocalDeployment;
+import org.lacewingcroft.bench.ReplayResult;
+import org.lacewingcroft.bench.TraceReplayer;
+import org.lacewingcroft.bench.TraceRequest;
+import picocli.CommandLine.Command;
+
+/**
+ * Measures the latency the gateway adds: the demo trace through the gateway, then the same trace
+ * straight to one stand-in engine of the caller's region, in one run; prints both and the ratio.
+ */
+@Command(name = "overhead", description = "Latency added by the gateway, against direct calls.")
+final class OverheadBenchCommand implements Callable<Integer> {
+  @Override
+  public Integer call() throws Exception {
+    Path dir = Files.createTempDirectory("lacewingcroft-bench");
+    List<TraceRequest> trace = DemoDeployment.trace();
+    try (LocalDeployment deployment = LocalDeployment.start(DemoDeployment.topology(), dir);
+        TraceReplayer replayer = new TraceReplayer()) {
+      Map<String, String> entries = deployment.entries();
+      Map<String, List<String>> standins = deployment.standins();
+      ReplayResult warm = replayer.replay(trace, r -> entries.get(r.region() + "-entry-1"));
+      ReplayResult viaGateway = replayer.replay(trace, r -> entries.get(r.region() + "-entry-1"));
+      ReplayResult direct =
+          replayer.replay(trace, r -> standins.get("writers-" + r.region()).get(0));
+      System.out.print(warm.report("warm-up through the gateway"));
+      System.out.print(viaGateway.report("through the gateway"));
+      System.out.print(direct.report("straight to one engine per region"));
+      double ratio =
+          viaGateway.firstTokenMicros.getValueAtPercentile(50)
+              / (double) Math.max(1, direct.firstTokenMicros.getValueAtPercentile(50));
+      System.out.printf("first token p50 ratio gateway/direct: %.2f%n", ratio);
+      double between =
+          viaGateway.betweenTokensMicros.getValueAtPercentile(95)
+              / (double) Math.max(1, direct.betweenTokensMicros.getValueAtPercentile(95));
+      System.out.printf("between tokens p95 ratio gateway/direct: %.2f%n", between);
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
@@ -0,0 +1,197 @@
+package org.lacewingcroft.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.lacewingcroft.logging.LogContext;
+import org.lacewingcroft.routing.LeastInFlightPolicy;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * The daemon's command line, {@code lacewingcroftd}. Every flag can also be set by the environment
+ * variable named in its description; flags win.
+ */
+@Command(
+    name = "lacewingcroftd",
+    mixinStandardHelpOptions = true,
+    version = "lacewingcroftd 0.1.0",
+    description =
+        "Runs one lacewingcroft daemon: an entry (callers, endpoints) or control (config).")
+public final class Main implements Callable<Integer> {
+  private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
+  @Option(
+      names = "--role",
+      defaultValue = "${env:LWC_ROLE:-entry}",
+      description = "entry or control ($LWC_ROLE)")
+  String role;
+
+  @Option(names = "--node-id", defaultValue = "${env:LWC_NODE_ID}", description = "($LWC_NODE_ID)")
+  String nodeId;
+
+  @Option(names = "--region", defaultValue = "${env:LWC_REGION}", description = "($LWC_REGION)")
+  String region;
+
+  @Option(
+      names = "--failure-domain",
+      defaultValue = "${env:LWC_FAILURE_DOMAIN}",
+      description = "($LWC_FAILURE_DOMAIN)")
+  String failureDomain;
+
+  @Option(
+      names = "--host",
+      defaultValue = "${env:LWC_HOST:-127.0.0.1}",
+      description = "address to bind and advertise ($LWC_HOST)")
+  String host;
+
+  @Option(
+      names = "--http-port",
+      defaultValue = "${env:LWC_HTTP_PORT:-0}",
+      description = "0 picks a free port ($LWC_HTTP_PORT)")
+  int httpPort;
+
+  @Option(
+      names = "--peer-port",
+      defaultValue = "${env:LWC_PEER_PORT:-0}",
+      description = "0 picks a free port ($LWC_PEER_PORT)")
+  int peerPort;
+
+  @Option(
+      names = "--peers",
+      split = ",",
+      defaultValue = "${env:LWC_PEERS:-}",
+      description = "seed peers host:port, comma-separated ($LWC_PEERS)")
+  List<String> peers;
+
+  @Option(
+      names = "--data-dir",
+      defaultValue = "${env:LWC_DATA_DIR}",
+      description = "data folder, control role ($LWC_DATA_DIR)")
+  Path dataDir;
+
+  @Option(
+      names = "--secret-file",
+      defaultValue = "${env:LWC_SECRET_FILE}",
+      description = "file holding the shared peer secret ($LWC_SECRET_FILE)")
+  Path secretFile;
+
+  @Option(
+      names = "--routing-policy",
+      defaultValue = "${env:LWC_ROUTING_POLICY:-" + LeastInFlightPolicy.NAME + "}",
+      description = "routing policy plug-in ($LWC_ROUTING_POLICY)")
+  String routingPolicy;
+
+  @Option(
+      names = "--max-body-bytes",
+      defaultValue = "${env:LWC_MAX_BODY_BYTES:-1048576}",
+      description = "largest request body ($LWC_MAX_BODY_BYTES)")
+  int maxBodyBytes;
+
+  @Option(
+      names = "--endpoint-lease-millis",
+      defaultValue = "${env:LWC_ENDPOINT_LEASE_MILLIS:-3000}",
+      description = "endpoint lease without heartbeat ($LWC_ENDPOINT_LEASE_MILLIS)")
+  long endpointLeaseMillis;
+
+  @Option(
+      names = "--heartbeat-millis",
+      defaultValue = "${env:LWC_HEARTBEAT_MILLIS:-500}",
+      description = "daemon heartbeat interval ($LWC_HEARTBEAT_MILLIS)")
+  long heartbeatMillis;
+
+  @Option(
+      names = "--drain-millis",
+      defaultValue = "${env:LWC_DRAIN_MILLIS:-20000}",
+      description = "graceful shutdown wait for requests in flight ($LWC_DRAIN_MILLIS)")
+  long drainMillis;
+
+  @Option(
+      names = "--port-file",
+      defaultValue = "${env:LWC_PORT_FILE}",
+      description = "write chosen ports here as JSON ($LWC_PORT_FILE)")
+  Path portFile;
+
+  /** Runs the daemon with the given arguments and exits with its status. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new Main()).execute(args));
+  }
+
+  @Override
+  public Integer call() throws Exception {
+    Settings settings;
+    try {
+      settings = settings().check();
+    } catch (SettingsException e) {
+      System.err.println("lacewingcroftd: " + e.getMessage());
+      return 2;
+    }
+    LogContext.setNodeId(settings.nodeId());
+    Daemon daemon = Daemon.start(settings);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  try {
+                    daemon.close();
+                  } catch (Exception e) {
+                    LOG.log(System.Logger.Level.ERROR, "daemon.stop_failed", e);
+                  } finally {
+                    stopped.countDown();
+                  }
+                },
+                "graceful-shutdown"));
+    stopped.await();
+    return 0;
+  }
+
+  Settings settings() {
+    Role parsedRole;
+    try {
+      parsedRole = Role.valueOf(role.toUpperCase(java.util.Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw new SettingsException(
+          "--role", "LWC_ROLE", "unknown role '" + role + "'", "use entry or control");
+    }
+    return new Settings(
+        parsedRole,
+        nodeId,
+        region,
+        failureDomain,
+        host,
+        httpPort,
+        peerPort,
+        peers == null ? List.of() : peers.stream().filter(p -> !p.isBlank()).toList(),
+        Optional.ofNullable(dataDir),
+        readSecret(secretFile),
+        routingPolicy,
+        maxBodyBytes,
+        Duration.ofMillis(endpointLeaseMillis),
+        Duration.ofMillis(heartbeatMillis),
+        Duration.ofMillis(drainMillis),
+        Optional.ofNullable(portFile));
+  }
+
+  private static byte[] readSecret(Path file) {
+    if (file == null) {
+      throw new SettingsException(
+          "--secret-file",
+          "LWC_SECRET_FILE",
+          "missing",
+          "name a file with the deployment's shared secret (openssl rand -hex 32)");
+    }
+    try {
+      return Files.readString(file).strip().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new SettingsException(
+          "--secret-file", "LWC_SECRET_FILE", "cannot read " + file, "check the path and rights");
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ErrorReply.java
@@ -0,0 +1,54 @@
+package org.lacewingcroft.gateway;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
+import org.lacewingcroft.error.ErrorKind;
+
+/**
+ * Writes typed errors to callers as JSON: {@code {"error": {"code", "message", "remedy", "run",
+ * "idempotencyKey"}}}, with {@code Retry-After} in seconds on refusals a caller may retry.
+ */
+public final class ErrorReply {
+  /** Seconds a caller should wait before retrying a refusal. */
+  public static final int RETRY_AFTER_SECONDS = 1;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private ErrorReply() {}
+
+  /** Returns the JSON error body. */
+  public static String body(ErrorKind kind, String detail, Optional<String> idempotencyKey) {
+    ObjectNode error = JSON.createObjectNode();
+    error.put("code", kind.code());
+    error.put("message", detail);
+    error.put("remedy", kind.remedy());
+    error.put("run", kind.provesNotRun() ? "no" : "unknown");
+    idempotencyKey.ifPresent(k -> error.put("idempotencyKey", k));
+    ObjectNode root = JSON.createObjectNode();
+    root.set("error", error);
+    return root.toString();
+  }
+
+  /** Sends the error as the whole response, if nothing was sent yet. */
+  public static void send(
+      HttpServerResponse response, ErrorKind kind, String detail, Optional<String> key) {
+    if (response.headWritten() || response.ended()) {
+      return;
+    }
+    response.setStatusCode(kind.httpStatus()).putHeader("Content-Type", "application/json");
+    if (retryable(kind)) {
+      response.putHeader("Retry-After", Integer.toString(RETRY_AFTER_SECONDS));
+    }
+    response.end(body(kind, detail, key));
+  }
+
+  private static boolean retryable(ErrorKind kind) {
+    return kind == ErrorKind.NOT_RUN
+        || kind == ErrorKind.RATE_LIMITED
+        || kind == ErrorKind.SHUTTING_DOWN
+        || kind == ErrorKind.OUTCOME_UNKNOWN
+        || kind == ErrorKind.NO_QUORUM;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -0,0 +1,74 @@
+package org.lacewingcroft.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** The daemon's Prometheus metrics, exposed as text on {@code /metrics}. */
+public final class GatewayMetrics {
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+
+  /** Caller requests by outcome: served, not_run, outcome_unknown, forwarded, bad_request. */
+  public final Counter requests =
+      Counter.builder()
+          .name("lwc_requests_total")
+          .help("Caller requests by outcome")
+          .labelNames("outcome")
+          .register(registry);
+
+  /** The configuration version in force. */
+  public final Gauge configVersion =
+      Gauge.builder()
+          .name("lwc_config_version")
+          .help("Configuration version in force on this daemon")
+          .register(registry);
+
+  /** Endpoints in the directory. */
+  public final Gauge endpoints =
+      Gauge.builder().name("lwc_endpoints").help("Endpoints known").register(registry);
+
+  /** Members in the membership table. */
+  public final Gauge members =
+      Gauge.builder().name("lwc_members").help("Daemons known").register(registry);
+
+  /** Peer frames refused for size or authentication. */
+  public final Gauge framesRejected =
+      Gauge.builder()
+          .name("lwc_peer_frames_rejected")
+          .help("Peer frames refused for size or tag")
+          .register(registry);
+
+  /** Configuration offers refused because they were not newer than the version in force. */
+  public final Gauge staleConfigOffers =
+      Gauge.builder()
+          .name("lwc_config_stale_offers")
+          .help("Configuration offers refused as older or equal")
+          .register(registry);
+
+  /** Requests in flight through this daemon. */
+  public final Gauge inFlight =
+      Gauge.builder().name("lwc_in_flight").help("Requests in flight").register(registry);
+
+  /** Time from receiving a request to relaying its first byte of answer. */
+  public final Histogram firstByteSeconds =
+      Histogram.builder()
+          .name("lwc_first_byte_seconds")
+          .help("Seconds from request to the first answer byte relayed")
+          .register(registry);
+
+  /** Returns the text exposition of every metric. */
+  public String scrape() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("writing metrics into memory failed", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -0,0 +1,174 @@
+package org.lacewingcroft.peer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import org.lacewingcroft.logging.LogContext;
+
+/**
+ * The peer transport: TCP connections carrying frames of {@link FrameCodec}, one outgoing
+ * connection per peer address, reopened on demand after a failure.
+ *
+ * <p>A frame that is too large or fails authentication closes the connection it came on and is
+ * logged; nothing in it is acted on. Sends are fire-and-forget: callers that need an answer get it
+ * as another message, and heartbeats repair what a lost frame missed.
+ */
+public final class PeerTransport implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(PeerTransport.class.getName());
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  private final Vertx vertx;
+  private final FrameCodec codec;
+  private final NetClient client;
+  private final Map<String, Future<NetSocket>> connections = new ConcurrentHashMap<>();
+  private final AtomicLong framesRejected = new AtomicLong();
+  private final AtomicLong bytesSent = new AtomicLong();
+  private final AtomicLong bytesReceived = new AtomicLong();
+  private volatile DelayRule delay = DelayRule.NONE;
+  private NetServer server;
+
+  /** Adds an artificial one-way delay to frames sent to some addresses, for experiments. */
+  public interface DelayRule {
+    /** No delay. */
+    DelayRule NONE = address -> 0;
+
+    /** Returns the delay in milliseconds for frames sent to this address. */
+    long delayMillis(String address);
+  }
+
+  /**
+   * Creates the transport.
+   *
+   * @param vertx the Vert.x instance whose event loops run it
+   * @param codec the frame codec keyed by the shared secret
+   */
+  public PeerTransport(Vertx vertx, FrameCodec codec) {
+    this.vertx = vertx;
+    this.codec = codec;
+    this.client =
+        vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+  }
+
+  /**
+   * Starts listening.
+   *
+   * @param host the address to bind
+   * @param port the port, 0 for a free one
+   * @param handler receives every authenticated message with the sender's stamp
+   * @return the port bound
+   */
+  public Future<Integer> listen(String host, int port, BiConsumer<String, PeerMessage> handler) {
+    server = vertx.createNetServer(new NetServerOptions().setHost(host).setPort(port));
+    server.connectHandler(socket -> readFrames(socket, handler));
+    return server.listen().map(NetServer::actualPort);
+  }
+
+  /** Sets the artificial delay rule used by experiments. */
+  public void setDelayRule(DelayRule rule) {
+    this.delay = rule;
+  }
+
+  /** Returns how many frames were refused for size or tag. */
+  public long framesRejected() {
+    return framesRejected.get();
+  }
+
+  /** Returns the bytes sent, frames included. */
+  public long bytesSent() {
+    return bytesSent.get();
+  }
+
+  /** Returns the bytes received. */
+  public long bytesReceived() {
+    return bytesReceived.get();
+  }
+
+  /** Sends a message to a peer address {@code host:port}; failures are logged, not thrown. */
+  public void send(String address, PeerMessage message) {
+    byte[] frame = codec.encode(LogContext.clock().tick(), message);
+    long delayMillis = delay.delayMillis(address);
+    if (delayMillis > 0) {
+      vertx.setTimer(delayMillis, id -> write(address, frame));
+    } else {
+      write(address, frame);
+    }
+  }
+
+  private void write(String address, byte[] frame) {
+    connection(address)
+        .onSuccess(
+            socket -> {
+              bytesSent.addAndGet(frame.length);
+              socket.write(Buffer.buffer(frame));
+            })
+        .onFailure(e -> connections.remove(address));
+  }
+
+  private Future<NetSocket> connection(String address) {
+    return connections.computeIfAbsent(
+        address,
+        a -> {
+          int colon = a.lastIndexOf(':');
+          Future<NetSocket> f =
+              client.connect(Integer.parseInt(a.substring(colon + 1)), a.substring(0, colon));
+          f.onSuccess(
+              s -> {
+                s.closeHandler(v -> connections.remove(a));
+                s.exceptionHandler(e -> s.close());
+                s.handler(b -> {});
+              });
+          return f;
+        });
+  }
+
+  private void readFrames(NetSocket socket, BiConsumer<String, PeerMessage> handler) {
+    RecordParser parser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES);
+    boolean[] expectLength = {true};
+    parser.handler(
+        buffer -> {
+          bytesReceived.addAndGet(buffer.length());
+          try {
+            if (expectLength[0]) {
+              parser.fixedSizeMode(FrameCodec.checkLength(buffer.getInt(0)));
+              expectLength[0] = false;
+              return;
+            }
+            expectLength[0] = true;
+            parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
+            FrameCodec.Frame frame = codec.decode(buffer.getBytes());
+            LogContext.clock().receive(frame.stamp());
+            handler.accept(frame.stamp(), frame.message());
+          } catch (MalformedFrameException e) {
+            framesRejected.incrementAndGet();
+            LOG.log(
+                System.Logger.Level.WARNING,
+                "peer.frame_rejected",
+                "from",
+                socket.remoteAddress(),
+                "reason",
+                e.getMessage());
+            socket.close();
+          }
+        });
+    socket.handler(parser);
+    socket.exceptionHandler(e -> socket.close());
+  }
+
+  @Override
+  public void close() {
+    client.close();
+    if (server != null) {
+      server.close();
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/GatewayConfig.java
@@ -0,0 +1,55 @@
+package org.lacewingcroft.config;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One immutable version of the operators' configuration: routing rules and organisation policies.
+ *
+ * <p>Versions are assigned by the control role's replicated log; a daemon applies them in
+ * increasing order only, so {@link #version()} never decreases on any daemon.
+ *
+ * @param version the log index that accepted this configuration; 0 for the built-in empty one
+ * @param rules the routing rules in document order; the first rule covering a request wins
+ * @param organisations organisation policies by name
+ */
+public record GatewayConfig(
+    long version, List<RoutingRule> rules, Map<String, OrganisationPolicy> organisations) {
+
+  /** The configuration a daemon starts with before it has learned any version. */
+  public static final GatewayConfig EMPTY = new GatewayConfig(0, List.of(), Map.of());
+
+  /** Copies the parts so the configuration is immutable. */
+  public GatewayConfig {
+    rules = List.copyOf(rules);
+    organisations = Map.copyOf(organisations);
+  }
+
+  /** Creates a configuration from a list of policies, keyed by their names. */
+  public static GatewayConfig of(
+      long version, List<RoutingRule> rules, List<OrganisationPolicy> organisations) {
+    return new GatewayConfig(
+        version,
+        rules,
+        organisations.stream()
+            .collect(Collectors.toMap(OrganisationPolicy::name, Function.identity())));
+  }
+
+  /** Returns the same rules under another version number. */
+  public GatewayConfig withVersion(long newVersion) {
+    return new GatewayConfig(newVersion, rules, organisations);
+  }
+
+  /** Returns the first rule covering the request, if any. */
+  public Optional<RoutingRule> ruleFor(String organisation, String model, String priority) {
+    return rules.stream().filter(r -> r.work().covers(organisation, model, priority)).findFirst();
+  }
+
+  /** Returns the organisation's policy, if the document has one. */
+  public Optional<OrganisationPolicy> organisation(String name) {
+    return Optional.ofNullable(organisations.get(name));
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/WorkMatch.java
@@ -0,0 +1,34 @@
+package org.lacewingcroft.config;
+
+import java.util.Set;
+
+/**
+ * Which work a {@link RoutingRule} covers. An empty set matches any value.
+ *
+ * @param organisations organisation (tenant) names
+ * @param models model names as callers send them
+ * @param priorities request priorities such as {@code normal} or {@code high}
+ */
+public record WorkMatch(Set<String> organisations, Set<String> models, Set<String> priorities) {
+
+  /** Matches all work. */
+  public static final WorkMatch ANY = new WorkMatch(Set.of(), Set.of(), Set.of());
+
+  /** Copies the sets so the match is immutable. */
+  public WorkMatch {
+    organisations = Set.copyOf(organisations);
+    models = Set.copyOf(models);
+    priorities = Set.copyOf(priorities);
+  }
+
+  /** Returns whether a request with these attributes is covered. */
+  public boolean covers(String organisation, String model, String priority) {
+    return within(organisations, organisation)
+        && within(models, model)
+        && within(priorities, priority);
+  }
+
+  private static boolean within(Set<String> allowed, String value) {
+    return allowed.isEmpty() || allowed.contains(value);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/misc/HybridLogicalClock.java
@@ -0,0 +1,69 @@
+package org.lacewingcroft.misc;
+
+import java.time.InstantSource;
+
+/**
+ * A hybrid logical clock: physical milliseconds plus a logical counter, so stamps from many
+ * processes order events consistently with causality even when wall clocks drift a little.
+ *
+ * <p>Stamps print as {@code <millis>.<counter>} with a zero-padded counter and sort as text in the
+ * same order as the clock's. The clock is thread-safe.
+ */
+public final class HybridLogicalClock {
+  private static final int COUNTER_DIGITS = 6;
+  private final InstantSource source;
+  private long physicalMillis;
+  private long counter;
+
+  /** Creates a clock reading the given time source. */
+  public HybridLogicalClock(InstantSource source) {
+    this.source = source;
+  }
+
+  /** Returns a stamp for a local or send event. */
+  public synchronized String tick() {
+    long wall = source.millis();
+    if (wall > physicalMillis) {
+      physicalMillis = wall;
+      counter = 0;
+    } else {
+      counter++;
+    }
+    return format(physicalMillis, counter);
+  }
+
+  /**
+   * Merges a stamp received from another process and returns the stamp of the receive event.
+   *
+   * @param remote a stamp produced by {@link #tick()} elsewhere; ignored if malformed
+   */
+  public synchronized String receive(String remote) {
+    long wall = source.millis();
+    long remoteMillis;
+    long remoteCounter;
+    try {
+      int dot = remote.indexOf('.');
+      remoteMillis = Long.parseLong(remote.substring(0, dot));
+      remoteCounter = Long.parseLong(remote.substring(dot + 1));
+    } catch (RuntimeException e) {
+      return tick();
+    }
+    long next = Math.max(wall, Math.max(physicalMillis, remoteMillis));
+    if (next == physicalMillis && next == remoteMillis) {
+      counter = Math.max(counter, remoteCounter) + 1;
+    } else if (next == physicalMillis) {
+      counter++;
+    } else if (next == remoteMillis) {
+      counter = remoteCounter + 1;
+    } else {
+      counter = 0;
+    }
+    physicalMillis = next;
+    return format(physicalMillis, counter);
+  }
+
+  private static String format(long millis, long counter) {
+    String c = Long.toString(counter);
+    return millis + "." + "0".repeat(Math.max(0, COUNTER_DIGITS - c.length())) + c;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -0,0 +1,196 @@
+package org.lacewingcroft.peer;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointKind;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes {@link PeerMessage}s as MessagePack: a type tag followed by the fields in record order.
+ */
+public final class MessageCodec {
+  private static final int HEARTBEAT = 1;
+  private static final int ENDPOINT_ANNOUNCE = 2;
+  private static final int CONFIG_OFFER = 3;
+  private static final int CONFIG_REQUEST = 4;
+
+  private MessageCodec() {}
+
+  /** Returns the MessagePack bytes of a message. */
+  public static byte[] encode(PeerMessage message) {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      if (message instanceof PeerMessage.Heartbeat h) {
+        p.packInt(HEARTBEAT);
+        packMember(p, h.sender());
+        p.packLong(h.configVersion());
+        packCounts(p, h.freeSlotsByModel());
+        p.packArrayHeader(h.known().size());
+        for (MemberInfo m : h.known()) {
+          packMember(p, m);
+        }
+      } else if (message instanceof PeerMessage.EndpointAnnounce a) {
+        p.packInt(ENDPOINT_ANNOUNCE);
+        packEndpoint(p, a.endpoint());
+      } else if (message instanceof PeerMessage.ConfigOffer o) {
+        p.packInt(CONFIG_OFFER);
+        p.packLong(o.version());
+        p.packString(o.document());
+      } else if (message instanceof PeerMessage.ConfigRequest r) {
+        p.packInt(CONFIG_REQUEST);
+        p.packLong(r.haveVersion());
+        p.packString(r.replyTo());
+      }
+      return p.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding into memory failed", e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws MalformedFrameException if the bytes are not a known message
+   */
+  public static PeerMessage decode(byte[] bytes) {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+      int type = u.unpackInt();
+      return switch (type) {
+        case HEARTBEAT -> {
+          MemberInfo sender = unpackMember(u);
+          long version = u.unpackLong();
+          Map<String, Integer> counts = unpackCounts(u);
+          int n = u.unpackArrayHeader();
+          List<MemberInfo> known = new ArrayList<>(n);
+          for (int i = 0; i < n; i++) {
+            known.add(unpackMember(u));
+          }
+          yield new PeerMessage.Heartbeat(sender, version, counts, known);
+        }
+        case ENDPOINT_ANNOUNCE -> new PeerMessage.EndpointAnnounce(unpackEndpoint(u));
+        case CONFIG_OFFER -> new PeerMessage.ConfigOffer(u.unpackLong(), u.unpackString());
+        case CONFIG_REQUEST -> new PeerMessage.ConfigRequest(u.unpackLong(), u.unpackString());
+        default -> throw new MalformedFrameException("unknown message type " + type);
+      };
+    } catch (IOException | RuntimeException e) {
+      if (e instanceof MalformedFrameException m) {
+        throw m;
+      }
+      throw new MalformedFrameException("undecodable message: " + e.getMessage());
+    }
+  }
+
+  private static void packMember(MessageBufferPacker p, MemberInfo m) throws IOException {
+    p.packString(m.nodeId());
+    p.packString(m.role());
+    p.packString(m.region());
+    p.packString(m.failureDomain());
+    p.packString(m.peerAddress());
+    p.packString(m.httpAddress());
+    p.packLong(m.incarnation());
+  }
+
+  private static MemberInfo unpackMember(MessageUnpacker u) throws IOException {
+    return new MemberInfo(
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackLong());
+  }
+
+  private static void packCounts(MessageBufferPacker p, Map<String, Integer> counts)
+      throws IOException {
+    p.packMapHeader(counts.size());
+    for (Map.Entry<String, Integer> e : counts.entrySet()) {
+      p.packString(e.getKey());
+      p.packInt(e.getValue());
+    }
+  }
+
+  private static Map<String, Integer> unpackCounts(MessageUnpacker u) throws IOException {
+    int n = u.unpackMapHeader();
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < n; i++) {
+      counts.put(u.unpackString(), u.unpackInt());
+    }
+    return counts;
+  }
+
+  private static void packStrings(MessageBufferPacker p, Set<String> values) throws IOException {
+    p.packArrayHeader(values.size());
+    for (String v : values) {
+      p.packString(v);
+    }
+  }
+
+  private static Set<String> unpackStrings(MessageUnpacker u) throws IOException {
+    int n = u.unpackArrayHeader();
+    Set<String> values = new HashSet<>();
+    for (int i = 0; i < n; i++) {
+      values.add(u.unpackString());
+    }
+    return values;
+  }
+
+  private static void packEndpoint(MessageBufferPacker p, Endpoint e) throws IOException {
+    p.packString(e.id());
+    p.packString(e.baseUrl());
+    p.packString(e.region());
+    p.packString(e.failureDomain());
+    p.packString(e.kind().name());
+    p.packMapHeader(e.labels().size());
+    for (Map.Entry<String, String> l : e.labels().entrySet()) {
+      p.packString(l.getKey());
+      p.packString(l.getValue());
+    }
+    packStrings(p, e.models());
+    p.packInt(e.capacity());
+    p.packBoolean(e.checksFencing());
+    p.packBoolean(e.draining());
+    p.packInt(e.reportedLoad());
+    p.packLong(e.leaseExpiresAt().toEpochMilli());
+  }
+
+  private static Endpoint unpackEndpoint(MessageUnpacker u) throws IOException {
+    String id = u.unpackString();
+    String baseUrl = u.unpackString();
+    String region = u.unpackString();
+    String failureDomain = u.unpackString();
+    EndpointKind kind = EndpointKind.valueOf(u.unpackString());
+    int n = u.unpackMapHeader();
+    Map<String, String> labels = new HashMap<>();
+    for (int i = 0; i < n; i++) {
+      labels.put(u.unpackString(), u.unpackString());
+    }
+    Set<String> models = unpackStrings(u);
+    int capacity = u.unpackInt();
+    boolean checksFencing = u.unpackBoolean();
+    boolean draining = u.unpackBoolean();
+    int reportedLoad = u.unpackInt();
+    Instant lease = Instant.ofEpochMilli(u.unpackLong());
+    return new Endpoint(
+        id,
+        baseUrl,
+        region,
+        failureDomain,
+        kind,
+        labels,
+        models,
+        capacity,
+        checksFencing,
+        draining,
+        reportedLoad,
+        lease);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
@@ -0,0 +1,56 @@
+package org.lacewingcroft.peer;
+
+import java.util.List;
+import java.util.Map;
+import org.lacewingcroft.endpoint.Endpoint;
+
+/**
+ * The typed messages daemons exchange over the peer transport, encoded by {@link MessageCodec} and
+ * framed by {@link FrameCodec}.
+ */
+public sealed interface PeerMessage {
+
+  /**
+   * A daemon's periodic heartbeat: who it is, what it has, and whom it knows.
+   *
+   * @param sender the sending daemon's description
+   * @param configVersion the configuration version in force at the sender
+   * @param freeSlotsByModel free capacity of the sender's region by model, for forwarding
+   * @param known other members the sender has heard from, for discovery by gossip
+   */
+  record Heartbeat(
+      MemberInfo sender,
+      long configVersion,
+      Map<String, Integer> freeSlotsByModel,
+      List<MemberInfo> known)
+      implements PeerMessage {
+    /** Copies the collections so the message is immutable. */
+    public Heartbeat {
+      freeSlotsByModel = Map.copyOf(freeSlotsByModel);
+      known = List.copyOf(known);
+    }
+  }
+
+  /**
+   * An endpoint's announcement relayed to the other daemons of its region.
+   *
+   * @param endpoint the endpoint with its lease
+   */
+  record EndpointAnnounce(Endpoint endpoint) implements PeerMessage {}
+
+  /**
+   * A configuration version offered to a daemon, by push or in answer to {@link ConfigRequest}.
+   *
+   * @param version the log index that accepted it
+   * @param document the YAML document
+   */
+  record ConfigOffer(long version, String document) implements PeerMessage {}
+
+  /**
+   * Asks the receiver for its configuration if it is newer than {@code haveVersion}.
+   *
+   * @param haveVersion the version the sender already has
+   * @param replyTo the sender's peer address
+   */
+  record ConfigRequest(long haveVersion, String replyTo) implements PeerMessage {}
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
@@ -0,0 +1,165 @@
+package org.lacewingcroft.request;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.routing.RouteRequest;
+
+/**
+ * A caller's chat completion request as the gateway understands it, parsed from the
+ * OpenAI-compatible JSON body and the gateway's headers.
+ *
+ * <p>Headers read: {@code X-Organisation} (required), {@code X-Residency} (comma-separated
+ * regions), {@code X-Priority}, {@code Idempotency-Key}, {@code X-Idempotent} ({@code false} marks
+ * the request non-idempotent and then requires a key), and {@code X-Lacewingcroft-Forwarded} (set
+ * by a gateway that forwarded it from another region).
+ *
+ * @param organisation the caller's organisation
+ * @param model the model from the body
+ * @param stream whether the caller asked for server-sent events
+ * @param priority the priority, {@code normal} by default
+ * @param residency regions the request may be served in; empty means any
+ * @param idempotencyKey the caller's key, if any
+ * @param idempotent false if the request must run at most once
+ * @param forwardedFrom the region that forwarded it here, if any
+ * @param prefixKey the first characters of the first message, for cache affinity
+ * @param body the raw body, relayed unchanged to the engine
+ */
+public record CallerRequest(
+    String organisation,
+    String model,
+    boolean stream,
+    String priority,
+    Set<String> residency,
+    Optional<String> idempotencyKey,
+    boolean idempotent,
+    Optional<String> forwardedFrom,
+    String prefixKey,
+    byte[] body) {
+
+  /** Header naming the caller's organisation. */
+  public static final String ORGANISATION_HEADER = "X-Organisation";
+
+  /** Header listing allowed regions. */
+  public static final String RESIDENCY_HEADER = "X-Residency";
+
+  /** Header carrying the priority. */
+  public static final String PRIORITY_HEADER = "X-Priority";
+
+  /** Header carrying the idempotency key. */
+  public static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
+
+  /** Header marking a request non-idempotent with {@code false}. */
+  public static final String IDEMPOTENT_HEADER = "X-Idempotent";
+
+  /** Header set by a gateway that forwarded the request from another region. */
+  public static final String FORWARDED_HEADER = "X-Lacewingcroft-Forwarded";
+
+  /** How many characters of the prompt form the cache affinity key. */
+  public static final int PREFIX_CHARS = 256;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /**
+   * Parses a request.
+   *
+   * @param headers looks up a header by name, case-insensitively; null when absent
+   * @param body the request body
+   * @param knownRegions the deployment's regions, to check the residency
+   * @return the request
+   * @throws GatewayException of kind {@link ErrorKind#MALFORMED_REQUEST} or {@link
+   *     ErrorKind#UNKNOWN_REGION}; no endpoint has seen the request then
+   */
+  public static CallerRequest parse(
+      Function<String, String> headers, byte[] body, Set<String> knownRegions) {
+    String organisation = headers.apply(ORGANISATION_HEADER);
+    if (organisation == null || organisation.isBlank()) {
+      throw malformed("header " + ORGANISATION_HEADER + " is missing");
+    }
+    JsonNode root;
+    try {
+      root = JSON.readTree(body);
+    } catch (JsonProcessingException e) {
+      throw malformed("the body is not JSON: " + e.getOriginalMessage());
+    } catch (java.io.IOException e) {
+      throw malformed("the body could not be read");
+    }
+    if (root == null || !root.isObject()) {
+      throw malformed("the body must be a JSON object");
+    }
+    JsonNode model = root.get("model");
+    if (model == null || !model.isTextual() || model.asText().isBlank()) {
+      throw malformed("field 'model' must be a non-empty string");
+    }
+    JsonNode messages = root.get("messages");
+    if (messages == null || !messages.isArray() || messages.isEmpty()) {
+      throw malformed("field 'messages' must be a non-empty array");
+    }
+    Set<String> residency = parseResidency(headers.apply(RESIDENCY_HEADER), knownRegions);
+    Optional<String> key = Optional.ofNullable(headers.apply(IDEMPOTENCY_KEY_HEADER));
+    boolean markedNonIdempotent = "false".equalsIgnoreCase(headers.apply(IDEMPOTENT_HEADER));
+    if (markedNonIdempotent && key.isEmpty()) {
+      throw malformed(
+          "a request with " + IDEMPOTENT_HEADER + ": false needs an " + IDEMPOTENCY_KEY_HEADER);
+    }
+    String priority = Optional.ofNullable(headers.apply(PRIORITY_HEADER)).orElse("normal");
+    return new CallerRequest(
+        organisation,
+        model.asText(),
+        root.path("stream").asBoolean(false),
+        priority,
+        residency,
+        key,
+        !(markedNonIdempotent || key.isPresent()),
+        Optional.ofNullable(headers.apply(FORWARDED_HEADER)),
+        prefixOf(messages),
+        body.clone());
+  }
+
+  private static Set<String> parseResidency(String header, Set<String> knownRegions) {
+    if (header == null || header.isBlank()) {
+      return Set.of();
+    }
+    Set<String> regions =
+        Arrays.stream(header.split(","))
+            .map(String::trim)
+            .filter(s -> !s.isEmpty())
+            .collect(Collectors.toSet());
+    for (String region : regions) {
+      if (!knownRegions.contains(region)) {
+        throw new GatewayException(
+            ErrorKind.UNKNOWN_REGION,
+            "residency names region '" + region + "', which is not one of " + knownRegions);
+      }
+    }
+    return regions;
+  }
+
+  private static String prefixOf(JsonNode messages) {
+    String text = messages.get(0).path("content").asText("");
+    return text.substring(0, Math.min(PREFIX_CHARS, text.length()));
+  }
+
+  private static GatewayException malformed(String detail) {
+    return new GatewayException(ErrorKind.MALFORMED_REQUEST, detail);
+  }
+
+  /** Returns the body as text, for logs. */
+  public String bodyText() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  /** Returns what the router needs of this request. */
+  public RouteRequest toRouteRequest() {
+    return new RouteRequest(
+        organisation, model, priority, residency, forwardedFrom.isPresent(), prefixKey);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/RouteDecision.java
@@ -0,0 +1,30 @@
+package org.lacewingcroft.routing;
+
+import org.lacewingcroft.error.ErrorKind;
+
+/** The outcome of routing one request: serve here, forward once, or refuse. */
+public sealed interface RouteDecision {
+
+  /**
+   * Serve the request on a local endpoint.
+   *
+   * @param candidate the chosen endpoint
+   * @param rule the name of the selector that allowed it, or {@code *} without selectors
+   */
+  record Serve(Candidate candidate, String rule) implements RouteDecision {}
+
+  /**
+   * Forward the request to another region's gateway; the request is marked as forwarded there.
+   *
+   * @param region the region to forward to
+   */
+  record Forward(String region) implements RouteDecision {}
+
+  /**
+   * Refuse the request; no endpoint received it.
+   *
+   * @param kind the error kind, always one that proves the request was not run
+   * @param detail why, naming the organisation, model and regions involved
+   */
+  record Refuse(ErrorKind kind, String detail) implements RouteDecision {}
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/Router.java
@@ -0,0 +1,167 @@
+package org.lacewingcroft.routing;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.lacewingcroft.config.GatewayConfig;
+import org.lacewingcroft.config.OrganisationPolicy;
+import org.lacewingcroft.config.RoutingRule;
+import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointDirectory;
+import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.selector.LabelSelector;
+
+/**
+ * The routing decision, as pure code over immutable snapshots.
+ *
+ * <p>Order of checks: the organisation's residency narrows the request's; the first selector
+ * covering the work names the endpoints and regions allowed; a local endpoint is chosen by the
+ * {@link RoutingPolicy}; failing that, a request not yet forwarded goes to the allowed region with
+ * the most free capacity. A forwarded request is never forwarded again, so a request makes at most
+ * one cross-region hop and cannot loop.
+ */
+public final class Router {
+  private static final String NO_RULE = "*";
+
+  private final String localRegion;
+  private final RoutingPolicy policy;
+
+  /**
+   * Creates a router for a daemon in the given region.
+   *
+   * @param localRegion the region this daemon runs in
+   * @param policy the policy choosing among local candidates
+   */
+  public Router(String localRegion, RoutingPolicy policy) {
+    this.localRegion = localRegion;
+    this.policy = policy;
+  }
+
+  /**
+   * Routes one request.
+   *
+   * @param request the request
+   * @param config the configuration in force
+   * @param directory the endpoints this daemon knows
+   * @param inFlight this gateway's requests in flight by endpoint id
+   * @param remoteRegions what this daemon knows of the other regions
+   * @param now the current time, for leases
+   * @return the decision; never null
+   */
+  public RouteDecision route(
+      RouteRequest request,
+      GatewayConfig config,
+      EndpointDirectory directory,
+      Map<String, Integer> inFlight,
+      Collection<RegionSummary> remoteRegions,
+      Instant now) {
+    Set<String> residency = effectiveResidency(request, config);
+    if (residency == null) {
+      return new RouteDecision.Refuse(
+          ErrorKind.NOT_RUN,
+          "the request's residency "
+              + request.residency()
+              + " shares no region with organisation '"
+              + request.organisation()
+              + "'s residency");
+    }
+    if (!servedAnywhere(request.model(), directory, remoteRegions)) {
+      return new RouteDecision.Refuse(
+          ErrorKind.UNKNOWN_MODEL, "no endpoint serves model '" + request.model() + "'");
+    }
+    Optional<RoutingRule> rule =
+        config.ruleFor(request.organisation(), request.model(), request.priority());
+    if (rule.isEmpty() && !config.rules().isEmpty()) {
+      return new RouteDecision.Refuse(
+          ErrorKind.NOT_RUN,
+          "no selector covers organisation '"
+              + request.organisation()
+              + "' and model '"
+              + request.model()
+              + "'; an operator must apply one");
+    }
+    LabelSelector selector = rule.map(RoutingRule::endpoints).orElse(LabelSelector.EVERYTHING);
+    String ruleName = rule.map(RoutingRule::name).orElse(NO_RULE);
+    if (allowed(localRegion, residency, rule)) {
+      List<Candidate> local = localCandidates(request, selector, directory, inFlight, now);
+      if (!local.isEmpty()) {
+        Optional<Candidate> chosen = policy.choose(local, request);
+        if (chosen.isPresent()) {
+          return new RouteDecision.Serve(chosen.get(), ruleName);
+        }
+      }
+    }
+    if (request.forwarded()) {
+      return new RouteDecision.Refuse(
+          ErrorKind.NOT_RUN,
+          "region " + localRegion + " has no free endpoint for a forwarded request");
+    }
+    return remoteRegions.stream()
+        .filter(r -> !r.region().equals(localRegion))
+        .filter(r -> allowed(r.region(), residency, rule))
+        .filter(r -> r.freeSlots(request.model()) > 0)
+        .max(
+            Comparator.comparingInt((RegionSummary r) -> r.freeSlots(request.model()))
+                .thenComparing(RegionSummary::region, Comparator.reverseOrder()))
+        .<RouteDecision>map(r -> new RouteDecision.Forward(r.region()))
+        .orElseGet(
+            () ->
+                new RouteDecision.Refuse(
+                    ErrorKind.NOT_RUN,
+                    "no endpoint for model '"
+                        + request.model()
+                        + "' has room inside residency "
+                        + (residency.isEmpty() ? "(any)" : residency)));
+  }
+
+  private static boolean allowed(String region, Set<String> residency, Optional<RoutingRule> rule) {
+    return (residency.isEmpty() || residency.contains(region))
+        && rule.map(r -> r.allowsRegion(region)).orElse(true);
+  }
+
+  /** Returns the intersection of request and organisation residency, or null if it is empty. */
+  private static Set<String> effectiveResidency(RouteRequest request, GatewayConfig config) {
+    Set<String> fromOrganisation =
+        config
+            .organisation(request.organisation())
+            .map(OrganisationPolicy::residency)
+            .orElse(Set.of());
+    if (request.residency().isEmpty()) {
+      return fromOrganisation;
+    }
+    if (fromOrganisation.isEmpty()) {
+      return request.residency();
+    }
+    Set<String> both = new HashSet<>(request.residency());
+    both.retainAll(fromOrganisation);
+    return both.isEmpty() ? null : Set.copyOf(both);
+  }
+
+  private static boolean servedAnywhere(
+      String model, EndpointDirectory directory, Collection<RegionSummary> remoteRegions) {
+    return directory.all().stream().anyMatch(e -> e.models().contains(model))
+        || remoteRegions.stream().anyMatch(r -> r.freeSlotsByModel().containsKey(model));
+  }
+
+  private List<Candidate> localCandidates(
+      RouteRequest request,
+      LabelSelector selector,
+      EndpointDirectory directory,
+      Map<String, Integer> inFlight,
+      Instant now) {
+    return directory.all().stream()
+        .filter(e -> e.region().equals(localRegion))
+        .filter(e -> e.acceptsWork(now))
+        .filter(e -> e.models().contains(request.model()))
+        .filter(e -> selector.matches(e.labels()))
+        .sorted(Comparator.comparing(Endpoint::id))
+        .map(e -> new Candidate(e, inFlight.getOrDefault(e.id(), 0)))
+        .collect(Collectors.toList());
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/selector/LabelSelector.java
@@ -0,0 +1,38 @@
+package org.lacewingcroft.selector;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A Kubernetes-style label selector: every {@code matchLabels} pair and every requirement must
+ * hold. An empty selector matches every label set.
+ *
+ * @param matchLabels labels that must be present with exactly these values
+ * @param matchExpressions set-based requirements that must all hold
+ */
+public record LabelSelector(Map<String, String> matchLabels, List<Requirement> matchExpressions) {
+
+  /** A selector that matches everything. */
+  public static final LabelSelector EVERYTHING = new LabelSelector(Map.of(), List.of());
+
+  /** Copies the parts so the selector is immutable. */
+  public LabelSelector {
+    matchLabels = Map.copyOf(matchLabels);
+    matchExpressions = List.copyOf(matchExpressions);
+  }
+
+  /** Returns whether the given labels satisfy the selector. */
+  public boolean matches(Map<String, String> labels) {
+    for (Map.Entry<String, String> wanted : matchLabels.entrySet()) {
+      if (!wanted.getValue().equals(labels.get(wanted.getKey()))) {
+        return false;
+      }
+    }
+    for (Requirement requirement : matchExpressions) {
+      if (!requirement.matches(labels)) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/selector/Operator.java
@@ -0,0 +1,37 @@
+package org.lacewingcroft.selector;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** The set-based operators of a label selector requirement, as Kubernetes spells them. */
+public enum Operator {
+  /** The label is present and its value is one of the listed values. */
+  IN("In"),
+  /** The label is absent, or its value is none of the listed values. */
+  NOT_IN("NotIn"),
+  /** The label is present, whatever its value. */
+  EXISTS("Exists"),
+  /** The label is absent. */
+  DOES_NOT_EXIST("DoesNotExist");
+
+  private final String spelling;
+
+  Operator(String spelling) {
+    this.spelling = spelling;
+  }
+
+  /** Returns the operator as written in a selector document, such as {@code NotIn}. */
+  public String spelling() {
+    return spelling;
+  }
+
+  /** Returns whether the operator takes a non-empty list of values. */
+  public boolean takesValues() {
+    return this == IN || this == NOT_IN;
+  }
+
+  /** Parses the document spelling, returning empty for an unknown operator. */
+  public static Optional<Operator> parse(String spelling) {
+    return Arrays.stream(values()).filter(o -> o.spelling.equals(spelling)).findFirst();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -0,0 +1,92 @@
+package org.lacewingcroft.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointKind;
+
+class FrameCodecTest {
+  private static final byte[] SECRET = "0123456789abcdef0123".getBytes(StandardCharsets.UTF_8);
+  private static final FrameCodec CODEC = new FrameCodec(SECRET);
+  private static final MemberInfo MEMBER =
+      new MemberInfo("n1", "entry", "uusimaa", "uusimaa-a", "127.0.0.1:1", "127.0.0.1:2", 7);
+
+  static Stream<PeerMessage> messages() {
+    return Stream.of(
+        new PeerMessage.Heartbeat(MEMBER, 4, Map.of("writer", 3), List.of(MEMBER)),
+        new PeerMessage.ConfigOffer(9, "selectors: []"),
+        new PeerMessage.ConfigRequest(2, "127.0.0.1:9"),
+        new PeerMessage.EndpointAnnounce(
+            new Endpoint(
+                "e1",
+                "http://127.0.0.1:5",
+                "uusimaa",
+                "uusimaa-a",
+                EndpointKind.ENGINE,
+                Map.of("service", "writers"),
+                Set.of("writer"),
+                8,
+                true,
+                false,
+                2,
+                Instant.ofEpochMilli(1234))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void roundTrips(PeerMessage message) {
+    byte[] frame = CODEC.encode("1.000001", message);
+    FrameCodec.Frame decoded = CODEC.decode(Arrays.copyOfRange(frame, 4, frame.length));
+    assertThat(decoded.message(), is(message));
+    assertThat(decoded.stamp(), is("1.000001"));
+  }
+
+  static Stream<Arguments> badFrames() {
+    byte[] good = CODEC.encode("1.000001", new PeerMessage.ConfigOffer(1, "x"));
+    byte[] body = Arrays.copyOfRange(good, 4, good.length);
+    Function<byte[], byte[]> flipLast =
+        b -> {
+          byte[] c = b.clone();
+          c[c.length - 1] ^= 1;
+          return c;
+        };
+    FrameCodec otherSecret =
+        new FrameCodec("another-secret-of-16".getBytes(StandardCharsets.UTF_8));
+    return Stream.of(
+        Arguments.of("tampered payload", flipLast.apply(body), CODEC, "does not verify"),
+        Arguments.of("wrong secret", body, otherSecret, "does not verify"),
+        Arguments.of("too short", Arrays.copyOf(body, 10), CODEC, "outside"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("badFrames")
+  void refusesBadFrames(String name, byte[] body, FrameCodec codec, String expected) {
+    MalformedFrameException e =
+        assertThrows(MalformedFrameException.class, () -> codec.decode(body));
+    assertThat(name, e.getMessage(), containsString(expected));
+  }
+
+  @ParameterizedTest
+  @MethodSource("oversizedLengths")
+  void refusesOversizedLengthsBeforeReading(int length) {
+    assertThrows(MalformedFrameException.class, () -> FrameCodec.checkLength(length));
+  }
+
+  static Stream<Integer> oversizedLengths() {
+    return Stream.of(-1, 0, 32, FrameCodec.MAX_FRAME_BYTES + 1, Integer.MAX_VALUE);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/routing/RouterTest.java
@@ -0,0 +1,164 @@
+package org.lacewingcroft.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.GatewayConfig;
+import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointDirectory;
+import org.lacewingcroft.endpoint.EndpointKind;
+
+class RouterTest {
+  private static final Instant NOW = Instant.ofEpochSecond(1_000);
+  private static final GatewayConfig CONFIG =
+      ConfigParser.parse(
+              """
+              selectors:
+                - name: writers
+                  work: {models: [writer]}
+                  endpoints: {matchLabels: {service: writers}}
+                - name: desk-north
+                  work: {models: [desk]}
+                  endpoints: {matchLabels: {service: desk}}
+                  regions: [pohjois-pohjanmaa]
+              organisations:
+                - {name: home, residency: [uusimaa]}
+              """)
+          .withVersion(1);
+
+  private static Endpoint endpoint(String id, String region, String model, boolean draining) {
+    return new Endpoint(
+        id,
+        "http://127.0.0.1:1",
+        region,
+        region + "-a",
+        EndpointKind.ENGINE,
+        Map.of("service", model.equals("writer") ? "writers" : "desk"),
+        Set.of(model),
+        4,
+        false,
+        draining,
+        0,
+        NOW.plusSeconds(3));
+  }
+
+  private static RouteRequest request(
+      String organisation, String model, Set<String> residency, boolean forwarded) {
+    return new RouteRequest(organisation, model, "normal", residency, forwarded, "");
+  }
+
+  static Stream<Arguments> rows() {
+    List<RegionSummary> northHasRoom =
+        List.of(new RegionSummary("pohjois-pohjanmaa", Map.of("writer", 5, "desk", 2)));
+    EndpointDirectory local =
+        EndpointDirectory.EMPTY.with(endpoint("u1", "uusimaa", "writer", false));
+    EndpointDirectory drainingOnly =
+        EndpointDirectory.EMPTY.with(endpoint("u1", "uusimaa", "writer", true));
+    EndpointDirectory expired =
+        EndpointDirectory.EMPTY.with(endpoint("u1", "uusimaa", "writer", false));
+    return Stream.of(
+        Arguments.of(
+            "served locally",
+            request("any", "writer", Set.of(), false),
+            local,
+            List.of(),
+            NOW,
+            "serve:u1"),
+        Arguments.of(
+            "draining endpoint gets no work, forward",
+            request("any", "writer", Set.of(), false),
+            drainingOnly,
+            northHasRoom,
+            NOW,
+            "forward:pohjois-pohjanmaa"),
+        Arguments.of(
+            "expired lease gets no work",
+            request("any", "writer", Set.of(), false),
+            expired,
+            List.of(),
+            NOW.plusSeconds(4),
+            "refuse:NOT_RUN"),
+        Arguments.of(
+            "residency keeps it home",
+            request("any", "writer", Set.of("uusimaa"), false),
+            drainingOnly,
+            northHasRoom,
+            NOW,
+            "refuse:NOT_RUN"),
+        Arguments.of(
+            "organisation residency keeps it home",
+            request("home", "writer", Set.of(), false),
+            drainingOnly,
+            northHasRoom,
+            NOW,
+            "refuse:NOT_RUN"),
+        Arguments.of(
+            "disjoint residencies refused",
+            request("home", "writer", Set.of("pirkanmaa"), false),
+            local,
+            northHasRoom,
+            NOW,
+            "refuse:NOT_RUN"),
+        Arguments.of(
+            "forwarded once is never forwarded again",
+            request("any", "writer", Set.of(), true),
+            drainingOnly,
+            northHasRoom,
+            NOW,
+            "refuse:NOT_RUN"),
+        Arguments.of(
+            "selector regions forbid local",
+            request("any", "desk", Set.of(), false),
+            EndpointDirectory.EMPTY.with(endpoint("d1", "uusimaa", "desk", false)),
+            northHasRoom,
+            NOW,
+            "forward:pohjois-pohjanmaa"),
+        Arguments.of(
+            "unknown model",
+            request("any", "painter", Set.of(), false),
+            local,
+            northHasRoom,
+            NOW,
+            "refuse:UNKNOWN_MODEL"),
+        Arguments.of(
+            "no selector covers it",
+            request("any", "other", Set.of(), false),
+            EndpointDirectory.EMPTY.with(endpoint("o1", "uusimaa", "other", false)),
+            List.of(),
+            NOW,
+            "refuse:NOT_RUN"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("rows")
+  void decides(
+      String name,
+      RouteRequest request,
+      EndpointDirectory directory,
+      List<RegionSummary> remote,
+      Instant now,
+      String expected) {
+    Router router = new Router("uusimaa", new LeastInFlightPolicy());
+    RouteDecision decision = router.route(request, CONFIG, directory, Map.of(), remote, now);
+    assertThat(name, describe(decision), is(expected));
+  }
+
+  private static String describe(RouteDecision decision) {
+    if (decision instanceof RouteDecision.Serve s) {
+      return "serve:" + s.candidate().endpoint().id();
+    }
+    if (decision instanceof RouteDecision.Forward f) {
+      return "forward:" + f.region();
+    }
+    return "refuse:" + ((RouteDecision.Refuse) decision).kind();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DemoDeployment.java
@@ -0,0 +1,61 @@
+package org.lacewingcroft.bench;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The embedded default deployment of the demo: Puhdas Seinä's three regions, two entry daemons
+ * each, one control daemon, a writers service of eight engine runners, a request desk of three
+ * plain-service runners, and the shipped trace and selectors.
+ */
+public final class DemoDeployment {
+  /** The demo's regions. */
+  public static final List<String> REGIONS = List.of("uusimaa", "pirkanmaa", "pohjois-pohjanmaa");
+
+  private static final int[] WRITER_RUNNERS = {3, 3, 2};
+
+  private DemoDeployment() {}
+
+  /** Returns the demo topology. */
+  public static LocalDeployment.Topology topology() {
+    List<LocalDeployment.StandinGroup> groups = new ArrayList<>();
+    for (int i = 0; i < REGIONS.size(); i++) {
+      String region = REGIONS.get(i);
+      groups.add(
+          new LocalDeployment.StandinGroup(
+              "writers-" + region,
+              "engine",
+              region,
+              WRITER_RUNNERS[i],
+              "writer",
+              Map.of("service", "writers", "tier", "standard"),
+              8));
+      groups.add(
+          new LocalDeployment.StandinGroup(
+              "desk-" + region, "service", region, 1, "desk", Map.of("service", "desk"), 4));
+    }
+    return new LocalDeployment.Topology(REGIONS, 2, 1, groups, resource("demo/selectors.yaml"));
+  }
+
+  /** Returns the shipped trace. */
+  public static List<TraceRequest> trace() {
+    return TraceRequest.parse(resource("demo/trace.jsonl"));
+  }
+
+  /** Reads a resource of this module as text. */
+  public static String resource(String name) {
+    try (InputStream in = DemoDeployment.class.getClassLoader().getResourceAsStream(name)) {
+      if (in == null) {
+        throw new IllegalStateException("resource " + name + " is missing from the build");
+      }
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/ReplayResult.java
@@ -0,0 +1,79 @@
+package org.lacewingcroft.bench;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What a replay of a trace measured.
+ *
+ * <p>Latencies are in microseconds: first token from sending the request to the first content
+ * chunk, between tokens from one content chunk to the next.
+ */
+public final class ReplayResult {
+  private static final long MAX_MICROS = 120_000_000L;
+
+  /** Time to the first token, microseconds. */
+  public final Histogram firstTokenMicros = new Histogram(MAX_MICROS, 3);
+
+  /** Gap between tokens, microseconds. */
+  public final Histogram betweenTokensMicros = new Histogram(MAX_MICROS, 3);
+
+  /** Requests by outcome: served, not_run, outcome_unknown, ... */
+  public final Map<String, Integer> outcomes = new TreeMap<>();
+
+  /** Served requests by the region that served them. */
+  public final Map<String, Integer> servedByRegion = new TreeMap<>();
+
+  /** Served requests by the caller's region. */
+  public final Map<String, Integer> callersByRegion = new TreeMap<>();
+
+  /** Requests served in another region than the caller's. */
+  public int crossRegion;
+
+  /** Answers that carried a token of another request, or ended without completing. */
+  public int corrupted;
+
+  /** Served requests whose serving region was outside their residency. */
+  public int outsideResidency;
+
+  synchronized void count(String outcome) {
+    outcomes.merge(outcome, 1, Integer::sum);
+  }
+
+  /** Returns the number of requests with this outcome. */
+  public synchronized int outcome(String name) {
+    return outcomes.getOrDefault(name, 0);
+  }
+
+  /** Returns the share of served requests that crossed regions, 0 to 1. */
+  public synchronized double crossRegionShare() {
+    int served = outcome("served");
+    return served == 0 ? 0 : crossRegion / (double) served;
+  }
+
+  /** Returns a short human-readable report. */
+  public synchronized String report(String title) {
+    StringBuilder b = new StringBuilder();
+    b.append(title).append('\n');
+    b.append("  outcomes: ").append(outcomes).append('\n');
+    b.append("  served by region: ").append(servedByRegion).append('\n');
+    b.append("  callers by region: ").append(callersByRegion).append('\n');
+    b.append(String.format("  cross-region share: %.3f%n", crossRegionShare()));
+    b.append("  corrupted answers: ").append(corrupted).append('\n');
+    b.append("  served outside residency: ").append(outsideResidency).append('\n');
+    b.append(
+        String.format(
+            "  first token ms: p50 %.2f p95 %.2f p99 %.2f%n",
+            firstTokenMicros.getValueAtPercentile(50) / 1000.0,
+            firstTokenMicros.getValueAtPercentile(95) / 1000.0,
+            firstTokenMicros.getValueAtPercentile(99) / 1000.0));
+    b.append(
+        String.format(
+            "  between tokens ms: p50 %.2f p95 %.2f p99 %.2f%n",
+            betweenTokensMicros.getValueAtPercentile(50) / 1000.0,
+            betweenTokensMicros.getValueAtPercentile(95) / 1000.0,
+            betweenTokensMicros.getValueAtPercentile(99) / 1000.0));
+    return b.toString();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/TraceRequest.java
@@ -0,0 +1,74 @@
+package org.lacewingcroft.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One request of a recorded trace, as a JSON line: {@code atMillis}, {@code region} (the caller's),
+ * {@code organisation}, {@code model}, {@code prompt}, {@code maxTokens}, {@code stream}, optional
+ * {@code residency} (comma-separated) and {@code idempotencyKey}.
+ *
+ * @param atMillis when to send it, from the start of the replay
+ * @param region the caller's region, used to pick an entry
+ * @param organisation the caller's organisation
+ * @param model the model
+ * @param prompt the prompt text
+ * @param maxTokens tokens to generate
+ * @param stream whether to stream
+ * @param residency the residency header, if any
+ * @param idempotencyKey the idempotency key, if any
+ */
+public record TraceRequest(
+    long atMillis,
+    String region,
+    String organisation,
+    String model,
+    String prompt,
+    int maxTokens,
+    boolean stream,
+    Optional<String> residency,
+    Optional<String> idempotencyKey) {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Parses a trace of JSON lines, skipping blank lines. */
+  public static List<TraceRequest> parse(String text) {
+    List<TraceRequest> requests = new ArrayList<>();
+    for (String line : text.split("\n")) {
+      if (line.isBlank()) {
+        continue;
+      }
+      try {
+        JsonNode n = JSON.readTree(line);
+        requests.add(
+            new TraceRequest(
+                n.path("atMillis").asLong(),
+                n.path("region").asText(),
+                n.path("organisation").asText(),
+                n.path("model").asText(),
+                n.path("prompt").asText(),
+                n.path("maxTokens").asInt(16),
+                n.path("stream").asBoolean(true),
+                Optional.ofNullable(n.get("residency")).map(JsonNode::asText),
+                Optional.ofNullable(n.get("idempotencyKey")).map(JsonNode::asText)));
+      } catch (IOException e) {
+        throw new UncheckedIOException("bad trace line: " + line, e);
+      }
+    }
+    return requests;
+  }
+
+  /** Returns the OpenAI-compatible request body. */
+  public String body() {
+    var root = JSON.createObjectNode();
+    root.put("model", model);
+    root.put("stream", stream);
+    root.put("max_tokens", maxTokens);
+    root.putArray("messages").addObject().put("role", "user").put("content", prompt);
+    return root.toString();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
@@ -0,0 +1,137 @@
+package org.lacewingcroft.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import io.vertx.core.Vertx;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.lacewingcroft.endpoint.EndpointKind;
+import org.lacewingcroft.logging.LogContext;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Runs one or more stand-in runners in one process, {@code lacewingcroft-standin}: model engines or
+ * a plain service, each on its own free port, announcing themselves to the given gateways.
+ */
+@Command(
+    name = "lacewingcroft-standin",
+    mixinStandardHelpOptions = true,
+    description = "Runs stand-in engines or a stand-in plain service that announce themselves.")
+public final class Main implements Callable<Integer> {
+  private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
+  @Option(names = "--kind", defaultValue = "engine", description = "engine or service")
+  String kind;
+
+  @Option(names = "--id-prefix", required = true, description = "runner ids are <prefix>-<n>")
+  String idPrefix;
+
+  @Option(names = "--runners", defaultValue = "1", description = "how many runners")
+  int runners;
+
+  @Option(names = "--region", required = true)
+  String region;
+
+  @Option(names = "--failure-domain", required = true)
+  String failureDomain;
+
+  @Option(names = "--announce", split = ",", required = true, description = "gateway base URLs")
+  List<String> gateways;
+
+  @Option(names = "--label", description = "key=value, repeatable")
+  Map<String, String> labels = new HashMap<>();
+
+  @Option(names = "--model", split = ",", required = true, description = "models or service name")
+  List<String> models;
+
+  @Option(names = "--capacity", defaultValue = "8", description = "concurrent sequences")
+  int capacity;
+
+  @Option(names = "--step-millis", defaultValue = "4", description = "engine step duration")
+  long stepMillis;
+
+  @Option(names = "--announce-millis", defaultValue = "1000", description = "lease renewal period")
+  long announceMillis;
+
+  @Option(names = "--report-lag-millis", defaultValue = "2000", description = "load report lag")
+  long reportLagMillis;
+
+  @Option(names = "--checks-fencing", defaultValue = "false", description = "refuse old tokens")
+  boolean checksFencing;
+
+  @Option(names = "--prefix-cache", defaultValue = "64", description = "cached prefixes")
+  int prefixCache;
+
+  @Option(names = "--port-file", description = "write the runners' URLs here as JSON")
+  Path portFile;
+
+  /** Runs the stand-ins with the given arguments. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new Main()).execute(args));
+  }
+
+  @Override
+  public Integer call() throws Exception {
+    LogContext.setNodeId(idPrefix);
+    EndpointKind endpointKind = EndpointKind.valueOf(kind.toUpperCase(java.util.Locale.ROOT));
+    Vertx vertx = Vertx.vertx();
+    List<StandinRunner> started = new ArrayList<>();
+    ArrayNode urls = new ObjectMapper().createArrayNode();
+    for (int i = 1; i <= runners; i++) {
+      RunnerSpec spec =
+          new RunnerSpec(
+              idPrefix + "-" + i,
+              endpointKind,
+              region,
+              failureDomain,
+              labels,
+              models,
+              capacity,
+              gateways,
+              Duration.ofMillis(announceMillis),
+              Duration.ofMillis(reportLagMillis),
+              checksFencing,
+              new EngineTiming(Duration.ofMillis(stepMillis), Duration.ZERO, Duration.ofMillis(20)),
+              prefixCache);
+      StandinRunner runner = new StandinRunner(vertx, spec);
+      runner.start("127.0.0.1").toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+      started.add(runner);
+      urls.add(runner.baseUrl());
+    }
+    if (portFile != null) {
+      Path temporary = portFile.resolveSibling(portFile.getFileName() + ".tmp");
+      Files.writeString(temporary, urls.toString());
+      Files.move(temporary, portFile, StandardCopyOption.ATOMIC_MOVE);
+    }
+    LOG.log(System.Logger.Level.INFO, "standin.started", "runners", runners, "kind", kind);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  for (StandinRunner r : started) {
+                    try {
+                      r.close();
+                    } catch (Exception e) {
+                      LOG.log(System.Logger.Level.WARNING, "standin.stop_failed", e);
+                    }
+                  }
+                  LOG.log(System.Logger.Level.INFO, "standin.stopped", "runners", runners);
+                  vertx.close();
+                  stopped.countDown();
+                }));
+    stopped.await();
+    return 0;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/StandinRunner.java
@@ -0,0 +1,340 @@
+package org.lacewingcroft.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.RequestOptions;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.lacewingcroft.endpoint.EndpointKind;
+
+/**
+ * One stand-in runner: an engine speaking the OpenAI-compatible chat completion API (streamed and
+ * not), or a plain service whose {@code POST /v1/orders} counts every run.
+ *
+ * <p>The engine batches continuously: one step emits a token to every running sequence. It keeps a
+ * bounded prefix cache, reports its load with a lag and, for orders ({@code POST
+ * /v1/admin/load-model}), honours or ignores the {@code X-Fencing-Token} header. Closing it
+ * announces {@code draining}, waits for the requests in flight and then stops: a graceful shutdown.
+ */
+public final class StandinRunner implements AutoCloseable {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int DEFAULT_MAX_TOKENS = 16;
+  private static final long SERVICE_MILLIS = 3;
+  private static final long DRAIN_WAIT_MILLIS = 20_000;
+
+  private final RunnerSpec spec;
+  private final Vertx vertx;
+  private final HttpClient client;
+  private final PrefixCache cache;
+  private final Deque<Sequence> waiting = new ArrayDeque<>();
+  private final List<Sequence> running = new ArrayList<>();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicLong highestFencingToken = new AtomicLong();
+  private final Map<String, AtomicInteger> runsByKey = new ConcurrentHashMap<>();
+  private final AtomicLong runs = new AtomicLong();
+  private final Deque<long[]> loadHistory = new ArrayDeque<>();
+  private volatile boolean draining;
+  private boolean stepScheduled;
+  private HttpServer server;
+  private int port;
+  private long announceTimer;
+
+  private static final class Sequence {
+    final HttpServerResponse response;
+    final boolean stream;
+    final String tag;
+    final String model;
+    final int maxTokens;
+    final long readyAtNanos;
+    final StringBuilder text = new StringBuilder();
+    int emitted;
+
+    Sequence(
+        HttpServerResponse response,
+        boolean stream,
+        String tag,
+        String model,
+        int maxTokens,
+        long readyAtNanos) {
+      this.response = response;
+      this.stream = stream;
+      this.tag = tag;
+      this.model = model;
+      this.maxTokens = maxTokens;
+      this.readyAtNanos = readyAtNanos;
+    }
+  }
+
+  /**
+   * Creates a runner; {@link #start} binds it.
+   *
+   * @param vertx the Vert.x instance it runs on
+   * @param spec what it is
+   */
+  public StandinRunner(Vertx vertx, RunnerSpec spec) {
+    this.vertx = vertx;
+    this.spec = spec;
+    this.client = vertx.createHttpClient();
+    this.cache = new PrefixCache(spec.prefixCacheEntries());
+  }
+
+  /** Binds a free port on the host, starts announcing and returns the port. */
+  public Future<Integer> start(String host) {
+    server = vertx.createHttpServer().requestHandler(this::handle);
+    return server
+        .listen(0, host)
+        .map(
+            s -> {
+              port = s.actualPort();
+              announce();
+              announceTimer =
+                  vertx.setPeriodic(spec.announceInterval().toMillis(), id -> announce());
+              return port;
+            });
+  }
+
+  /** Returns the base URL it serves on. */
+  public String baseUrl() {
+    return "http://127.0.0.1:" + port;
+  }
+
+  /** Returns how many non-idempotent orders it has run. */
+  public long runs() {
+    return runs.get();
+  }
+
+  private void handle(HttpServerRequest request) {
+    String path = request.path();
+    if (request.method() == HttpMethod.GET && path.equals("/v1/runs")) {
+      ObjectNode reply = JSON.createObjectNode();
+      reply.put("runs", runs.get());
+      ObjectNode byKey = reply.putObject("byKey");
+      runsByKey.forEach((k, v) -> byKey.put(k, v.get()));
+      request.response().putHeader("Content-Type", "application/json").end(reply.toString());
+      return;
+    }
+    request
+        .body()
+        .onSuccess(
+            body -> {
+              if (path.equals("/v1/chat/completions") && spec.kind() == EndpointKind.ENGINE) {
+                chat(request, body);
+              } else if (path.startsWith("/v1/orders") && spec.kind() == EndpointKind.SERVICE) {
+                order(request, body);
+              } else if (path.equals("/v1/admin/load-model")) {
+                loadModel(request);
+              } else {
+                request.response().setStatusCode(404).end();
+              }
+            });
+  }
+
+  private void chat(HttpServerRequest request, Buffer body) {
+    JsonNode root;
+    try {
+      root = JSON.readTree(body.getBytes());
+    } catch (java.io.IOException e) {
+      request.response().setStatusCode(400).end("{\"error\":\"body is not JSON\"}");
+      return;
+    }
+    String prompt = root.path("messages").path(0).path("content").asText("");
+    String prefix = prompt.substring(0, Math.min(256, prompt.length()));
+    boolean hit = cache.lookupAndAdd(prefix);
+    long readyAt =
+        System.nanoTime()
+            + TimeUnit.MICROSECONDS.toNanos(spec.timing().prefillMicros(prompt.length(), hit));
+    String tag = request.getHeader("X-Request-Id");
+    Sequence sequence =
+        new Sequence(
+            request.response(),
+            root.path("stream").asBoolean(false),
+            tag == null ? "untagged" : tag,
+            root.path("model").asText(""),
+            root.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
+            readyAt);
+    request.response().putHeader("X-Prefix-Cache", hit ? "hit" : "miss");
+    if (sequence.stream) {
+      request.response().setChunked(true).putHeader("Content-Type", "text/event-stream");
+    }
+    inFlight.incrementAndGet();
+    request.connection().closeHandler(v -> sequence.emitted = sequence.maxTokens);
+    waiting.add(sequence);
+    schedule();
+  }
+
+  private void schedule() {
+    if (stepScheduled) {
+      return;
+    }
+    admit();
+    if (running.isEmpty()) {
+      return;
+    }
+    stepScheduled = true;
+    long micros = spec.timing().stepMicros(running.size());
+    vertx.setTimer(Math.max(1, micros / 1000), id -> step());
+  }
+
+  private void admit() {
+    while (running.size() < spec.capacity() && !waiting.isEmpty()) {
+      running.add(waiting.poll());
+    }
+  }
+
+  private void step() {
+    stepScheduled = false;
+    long now = System.nanoTime();
+    for (Iterator<Sequence> it = running.iterator(); it.hasNext(); ) {
+      Sequence s = it.next();
+      if (now < s.readyAtNanos) {
+        continue;
+      }
+      if (s.emitted >= s.maxTokens) {
+        finish(s);
+        it.remove();
+        continue;
+      }
+      String token = "t" + s.emitted + ":" + s.tag + " ";
+      s.emitted++;
+      s.text.append(token);
+      if (s.stream && !s.response.ended()) {
+        s.response.write("data: " + chunk(s, token) + "\n\n");
+      }
+    }
+    schedule();
+  }
+
+  private void finish(Sequence s) {
+    inFlight.decrementAndGet();
+    if (s.response.ended()) {
+      return;
+    }
+    if (s.stream) {
+      s.response.end("data: [DONE]\n\n");
+      return;
+    }
+    ObjectNode reply = JSON.createObjectNode();
+    reply.put("id", "chatcmpl-" + s.tag);
+    reply.put("object", "chat.completion");
+    reply.put("model", s.model);
+    ObjectNode choice = reply.putArray("choices").addObject();
+    choice.put("index", 0);
+    choice.putObject("message").put("role", "assistant").put("content", s.text.toString());
+    choice.put("finish_reason", "stop");
+    reply.putObject("usage").put("completion_tokens", s.emitted);
+    s.response.putHeader("Content-Type", "application/json").end(reply.toString());
+  }
+
+  private static String chunk(Sequence s, String token) {
+    ObjectNode c = JSON.createObjectNode();
+    c.put("id", "chatcmpl-" + s.tag);
+    c.put("object", "chat.completion.chunk");
+    c.put("model", s.model);
+    c.putArray("choices").addObject().put("index", 0).putObject("delta").put("content", token);
+    return c.toString();
+  }
+
+  private void order(HttpServerRequest request, Buffer body) {
+    inFlight.incrementAndGet();
+    String key = request.getHeader("Idempotency-Key");
+    long n = runs.incrementAndGet();
+    if (key != null) {
+      runsByKey.computeIfAbsent(key, k -> new AtomicInteger()).incrementAndGet();
+    }
+    vertx.setTimer(
+        SERVICE_MILLIS,
+        id -> {
+          inFlight.decrementAndGet();
+          ObjectNode reply = JSON.createObjectNode();
+          reply.put("order", n);
+          reply.put("service", spec.models().get(0));
+          reply.put("runner", spec.id());
+          if (key != null) {
+            reply.put("idempotencyKey", key);
+          }
+          request.response().putHeader("Content-Type", "application/json").end(reply.toString());
+        });
+  }
+
+  private void loadModel(HttpServerRequest request) {
+    String header = request.getHeader("X-Fencing-Token");
+    long token = header == null ? 0 : Long.parseLong(header);
+    if (spec.checksFencing() && token < highestFencingToken.get()) {
+      request
+          .response()
+          .setStatusCode(409)
+          .end("{\"error\":\"stale_fencing_token\",\"highest\":" + highestFencingToken.get() + "}");
+      return;
+    }
+    highestFencingToken.accumulateAndGet(token, Math::max);
+    request.response().end("{\"loaded\":true}");
+  }
+
+  private int laggedLoad() {
+    long now = System.nanoTime();
+    loadHistory.addLast(new long[] {now, inFlight.get()});
+    long cutoff = now - spec.reportLag().toNanos();
+    long[] reported = loadHistory.peekFirst();
+    while (loadHistory.size() > 1 && loadHistory.peekFirst()[0] < cutoff) {
+      reported = loadHistory.pollFirst();
+    }
+    return (int) reported[1];
+  }
+
+  private void announce() {
+    ObjectNode body = JSON.createObjectNode();
+    body.put("id", spec.id());
+    body.put("url", baseUrl());
+    body.put("region", spec.region());
+    body.put("failureDomain", spec.failureDomain());
+    body.put("kind", spec.kind().name().toLowerCase(java.util.Locale.ROOT));
+    body.set("labels", JSON.valueToTree(spec.labels()));
+    body.set("models", JSON.valueToTree(spec.models()));
+    body.put("capacity", spec.capacity());
+    body.put("checksFencing", spec.checksFencing());
+    body.put("draining", draining);
+    body.put("load", laggedLoad());
+    Buffer payload = Buffer.buffer(body.toString());
+    for (String gateway : spec.gateways()) {
+      client
+          .request(
+              new RequestOptions()
+                  .setMethod(HttpMethod.POST)
+                  .setAbsoluteURI(gateway + "/v1/endpoints/announce")
+                  .setConnectTimeout(1_000)
+                  .setIdleTimeout(2_000))
+          .compose(r -> r.send(payload))
+          .onFailure(e -> {});
+    }
+  }
+
+  /** Announces draining, waits for requests in flight, then stops serving. */
+  @Override
+  public void close() throws Exception {
+    draining = true;
+    vertx.cancelTimer(announceTimer);
+    announce();
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_WAIT_MILLIS);
+    while (inFlight.get() > 0 && System.nanoTime() < deadline) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    server.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+  }
+}
