Index endpoints by model; weigh rendezvous candidates once

Cause: bench slopes (new: in-process routing, configuration and membership slopes for docs/CAPACITY.md) showed a routing decision scanning and sorting the whole directory per request, and the prefix-affinity policy computing a MurmurHash3 weight (with a string concatenation) inside the sort comparator, so O(n log n) hashes per decision.

Rendezvous seeds MurmurHash3 of the member id with a hash of the key and computes each weight once before sorting.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
@@ -6,7 +6,7 @@
 @Command(
     name = "bench",
     description = "Load and experiment tool.",
-    subcommands = {OverheadBenchCommand.class})
+    subcommands = {OverheadBenchCommand.class, SlopesBenchCommand.class, LoadBenchCommand.class})
 final class BenchCommand implements Runnable {
   @Override
   public void run() {
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/LoadBenchCommand.java
@@ -0,0 +1,62 @@
+package org.lacewingcroft.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.bench.DemoDeployment;
+import org.lacewingcroft.bench.LocalDeployment;
+import org.lacewingcroft.bench.ReplayResult;
+import org.lacewingcroft.bench.TraceReplayer;
+import org.lacewingcroft.bench.TraceRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Replays the demo trace at rising rates through the demo deployment and measures the entry
+ * daemons' processor time per request and per relayed token; prints a JSON line per rate.
+ */
+@Command(name = "load", description = "Entry processor time per request and token, by rate.")
+final class LoadBenchCommand implements Callable<Integer> {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  @Option(names = "--speedups", split = ",", defaultValue = "1,2,4")
+  List<Double> speedups;
+
+  @Option(names = "--copies", defaultValue = "4", description = "trace copies per rate")
+  int copies;
+
+  @Override
+  public Integer call() throws Exception {
+    List<TraceRequest> base = DemoDeployment.trace();
+    try (LocalDeployment deployment =
+            LocalDeployment.start(
+                DemoDeployment.topology(), Files.createTempDirectory("lacewingcroft-load"));
+        TraceReplayer replayer = new TraceReplayer()) {
+      Map<String, String> entries = deployment.entries();
+      replayer.replay(base, r -> entries.get(r.region() + "-entry-1"));
+      for (double speedup : speedups) {
+        List<TraceRequest> trace = TraceRequest.scaled(base, copies, speedup);
+        long cpu0 = deployment.cpuNanos(n -> n.contains("-entry-"));
+        long wall0 = System.nanoTime();
+        ReplayResult r = replayer.replay(trace, t -> entries.get(t.region() + "-entry-1"));
+        double wallSeconds = (System.nanoTime() - wall0) / 1e9;
+        long cpu = deployment.cpuNanos(n -> n.contains("-entry-")) - cpu0;
+        long tokens = trace.stream().mapToLong(TraceRequest::maxTokens).sum();
+        ObjectNode line = JSON.createObjectNode();
+        line.put("bench", "entry-load");
+        line.put("requests", trace.size());
+        line.put("served", r.outcome("served"));
+        line.put("requestsPerSecond", trace.size() / wallSeconds);
+        line.put("entryCpuMicrosPerRequest", cpu / 1000.0 / trace.size());
+        line.put("entryCpuMicrosPerToken", cpu / 1000.0 / tokens);
+        line.put("firstTokenP95Millis", r.firstTokenMicros.getValueAtPercentile(95) / 1000.0);
+        line.put("betweenTokensP95Millis", r.betweenTokensMicros.getValueAtPercentile(95) / 1000.0);
+        System.out.println(line);
+      }
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/SlopesBenchCommand.java
@@ -0,0 +1,33 @@
+package org.lacewingcroft.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.bench.SlopeBench;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures the in-process slopes that docs/CAPACITY.md scales from; prints JSON lines. */
+@Command(name = "slopes", description = "Measure routing, configuration and membership slopes.")
+final class SlopesBenchCommand implements Callable<Integer> {
+  @Option(names = "--members", split = ",", defaultValue = "8,32,96")
+  List<Integer> members;
+
+  @Option(names = "--endpoints", split = ",", defaultValue = "25,100,400,1600")
+  List<Integer> endpoints;
+
+  @Option(names = "--organisations", split = ",", defaultValue = "1000,4000,16000")
+  List<Integer> organisations;
+
+  @Option(names = "--seconds", defaultValue = "8", description = "membership run per size")
+  int seconds;
+
+  @Override
+  public Integer call() throws Exception {
+    SlopeBench bench = new SlopeBench(System.out::println);
+    bench.routing(endpoints, 20_000);
+    bench.configuration(organisations);
+    bench.membership(members, Duration.ofSeconds(seconds), Duration.ofMillis(500));
+    return 0;
+  }
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/endpoint/EndpointDirectory.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/endpoint/EndpointDirectory.java
@@ -1,8 +1,11 @@
 package org.lacewingcroft.endpoint;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -18,9 +21,27 @@
   public static final EndpointDirectory EMPTY = new EndpointDirectory(Map.of());
 
   private final Map<String, Endpoint> byId;
+  private final Map<String, List<Endpoint>> byModel;
 
   private EndpointDirectory(Map<String, Endpoint> byId) {
     this.byId = Map.copyOf(byId);
+    Map<String, List<Endpoint>> index = new HashMap<>();
+    for (Endpoint e : this.byId.values()) {
+      for (String model : e.models()) {
+        index.computeIfAbsent(model, m -> new ArrayList<>()).add(e);
+      }
+    }
+    index.values().forEach(list -> list.sort(Comparator.comparing(Endpoint::id)));
+    index.replaceAll((model, list) -> List.copyOf(list));
+    this.byModel = Map.copyOf(index);
+  }
+
+  /**
+   * Returns the endpoints that announced this model or service name, ordered by id; built once per
+   * snapshot so the request path does not scan the whole directory.
+   */
+  public List<Endpoint> serving(String model) {
+    return byModel.getOrDefault(model, List.of());
   }
 
   /** Returns a directory with this endpoint added or its previous announcement replaced. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/misc/Rendezvous.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/misc/Rendezvous.java
@@ -17,25 +17,44 @@
 
   /** Returns the weight of a member for a key; higher wins. */
   public static long weight(String member, String key) {
-    byte[] bytes = (member + '\u0000' + key).getBytes(StandardCharsets.UTF_8);
-    return MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
+    return weight(member, keySeed(key));
   }
 
-  /** Returns the members in rendezvous order for the key, winner first. */
+  private static long weight(String member, int seed) {
+    byte[] bytes = member.getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes, 0, bytes.length, seed)[0];
+  }
+
+  private static int keySeed(String key) {
+    byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
+  }
+
+  /**
+   * Returns the members in rendezvous order for the key, winner first; each member's weight is
+   * computed once, ties broken by id.
+   */
   public static <T> List<T> rank(List<T> members, Function<T, String> id, String key) {
-    List<T> ranked = new ArrayList<>(members);
-    ranked.sort(
-        Comparator.comparingLong((T m) -> weight(id.apply(m), key))
-            .reversed()
-            .thenComparing(id::apply));
+    int seed = keySeed(key);
+    List<Weighted<T>> weighted = new ArrayList<>(members.size());
+    for (T m : members) {
+      String memberId = id.apply(m);
+      weighted.add(new Weighted<>(m, memberId, weight(memberId, seed)));
+    }
+    weighted.sort(
+        Comparator.comparingLong((Weighted<T> w) -> w.weight).reversed().thenComparing(w -> w.id));
+    List<T> ranked = new ArrayList<>(weighted.size());
+    for (Weighted<T> w : weighted) {
+      ranked.add(w.member);
+    }
     return ranked;
   }
 
   /** Returns the winning member for the key, or empty if there are no members. */
   public static <T> Optional<T> owner(List<T> members, Function<T, String> id, String key) {
-    return members.stream()
-        .max(
-            Comparator.comparingLong((T m) -> weight(id.apply(m), key))
-                .thenComparing(id::apply, Comparator.reverseOrder()));
+    List<T> ranked = rank(members, id, key);
+    return ranked.isEmpty() ? Optional.empty() : Optional.of(ranked.get(0));
   }
+
+  private record Weighted<T>(T member, String id, long weight) {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/Router.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/Router.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.routing;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -8,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.lacewingcroft.config.GatewayConfig;
 import org.lacewingcroft.config.OrganisationPolicy;
 import org.lacewingcroft.config.RoutingRule;
@@ -145,7 +145,7 @@
 
   private static boolean servedAnywhere(
       String model, EndpointDirectory directory, Collection<RegionSummary> remoteRegions) {
-    return directory.all().stream().anyMatch(e -> e.models().contains(model))
+    return !directory.serving(model).isEmpty()
         || remoteRegions.stream().anyMatch(r -> r.freeSlotsByModel().containsKey(model));
   }
 
@@ -155,13 +155,13 @@
       EndpointDirectory directory,
       Map<String, Integer> inFlight,
       Instant now) {
-    return directory.all().stream()
-        .filter(e -> e.region().equals(localRegion))
-        .filter(e -> e.acceptsWork(now))
-        .filter(e -> e.models().contains(request.model()))
-        .filter(e -> selector.matches(e.labels()))
-        .sorted(Comparator.comparing(Endpoint::id))
-        .map(e -> new Candidate(e, inFlight.getOrDefault(e.id(), 0)))
-        .collect(Collectors.toList());
+    List<Endpoint> serving = directory.serving(request.model());
+    List<Candidate> candidates = new ArrayList<>(serving.size());
+    for (Endpoint e : serving) {
+      if (e.region().equals(localRegion) && e.acceptsWork(now) && selector.matches(e.labels())) {
+        candidates.add(new Candidate(e, inFlight.getOrDefault(e.id(), 0)));
+      }
+    }
+    return candidates;
   }
 }
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -303,6 +303,18 @@
     return Map.copyOf(standinUrls);
   }
 
+  /**
+   * Returns the processor time the named processes have used so far, in nanoseconds, as the
+   * operating system reports it.
+   */
+  public long cpuNanos(java.util.function.Predicate<String> names) {
+    return processes.stream()
+        .filter(m -> names.test(m.name()))
+        .mapToLong(
+            m -> m.process().toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L))
+        .sum();
+  }
+
   /** Returns the log files of all processes. */
   public List<Path> logs() {
     return processes.stream().map(ManagedProcess::log).toList();
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
@@ -0,0 +1,230 @@
+package org.lacewingcroft.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.ConfigStore;
+import org.lacewingcroft.config.GatewayConfig;
+import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointDirectory;
+import org.lacewingcroft.endpoint.EndpointKind;
+import org.lacewingcroft.peer.FrameCodec;
+import org.lacewingcroft.peer.MemberInfo;
+import org.lacewingcroft.peer.Membership;
+import org.lacewingcroft.peer.PeerMessage;
+import org.lacewingcroft.peer.PeerTransport;
+import org.lacewingcroft.routing.LeastInFlightPolicy;
+import org.lacewingcroft.routing.PrefixAffinityPolicy;
+import org.lacewingcroft.routing.RouteRequest;
+import org.lacewingcroft.routing.Router;
+import org.lacewingcroft.routing.RoutingPolicy;
+
+/**
+ * In-process measurements of the slopes {@code docs/CAPACITY.md} scales from: processor time of a
+ * routing decision per known endpoint, processor time and heap of a configuration version per
+ * organisation, and heartbeat bytes and processor time per daemon per member. Each measurement
+ * prints one JSON line.
+ */
+public final class SlopeBench {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+  private final Consumer<String> out;
+
+  /** Creates the bench writing JSON lines to the given sink. */
+  public SlopeBench(Consumer<String> out) {
+    this.out = out;
+  }
+
+  /** Measures a routing decision's processor time against the endpoints in the directory. */
+  public void routing(List<Integer> endpointCounts, int decisions) {
+    GatewayConfig config =
+        ConfigParser.parse(
+                "selectors: [{name: w, work: {models: [writer]},"
+                    + " endpoints: {matchLabels: {service: writers}}}]")
+            .withVersion(1);
+    for (RoutingPolicy policy : List.of(new LeastInFlightPolicy(), new PrefixAffinityPolicy())) {
+      for (int n : endpointCounts) {
+        EndpointDirectory directory = EndpointDirectory.EMPTY;
+        Instant now = Instant.ofEpochSecond(1_000);
+        for (int i = 0; i < n; i++) {
+          directory =
+              directory.with(
+                  new Endpoint(
+                      "e" + i,
+                      "http://127.0.0.1:1",
+                      "uusimaa",
+                      "uusimaa-" + (i % 3),
+                      EndpointKind.ENGINE,
+                      Map.of("service", "writers"),
+                      Set.of("writer"),
+                      8,
+                      false,
+                      false,
+                      i % 8,
+                      now.plusSeconds(60)));
+        }
+        Router router = new Router("uusimaa", policy);
+        Map<String, Integer> inFlight = new HashMap<>();
+        long sink = 0;
+        for (int warm = 0; warm < decisions / 4; warm++) {
+          sink +=
+              router.route(request(warm), config, directory, inFlight, List.of(), now).hashCode();
+        }
+        long cpu0 = THREADS.getCurrentThreadCpuTime();
+        for (int i = 0; i < decisions; i++) {
+          sink += router.route(request(i), config, directory, inFlight, List.of(), now).hashCode();
+        }
+        long cpuNanos = THREADS.getCurrentThreadCpuTime() - cpu0;
+        ObjectNode line = JSON.createObjectNode();
+        line.put("bench", "routing");
+        line.put("policy", policy.name());
+        line.put("endpoints", n);
+        line.put("decisions", decisions);
+        line.put("cpuMicrosPerDecision", cpuNanos / 1000.0 / decisions);
+        line.put("sink", sink % 2);
+        out.accept(line.toString());
+      }
+    }
+  }
+
+  private static RouteRequest request(int i) {
+    return new RouteRequest(
+        "puhdas-seina", "writer", "normal", Set.of(), false, "prefix-" + (i % 97));
+  }
+
+  /** Measures parsing and holding a configuration version against its organisations. */
+  public void configuration(List<Integer> organisationCounts) {
+    for (int n : organisationCounts) {
+      StringBuilder doc = new StringBuilder("selectors:\n");
+      doc.append("  - {name: w, work: {models: [writer]},")
+          .append(" endpoints: {matchLabels: {service: writers}}}\norganisations:\n");
+      for (int i = 0; i < n; i++) {
+        doc.append("  - {name: org-")
+            .append(i)
+            .append(", residency: [uusimaa, pirkanmaa], requestsPerSecond: 20}\n");
+      }
+      String document = doc.toString();
+      for (int warm = 0; warm < 3; warm++) {
+        ConfigParser.parse(document);
+      }
+      int rounds = 5;
+      long cpu0 = THREADS.getCurrentThreadCpuTime();
+      for (int r = 0; r < rounds; r++) {
+        ConfigParser.parse(document);
+      }
+      final long cpuNanos = (THREADS.getCurrentThreadCpuTime() - cpu0) / rounds;
+      final long heapBefore = usedHeapAfterGc();
+      ConfigStore store = new ConfigStore();
+      store.offer(1, document);
+      long heapAfter = usedHeapAfterGc();
+      ObjectNode line = JSON.createObjectNode();
+      line.put("bench", "configuration");
+      line.put("organisations", n);
+      line.put("documentBytes", document.getBytes(StandardCharsets.UTF_8).length);
+      line.put("parseCpuMillis", cpuNanos / 1e6);
+      line.put("heapBytesHeld", heapAfter - heapBefore);
+      line.put("version", store.current().version());
+      out.accept(line.toString());
+    }
+  }
+
+  private static long usedHeapAfterGc() {
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+    }
+    Runtime rt = Runtime.getRuntime();
+    return rt.totalMemory() - rt.freeMemory();
+  }
+
+  /**
+   * Runs {@code members} in-process daemons' membership on loopback for the given time and measures
+   * the heartbeat bytes each sends per second and the process's processor time.
+   */
+  public void membership(List<Integer> memberCounts, Duration run, Duration interval)
+      throws Exception {
+    byte[] secret = "slope-bench-secret-0123456789".getBytes(StandardCharsets.UTF_8);
+    for (int n : memberCounts) {
+      Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+      List<PeerTransport> transports = new ArrayList<>();
+      List<Membership> members = new ArrayList<>();
+      String seed = null;
+      for (int i = 0; i < n; i++) {
+        PeerTransport t = new PeerTransport(vertx, new FrameCodec(secret));
+        Membership[] holder = new Membership[1];
+        int port =
+            t.listen(
+                    "127.0.0.1",
+                    0,
+                    (stamp, m) -> {
+                      if (m instanceof PeerMessage.Heartbeat h && holder[0] != null) {
+                        holder[0].onHeartbeat(h);
+                      }
+                    })
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+        String address = "127.0.0.1:" + port;
+        if (seed == null) {
+          seed = address;
+        }
+        String region = "region-" + (i % 3);
+        MemberInfo self =
+            new MemberInfo("node-" + i, "entry", region, region + "-a", address, address, 1);
+        Membership m = new Membership(self, List.of(seed), t, InstantSource.system(), interval);
+        holder[0] = m;
+        transports.add(t);
+        members.add(m);
+      }
+      long[] timers = new long[n];
+      for (int i = 0; i < n; i++) {
+        Membership m = members.get(i);
+        timers[i] = vertx.setPeriodic(interval.toMillis(), id -> m.beat(1, Map.of("writer", 4)));
+      }
+      long settle = run.toMillis() / 2;
+      TimeUnit.MILLISECONDS.sleep(settle);
+      long bytes0 = transports.stream().mapToLong(PeerTransport::bytesSent).sum();
+      long cpu0 = processCpuNanos();
+      long wall0 = System.nanoTime();
+      TimeUnit.MILLISECONDS.sleep(run.toMillis() - settle);
+      long seconds = System.nanoTime() - wall0;
+      long bytes = transports.stream().mapToLong(PeerTransport::bytesSent).sum() - bytes0;
+      long cpu = processCpuNanos() - cpu0;
+      double wallSeconds = seconds / 1e9;
+      double knownAverage =
+          members.stream().mapToInt(m -> m.table().all().size()).average().orElse(0);
+      ObjectNode line = JSON.createObjectNode();
+      line.put("bench", "membership");
+      line.put("members", n);
+      line.put("intervalMillis", interval.toMillis());
+      line.put("knownPerMemberAverage", knownAverage);
+      line.put("bytesPerSecondPerMember", bytes / wallSeconds / n);
+      line.put("cpuShareOfCorePerMember", cpu / 1e9 / wallSeconds / n);
+      out.accept(line.toString());
+      for (long timer : timers) {
+        vertx.cancelTimer(timer);
+      }
+      transports.forEach(PeerTransport::close);
+      vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  private static long processCpuNanos() {
+    return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+        .getProcessCpuTime();
+  }
+}
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/TraceRequest.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/TraceRequest.java
@@ -62,6 +62,32 @@
     return requests;
   }
 
+  /**
+   * Returns the trace repeated {@code copies} times, each copy's send times divided by {@code
+   * speedup}, so the same mix arrives at a higher rate.
+   */
+  public static List<TraceRequest> scaled(List<TraceRequest> trace, int copies, double speedup) {
+    List<TraceRequest> out = new ArrayList<>();
+    long span = trace.stream().mapToLong(TraceRequest::atMillis).max().orElse(0) + 1;
+    for (int c = 0; c < copies; c++) {
+      for (TraceRequest r : trace) {
+        long at = (long) ((c * span + r.atMillis()) / speedup);
+        out.add(
+            new TraceRequest(
+                at,
+                r.region,
+                r.organisation,
+                r.model,
+                r.prompt,
+                r.maxTokens,
+                r.stream,
+                r.residency,
+                r.idempotencyKey));
+      }
+    }
+    return out;
+  }
+
   /** Returns the OpenAI-compatible request body. */
   public String body() {
     var root = JSON.createObjectNode();
