Run non-idempotent requests at most once: key owners by rendezvous, replicated records

Change: POST /v1/services/<service>/<path> routes plain-service calls like models. The owner's IdempotencyTable admits a key once (RUN); a resend while it runs gets in_progress with Retry-After, after it is done the stored answer (X-Idempotent-Replay: true), after an ambiguous failure outcome_unknown. Only a refusal before any endpoint received the request releases the key. Each record is sent to the next entry in rendezvous order (the backup), which keeps the more advanced state.

Ruled out: letting every entry keep its own table (a resend to another entry would run again); deduplicating at the endpoint (not all plain services can).

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/LoadBenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/LoadBenchCommand.java
@@ -28,6 +28,12 @@
   @Option(names = "--copies", defaultValue = "4", description = "trace copies per rate")
   int copies;
 
+  @Option(names = "--warm-ups", defaultValue = "3", description = "warm-up replays at top rate")
+  int warmUps;
+
+  @Option(names = "--idle-seconds", defaultValue = "5", description = "idle cost measurement")
+  int idleSeconds;
+
   @Override
   public Integer call() throws Exception {
     List<TraceRequest> base = DemoDeployment.trace();
@@ -36,7 +42,18 @@
                 DemoDeployment.topology(), Files.createTempDirectory("lacewingcroft-load"));
         TraceReplayer replayer = new TraceReplayer()) {
       Map<String, String> entries = deployment.entries();
-      replayer.replay(base, r -> entries.get(r.region() + "-entry-1"));
+      for (int warm = 0; warm < warmUps; warm++) {
+        replayer.replay(
+            TraceRequest.scaled(base, copies, speedups.get(speedups.size() - 1)),
+            r -> entries.get(r.region() + "-entry-1"));
+      }
+      long idleCpu0 = deployment.cpuNanos(n -> n.contains("-entry-"));
+      long idleWall0 = System.nanoTime();
+      java.util.concurrent.TimeUnit.SECONDS.sleep(idleSeconds);
+      double idleCoresPerEntry =
+          (deployment.cpuNanos(n -> n.contains("-entry-")) - idleCpu0)
+              / (double) (System.nanoTime() - idleWall0)
+              / entries.size();
       for (double speedup : speedups) {
         List<TraceRequest> trace = TraceRequest.scaled(base, copies, speedup);
         long cpu0 = deployment.cpuNanos(n -> n.contains("-entry-"));
@@ -50,8 +67,11 @@
         line.put("requests", trace.size());
         line.put("served", r.outcome("served"));
         line.put("requestsPerSecond", trace.size() / wallSeconds);
+        double busyNanos = cpu - idleCoresPerEntry * entries.size() * wallSeconds * 1e9;
+        line.put("idleCoreSharePerEntry", idleCoresPerEntry);
         line.put("entryCpuMicrosPerRequest", cpu / 1000.0 / trace.size());
-        line.put("entryCpuMicrosPerToken", cpu / 1000.0 / tokens);
+        line.put("entryCpuMicrosPerRequestAboveIdle", busyNanos / 1000.0 / trace.size());
+        line.put("entryCpuMicrosPerTokenAboveIdle", busyNanos / 1000.0 / tokens);
         line.put("firstTokenP95Millis", r.firstTokenMicros.getValueAtPercentile(95) / 1000.0);
         line.put("betweenTokensP95Millis", r.betweenTokensMicros.getValueAtPercentile(95) / 1000.0);
         System.out.println(line);
--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/SlopesBenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/SlopesBenchCommand.java
@@ -27,6 +27,8 @@
     SlopeBench bench = new SlopeBench(System.out::println);
     bench.routing(endpoints, 20_000);
     bench.configuration(organisations);
+    bench.controlLog(200, 200);
+    bench.controlLog(50, 200_000);
     bench.membership(members, Duration.ofSeconds(seconds), Duration.ofMillis(500));
     return 0;
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -130,6 +130,7 @@
               metrics,
               clock);
       router.post("/v1/chat/completions").handler(gateway::handleChat);
+      router.post(EntryGateway.SERVICES_PREFIX + ":service/*").handler(gateway::handleService);
       router.post("/v1/endpoints/announce").handler(this::announce);
       router.get("/v1/endpoints").handler(this::endpointsPage);
     }
@@ -193,6 +194,8 @@
       }
     } else if (message instanceof PeerMessage.EndpointAnnounce announce) {
       endpoints.put(announce.endpoint());
+    } else if (message instanceof PeerMessage.IdempotencyRecord record && gateway != null) {
+      gateway.idempotencyTable().merge(record.entry());
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -1,6 +1,5 @@
 package org.lacewingcroft.gateway;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -12,6 +11,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.ext.web.RoutingContext;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,15 +23,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointDirectory;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.misc.Rendezvous;
 import org.lacewingcroft.peer.Membership;
+import org.lacewingcroft.peer.PeerMessage;
 import org.lacewingcroft.request.CallerRequest;
 import org.lacewingcroft.routing.RegionSummary;
 import org.lacewingcroft.routing.RouteDecision;
@@ -52,6 +56,17 @@
   private static final long IDLE_TIMEOUT_MILLIS = 30_000;
   private static final String REQUEST_ID_HEADER = "X-Request-Id";
 
+  /** Header marking a request relayed to its idempotency key's owner; never relayed again. */
+  public static final String OWNER_HOP_HEADER = "X-Lacewingcroft-Owner-Hop";
+
+  /** Response header set when the answer is a replay of an earlier run with the same key. */
+  public static final String REPLAY_HEADER = "X-Idempotent-Replay";
+
+  /** The path prefix of plain-service calls. */
+  public static final String SERVICES_PREFIX = "/v1/services/";
+
+  private static final Duration IDEMPOTENCY_RETENTION = Duration.ofHours(24);
+
   /** Response header naming the region whose endpoint served the request. */
   public static final String REGION_HEADER = "X-Lacewingcroft-Region";
 
@@ -66,6 +81,41 @@
   private final Map<String, AtomicInteger> inFlightByEndpoint = new ConcurrentHashMap<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicBoolean shuttingDown = new AtomicBoolean();
+  private final IdempotencyTable idempotency = new IdempotencyTable(IDEMPOTENCY_RETENTION);
+
+  /** One caller request on its way through this daemon. */
+  private final class Exchange {
+    final RoutingContext ctx;
+    final CallerRequest request;
+    final String requestId;
+    final long startNanos = System.nanoTime();
+    Optional<String> recordKey = Optional.empty();
+    AtomicInteger endpointCounter;
+    boolean firstByte = true;
+    private boolean done;
+
+    Exchange(RoutingContext ctx, CallerRequest request, String requestId) {
+      this.ctx = ctx;
+      this.request = request;
+      this.requestId = requestId;
+    }
+
+    HttpServerResponse response() {
+      return ctx.response();
+    }
+
+    /** Releases the in-flight counts once, whether the response ended or the caller left. */
+    void finished() {
+      if (done) {
+        return;
+      }
+      done = true;
+      if (endpointCounter != null) {
+        endpointCounter.decrementAndGet();
+      }
+      metrics.inFlight.set(inFlight.decrementAndGet());
+    }
+  }
 
   /**
    * Creates the request path of one entry daemon.
@@ -132,6 +182,36 @@
 
   /** Handles {@code POST /v1/chat/completions}. */
   public void handleChat(RoutingContext ctx) {
+    handle(
+        ctx,
+        () ->
+            CallerRequest.parse(
+                ctx.request()::getHeader, ctx.body().buffer().getBytes(), knownRegions()));
+  }
+
+  /** Handles {@code POST /v1/services/<service>/<path>}: a call to a plain service. */
+  public void handleService(RoutingContext ctx) {
+    String service = ctx.pathParam("service");
+    String prefix = SERVICES_PREFIX + service;
+    String path = ctx.request().path();
+    String rest = path.length() > prefix.length() ? path.substring(prefix.length()) : "/";
+    handle(
+        ctx,
+        () ->
+            CallerRequest.forService(
+                ctx.request()::getHeader,
+                service,
+                rest,
+                ctx.body().buffer().getBytes(),
+                knownRegions()));
+  }
+
+  /** Returns the at-most-once records this daemon holds as owner or backup. */
+  public IdempotencyTable idempotencyTable() {
+    return idempotency;
+  }
+
+  private void handle(RoutingContext ctx, Supplier<CallerRequest> parser) {
     String requestId =
         Optional.ofNullable(ctx.request().getHeader(REQUEST_ID_HEADER))
             .orElseGet(() -> UUID.randomUUID().toString());
@@ -143,9 +223,7 @@
     }
     CallerRequest request;
     try {
-      request =
-          CallerRequest.parse(
-              ctx.request()::getHeader, ctx.body().buffer().getBytes(), knownRegions());
+      request = parser.get();
     } catch (GatewayException e) {
       metrics.requests.labelValues("bad_request").inc();
       ErrorReply.send(response, e.kind(), e.detail(), Optional.empty());
@@ -159,17 +237,79 @@
           request.idempotencyKey());
       return;
     }
-    inFlight.incrementAndGet();
-    metrics.inFlight.set(inFlight.get());
-    response.endHandler(v -> metrics.inFlight.set(inFlight.decrementAndGet()));
+    Exchange exchange = new Exchange(ctx, request, requestId);
+    metrics.inFlight.set(inFlight.incrementAndGet());
+    response.endHandler(v -> exchange.finished());
+    response.closeHandler(v -> exchange.finished());
     response.exceptionHandler(e -> {});
-    long startNanos = System.nanoTime();
-    dispatch(ctx, request, requestId, 1, startNanos);
+    Optional<String> key = request.scopedIdempotencyKey();
+    if (key.isEmpty() || request.idempotent()) {
+      dispatch(exchange, 1);
+      return;
+    }
+    Optional<Member> owner = remoteOwner(key.get());
+    if (owner.isPresent() && ctx.request().getHeader(OWNER_HOP_HEADER) == null) {
+      relayToEntry(exchange, owner.get(), OWNER_HOP_HEADER, membership.self().nodeId());
+      return;
+    }
+    admit(exchange, key.get());
   }
 
-  private void dispatch(
-      RoutingContext ctx, CallerRequest request, String requestId, int attempt, long startNanos) {
-    HttpServerResponse response = ctx.response();
+  private void admit(Exchange exchange, String key) {
+    Optional<String> callerKey = exchange.request.idempotencyKey();
+    switch (idempotency.admit(key, clock.instant())) {
+      case RUN -> {
+        exchange.recordKey = Optional.of(key);
+        replicate(idempotency.get(key).orElseThrow());
+        dispatch(exchange, 1);
+      }
+      case REPLAY -> replay(exchange, idempotency.get(key).orElseThrow());
+      case IN_PROGRESS ->
+          refuse(
+              exchange.response(),
+              ErrorKind.IN_PROGRESS,
+              "a request with this idempotency key is running",
+              callerKey);
+      case UNKNOWN ->
+          refuse(
+              exchange.response(),
+              ErrorKind.OUTCOME_UNKNOWN,
+              "an earlier request with this idempotency key failed after dispatch",
+              callerKey);
+    }
+  }
+
+  private void replay(Exchange exchange, IdempotencyTable.Entry entry) {
+    metrics.requests.labelValues("replayed").inc();
+    HttpServerResponse response = exchange.response();
+    response.setStatusCode(entry.status()).putHeader(REPLAY_HEADER, "true");
+    if (!entry.contentType().isEmpty()) {
+      response.putHeader("Content-Type", entry.contentType());
+    }
+    response.end(Buffer.buffer(entry.body()));
+  }
+
+  /** Returns the key's owner among the region's live entries, or empty if it is this daemon. */
+  private Optional<Member> remoteOwner(String key) {
+    List<Member> live = membership.table().alive("entry", region, clock.instant());
+    List<String> ids = new ArrayList<>();
+    ids.add(membership.self().nodeId());
+    live.forEach(m -> ids.add(m.info().nodeId()));
+    String owner = Rendezvous.owner(ids, id -> id, key).orElseThrow();
+    return live.stream().filter(m -> m.info().nodeId().equals(owner)).findFirst();
+  }
+
+  /** Sends a record to the next live entry in the key's rendezvous order, its backup. */
+  private void replicate(IdempotencyTable.Entry entry) {
+    List<Member> live = membership.table().alive("entry", region, clock.instant());
+    List<Member> ranked = Rendezvous.rank(live, m -> m.info().nodeId(), entry.key());
+    if (!ranked.isEmpty()) {
+      membership.send(ranked.get(0).info().peerAddress(), new PeerMessage.IdempotencyRecord(entry));
+    }
+  }
+
+  private void dispatch(Exchange exchange, int attempt) {
+    CallerRequest request = exchange.request;
     RouteDecision decision =
         router.route(
             request.toRouteRequest(),
@@ -179,189 +319,185 @@
             remoteRegions(),
             clock.instant());
     if (decision instanceof RouteDecision.Refuse refuse) {
-      refuse(response, refuse.kind(), refuse.detail(), request.idempotencyKey());
       LOG.log(
           System.Logger.Level.INFO,
           "request.refused",
           "request",
-          requestId,
+          exchange.requestId,
           "reason",
           refuse.detail());
+      notRun(exchange, refuse.kind(), refuse.detail());
       return;
     }
     if (decision instanceof RouteDecision.Forward forward) {
-      forward(ctx, request, requestId, forward.region(), startNanos);
+      forward(exchange, forward.region());
       return;
     }
-    RouteDecision.Serve serve = (RouteDecision.Serve) decision;
-    Endpoint endpoint = serve.candidate().endpoint();
-    AtomicInteger counter =
+    Endpoint endpoint = ((RouteDecision.Serve) decision).candidate().endpoint();
+    String rule = ((RouteDecision.Serve) decision).rule();
+    exchange.endpointCounter =
         inFlightByEndpoint.computeIfAbsent(endpoint.id(), k -> new AtomicInteger());
-    counter.incrementAndGet();
-    response.endHandler(
-        v -> {
-          counter.decrementAndGet();
-          metrics.inFlight.set(inFlight.decrementAndGet());
-        });
-    Future<HttpClientRequest> opened =
-        client.request(
-            new RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setAbsoluteURI(endpoint.baseUrl() + "/v1/chat/completions")
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                .setIdleTimeout(IDLE_TIMEOUT_MILLIS));
-    opened.onFailure(
-        e -> {
-          counter.decrementAndGet();
-          response.endHandler(v -> metrics.inFlight.set(inFlight.decrementAndGet()));
-          if (attempt < DISPATCH_ATTEMPTS) {
-            LOG.log(
-                System.Logger.Level.INFO,
-                "request.retry_not_sent",
-                "request",
-                requestId,
-                "endpoint",
-                endpoint.id(),
-                "error",
-                e.getMessage());
-            dispatch(ctx, request, requestId, attempt + 1, startNanos);
-          } else {
-            refuse(
-                response,
-                ErrorKind.NOT_RUN,
-                "no endpoint could be reached after " + attempt + " attempts",
-                request.idempotencyKey());
-          }
-        });
-    opened.onSuccess(
-        upstream -> relay(ctx, request, requestId, endpoint, upstream, startNanos, serve.rule()));
+    exchange.endpointCounter.incrementAndGet();
+    client
+        .request(options(endpoint.baseUrl() + request.path()))
+        .onFailure(
+            e -> {
+              exchange.endpointCounter.decrementAndGet();
+              exchange.endpointCounter = null;
+              if (attempt < DISPATCH_ATTEMPTS) {
+                LOG.log(
+                    System.Logger.Level.INFO,
+                    "request.retry_not_sent",
+                    "request",
+                    exchange.requestId,
+                    "endpoint",
+                    endpoint.id(),
+                    "error",
+                    e.getMessage());
+                dispatch(exchange, attempt + 1);
+              } else {
+                notRun(
+                    exchange,
+                    ErrorKind.NOT_RUN,
+                    "no endpoint could be reached after " + attempt + " attempts");
+              }
+            })
+        .onSuccess(upstream -> relay(exchange, endpoint.id(), endpoint.region(), upstream, rule));
+  }
+
+  private static RequestOptions options(String url) {
+    return new RequestOptions()
+        .setMethod(HttpMethod.POST)
+        .setAbsoluteURI(url)
+        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+        .setIdleTimeout(IDLE_TIMEOUT_MILLIS);
   }
 
   private void relay(
-      RoutingContext ctx,
-      CallerRequest request,
-      String requestId,
-      Endpoint endpoint,
+      Exchange exchange,
+      String target,
+      String targetRegion,
       HttpClientRequest upstream,
-      long startNanos,
       String rule) {
-    final HttpServerResponse response = ctx.response();
+    final HttpServerResponse response = exchange.response();
+    CallerRequest request = exchange.request;
     upstream.putHeader("Content-Type", "application/json");
-    upstream.putHeader(REQUEST_ID_HEADER, requestId);
+    upstream.putHeader(REQUEST_ID_HEADER, exchange.requestId);
     request.idempotencyKey().ifPresent(k -> upstream.putHeader("Idempotency-Key", k));
     LOG.log(
         System.Logger.Level.INFO,
         "request.dispatched",
         "request",
-        requestId,
-        "endpoint",
-        endpoint.id(),
+        exchange.requestId,
+        "target",
+        target,
         "rule",
         rule,
         "organisation",
         request.organisation());
     upstream
         .send(Buffer.buffer(request.body()))
-        .onFailure(e -> outcomeUnknown(response, request, requestId, e))
+        .onFailure(e -> outcomeUnknown(exchange, e))
         .onSuccess(
             answer -> {
               response.setStatusCode(answer.statusCode());
               copyHeader(answer, response, "Content-Type");
+              copyHeader(answer, response, REPLAY_HEADER);
               String servedIn = answer.getHeader(REGION_HEADER);
-              response.putHeader(REGION_HEADER, servedIn != null ? servedIn : endpoint.region());
-              response.putHeader("X-Lacewingcroft-Endpoint", endpoint.id());
+              response.putHeader(REGION_HEADER, servedIn != null ? servedIn : targetRegion);
+              response.putHeader("X-Lacewingcroft-Endpoint", target);
               response.setChunked(true);
-              boolean[] first = {true};
+              Buffer kept = exchange.recordKey.isPresent() ? Buffer.buffer() : null;
               answer.handler(
                   chunk -> {
-                    if (first[0]) {
-                      first[0] = false;
-                      metrics.firstByteSeconds.observe((System.nanoTime() - startNanos) / 1e9);
+                    if (exchange.firstByte) {
+                      exchange.firstByte = false;
+                      metrics.firstByteSeconds.observe(
+                          (System.nanoTime() - exchange.startNanos) / 1e9);
+                    }
+                    if (kept != null) {
+                      kept.appendBuffer(chunk);
                     }
                     response.write(chunk);
                   });
-              answer.exceptionHandler(e -> outcomeUnknown(response, request, requestId, e));
+              answer.exceptionHandler(e -> outcomeUnknown(exchange, e));
               answer.endHandler(
                   v -> {
-                    if (!response.ended()) {
-                      metrics.requests.labelValues("served").inc();
-                      response.end();
-                      LOG.log(
-                          System.Logger.Level.INFO,
-                          "request.served",
-                          "request",
-                          requestId,
-                          "endpoint",
-                          endpoint.id());
+                    if (response.ended()) {
+                      return;
                     }
+                    exchange.recordKey.ifPresent(
+                        k ->
+                            replicate(
+                                idempotency.complete(
+                                    k,
+                                    answer.statusCode(),
+                                    Optional.ofNullable(answer.getHeader("Content-Type"))
+                                        .orElse(""),
+                                    kept.getBytes(),
+                                    clock.instant())));
+                    metrics.requests.labelValues("served").inc();
+                    response.end();
+                    LOG.log(
+                        System.Logger.Level.INFO,
+                        "request.served",
+                        "request",
+                        exchange.requestId,
+                        "target",
+                        target);
                   });
             });
   }
 
-  private void forward(
-      RoutingContext ctx,
-      CallerRequest request,
-      String requestId,
-      String targetRegion,
-      long startNanos) {
-    HttpServerResponse response = ctx.response();
+  private void forward(Exchange exchange, String targetRegion) {
     List<Member> entries = membership.table().alive("entry", targetRegion, clock.instant());
     if (entries.isEmpty()) {
-      refuse(
-          response,
-          ErrorKind.NOT_RUN,
-          "no live entry in region " + targetRegion,
-          request.idempotencyKey());
+      notRun(exchange, ErrorKind.NOT_RUN, "no live entry in region " + targetRegion);
       return;
     }
-    Member target = entries.get(Math.floorMod(requestId.hashCode(), entries.size()));
-    response.endHandler(v -> metrics.inFlight.set(inFlight.decrementAndGet()));
-    Future<HttpClientRequest> opened =
-        client.request(
-            new RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setAbsoluteURI("http://" + target.info().httpAddress() + "/v1/chat/completions")
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                .setIdleTimeout(IDLE_TIMEOUT_MILLIS));
-    opened.onFailure(
-        e ->
-            refuse(
-                response,
-                ErrorKind.NOT_RUN,
-                "entry " + target.info().nodeId() + " of region " + targetRegion + " unreachable",
-                request.idempotencyKey()));
-    opened.onSuccess(
-        upstream -> {
-          ctx.request()
-              .headers()
-              .forEach(h -> copyCallerHeader(h.getKey(), h.getValue(), upstream));
-          upstream.putHeader(CallerRequest.FORWARDED_HEADER, region);
-          metrics.requests.labelValues("forwarded").inc();
-          LOG.log(
-              System.Logger.Level.INFO,
-              "request.forwarded",
-              "request",
-              requestId,
-              "region",
-              targetRegion,
-              "entry",
-              target.info().nodeId());
-          Endpoint pseudo =
-              new Endpoint(
+    Member target = entries.get(Math.floorMod(exchange.requestId.hashCode(), entries.size()));
+    metrics.requests.labelValues("forwarded").inc();
+    relayToEntry(exchange, target, CallerRequest.FORWARDED_HEADER, region);
+  }
+
+  /** Relays a request to another entry, marked by a header so that entry does not pass it on. */
+  private void relayToEntry(Exchange exchange, Member target, String markHeader, String mark) {
+    String url = "http://" + target.info().httpAddress() + exchange.ctx.request().path();
+    client
+        .request(options(url))
+        .onFailure(
+            e ->
+                notRun(
+                    exchange,
+                    ErrorKind.NOT_RUN,
+                    "entry " + target.info().nodeId() + " could not be reached"))
+        .onSuccess(
+            upstream -> {
+              exchange
+                  .ctx
+                  .request()
+                  .headers()
+                  .forEach(h -> copyCallerHeader(h.getKey(), h.getValue(), upstream));
+              upstream.putHeader(markHeader, mark);
+              LOG.log(
+                  System.Logger.Level.INFO,
+                  "request.relayed",
+                  "request",
+                  exchange.requestId,
+                  "entry",
                   target.info().nodeId(),
-                  "http://" + target.info().httpAddress(),
-                  targetRegion,
-                  target.info().failureDomain(),
-                  org.lacewingcroft.endpoint.EndpointKind.SERVICE,
-                  Map.of(),
-                  Set.of(request.model()),
-                  1,
-                  false,
-                  false,
-                  0,
-                  clock.instant());
-          relay(ctx, request, requestId, pseudo, upstream, startNanos, "forward");
-        });
+                  "mark",
+                  markHeader);
+              relay(exchange, target.info().nodeId(), target.info().region(), upstream, markHeader);
+            });
+  }
+
+  /** Refuses a request no endpoint received, releasing its at-most-once record for a retry. */
+  private void notRun(Exchange exchange, ErrorKind kind, String detail) {
+    // The backup is not told of a release: it keeps the key as running until the record
+    // expires, which errs on the side of not running, never of running twice.
+    exchange.recordKey.ifPresent(idempotency::release);
+    refuse(exchange.response(), kind, detail, exchange.request.idempotencyKey());
   }
 
   private static void copyCallerHeader(String name, String value, HttpClientRequest upstream) {
@@ -371,14 +507,16 @@
     }
   }
 
-  private void outcomeUnknown(
-      HttpServerResponse response, CallerRequest request, String requestId, Throwable e) {
+  private void outcomeUnknown(Exchange exchange, Throwable e) {
+    HttpServerResponse response = exchange.response();
+    CallerRequest request = exchange.request;
+    exchange.recordKey.ifPresent(k -> replicate(idempotency.markUnknown(k, clock.instant())));
     metrics.requests.labelValues("outcome_unknown").inc();
     LOG.log(
         System.Logger.Level.WARNING,
         "request.outcome_unknown",
         "request",
-        requestId,
+        exchange.requestId,
         "error",
         String.valueOf(e.getMessage()));
     if (response.ended()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
@@ -96,6 +96,11 @@
     }
   }
 
+  /** Sends a message to one peer address. */
+  public void send(String peerAddress, PeerMessage message) {
+    transport.send(peerAddress, message);
+  }
+
   /** Sends a message to every known member of the given role, or all members if role is null. */
   public void broadcast(String role, String region, PeerMessage message) {
     for (Member m : table.get().all()) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
@@ -24,6 +24,9 @@
       502,
       "outcome_unknown",
       "resend with the same Idempotency-Key to learn the outcome; do not send a new key"),
+  /** A request with the same idempotency key is running now; this resend was not run. */
+  IN_PROGRESS(
+      409, "in_progress", "resend with the same Idempotency-Key after the Retry-After delay"),
   /** The organisation sent more requests than its admission limit allows; it was not run. */
   RATE_LIMITED(429, "rate_limited", "slow down and retry after the Retry-After delay"),
   /** A configuration change was based on an older version than the one in force. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointKind;
+import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -22,6 +23,7 @@
   private static final int ENDPOINT_ANNOUNCE = 2;
   private static final int CONFIG_OFFER = 3;
   private static final int CONFIG_REQUEST = 4;
+  private static final int IDEMPOTENCY_RECORD = 5;
 
   private MessageCodec() {}
 
@@ -48,6 +50,16 @@
         p.packInt(CONFIG_REQUEST);
         p.packLong(r.haveVersion());
         p.packString(r.replyTo());
+      } else if (message instanceof PeerMessage.IdempotencyRecord r) {
+        IdempotencyTable.Entry e = r.entry();
+        p.packInt(IDEMPOTENCY_RECORD);
+        p.packString(e.key());
+        p.packString(e.state().name());
+        p.packInt(e.status());
+        p.packString(e.contentType());
+        p.packBinaryHeader(e.body().length);
+        p.writePayload(e.body());
+        p.packLong(e.expiresAt().toEpochMilli());
       }
       return p.toByteArray();
     } catch (IOException e) {
@@ -78,6 +90,16 @@
         case ENDPOINT_ANNOUNCE -> new PeerMessage.EndpointAnnounce(unpackEndpoint(u));
         case CONFIG_OFFER -> new PeerMessage.ConfigOffer(u.unpackLong(), u.unpackString());
         case CONFIG_REQUEST -> new PeerMessage.ConfigRequest(u.unpackLong(), u.unpackString());
+        case IDEMPOTENCY_RECORD -> {
+          String key = u.unpackString();
+          IdempotencyTable.State state = IdempotencyTable.State.valueOf(u.unpackString());
+          int status = u.unpackInt();
+          String contentType = u.unpackString();
+          byte[] body = u.readPayload(u.unpackBinaryHeader());
+          Instant expiresAt = Instant.ofEpochMilli(u.unpackLong());
+          yield new PeerMessage.IdempotencyRecord(
+              new IdempotencyTable.Entry(key, state, status, contentType, body, expiresAt));
+        }
         default -> throw new MalformedFrameException("unknown message type " + type);
       };
     } catch (IOException | RuntimeException e) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.idempotency.IdempotencyTable;
 
 /**
  * The typed messages daemons exchange over the peer transport, encoded by {@link MessageCodec} and
@@ -53,4 +54,12 @@
    * @param replyTo the sender's peer address
    */
   record ConfigRequest(long haveVersion, String replyTo) implements PeerMessage {}
+
+  /**
+   * A key owner's at-most-once record, replicated to the next gateway in rendezvous order so it
+   * takes over the key if the owner is lost.
+   *
+   * @param entry the record
+   */
+  record IdempotencyRecord(IdempotencyTable.Entry entry) implements PeerMessage {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
@@ -32,6 +32,7 @@
  * @param forwardedFrom the region that forwarded it here, if any
  * @param prefixKey the first characters of the first message, for cache affinity
  * @param body the raw body, relayed unchanged to the engine
+ * @param path the path to call on the endpoint, such as {@code /v1/chat/completions}
  */
 public record CallerRequest(
     String organisation,
@@ -43,7 +44,8 @@
     boolean idempotent,
     Optional<String> forwardedFrom,
     String prefixKey,
-    byte[] body) {
+    byte[] body,
+    String path) {
 
   /** Header naming the caller's organisation. */
   public static final String ORGANISATION_HEADER = "X-Organisation";
@@ -66,6 +68,9 @@
   /** How many characters of the prompt form the cache affinity key. */
   public static final int PREFIX_CHARS = 256;
 
+  /** The engines' chat completion path. */
+  public static final String CHAT_PATH = "/v1/chat/completions";
+
   private static final ObjectMapper JSON = new ObjectMapper();
 
   /**
@@ -80,10 +85,7 @@
    */
   public static CallerRequest parse(
       Function<String, String> headers, byte[] body, Set<String> knownRegions) {
-    String organisation = headers.apply(ORGANISATION_HEADER);
-    if (organisation == null || organisation.isBlank()) {
-      throw malformed("header " + ORGANISATION_HEADER + " is missing");
-    }
+    requireOrganisation(headers);
     JsonNode root;
     try {
       root = JSON.readTree(body);
@@ -103,6 +105,57 @@
     if (messages == null || !messages.isArray() || messages.isEmpty()) {
       throw malformed("field 'messages' must be a non-empty array");
     }
+    return build(
+        headers,
+        model.asText(),
+        root.path("stream").asBoolean(false),
+        prefixOf(messages),
+        body,
+        CHAT_PATH,
+        knownRegions);
+  }
+
+  /**
+   * Parses a call to a plain service, {@code /v1/services/<service><path>}; the body is relayed as
+   * it is.
+   *
+   * @param headers looks up a header by name; null when absent
+   * @param service the service name, routed like a model name
+   * @param path the path to call on the service, starting with {@code /}
+   * @param body the body
+   * @param knownRegions the deployment's regions
+   * @return the request
+   * @throws GatewayException of kind {@link ErrorKind#MALFORMED_REQUEST} or {@link
+   *     ErrorKind#UNKNOWN_REGION}
+   */
+  public static CallerRequest forService(
+      Function<String, String> headers,
+      String service,
+      String path,
+      byte[] body,
+      Set<String> knownRegions) {
+    requireOrganisation(headers);
+    if (service == null || service.isBlank() || !path.startsWith("/")) {
+      throw malformed("the path must be /v1/services/<service>/<path>");
+    }
+    return build(headers, service, false, "", body, path, knownRegions);
+  }
+
+  private static void requireOrganisation(Function<String, String> headers) {
+    String organisation = headers.apply(ORGANISATION_HEADER);
+    if (organisation == null || organisation.isBlank()) {
+      throw malformed("header " + ORGANISATION_HEADER + " is missing");
+    }
+  }
+
+  private static CallerRequest build(
+      Function<String, String> headers,
+      String model,
+      boolean stream,
+      String prefixKey,
+      byte[] body,
+      String path,
+      Set<String> knownRegions) {
     Set<String> residency = parseResidency(headers.apply(RESIDENCY_HEADER), knownRegions);
     Optional<String> key = Optional.ofNullable(headers.apply(IDEMPOTENCY_KEY_HEADER));
     boolean markedNonIdempotent = "false".equalsIgnoreCase(headers.apply(IDEMPOTENT_HEADER));
@@ -112,16 +165,22 @@
     }
     String priority = Optional.ofNullable(headers.apply(PRIORITY_HEADER)).orElse("normal");
     return new CallerRequest(
-        organisation,
-        model.asText(),
-        root.path("stream").asBoolean(false),
+        headers.apply(ORGANISATION_HEADER),
+        model,
+        stream,
         priority,
         residency,
         key,
         !(markedNonIdempotent || key.isPresent()),
         Optional.ofNullable(headers.apply(FORWARDED_HEADER)),
-        prefixOf(messages),
-        body.clone());
+        prefixKey,
+        body.clone(),
+        path);
+  }
+
+  /** Returns the key under which the owner records this request: organisation and key. */
+  public Optional<String> scopedIdempotencyKey() {
+    return idempotencyKey.map(k -> organisation + "/" + k);
   }
 
   private static Set<String> parseResidency(String header, Set<String> knownRegions) {
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -40,7 +40,8 @@
   private final List<String> controlUrls = new ArrayList<>();
   private final List<String> controlPeers = new ArrayList<>();
   private final Map<String, List<String>> standinUrls = new LinkedHashMap<>();
-  private final HttpClient http = HttpClient.newHttpClient();
+  private final HttpClient http =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
   /**
    * A group of stand-in runners in one process.
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
@@ -223,6 +223,34 @@
     }
   }
 
+  /**
+   * Measures the control log's durable append (write plus fsync) on this machine's disk, for a
+   * change of the given size in bytes.
+   */
+  public void controlLog(int appends, int changeBytes) throws Exception {
+    java.nio.file.Path dir = java.nio.file.Files.createTempDirectory("lwc-log-bench");
+    String document = "selectors: []\n#" + "x".repeat(Math.max(0, changeBytes - 16)) + "\n";
+    org.HdrHistogram.Histogram micros = new org.HdrHistogram.Histogram(10_000_000L, 3);
+    try (org.lacewingcroft.control.ControlLog log =
+        org.lacewingcroft.control.ControlLog.open(dir)) {
+      long cpu0 = THREADS.getCurrentThreadCpuTime();
+      for (int i = 0; i < appends; i++) {
+        long t0 = System.nanoTime();
+        log.append("change-" + i, log.lastIndex(), 1, document);
+        micros.recordValue((System.nanoTime() - t0) / 1000);
+      }
+      long cpuNanos = THREADS.getCurrentThreadCpuTime() - cpu0;
+      ObjectNode line = JSON.createObjectNode();
+      line.put("bench", "control-log");
+      line.put("appends", appends);
+      line.put("changeBytes", document.length());
+      line.put("appendP50Micros", micros.getValueAtPercentile(50));
+      line.put("appendP99Micros", micros.getValueAtPercentile(99));
+      line.put("cpuMicrosPerAppend", cpuNanos / 1000.0 / appends);
+      out.accept(line.toString());
+    }
+  }
+
   private static long processCpuNanos() {
     return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
         .getProcessCpuTime();
