--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/DemoCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/DemoCommand.java
@@ -29,7 +29,7 @@
     System.out.println("lacewingcroft demo: starting processes; logs in " + dir);
     List<TraceRequest> trace = DemoDeployment.trace();
     ReplayResult result;
-    int stopFailures;
+    List<String> stopFailures;
     try (LocalDeployment deployment = LocalDeployment.start(DemoDeployment.topology(), dir)) {
       Map<String, String> entryByRegion = new java.util.HashMap<>();
       try (Http http = new Http()) {
@@ -52,7 +52,7 @@
         result.corrupted == 0
             && result.outsideResidency == 0
             && result.outcome("served") > 0
-            && stopFailures == 0;
+            && stopFailures.isEmpty();
     System.out.println("  verdict: " + (ok ? "ok" : "FAILED"));
     return ok ? 0 : 1;
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -1,93 +1,279 @@
 package org.lacewingcroft.control;
 
-import io.vertx.core.Vertx;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.lacewingcroft.config.ConfigStore;
-import org.lacewingcroft.error.ErrorKind;
-import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.ConfigState;
+import org.lacewingcroft.consensus.ConsensusMember;
+import org.lacewingcroft.consensus.ConsensusMessage;
+import org.lacewingcroft.consensus.ConsensusTiming;
+import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.Output;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 
 /**
- * The control role: accepts operators' changes into the durable {@link ControlLog}, applies them to
- * its own {@link ConfigStore} and pushes each new version to every daemon it knows.
+ * The control role: drives this instance's {@link ConsensusMember} on one thread that owns its
+ * files, carries its messages over the peer transport, and pushes each committed configuration to
+ * the daemons it knows.
  *
- * <p>Changes are serialised on one Vert.x context; the disk sync runs on a worker thread so the
- * event loop never blocks.
+ * <p>A failed write or sync stops the role for good: the file's state is then unknown, so the
+ * member must not acknowledge anything more. {@code onDiskFailure} is told.
  */
 public final class ControlService implements AutoCloseable {
   private static final System.Logger LOG = System.getLogger(ControlService.class.getName());
-  private final Vertx vertx;
-  private final ControlLog log;
+  private static final long TICK_MILLIS = 20;
+
+  private final String nodeId;
   private final ConfigStore configs;
   private final Membership membership;
-  private final long term;
+  private final Consumer<Throwable> onDiskFailure;
+  private final DurableLog log;
+  private final ConsensusMember member;
+  private final LongSupplier steadyMillis;
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread t = new Thread(task, "control-log");
+            t.setDaemon(true);
+            return t;
+          });
+  private final Map<Long, Promise<ChangeResult>> waiting = new HashMap<>();
+  private volatile Status status;
+  private long nextTicket;
+
+  /**
+   * The role as an operator sees it.
+   *
+   * @param role follower, candidate or leader
+   * @param leader the leader this member knows
+   * @param term the current term, the fencing token of the leader's orders
+   * @param commitIndex the last log index known to be committed
+   * @param version the committed configuration version
+   * @param voter false while the data folder is new and not yet readmitted
+   */
+  public record Status(
+      ConsensusMember.Role role,
+      Optional<String> leader,
+      long term,
+      long commitIndex,
+      long version,
+      boolean voter) {}
 
   /**
-   * Opens the log in the data folder and recovers the version in force.
+   * Opens the log in the data folder and recovers it; {@link #start} begins to take part.
    *
-   * @param vertx the Vert.x instance
+   * @param group the node ids of the control group, this one included
    * @param dataDir the data folder
-   * @param configs the daemon's configuration store, fed from the log
-   * @param membership the membership, to push new versions
+   * @param bootstrap true only on the deployment's first start
+   * @param configs the daemon's configuration, fed from the committed log
+   * @param membership the membership, to find the other members and push new versions
+   * @param onDiskFailure called once if the data folder fails; the role then answers nothing
    * @throws IOException if the log cannot be opened
    */
-  public ControlService(Vertx vertx, Path dataDir, ConfigStore configs, Membership membership)
+  public ControlService(
+      List<String> group,
+      Path dataDir,
+      boolean bootstrap,
+      ConfigStore configs,
+      Membership membership,
+      Consumer<Throwable> onDiskFailure)
       throws IOException {
-    this.vertx = vertx;
-    this.log = ControlLog.open(dataDir);
+    this.nodeId = membership.self().nodeId();
     this.configs = configs;
     this.membership = membership;
-    this.term = 1;
-    log.last().ifPresent(e -> configs.offer(e.index(), e.document()));
+    this.onDiskFailure = onDiskFailure;
+    this.log = DurableLog.open(dataDir, bootstrap);
+    this.steadyMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    this.member =
+        new ConsensusMember(
+            nodeId,
+            group,
+            ConsensusTiming.DEFAULT,
+            log,
+            new SplittableRandom(),
+            steadyMillis.getAsLong());
+    publish();
     LOG.log(
         System.Logger.Level.INFO,
         "control.recovered",
+        "lastIndex",
+        member.lastIndex(),
         "version",
-        log.lastIndex(),
-        "entries",
-        log.size());
+        member.state().version(),
+        "term",
+        member.term(),
+        "voter",
+        member.voter());
+  }
+
+  /** Begins to take part in the group. */
+  public void start() {
+    thread.scheduleAtFixedRate(() -> step(member::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the role as it was after the last step. */
+  public Status status() {
+    return status;
+  }
+
+  /** Takes a message of another member. */
+  public void receive(String from, ConsensusMessage message) {
+    execute(() -> step(now -> member.receive(from, message, now)));
   }
 
   /**
-   * Accepts a change durably and pushes it.
+   * Proposes an operator's change.
    *
    * @param changeId the operator's client change id
    * @param expectedVersion the version the change is based on
-   * @param document the YAML document
-   * @return the result, completed after the disk sync
+   * @param document the YAML document, already checked
+   * @param patience how long to wait for a quorum
+   * @return the outcome; {@link ChangeResult.Unknown} once the patience is over
    */
-  public io.vertx.core.Future<ChangeResult> apply(
-      String changeId, long expectedVersion, String document) {
-    return vertx.executeBlocking(
-        () -> {
-          synchronized (log) {
-            ChangeResult result = log.append(changeId, expectedVersion, term, document);
-            if (result instanceof ChangeResult.Accepted a && !a.duplicate()) {
-              configs.offer(a.version(), document);
-              LOG.log(
-                  System.Logger.Level.INFO,
-                  "config.accepted",
-                  "change",
-                  changeId,
-                  "version",
-                  a.version());
-              membership.broadcast(null, null, new PeerMessage.ConfigOffer(a.version(), document));
-            }
-            return result;
-          }
-        },
-        true);
+  public Future<ChangeResult> propose(
+      String changeId, long expectedVersion, String document, Duration patience) {
+    Promise<ChangeResult> promise = Promise.promise();
+    boolean taken =
+        execute(
+            () -> {
+              long ticket = nextTicket++;
+              waiting.put(ticket, promise);
+              step(now -> member.propose(ticket, changeId, expectedVersion, document, now));
+              if (waiting.containsKey(ticket)) {
+                thread.schedule(
+                    () -> decide(ticket, new ChangeResult.Unknown()),
+                    patience.toMillis(),
+                    TimeUnit.MILLISECONDS);
+              }
+            });
+    if (!taken) {
+      promise.complete(new ChangeResult.NotLeader(Optional.empty()));
+    }
+    return promise.future();
+  }
+
+  private boolean execute(Runnable task) {
+    try {
+      thread.execute(task);
+      return true;
+    } catch (RejectedExecutionException stopped) {
+      return false;
+    }
+  }
+
+  private void step(Function<Long, Output> action) {
+    ConsensusMember.Role before = member.role();
+    long termBefore = member.term();
+    try {
+      carryOut(action.apply(steadyMillis.getAsLong()));
+    } catch (RuntimeException e) {
+      LOG.log(System.Logger.Level.ERROR, "control.stopped", e);
+      thread.shutdownNow();
+      onDiskFailure.accept(e);
+      return;
+    }
+    if (member.role() != before || member.term() != termBefore) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "control.role",
+          "role",
+          member.role(),
+          "term",
+          member.term(),
+          "leader",
+          member.leader().orElse("none"));
+    }
+  }
+
+  private void carryOut(Output out) {
+    for (Output.Envelope envelope : out.messages()) {
+      membership
+          .addressOf(envelope.to())
+          .ifPresent(
+              address ->
+                  membership.send(address, new PeerMessage.Consensus(nodeId, envelope.message())));
+    }
+    publish();
+    out.committed().forEach(this::logCommitted);
+    out.decisions().forEach(d -> decide(d.ticket(), d.result()));
+  }
+
+  /** Puts the committed state in force here and, as the leader, pushes it to the daemons known. */
+  private void publish() {
+    ConfigState state = member.state();
+    status =
+        new Status(
+            member.role(),
+            member.leader(),
+            member.term(),
+            member.commitIndex(),
+            state.version(),
+            member.voter());
+    if (state.version() <= configs.current().version()) {
+      return;
+    }
+    configs.offer(state.version(), state.document());
+    LOG.log(System.Logger.Level.INFO, "config.applied", "version", state.version());
+    if (member.role() == ConsensusMember.Role.LEADER) {
+      membership.broadcast(
+          null, null, new PeerMessage.ConfigOffer(state.version(), state.document()));
+    }
+  }
+
+  private void logCommitted(LogEntry entry) {
+    if (entry.command() instanceof Command.ConfigChange change
+        && member.role() == ConsensusMember.Role.LEADER) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "config.accepted",
+          "change",
+          change.changeId(),
+          "version",
+          entry.version(),
+          "term",
+          entry.term());
+    } else if (entry.command() instanceof Command.StorageRegistration r) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "control.member_readmitted",
+          "member",
+          r.memberId(),
+          "storage",
+          r.storageId());
+    }
   }
 
-  /** Returns a typed error for an I/O failure while appending. */
-  public static GatewayException diskFailure(Throwable e) {
-    return new GatewayException(ErrorKind.NO_QUORUM, "the change could not be made durable: " + e);
+  private void decide(long ticket, ChangeResult result) {
+    Promise<ChangeResult> promise = waiting.remove(ticket);
+    if (promise != null) {
+      promise.complete(result);
+    }
   }
 
   @Override
-  public void close() throws IOException {
+  public void close() throws IOException, InterruptedException {
+    thread.shutdown();
+    if (!thread.awaitTermination(5, TimeUnit.SECONDS)) {
+      thread.shutdownNow();
+    }
     log.close();
   }
 }
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -0,0 +1,246 @@
+package org.lacewingcroft.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.lacewingcroft.consensus.ConsensusCodec;
+import org.lacewingcroft.consensus.HardState;
+import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogStorage;
+import org.lacewingcroft.consensus.Snapshot;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * A control group member's log in its data folder: {@code hard-state}, {@code snapshot} and {@code
+ * config.log}, as records of {@link DurableFile}.
+ *
+ * <p>On open, a torn tail of the log (a crash between write and sync) is cut off: its entries were
+ * never acknowledged. The data folder's id is made once, with the hard state; an empty folder makes
+ * a voter only on the deployment's first start.
+ *
+ * <p>Not thread-safe: the control role's single thread owns it.
+ */
+public final class DurableLog implements LogStorage, AutoCloseable {
+  /** The log file's name inside the data folder. */
+  public static final String LOG_FILE = "config.log";
+
+  private static final System.Logger LOG = System.getLogger(DurableLog.class.getName());
+  private static final String HARD_STATE_FILE = "hard-state";
+  private static final String SNAPSHOT_FILE = "snapshot";
+
+  private final Path dataDir;
+  private final DurableFile.Sync sync;
+  private final List<LogEntry> entries = new ArrayList<>();
+  private final List<Long> endOffsets = new ArrayList<>();
+  private HardState hardState;
+  private Snapshot snapshot;
+  private FileChannel channel;
+
+  private interface Packing {
+    void pack(MessagePacker packer) throws IOException;
+  }
+
+  private interface Unpacking<T> {
+    T unpack(MessageUnpacker unpacker) throws IOException;
+  }
+
+  private DurableLog(Path dataDir, DurableFile.Sync sync) {
+    this.dataDir = dataDir;
+    this.sync = sync;
+  }
+
+  /**
+   * Opens the log in a data folder, which is created if absent, and recovers what is valid.
+   *
+   * @param dataDir the data folder
+   * @param bootstrap true only on the deployment's first start: an empty folder may then vote
+   * @throws IOException if the folder or a file cannot be used
+   */
+  public static DurableLog open(Path dataDir, boolean bootstrap) throws IOException {
+    return open(dataDir, bootstrap, c -> c.force(true));
+  }
+
+  static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
+      throws IOException {
+    Files.createDirectories(dataDir);
+    DurableLog log = new DurableLog(dataDir, sync);
+    log.recoverHardState(bootstrap);
+    log.recoverSnapshot();
+    log.recoverEntries();
+    return log;
+  }
+
+  private void recoverHardState(boolean bootstrap) throws IOException {
+    List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE)).payloads();
+    if (records.isEmpty()) {
+      hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), bootstrap);
+      writeHardState(hardState);
+      LOG.log(
+          System.Logger.Level.INFO,
+          "control.data_folder_new",
+          "storage",
+          hardState.storageId(),
+          "voter",
+          bootstrap);
+    } else {
+      hardState = decode(records.get(0), ConsensusCodec::unpackHardState);
+    }
+  }
+
+  private void recoverSnapshot() throws IOException {
+    List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE)).payloads();
+    snapshot =
+        records.isEmpty() ? Snapshot.EMPTY : decode(records.get(0), ConsensusCodec::unpackSnapshot);
+  }
+
+  private void recoverEntries() throws IOException {
+    Path file = dataDir.resolve(LOG_FILE);
+    DurableFile.Contents contents = DurableFile.read(file);
+    for (byte[] payload : contents.payloads()) {
+      LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
+      if (entry.index() > snapshot.lastIndex()) {
+        entries.add(entry);
+      }
+    }
+    openChannel(file);
+    long tornBytes = channel.size() - contents.validBytes();
+    if (tornBytes > 0) {
+      LOG.log(
+          System.Logger.Level.WARNING,
+          "control.log_tail_cut",
+          "bytes",
+          tornBytes,
+          "entries",
+          entries.size());
+    }
+    rewrite(entries);
+  }
+
+  private void openChannel(Path file) throws IOException {
+    channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    channel.position(channel.size());
+  }
+
+  /** Replaces the log file by one with just these entries. */
+  private void rewrite(List<LogEntry> kept) throws IOException {
+    Path file = dataDir.resolve(LOG_FILE);
+    List<byte[]> payloads = new ArrayList<>();
+    List<Long> offsets = new ArrayList<>();
+    long offset = 0;
+    for (LogEntry e : kept) {
+      byte[] payload = encode(p -> ConsensusCodec.packEntry(p, e));
+      payloads.add(payload);
+      offset += DurableFile.record(payload).remaining();
+      offsets.add(offset);
+    }
+    channel.close();
+    DurableFile.replace(file, payloads, sync);
+    openChannel(file);
+    endOffsets.clear();
+    endOffsets.addAll(offsets);
+  }
+
+  @Override
+  public HardState hardState() {
+    return hardState;
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    return snapshot;
+  }
+
+  @Override
+  public List<LogEntry> entries() {
+    return List.copyOf(entries);
+  }
+
+  @Override
+  public void save(HardState state) {
+    try {
+      writeHardState(state);
+      hardState = state;
+    } catch (IOException e) {
+      throw new UncheckedIOException("saving the term and vote failed", e);
+    }
+  }
+
+  private void writeHardState(HardState state) throws IOException {
+    byte[] payload = encode(p -> ConsensusCodec.packHardState(p, state));
+    DurableFile.replace(dataDir.resolve(HARD_STATE_FILE), List.of(payload), sync);
+  }
+
+  @Override
+  public void append(List<LogEntry> more) {
+    try {
+      long offset = channel.position();
+      for (LogEntry e : more) {
+        ByteBuffer bytes = DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, e)));
+        offset += bytes.remaining();
+        DurableFile.writeFully(channel, bytes);
+        endOffsets.add(offset);
+      }
+      sync.force(channel);
+      entries.addAll(more);
+    } catch (IOException e) {
+      throw new UncheckedIOException("appending to the configuration log failed", e);
+    }
+  }
+
+  @Override
+  public void truncateFrom(long index) {
+    int keep = (int) (index - snapshot.lastIndex() - 1);
+    try {
+      channel.truncate(keep == 0 ? 0 : endOffsets.get(keep - 1));
+      channel.position(channel.size());
+      sync.force(channel);
+    } catch (IOException e) {
+      throw new UncheckedIOException("truncating the configuration log failed", e);
+    }
+    entries.subList(keep, entries.size()).clear();
+    endOffsets.subList(keep, endOffsets.size()).clear();
+  }
+
+  @Override
+  public void compact(Snapshot newer, List<LogEntry> tail) {
+    try {
+      byte[] payload = encode(p -> ConsensusCodec.packSnapshot(p, newer));
+      DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), List.of(payload), sync);
+      rewrite(tail);
+    } catch (IOException e) {
+      throw new UncheckedIOException("compacting the configuration log failed", e);
+    }
+    snapshot = newer;
+    entries.clear();
+    entries.addAll(tail);
+  }
+
+  private static byte[] encode(Packing packing) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packing.pack(packer);
+      return packer.toByteArray();
+    }
+  }
+
+  private static <T> T decode(byte[] payload, Unpacking<T> unpacking) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      return unpacking.unpack(unpacker);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -0,0 +1,173 @@
+package org.lacewingcroft.daemon;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.ConfigStore;
+import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.control.ControlService;
+import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.gateway.ErrorReply;
+import org.lacewingcroft.peer.Membership;
+
+/**
+ * The operators' configuration API: {@code GET /v1/config} on every daemon, and on control daemons
+ * {@code PUT /v1/config} and {@code GET /v1/control}.
+ *
+ * <p>A change sent to a control daemon that does not lead is relayed to the leader, once.
+ */
+final class ConfigApi {
+  private static final String CHANGE_ID_HEADER = "X-Change-Id";
+  private static final String EXPECTED_VERSION_HEADER = "X-Expected-Version";
+  private static final String CONTROL_HOP_HEADER = "X-Lacewingcroft-Control-Hop";
+  private static final Duration QUORUM_PATIENCE = Duration.ofSeconds(4);
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long RELAY_TIMEOUT_MILLIS = 6_000;
+
+  private final ConfigStore configs;
+  private final Membership membership;
+  private final HttpClient client;
+
+  private record Change(String id, long expectedVersion, String document, boolean relayed) {}
+
+  ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
+    this.configs = configs;
+    this.membership = membership;
+    this.client = vertx.createHttpClient();
+  }
+
+  void mountRead(Router router) {
+    router.get("/v1/config").handler(this::configPage);
+  }
+
+  void mountControl(Router router, ControlService control) {
+    router.put("/v1/config").handler(ctx -> apply(ctx, control));
+    router.get("/v1/control").handler(ctx -> statusPage(ctx, control.status()));
+  }
+
+  private void configPage(RoutingContext ctx) {
+    ConfigStore.Applied current = configs.current();
+    ctx.response()
+        .putHeader("Content-Type", "application/yaml")
+        .putHeader("X-Config-Version", Long.toString(current.version()))
+        .end(current.document());
+  }
+
+  private static void statusPage(RoutingContext ctx, ControlService.Status status) {
+    ObjectNode reply = JsonReply.JSON.createObjectNode();
+    reply.put("role", status.role().name().toLowerCase(Locale.ROOT));
+    reply.put("leader", status.leader().orElse(null));
+    reply.put("term", status.term());
+    reply.put("commitIndex", status.commitIndex());
+    reply.put("version", status.version());
+    reply.put("voter", status.voter());
+    JsonReply.send(ctx, reply);
+  }
+
+  private void apply(RoutingContext ctx, ControlService control) {
+    Change change;
+    try {
+      change = parse(ctx);
+    } catch (GatewayException e) {
+      refuse(ctx, e.kind(), e.detail());
+      return;
+    }
+    control
+        .propose(change.id(), change.expectedVersion(), change.document(), QUORUM_PATIENCE)
+        .onSuccess(result -> answer(ctx, change, result));
+  }
+
+  private static Change parse(RoutingContext ctx) {
+    String id = ctx.request().getHeader(CHANGE_ID_HEADER);
+    String expected = ctx.request().getHeader(EXPECTED_VERSION_HEADER);
+    if (id == null || id.isBlank() || expected == null || !expected.matches("\\d{1,18}")) {
+      throw new GatewayException(
+          ErrorKind.MALFORMED_REQUEST,
+          "a change needs headers " + CHANGE_ID_HEADER + " and " + EXPECTED_VERSION_HEADER);
+    }
+    String document =
+        Optional.ofNullable(ctx.body().asString(StandardCharsets.UTF_8.name())).orElse("");
+    ConfigParser.parse(document);
+    boolean relayed = ctx.request().getHeader(CONTROL_HOP_HEADER) != null;
+    return new Change(id, Long.parseLong(expected), document, relayed);
+  }
+
+  private void answer(RoutingContext ctx, Change change, ChangeResult result) {
+    if (result instanceof ChangeResult.Accepted accepted) {
+      ObjectNode reply = JsonReply.JSON.createObjectNode();
+      reply.put("version", accepted.version());
+      reply.put("duplicate", accepted.duplicate());
+      JsonReply.send(ctx, reply);
+    } else if (result instanceof ChangeResult.Conflict conflict) {
+      refuse(
+          ctx,
+          ErrorKind.VERSION_CONFLICT,
+          "the change expects version "
+              + change.expectedVersion()
+              + " but version "
+              + conflict.currentVersion()
+              + " is in force; rebase on "
+              + conflict.currentVersion());
+    } else if (result instanceof ChangeResult.NotLeader notLeader) {
+      relay(ctx, change, notLeader.leader());
+    } else {
+      refuse(ctx, ErrorKind.CHANGE_UNKNOWN, "no quorum confirmed the change in time");
+    }
+  }
+
+  private void relay(RoutingContext ctx, Change change, Optional<String> leader) {
+    Optional<String> address =
+        leader.flatMap(membership.table()::get).map(m -> m.info().httpAddress());
+    if (change.relayed() || address.isEmpty()) {
+      refuse(ctx, ErrorKind.NO_QUORUM, "the control group has no leader that can be reached");
+      return;
+    }
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.PUT)
+            .setAbsoluteURI("http://" + address.get() + "/v1/config")
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setIdleTimeout(RELAY_TIMEOUT_MILLIS)
+            .putHeader(CHANGE_ID_HEADER, change.id())
+            .putHeader(EXPECTED_VERSION_HEADER, Long.toString(change.expectedVersion()))
+            .putHeader(CONTROL_HOP_HEADER, membership.self().nodeId());
+    client
+        .request(options)
+        .onFailure(e -> refuse(ctx, ErrorKind.NO_QUORUM, "the leader cannot be reached"))
+        .onSuccess(
+            request ->
+                request
+                    .send(Buffer.buffer(change.document()))
+                    .compose(response -> response.body().map(body -> pass(ctx, response, body)))
+                    .onFailure(
+                        e -> refuse(ctx, ErrorKind.CHANGE_UNKNOWN, "the leader did not answer")));
+  }
+
+  private static Void pass(RoutingContext ctx, HttpClientResponse response, Buffer body) {
+    String retryAfter = response.getHeader("Retry-After");
+    if (retryAfter != null) {
+      ctx.response().putHeader("Retry-After", retryAfter);
+    }
+    ctx.response()
+        .setStatusCode(response.statusCode())
+        .putHeader("Content-Type", "application/json")
+        .end(body);
+    return null;
+  }
+
+  private static void refuse(RoutingContext ctx, ErrorKind kind, String detail) {
+    ErrorReply.send(ctx.response(), kind, detail, Optional.empty());
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -1,7 +1,5 @@
 package org.lacewingcroft.daemon;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -12,28 +10,22 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.lacewingcroft.config.ConfigStore;
-import org.lacewingcroft.control.ChangeResult;
 import org.lacewingcroft.control.ControlService;
-import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
-import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.gateway.EndpointRegistry;
 import org.lacewingcroft.gateway.EntryGateway;
 import org.lacewingcroft.gateway.ErrorReply;
-import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.FrameCodec;
+import org.lacewingcroft.peer.LinkFaults;
 import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
@@ -46,9 +38,7 @@
  */
 public final class Daemon implements AutoCloseable {
   private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
-  private static final ObjectMapper JSON = new ObjectMapper();
-  private static final String CHANGE_ID_HEADER = "X-Change-Id";
-  private static final String EXPECTED_VERSION_HEADER = "X-Expected-Version";
+  private static final int EXIT_DISK_FAILURE = 3;
 
   private final Settings settings;
   private final InstantSource clock = InstantSource.system();
@@ -99,8 +89,6 @@
                 Optional.empty()));
     router.get("/metrics").handler(this::metricsPage);
     router.get("/healthz").handler(ctx -> ctx.response().end("ok\n"));
-    router.get("/v1/entries").handler(this::entriesPage);
-    router.get("/v1/config").handler(this::configPage);
     httpServer = vertx.createHttpServer(new HttpServerOptions().setHost(settings.host()));
     httpPort = await(httpServer.requestHandler(router).listen(settings.httpPort())).actualPort();
     MemberInfo self =
@@ -114,25 +102,20 @@
             incarnation);
     membership =
         new Membership(self, settings.peers(), transport, clock, settings.heartbeatInterval());
+    ConfigApi configApi = new ConfigApi(vertx, configs, membership);
+    configApi.mountRead(router);
+    DirectoryApi directoryApi =
+        new DirectoryApi(membership, endpoints, configs, clock, this::servesCallers);
+    directoryApi.mountEntries(router);
     if (settings.role() == Role.CONTROL) {
-      control = new ControlService(vertx, settings.dataDir().orElseThrow(), configs, membership);
-      router.put("/v1/config").handler(this::applyConfig);
+      startControl();
+      configApi.mountControl(router, control);
     } else {
-      gateway =
-          new EntryGateway(
-              vertx,
-              settings.region(),
-              new org.lacewingcroft.routing.Router(
-                  settings.region(), RoutingPolicies.named(settings.routingPolicy()).orElseThrow()),
-              configs,
-              endpoints,
-              membership,
-              metrics,
-              clock);
-      router.post("/v1/chat/completions").handler(gateway::handleChat);
-      router.post(EntryGateway.SERVICES_PREFIX + ":service/*").handler(gateway::handleService);
-      router.post("/v1/endpoints/announce").handler(this::announce);
-      router.get("/v1/endpoints").handler(this::endpointsPage);
+      startGateway(router);
+      directoryApi.mountEndpoints(router);
+    }
+    if (settings.faultInjection()) {
+      new FaultApi(membership, this::injectFaults).mount(router);
     }
     vertx.setPeriodic(settings.heartbeatInterval().toMillis(), id -> heartbeat());
     heartbeat();
@@ -150,6 +133,54 @@
         self.peerAddress());
   }
 
+  private void startControl() throws IOException {
+    List<String> group =
+        settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
+    control =
+        new ControlService(
+            group,
+            settings.dataDir().orElseThrow(),
+            settings.bootstrap(),
+            configs,
+            membership,
+            failure -> Runtime.getRuntime().halt(EXIT_DISK_FAILURE));
+    control.start();
+  }
+
+  private void startGateway(Router router) {
+    gateway =
+        new EntryGateway(
+            vertx,
+            settings.region(),
+            new org.lacewingcroft.routing.Router(
+                settings.region(), RoutingPolicies.named(settings.routingPolicy()).orElseThrow()),
+            configs,
+            endpoints,
+            membership,
+            metrics,
+            clock);
+    router.post("/v1/chat/completions").handler(gateway::handleChat);
+    router.post(EntryGateway.SERVICES_PREFIX + ":service/*").handler(gateway::handleService);
+  }
+
+  private boolean servesCallers() {
+    return gateway != null && !gateway.shuttingDown();
+  }
+
+  private void injectFaults(LinkFaults faults) {
+    transport.setFaults(faults);
+    if (gateway != null) {
+      gateway.setFaults(faults);
+    }
+    LOG.log(
+        System.Logger.Level.WARNING,
+        "faults.injected",
+        "cutRegions",
+        faults.cutRegions(),
+        "delayMillis",
+        faults.delayMillis());
+  }
+
   /** Returns the HTTP port bound. */
   public int httpPort() {
     return httpPort;
@@ -196,125 +227,11 @@
       endpoints.put(announce.endpoint());
     } else if (message instanceof PeerMessage.IdempotencyRecord record && gateway != null) {
       gateway.idempotencyTable().merge(record.entry());
+    } else if (message instanceof PeerMessage.Consensus consensus && control != null) {
+      control.receive(consensus.from(), consensus.message());
     }
   }
 
-  private void announce(RoutingContext ctx) {
-    try {
-      Endpoint endpoint = endpoints.announce(ctx.body().buffer().getBytes());
-      membership.broadcast("entry", settings.region(), new PeerMessage.EndpointAnnounce(endpoint));
-      ObjectNode reply = JSON.createObjectNode();
-      reply.put("leaseExpiresAt", endpoint.leaseExpiresAt().toString());
-      reply.put("configVersion", configs.current().version());
-      ctx.response().putHeader("Content-Type", "application/json").end(reply.toString());
-    } catch (GatewayException e) {
-      ErrorReply.send(ctx.response(), e.kind(), e.detail(), Optional.empty());
-    }
-  }
-
-  private void endpointsPage(RoutingContext ctx) {
-    ArrayNode list = JSON.createArrayNode();
-    endpoints.snapshot().all().stream()
-        .sorted(Comparator.comparing(Endpoint::id))
-        .forEach(
-            e -> {
-              ObjectNode n = list.addObject();
-              n.put("id", e.id());
-              n.put("url", e.baseUrl());
-              n.put("region", e.region());
-              n.put("failureDomain", e.failureDomain());
-              n.put("kind", e.kind().name().toLowerCase(java.util.Locale.ROOT));
-              n.set("labels", JSON.valueToTree(e.labels()));
-              n.set("models", JSON.valueToTree(e.models()));
-              n.put("capacity", e.capacity());
-              n.put("load", e.reportedLoad());
-              n.put("draining", e.draining());
-              n.put("leaseExpiresAt", e.leaseExpiresAt().toString());
-            });
-    ctx.response().putHeader("Content-Type", "application/json").end(list.toString());
-  }
-
-  private void entriesPage(RoutingContext ctx) {
-    String region = Optional.ofNullable(ctx.request().getParam("region")).orElse(settings.region());
-    Instant now = clock.instant();
-    List<Member> alive = membership.table().alive("entry", null, now);
-    ArrayNode list = JSON.createArrayNode();
-    java.util.stream.Stream.concat(selfAsEntry().stream(), alive.stream().map(Member::info))
-        .distinct()
-        .sorted(
-            Comparator.comparing((MemberInfo m) -> !m.region().equals(region))
-                .thenComparing(MemberInfo::nodeId))
-        .forEach(
-            m -> {
-              ObjectNode n = list.addObject();
-              n.put("node", m.nodeId());
-              n.put("region", m.region());
-              n.put("failureDomain", m.failureDomain());
-              n.put("url", "http://" + m.httpAddress());
-            });
-    ObjectNode reply = JSON.createObjectNode();
-    reply.set("entries", list);
-    ctx.response().putHeader("Content-Type", "application/json").end(reply.toString());
-  }
-
-  private Optional<MemberInfo> selfAsEntry() {
-    if (settings.role() != Role.ENTRY || gateway.shuttingDown()) {
-      return Optional.empty();
-    }
-    return Optional.of(membership.self());
-  }
-
-  private void configPage(RoutingContext ctx) {
-    ConfigStore.Applied current = configs.current();
-    ctx.response()
-        .putHeader("Content-Type", "application/yaml")
-        .putHeader("X-Config-Version", Long.toString(current.version()))
-        .end(current.document());
-  }
-
-  private void applyConfig(RoutingContext ctx) {
-    String changeId = ctx.request().getHeader(CHANGE_ID_HEADER);
-    String expected = ctx.request().getHeader(EXPECTED_VERSION_HEADER);
-    if (changeId == null || expected == null || !expected.matches("\\d{1,18}")) {
-      ErrorReply.send(
-          ctx.response(),
-          ErrorKind.MALFORMED_REQUEST,
-          "a change needs headers " + CHANGE_ID_HEADER + " and " + EXPECTED_VERSION_HEADER,
-          Optional.empty());
-      return;
-    }
-    String document = ctx.body().asString(StandardCharsets.UTF_8.name());
-    control
-        .apply(changeId, Long.parseLong(expected), document)
-        .onSuccess(
-            result -> {
-              if (result instanceof ChangeResult.Accepted a) {
-                ObjectNode reply = JSON.createObjectNode();
-                reply.put("version", a.version());
-                reply.put("duplicate", a.duplicate());
-                ctx.response().putHeader("Content-Type", "application/json").end(reply.toString());
-              } else {
-                ChangeResult.Conflict c = (ChangeResult.Conflict) result;
-                ErrorReply.send(
-                    ctx.response(),
-                    ErrorKind.VERSION_CONFLICT,
-                    "the change expects version "
-                        + expected
-                        + " but version "
-                        + c.currentVersion()
-                        + " is in force; rebase on "
-                        + c.currentVersion(),
-                    Optional.empty());
-              }
-            })
-        .onFailure(
-            e -> {
-              GatewayException g =
-                  e instanceof GatewayException ge ? ge : ControlService.diskFailure(e);
-              ErrorReply.send(ctx.response(), g.kind(), g.detail(), Optional.empty());
-            });
-  }
-
   private void metricsPage(RoutingContext ctx) {
     ctx.response()
         .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
@@ -326,7 +243,7 @@
       return;
     }
     Path file = settings.portFile().get();
-    ObjectNode ports = JSON.createObjectNode();
+    ObjectNode ports = JsonReply.JSON.createObjectNode();
     ports.put("http", httpPort);
     ports.put("peer", peerPort);
     Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
@@ -349,11 +266,11 @@
       }
     }
     final int left = gateway == null ? 0 : gateway.inFlight();
-    transport.close();
-    await(vertx.close());
     if (control != null) {
       control.close();
     }
+    transport.close();
+    await(vertx.close());
     LOG.log(System.Logger.Level.INFO, "daemon.stopped", "cutRequests", left);
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
@@ -76,6 +76,29 @@
       description = "data folder, control role ($LWC_DATA_DIR)")
   Path dataDir;
 
+  @Option(
+      names = "--control-group",
+      split = ",",
+      defaultValue = "${env:LWC_CONTROL_GROUP:-}",
+      description = "node ids of all control daemons; default: this one ($LWC_CONTROL_GROUP)")
+  List<String> controlGroup;
+
+  @Option(
+      names = "--bootstrap",
+      arity = "0..1",
+      fallbackValue = "true",
+      defaultValue = "${env:LWC_BOOTSTRAP:-false}",
+      description = "first start of the deployment: an empty data folder may vote ($LWC_BOOTSTRAP)")
+  boolean bootstrap;
+
+  @Option(
+      names = "--fault-injection",
+      arity = "0..1",
+      fallbackValue = "true",
+      defaultValue = "${env:LWC_FAULT_INJECTION:-false}",
+      description = "allow POST /v1/faults, for experiments only ($LWC_FAULT_INJECTION)")
+  boolean faultInjection;
+
   @Option(
       names = "--secret-file",
       defaultValue = "${env:LWC_SECRET_FILE}",
@@ -168,8 +191,11 @@
         host,
         httpPort,
         peerPort,
-        peers == null ? List.of() : peers.stream().filter(p -> !p.isBlank()).toList(),
+        nonBlank(peers),
         Optional.ofNullable(dataDir),
+        nonBlank(controlGroup),
+        bootstrap,
+        faultInjection,
         readSecret(secretFile),
         routingPolicy,
         maxBodyBytes,
@@ -179,6 +205,10 @@
         Optional.ofNullable(portFile));
   }
 
+  private static List<String> nonBlank(List<String> values) {
+    return values == null ? List.of() : values.stream().filter(v -> !v.isBlank()).toList();
+  }
+
   private static byte[] readSecret(Path file) {
     if (file == null) {
       throw new SettingsException(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Settings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Settings.java
@@ -20,6 +20,10 @@
  * @param peerPort peer transport port; 0 picks a free one
  * @param peers seed peer addresses {@code host:port}, at least one control daemon's for entries
  * @param dataDir the data folder (control role only): the configuration log lives here
+ * @param controlGroup node ids of the control group (control role only); empty means this node
+ *     alone
+ * @param bootstrap true on the deployment's first start only: an empty data folder may then vote
+ * @param faultInjection whether {@code POST /v1/faults} may cut and delay links, for experiments
  * @param secret the shared secret authenticating peer frames, at least 16 bytes
  * @param routingPolicy the routing policy's name
  * @param maxBodyBytes largest caller request body accepted
@@ -38,6 +42,9 @@
     int peerPort,
     List<String> peers,
     Optional<Path> dataDir,
+    List<String> controlGroup,
+    boolean bootstrap,
+    boolean faultInjection,
     byte[] secret,
     String routingPolicy,
     int maxBodyBytes,
@@ -46,9 +53,10 @@
     Duration drainTimeout,
     Optional<Path> portFile) {
 
-  /** Copies the peer list so the settings are immutable. */
+  /** Copies the lists so the settings are immutable. */
   public Settings {
     peers = List.copyOf(peers);
+    controlGroup = List.copyOf(controlGroup);
   }
 
   /**
@@ -73,6 +81,20 @@
                 "--data-dir", "LWC_DATA_DIR", d + " is not a folder", "name a folder");
           }
         });
+    if (!controlGroup.isEmpty() && role == Role.CONTROL && !controlGroup.contains(nodeId)) {
+      throw new SettingsException(
+          "--control-group",
+          "LWC_CONTROL_GROUP",
+          controlGroup + " does not name this node '" + nodeId + "'",
+          "list the node ids of all control daemons, the same on each");
+    }
+    if (!controlGroup.isEmpty() && controlGroup.size() % 2 == 0) {
+      throw new SettingsException(
+          "--control-group",
+          "LWC_CONTROL_GROUP",
+          controlGroup.size() + " members tolerate no more failures than one fewer",
+          "list an odd number of node ids, 3 or 5");
+    }
     if (role == Role.ENTRY && peers.isEmpty()) {
       throw new SettingsException(
           "--peers",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -34,6 +34,7 @@
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.Rendezvous;
+import org.lacewingcroft.peer.LinkFaults;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 import org.lacewingcroft.request.CallerRequest;
@@ -70,6 +71,7 @@
   /** Response header naming the region whose endpoint served the request. */
   public static final String REGION_HEADER = "X-Lacewingcroft-Region";
 
+  private final Vertx vertx;
   private final String region;
   private final Router router;
   private final ConfigStore configs;
@@ -81,6 +83,7 @@
   private final Map<String, AtomicInteger> inFlightByEndpoint = new ConcurrentHashMap<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicBoolean shuttingDown = new AtomicBoolean();
+  private volatile LinkFaults faults = LinkFaults.NONE;
   private final IdempotencyTable idempotency = new IdempotencyTable(IDEMPOTENCY_RETENTION);
 
   /** One caller request on its way through this daemon. */
@@ -138,6 +141,7 @@
       Membership membership,
       GatewayMetrics metrics,
       InstantSource clock) {
+    this.vertx = vertx;
     this.region = region;
     this.router = router;
     this.configs = configs;
@@ -151,6 +155,11 @@
             new PoolOptions().setHttp1MaxSize(256));
   }
 
+  /** Sets the faults that experiments inject on the links to other regions' entries. */
+  public void setFaults(LinkFaults injected) {
+    this.faults = injected;
+  }
+
   /** Returns the requests in flight through this daemon. */
   public int inFlight() {
     return inFlight.get();
@@ -184,9 +193,7 @@
   public void handleChat(RoutingContext ctx) {
     handle(
         ctx,
-        () ->
-            CallerRequest.parse(
-                ctx.request()::getHeader, ctx.body().buffer().getBytes(), knownRegions()));
+        () -> CallerRequest.parse(ctx.request()::getHeader, RequestBody.of(ctx), knownRegions()));
   }
 
   /** Handles {@code POST /v1/services/<service>/<path>}: a call to a plain service. */
@@ -199,11 +206,7 @@
         ctx,
         () ->
             CallerRequest.forService(
-                ctx.request()::getHeader,
-                service,
-                rest,
-                ctx.body().buffer().getBytes(),
-                knownRegions()));
+                ctx.request()::getHeader, service, rest, RequestBody.of(ctx), knownRegions()));
   }
 
   /** Returns the at-most-once records this daemon holds as owner or backup. */
@@ -270,7 +273,7 @@
               ErrorKind.IN_PROGRESS,
               "a request with this idempotency key is running",
               callerKey);
-      case UNKNOWN ->
+      default ->
           refuse(
               exchange.response(),
               ErrorKind.OUTCOME_UNKNOWN,
@@ -462,15 +465,14 @@
 
   /** Relays a request to another entry, marked by a header so that entry does not pass it on. */
   private void relayToEntry(Exchange exchange, Member target, String markHeader, String mark) {
+    if (faults.cuts(target.info().region())) {
+      vertx.setTimer(CONNECT_TIMEOUT_MILLIS, id -> unreachableEntry(exchange, target));
+      return;
+    }
     String url = "http://" + target.info().httpAddress() + exchange.ctx.request().path();
     client
         .request(options(url))
-        .onFailure(
-            e ->
-                notRun(
-                    exchange,
-                    ErrorKind.NOT_RUN,
-                    "entry " + target.info().nodeId() + " could not be reached"))
+        .onFailure(e -> unreachableEntry(exchange, target))
         .onSuccess(
             upstream -> {
               exchange
@@ -492,6 +494,11 @@
             });
   }
 
+  private void unreachableEntry(Exchange exchange, Member target) {
+    notRun(
+        exchange, ErrorKind.NOT_RUN, "entry " + target.info().nodeId() + " could not be reached");
+  }
+
   /** Refuses a request no endpoint received, releasing its at-most-once record for a retry. */
   private void notRun(Exchange exchange, ErrorKind kind, String detail) {
     // The backup is not told of a release: it keeps the key as running until the record
@@ -508,8 +515,8 @@
   }
 
   private void outcomeUnknown(Exchange exchange, Throwable e) {
-    HttpServerResponse response = exchange.response();
-    CallerRequest request = exchange.request;
+    final HttpServerResponse response = exchange.response();
+    final CallerRequest request = exchange.request;
     exchange.recordKey.ifPresent(k -> replicate(idempotency.markUnknown(k, clock.instant())));
     metrics.requests.labelValues("outcome_unknown").inc();
     LOG.log(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ErrorReply.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ErrorReply.java
@@ -49,6 +49,8 @@
         || kind == ErrorKind.RATE_LIMITED
         || kind == ErrorKind.SHUTTING_DOWN
         || kind == ErrorKind.OUTCOME_UNKNOWN
+        || kind == ErrorKind.IN_PROGRESS
+        || kind == ErrorKind.CHANGE_UNKNOWN
         || kind == ErrorKind.NO_QUORUM;
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
@@ -96,6 +97,20 @@
     }
   }
 
+  /** Returns the peer address of a member, if it is known. */
+  public Optional<String> addressOf(String nodeId) {
+    return table.get().get(nodeId).map(m -> m.info().peerAddress());
+  }
+
+  /** Returns the region of the member that listens on a peer address, if it is known. */
+  public Optional<String> regionOf(String peerAddress) {
+    return table.get().all().stream()
+        .map(Member::info)
+        .filter(m -> m.peerAddress().equals(peerAddress))
+        .map(MemberInfo::region)
+        .findFirst();
+  }
+
   /** Sends a message to one peer address. */
   public void send(String peerAddress, PeerMessage message) {
     transport.send(peerAddress, message);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -34,18 +34,9 @@
   private final AtomicLong framesRejected = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
-  private volatile DelayRule delay = DelayRule.NONE;
+  private volatile LinkFaults faults = LinkFaults.NONE;
   private NetServer server;
 
-  /** Adds an artificial one-way delay to frames sent to some addresses, for experiments. */
-  public interface DelayRule {
-    /** No delay. */
-    DelayRule NONE = address -> 0;
-
-    /** Returns the delay in milliseconds for frames sent to this address. */
-    long delayMillis(String address);
-  }
-
   /**
    * Creates the transport.
    *
@@ -73,9 +64,9 @@
     return server.listen().map(NetServer::actualPort);
   }
 
-  /** Sets the artificial delay rule used by experiments. */
-  public void setDelayRule(DelayRule rule) {
-    this.delay = rule;
+  /** Sets the faults that experiments inject on the links to peers. */
+  public void setFaults(LinkFaults injected) {
+    this.faults = injected;
   }
 
   /** Returns how many frames were refused for size or tag. */
@@ -95,8 +86,11 @@
 
   /** Sends a message to a peer address {@code host:port}; failures are logged, not thrown. */
   public void send(String address, PeerMessage message) {
+    if (faults.cutsPeer(address)) {
+      return;
+    }
     byte[] frame = codec.encode(LogContext.clock().tick(), message);
-    long delayMillis = delay.delayMillis(address);
+    long delayMillis = faults.delayMillis(address);
     if (delayMillis > 0) {
       vertx.setTimer(delayMillis, id -> write(address, frame));
     } else {
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -0,0 +1,199 @@
+package org.lacewingcroft.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.ConfigState;
+import org.lacewingcroft.consensus.ConsensusMember;
+import org.lacewingcroft.consensus.ConsensusTiming;
+import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogStorage;
+import org.lacewingcroft.consensus.Output;
+import org.lacewingcroft.consensus.Snapshot;
+
+class DurableLogTest {
+  @TempDir Path dataDir;
+
+  private static LogEntry entry(long index, long term) {
+    return new LogEntry(index, term, index, new Command.ConfigChange("change-" + index, "doc"));
+  }
+
+  private static Snapshot snapshot(long lastIndex) {
+    ConfigState state =
+        new ConfigState(lastIndex, "doc", Map.of("change-1", 1L), Map.of("control-2", "disk"));
+    return new Snapshot(lastIndex, 1, state);
+  }
+
+  static Stream<Arguments> histories() {
+    return Stream.of(
+        history("nothing", log -> {}),
+        history("entries", log -> log.append(List.of(entry(1, 1), entry(2, 1)))),
+        history("vote", log -> log.save(log.hardState().withVote(7, Optional.of("control-2")))),
+        history(
+            "a suffix replaced",
+            log -> {
+              log.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+              log.truncateFrom(2);
+              log.append(List.of(entry(2, 2)));
+            }),
+        history(
+            "everything replaced",
+            log -> {
+              log.append(List.of(entry(1, 1)));
+              log.truncateFrom(1);
+              log.append(List.of(entry(1, 2)));
+            }),
+        history(
+            "compacted, then a suffix replaced",
+            log -> {
+              log.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)));
+              log.compact(snapshot(2), List.of(entry(3, 1), entry(4, 1)));
+              log.truncateFrom(4);
+              log.append(List.of(entry(4, 2), entry(5, 2)));
+            }));
+  }
+
+  private static Arguments history(String name, Consumer<LogStorage> actions) {
+    return Arguments.of(name, actions);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("histories")
+  void reopensAsItWasLeft(String name, Consumer<LogStorage> actions) throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      actions.accept(log);
+      try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+        assertThat(reopened.hardState(), is(log.hardState()));
+        assertThat(reopened.snapshot(), is(log.snapshot()));
+        assertThat(reopened.entries(), is(log.entries()));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4, 7, 8, 9, 20})
+  void cutsOffTornTail(int tornBytes) throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1), entry(2, 1)));
+    }
+    truncateLog(Files.size(dataDir.resolve(DurableLog.LOG_FILE)) - tornBytes);
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      assertThat(reopened.entries(), is(List.of(entry(1, 1))));
+      reopened.append(List.of(entry(2, 2)));
+    }
+    try (DurableLog again = DurableLog.open(dataDir, false)) {
+      assertThat(again.entries(), is(List.of(entry(1, 1), entry(2, 2))));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void newFolderVotesOnlyOnFirstStart(boolean bootstrap) throws IOException {
+    String storageId;
+    try (DurableLog log = DurableLog.open(dataDir, bootstrap)) {
+      assertThat(log.hardState().voter(), is(bootstrap));
+      storageId = log.hardState().storageId();
+    }
+    try (DurableLog reopened = DurableLog.open(dataDir, !bootstrap)) {
+      assertThat(reopened.hardState().storageId(), is(storageId));
+      assertThat(reopened.hardState().voter(), is(bootstrap));
+    }
+  }
+
+  /** Crashes the disk on demand: a sync fails, and what was written since the last one is lost. */
+  private static final class FailingDisk implements DurableFile.Sync {
+    boolean failing;
+    long syncedBytes;
+
+    @Override
+    public void force(FileChannel channel) throws IOException {
+      if (failing) {
+        throw new IOException("the disk is gone");
+      }
+      channel.force(true);
+      syncedBytes = channel.size();
+    }
+  }
+
+  /** A crash between write and sync keeps none, a part or all of the write. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0, 0.1, 0.5, 0.9, 1})
+  void crashBetweenWriteAndSyncLosesNothingAcknowledged(double keptShare) throws IOException {
+    FailingDisk disk = new FailingDisk();
+    try (DurableLog log = DurableLog.open(dataDir, true, disk)) {
+      ConsensusMember member = soleMember(log);
+      assertThat(accepted(member, "change-1", 0), is(1L));
+      assertThat(accepted(member, "change-2", 1), is(2L));
+      disk.failing = true;
+      assertThrows(UncheckedIOException.class, () -> member.propose(9, "change-3", 2, "doc", 0));
+    }
+    long written = Files.size(dataDir.resolve(DurableLog.LOG_FILE));
+    truncateLog(disk.syncedBytes + (long) ((written - disk.syncedBytes) * keptShare));
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      ConsensusMember member = soleMember(reopened);
+      assertThat(accepted(member, "change-1", 0), is(1L));
+      assertThat(accepted(member, "change-2", 0), is(2L));
+      assertThat(member.state().version(), is(lessThanOrEqualTo(3L)));
+    }
+  }
+
+  @Test
+  void compactsAndReopensAfterHundredsOfChanges() throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      ConsensusMember member = soleMember(log);
+      for (long v = 0; v < 500; v++) {
+        assertThat(accepted(member, "change-" + v, v), is(v + 1));
+      }
+    }
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      ConsensusMember member = soleMember(reopened);
+      assertThat(accepted(member, "change-499", 0), is(500L));
+      assertThat(accepted(member, "change-500", 500), is(501L));
+      assertThat(reopened.entries().size(), is(lessThanOrEqualTo(256)));
+    }
+  }
+
+  private static ConsensusMember soleMember(DurableLog log) {
+    ConsensusMember member =
+        new ConsensusMember(
+            "control-1", List.of("control-1"), ConsensusTiming.DEFAULT, log, new Random(1), 0);
+    member.tick(0);
+    return member;
+  }
+
+  private static long accepted(ConsensusMember member, String changeId, long expectedVersion) {
+    Output out = member.propose(1, changeId, expectedVersion, "doc", 0);
+    assertThat(out.decisions(), hasSize(1));
+    return ((ChangeResult.Accepted) out.decisions().get(0).result()).version();
+  }
+
+  private void truncateLog(long bytes) throws IOException {
+    try (FileChannel channel =
+        FileChannel.open(dataDir.resolve(DurableLog.LOG_FILE), StandardOpenOption.WRITE)) {
+      channel.truncate(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -0,0 +1,156 @@
+package org.lacewingcroft.consensus;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * The MessagePack form of the log, the same on disk and between daemons: fields in record order, a
+ * type tag before each sealed type.
+ */
+public final class ConsensusCodec {
+  private static final int NOOP = 0;
+  private static final int CONFIG_CHANGE = 1;
+  private static final int STORAGE_REGISTRATION = 2;
+
+  private static final int VOTE_REQUEST = 1;
+  private static final int VOTE_RESPONSE = 2;
+  private static final int APPEND_REQUEST = 3;
+  private static final int APPEND_RESPONSE = 4;
+  private static final int SNAPSHOT_REQUEST = 5;
+
+  private ConsensusCodec() {}
+
+  /** Packs an entry. */
+  public static void packEntry(MessagePacker p, LogEntry e) throws IOException {
+    p.packLong(e.index()).packLong(e.term()).packLong(e.version());
+    if (e.command() instanceof Command.ConfigChange c) {
+      p.packInt(CONFIG_CHANGE).packString(c.changeId()).packString(c.document());
+    } else if (e.command() instanceof Command.StorageRegistration r) {
+      p.packInt(STORAGE_REGISTRATION).packString(r.memberId()).packString(r.storageId());
+    } else {
+      p.packInt(NOOP);
+    }
+  }
+
+  /** Unpacks an entry. */
+  public static LogEntry unpackEntry(MessageUnpacker u) throws IOException {
+    long index = u.unpackLong();
+    long term = u.unpackLong();
+    long version = u.unpackLong();
+    return new LogEntry(index, term, version, unpackCommand(u));
+  }
+
+  private static Command unpackCommand(MessageUnpacker u) throws IOException {
+    int type = u.unpackInt();
+    return switch (type) {
+      case NOOP -> new Command.Noop();
+      case CONFIG_CHANGE -> new Command.ConfigChange(u.unpackString(), u.unpackString());
+      case STORAGE_REGISTRATION ->
+          new Command.StorageRegistration(u.unpackString(), u.unpackString());
+      default -> throw new IOException("unknown command type " + type);
+    };
+  }
+
+  /** Packs a snapshot. */
+  public static void packSnapshot(MessagePacker p, Snapshot s) throws IOException {
+    p.packLong(s.lastIndex()).packLong(s.lastTerm());
+    p.packLong(s.state().version()).packString(s.state().document());
+    p.packMapHeader(s.state().versionByChangeId().size());
+    for (Map.Entry<String, Long> e : s.state().versionByChangeId().entrySet()) {
+      p.packString(e.getKey()).packLong(e.getValue());
+    }
+    p.packMapHeader(s.state().storageIdByMember().size());
+    for (Map.Entry<String, String> e : s.state().storageIdByMember().entrySet()) {
+      p.packString(e.getKey()).packString(e.getValue());
+    }
+  }
+
+  /** Unpacks a snapshot. */
+  public static Snapshot unpackSnapshot(MessageUnpacker u) throws IOException {
+    final long lastIndex = u.unpackLong();
+    final long lastTerm = u.unpackLong();
+    final long version = u.unpackLong();
+    final String document = u.unpackString();
+    Map<String, Long> changeIds = new LinkedHashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      changeIds.put(u.unpackString(), u.unpackLong());
+    }
+    Map<String, String> storages = new LinkedHashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      storages.put(u.unpackString(), u.unpackString());
+    }
+    return new Snapshot(
+        lastIndex, lastTerm, new ConfigState(version, document, changeIds, storages));
+  }
+
+  /** Packs a hard state. */
+  public static void packHardState(MessagePacker p, HardState s) throws IOException {
+    p.packLong(s.term()).packString(s.votedFor().orElse(""));
+    p.packString(s.storageId()).packBoolean(s.voter());
+  }
+
+  /** Unpacks a hard state. */
+  public static HardState unpackHardState(MessageUnpacker u) throws IOException {
+    long term = u.unpackLong();
+    Optional<String> votedFor = Optional.of(u.unpackString()).filter(v -> !v.isEmpty());
+    return new HardState(term, votedFor, u.unpackString(), u.unpackBoolean());
+  }
+
+  /** Packs a message. */
+  public static void packMessage(MessagePacker p, ConsensusMessage message) throws IOException {
+    if (message instanceof ConsensusMessage.VoteRequest m) {
+      p.packInt(VOTE_REQUEST).packLong(m.term()).packLong(m.lastIndex()).packLong(m.lastTerm());
+      p.packBoolean(m.preVote());
+    } else if (message instanceof ConsensusMessage.VoteResponse m) {
+      p.packInt(VOTE_RESPONSE).packLong(m.term()).packBoolean(m.granted());
+      p.packBoolean(m.preVote());
+    } else if (message instanceof ConsensusMessage.AppendRequest m) {
+      p.packInt(APPEND_REQUEST).packLong(m.term());
+      p.packLong(m.previousIndex()).packLong(m.previousTerm()).packLong(m.commitIndex());
+      p.packArrayHeader(m.entries().size());
+      for (LogEntry e : m.entries()) {
+        packEntry(p, e);
+      }
+    } else if (message instanceof ConsensusMessage.AppendResponse m) {
+      p.packInt(APPEND_RESPONSE).packLong(m.term()).packBoolean(m.accepted());
+      p.packLong(m.matchIndex()).packString(m.storageId()).packBoolean(m.voter());
+    } else if (message instanceof ConsensusMessage.SnapshotRequest m) {
+      p.packInt(SNAPSHOT_REQUEST).packLong(m.term());
+      packSnapshot(p, m.snapshot());
+    }
+  }
+
+  /** Unpacks a message. */
+  public static ConsensusMessage unpackMessage(MessageUnpacker u) throws IOException {
+    int type = u.unpackInt();
+    long term = u.unpackLong();
+    return switch (type) {
+      case VOTE_REQUEST ->
+          new ConsensusMessage.VoteRequest(term, u.unpackLong(), u.unpackLong(), u.unpackBoolean());
+      case VOTE_RESPONSE ->
+          new ConsensusMessage.VoteResponse(term, u.unpackBoolean(), u.unpackBoolean());
+      case APPEND_REQUEST -> {
+        long previousIndex = u.unpackLong();
+        long previousTerm = u.unpackLong();
+        long commitIndex = u.unpackLong();
+        List<LogEntry> entries = new ArrayList<>();
+        for (int n = u.unpackArrayHeader(); n > 0; n--) {
+          entries.add(unpackEntry(u));
+        }
+        yield new ConsensusMessage.AppendRequest(
+            term, previousIndex, previousTerm, entries, commitIndex);
+      }
+      case APPEND_RESPONSE ->
+          new ConsensusMessage.AppendResponse(
+              term, u.unpackBoolean(), u.unpackLong(), u.unpackString(), u.unpackBoolean());
+      case SNAPSHOT_REQUEST -> new ConsensusMessage.SnapshotRequest(term, unpackSnapshot(u));
+      default -> throw new IOException("unknown consensus message type " + type);
+    };
+  }
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/HardState.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/HardState.java
@@ -13,11 +13,13 @@
  */
 public record HardState(long term, Optional<String> votedFor, String storageId, boolean voter) {
 
-  HardState withVote(long newTerm, Optional<String> vote) {
+  /** Returns this state in another term, with the vote given in it. */
+  public HardState withVote(long newTerm, Optional<String> vote) {
     return new HardState(newTerm, vote, storageId, voter);
   }
 
-  HardState asVoter() {
+  /** Returns this state as a voter. */
+  public HardState asVoter() {
     return new HardState(term, votedFor, storageId, true);
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
@@ -36,6 +36,11 @@
       422, "invalid_configuration", "fix the named key; see docs/OPERATIONS.md#selectors"),
   /** The control role cannot reach a quorum; the change was not accepted. */
   NO_QUORUM(503, "no_quorum", "retry later; the change was not accepted"),
+  /** No quorum confirmed the change in time; it may or may not be accepted. */
+  CHANGE_UNKNOWN(
+      504,
+      "change_unknown",
+      "resend the change with the same X-Change-Id to any control daemon; it is applied once"),
   /** A peer frame or request carried a wrong shared-secret tag. */
   UNAUTHENTICATED(401, "unauthenticated", "use the deployment's secret file (--secret-file)"),
   /** An order carried a fencing token older than the one the receiver has seen. */
@@ -71,6 +76,6 @@
 
   /** Returns true when the kind guarantees that no endpoint received the request. */
   public boolean provesNotRun() {
-    return this != OUTCOME_UNKNOWN;
+    return this != OUTCOME_UNKNOWN && this != CHANGE_UNKNOWN;
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
@@ -17,7 +17,7 @@
  */
 public final class FrameCodec {
   /** The largest frame body accepted, in bytes, tag included. */
-  public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+  public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
   /** Size of the length prefix in bytes. */
   public static final int LENGTH_BYTES = 4;
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointKind;
 import org.lacewingcroft.idempotency.IdempotencyTable;
@@ -24,6 +25,7 @@
   private static final int CONFIG_OFFER = 3;
   private static final int CONFIG_REQUEST = 4;
   private static final int IDEMPOTENCY_RECORD = 5;
+  private static final int CONSENSUS = 6;
 
   private MessageCodec() {}
 
@@ -60,6 +62,10 @@
         p.packBinaryHeader(e.body().length);
         p.writePayload(e.body());
         p.packLong(e.expiresAt().toEpochMilli());
+      } else if (message instanceof PeerMessage.Consensus c) {
+        p.packInt(CONSENSUS);
+        p.packString(c.from());
+        ConsensusCodec.packMessage(p, c.message());
       }
       return p.toByteArray();
     } catch (IOException e) {
@@ -100,6 +106,8 @@
           yield new PeerMessage.IdempotencyRecord(
               new IdempotencyTable.Entry(key, state, status, contentType, body, expiresAt));
         }
+        case CONSENSUS ->
+            new PeerMessage.Consensus(u.unpackString(), ConsensusCodec.unpackMessage(u));
         default -> throw new MalformedFrameException("unknown message type " + type);
       };
     } catch (IOException | RuntimeException e) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 
@@ -62,4 +63,12 @@
    * @param entry the record
    */
   record IdempotencyRecord(IdempotencyTable.Entry entry) implements PeerMessage {}
+
+  /**
+   * A message between members of the control group.
+   *
+   * @param from the sending member's node id
+   * @param message the message
+   */
+  record Consensus(String from, ConsensusMessage message) implements PeerMessage {}
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
@@ -122,7 +122,7 @@
     ControlGroup group = new ControlGroup(3, 17);
     String leader = group.awaitLeader();
     String stale = follower(group, 0);
-    String wiped = follower(group, 1);
+    final String wiped = follower(group, 1);
     group.cutOff(stale);
     assertThat(group.change("accepted", 0), is(new ChangeResult.Accepted(1, false)));
     group.kill(leader);
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DemoDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DemoDeployment.java
@@ -10,7 +10,7 @@
 
 /**
  * The embedded default deployment of the demo: Puhdas Seinä's three regions, two entry daemons
- * each, one control daemon, a writers service of eight engine runners, a request desk of three
+ * each, three control daemons, a writers service of eight engine runners, a request desk of three
  * plain-service runners, and the shipped trace and selectors.
  */
 public final class DemoDeployment {
@@ -39,7 +39,8 @@
           new LocalDeployment.StandinGroup(
               "desk-" + region, "service", region, 1, "desk", Map.of("service", "desk"), 4));
     }
-    return new LocalDeployment.Topology(REGIONS, 2, 1, groups, resource("demo/selectors.yaml"));
+    return new LocalDeployment.Topology(
+        REGIONS, 2, 3, groups, resource("demo/selectors.yaml"), List.of());
   }
 
   /** Returns the shipped trace. */
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -11,9 +11,12 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -29,15 +32,18 @@
 public final class LocalDeployment implements AutoCloseable {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+  private static final int SIGTERM_STATUS = 143;
+  private static final List<String> JVM_ARGS = List.of("-Xmx256m", "-XX:+UseSerialGC", "-Xss512k");
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
 
   private final Topology topology;
   private final Path workDir;
   private final Path secretFile;
-  private final List<ManagedProcess> processes = new ArrayList<>();
+  private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+  private final Map<String, String> controlUrlByNode = new LinkedHashMap<>();
+  private final Set<String> expectedDown = new HashSet<>();
   private final Map<String, String> entryUrlByNode = new LinkedHashMap<>();
   private final Map<String, String> entryRegionByNode = new LinkedHashMap<>();
-  private final List<String> controlUrls = new ArrayList<>();
   private final List<String> controlPeers = new ArrayList<>();
   private final Map<String, List<String>> standinUrls = new LinkedHashMap<>();
   private final HttpClient http =
@@ -71,15 +77,50 @@
    * @param controls control daemons (in the first regions, round robin)
    * @param standins stand-in groups
    * @param configDocument the selectors document applied once the control role is up
+   * @param daemonArgs further flags for every daemon
    */
   public record Topology(
       List<String> regions,
       int entriesPerRegion,
       int controls,
       List<StandinGroup> standins,
-      String configDocument) {}
+      String configDocument,
+      List<String> daemonArgs) {
+    /** Copies the lists so the topology is immutable. */
+    public Topology {
+      regions = List.copyOf(regions);
+      standins = List.copyOf(standins);
+      daemonArgs = List.copyOf(daemonArgs);
+    }
+
+    /** Returns this topology with further flags for every daemon. */
+    public Topology withDaemonArgs(String... more) {
+      List<String> all = new ArrayList<>(daemonArgs);
+      all.addAll(List.of(more));
+      return new Topology(regions, entriesPerRegion, controls, standins, configDocument, all);
+    }
+
+    /** Returns this topology with another number of control daemons. */
+    public Topology withControls(int count) {
+      return new Topology(regions, entriesPerRegion, count, standins, configDocument, daemonArgs);
+    }
+  }
 
-  private record ManagedProcess(String name, Process process, Path log) {}
+  /** One process of the deployment, which may be killed and started again. */
+  private static final class ManagedProcess {
+    final String name;
+    final String mainClass;
+    final Path log;
+    List<String> restartArgs;
+    Process process;
+
+    ManagedProcess(String name, String mainClass, List<String> args, Path log) {
+      this.name = name;
+      this.mainClass = mainClass;
+      this.restartArgs = List.copyOf(args);
+      this.log = log;
+    }
+  }
 
   private LocalDeployment(Topology topology, Path workDir) throws IOException {
     this.topology = topology;
@@ -110,27 +151,16 @@
   }
 
   private void startAll() throws Exception {
+    List<String> group = new ArrayList<>();
     for (int i = 1; i <= topology.controls(); i++) {
-      String region = topology.regions().get((i - 1) % topology.regions().size());
-      String node = "control-" + i;
-      JsonNode ports =
-          startDaemon(
-              node,
-              "control",
-              region,
-              region + "-c",
-              List.of("--data-dir", workDir.resolve(node + "-data").toString()),
-              List.of());
-      controlUrls.add("http://127.0.0.1:" + ports.get("http").asInt());
-      controlPeers.add("127.0.0.1:" + ports.get("peer").asInt());
+      group.add("control-" + i);
+    }
+    for (int i = 0; i < group.size(); i++) {
+      startControl(group.get(i), group, topology.regions().get(i % topology.regions().size()));
     }
     for (String region : topology.regions()) {
       for (int i = 1; i <= topology.entriesPerRegion(); i++) {
-        String node = region + "-entry-" + i;
-        String fd = region + "-" + (char) ('a' + (i - 1) % 3);
-        JsonNode ports = startDaemon(node, "entry", region, fd, List.of(), controlPeers);
-        entryUrlByNode.put(node, "http://127.0.0.1:" + ports.get("http").asInt());
-        entryRegionByNode.put(node, region);
+        startEntry(region + "-entry-" + i, region, region + "-" + (char) ('a' + (i - 1) % 3));
       }
     }
     long version = applyConfig(topology.configDocument());
@@ -140,56 +170,80 @@
     for (StandinGroup g : topology.standins()) {
       startStandins(g);
     }
-    for (Map.Entry<String, String> entry : entryUrlByNode.entrySet()) {
-      String region = entryRegionByNode.get(entry.getKey());
-      int expected =
-          topology.standins().stream()
-              .filter(g -> g.region().equals(region))
-              .mapToInt(StandinGroup::runners)
-              .sum();
-      awaitCondition(
-          entry.getKey() + " knows " + expected + " endpoints",
-          () -> endpointCount(entry.getValue()) >= expected);
+    for (String node : entryUrlByNode.keySet()) {
+      awaitEndpoints(node);
     }
   }
 
-  private JsonNode startDaemon(
-      String node, String role, String region, String fd, List<String> extra, List<String> peers)
+  /** Waits until an entry knows as many endpoints as its region has stand-in runners. */
+  public void awaitEndpoints(String node) throws Exception {
+    String region = entryRegionByNode.get(node);
+    int expected =
+        topology.standins().stream()
+            .filter(g -> g.region().equals(region))
+            .mapToInt(StandinGroup::runners)
+            .sum();
+    awaitCondition(
+        node + " knows " + expected + " endpoints",
+        () -> endpointCount(entryUrlByNode.get(node)) >= expected);
+  }
+
+  private void startControl(String node, List<String> group, String region) throws Exception {
+    List<String> args = daemonArgs(node, "control", region, region + "-c");
+    args.addAll(List.of("--data-dir", dataDir(node).toString()));
+    args.addAll(List.of("--control-group", String.join(",", group)));
+    JsonNode ports = startDaemon(node, args, List.of("--bootstrap"));
+    controlUrlByNode.put(node, "http://127.0.0.1:" + ports.get("http").asInt());
+    controlPeers.add("127.0.0.1:" + ports.get("peer").asInt());
+  }
+
+  private void startEntry(String node, String region, String failureDomain) throws Exception {
+    JsonNode ports = startDaemon(node, daemonArgs(node, "entry", region, failureDomain), List.of());
+    entryUrlByNode.put(node, "http://127.0.0.1:" + ports.get("http").asInt());
+    entryRegionByNode.put(node, region);
+  }
+
+  private List<String> daemonArgs(String node, String role, String region, String failureDomain) {
+    List<String> args = new ArrayList<>();
+    args.addAll(List.of("--role", role, "--node-id", node, "--region", region));
+    args.addAll(List.of("--failure-domain", failureDomain));
+    args.addAll(List.of("--secret-file", secretFile.toString()));
+    args.addAll(List.of("--heartbeat-millis", "250", "--drain-millis", "10000"));
+    args.addAll(topology.daemonArgs());
+    return args;
+  }
+
+  /** Starts a daemon on free ports; a restart reuses them and leaves out the first-start flags. */
+  private JsonNode startDaemon(String node, List<String> args, List<String> firstStartArgs)
       throws Exception {
     Path portFile = workDir.resolve(node + ".ports");
-    Files.deleteIfExists(portFile);
-    List<String> args = new ArrayList<>();
-    args.addAll(
-        List.of(
-            "--role",
-            role,
-            "--node-id",
-            node,
-            "--region",
-            region,
-            "--failure-domain",
-            fd,
-            "--secret-file",
-            secretFile.toString(),
-            "--port-file",
-            portFile.toString(),
-            "--heartbeat-millis",
-            "250",
-            "--drain-millis",
-            "10000"));
-    if (!peers.isEmpty()) {
-      args.add("--peers");
-      args.add(String.join(",", peers));
+    List<String> first = new ArrayList<>(args);
+    first.addAll(firstStartArgs);
+    first.addAll(List.of("--port-file", portFile.toString()));
+    if (!controlPeers.isEmpty()) {
+      first.addAll(List.of("--peers", String.join(",", controlPeers)));
     }
-    args.addAll(extra);
-    launch(node, "org.lacewingcroft.daemon.Main", args);
-    awaitCondition(node + " writes its port file", () -> Files.exists(portFile));
+    final ManagedProcess managed = launch(node, "org.lacewingcroft.daemon.Main", first);
+    JsonNode ports = awaitPorts(node);
+    List<String> again = new ArrayList<>(args);
+    again.addAll(List.of("--port-file", portFile.toString()));
+    again.addAll(List.of("--http-port", ports.get("http").asText()));
+    again.addAll(List.of("--peer-port", ports.get("peer").asText()));
+    managed.restartArgs = again;
+    return ports;
+  }
+
+  private JsonNode awaitPorts(String name) throws Exception {
+    Path portFile = workDir.resolve(name + ".ports");
+    awaitCondition(name + " writes its port file", () -> Files.exists(portFile));
     return JSON.readTree(Files.readString(portFile));
   }
 
+  private Path dataDir(String node) {
+    return workDir.resolve(node + "-data");
+  }
+
   private void startStandins(StandinGroup g) throws Exception {
-    Path portFile = workDir.resolve(g.idPrefix() + ".ports");
-    Files.deleteIfExists(portFile);
     List<String> gateways =
         entryUrlByNode.entrySet().stream()
             .filter(e -> entryRegionByNode.get(e.getKey()).equals(g.region()))
@@ -206,54 +260,182 @@
             "--announce", String.join(",", gateways),
             "--model", g.model(),
             "--capacity", Integer.toString(g.capacity()),
-            "--port-file", portFile.toString()));
+            "--port-file", workDir.resolve(g.idPrefix() + ".ports").toString()));
     g.labels().forEach((k, v) -> args.addAll(List.of("--label", k + "=" + v)));
     launch(g.idPrefix(), "org.lacewingcroft.standin.Main", args);
-    awaitCondition(g.idPrefix() + " writes its port file", () -> Files.exists(portFile));
     List<String> urls = new ArrayList<>();
-    JSON.readTree(Files.readString(portFile)).forEach(n -> urls.add(n.asText()));
+    awaitPorts(g.idPrefix()).forEach(n -> urls.add(n.asText()));
     standinUrls.put(g.idPrefix(), urls);
   }
 
-  private void launch(String name, String mainClass, List<String> args) throws IOException {
+  private ManagedProcess launch(String name, String mainClass, List<String> args)
+      throws IOException {
+    Path log = workDir.resolve(name + ".log");
+    ManagedProcess managed = new ManagedProcess(name, mainClass, args, log);
+    processes.put(name, managed);
+    run(managed, args);
+    return managed;
+  }
+
+  private void run(ManagedProcess managed, List<String> args) throws IOException {
+    Files.deleteIfExists(workDir.resolve(managed.name + ".ports"));
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(List.of("-Xmx256m", "-XX:+UseSerialGC", "-Xss512k"));
-    command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
-    command.add(mainClass);
+    command.addAll(JVM_ARGS);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), managed.mainClass));
     command.addAll(args);
-    Path log = workDir.resolve(name + ".log");
-    Process p =
-        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
-    processes.add(new ManagedProcess(name, p, log));
+    managed.process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(managed.log.toFile()))
+            .start();
+  }
+
+  /** Kills a process at once (SIGKILL). */
+  public void kill(String name) throws InterruptedException {
+    expectedDown.add(name);
+    Process process = processes.get(name).process;
+    process.destroyForcibly();
+    process.waitFor(STOP_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  /** Stops a process gracefully (SIGTERM) and returns its exit status. */
+  public int terminate(String name) throws InterruptedException {
+    expectedDown.add(name);
+    Process process = processes.get(name).process;
+    process.destroy();
+    if (!process.waitFor(STOP_TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
+      throw new IllegalStateException(name + " did not stop within " + STOP_TIMEOUT);
+    }
+    return process.exitValue();
+  }
+
+  /** Starts a killed or stopped process again, at its old addresses. */
+  public void restart(String name) throws Exception {
+    ManagedProcess managed = processes.get(name);
+    List<String> args = new ArrayList<>(managed.restartArgs);
+    if (managed.mainClass.endsWith("daemon.Main")) {
+      args.addAll(List.of("--peers", String.join(",", controlPeers)));
+    }
+    run(managed, args);
+    awaitPorts(name);
+    expectedDown.remove(name);
+  }
+
+  /** Freezes a process (SIGSTOP) until {@link #resume}. */
+  public void pause(String name) throws Exception {
+    signal(name, "STOP");
+  }
+
+  /** Lets a frozen process go on (SIGCONT). */
+  public void resume(String name) throws Exception {
+    signal(name, "CONT");
+  }
+
+  private void signal(String name, String signal) throws Exception {
+    long pid = processes.get(name).process.pid();
+    new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+  }
+
+  /** Empties the data folder of a stopped control daemon, as a lost disk does. */
+  public void loseDisk(String node) throws IOException {
+    try (var files = Files.list(dataDir(node))) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  /** Injects link faults into a daemon started with {@code --fault-injection}. */
+  public void injectFaults(String node, Set<String> cutRegions, long delayMillis) throws Exception {
+    var body = JSON.createObjectNode();
+    body.set("cutRegions", JSON.valueToTree(cutRegions));
+    body.put("delayMillis", delayMillis);
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(urlOf(node) + "/v1/faults"))
+            .timeout(Duration.ofSeconds(5))
+            .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+            .build();
+    int status = http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    if (status != 200) {
+      throw new IllegalStateException(node + " answered " + status + " to fault injection");
+    }
+  }
+
+  /** Returns the base URL of a daemon. */
+  public String urlOf(String node) {
+    return entryUrlByNode.containsKey(node) ? entryUrlByNode.get(node) : controlUrlByNode.get(node);
   }
 
   /**
-   * Applies a configuration document through the first control daemon.
+   * Applies a configuration document, resending the same change to each control daemon in turn
+   * until one accepts it.
    *
    * @return the version it got
    */
   public long applyConfig(String document) throws Exception {
-    long current = configVersion(controlUrls.get(0));
+    String changeId = UUID.randomUUID().toString();
+    long[] version = {-1};
+    awaitCondition(
+        "the control group accepts the configuration",
+        () -> {
+          for (String url : controlUrlByNode.values()) {
+            long current = configVersion(url);
+            if (current >= 0) {
+              version[0] = acceptedVersion(put(url, changeId, current, document));
+            }
+            if (version[0] > 0) {
+              return true;
+            }
+          }
+          return false;
+        });
+    return version[0];
+  }
+
+  /**
+   * Sends one change to a control daemon.
+   *
+   * @return the answer, or empty if the daemon did not answer
+   */
+  public Optional<HttpResponse<String>> put(
+      String url, String changeId, long expectedVersion, String document) {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create(controlUrls.get(0) + "/v1/config"))
-            .header("X-Change-Id", UUID.randomUUID().toString())
-            .header("X-Expected-Version", Long.toString(current))
+        HttpRequest.newBuilder(URI.create(url + "/v1/config"))
+            .timeout(Duration.ofSeconds(8))
+            .header("X-Change-Id", changeId)
+            .header("X-Expected-Version", Long.toString(expectedVersion))
             .PUT(HttpRequest.BodyPublishers.ofString(document))
             .build();
-    HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
-    if (response.statusCode() != 200) {
-      throw new IllegalStateException("config not accepted: " + response.body());
+    try {
+      return Optional.of(http.send(request, HttpResponse.BodyHandlers.ofString()));
+    } catch (IOException e) {
+      return Optional.empty();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    }
+  }
+
+  private static long acceptedVersion(Optional<HttpResponse<String>> answer) {
+    try {
+      if (answer.isPresent() && answer.get().statusCode() == 200) {
+        return JSON.readTree(answer.get().body()).get("version").asLong();
+      }
+      return -1;
+    } catch (IOException e) {
+      return -1;
     }
-    return JSON.readTree(response.body()).get("version").asLong();
   }
 
-  private long configVersion(String url) {
+  /** Returns the configuration version in force at a daemon, or -1 if it does not answer. */
+  public long configVersion(String url) {
     try {
       HttpResponse<String> r =
           http.send(
-              HttpRequest.newBuilder(URI.create(url + "/v1/config")).build(),
+              HttpRequest.newBuilder(URI.create(url + "/v1/config"))
+                  .timeout(Duration.ofSeconds(2))
+                  .build(),
               HttpResponse.BodyHandlers.ofString());
       return Long.parseLong(r.headers().firstValue("X-Config-Version").orElse("0"));
     } catch (IOException | InterruptedException | RuntimeException e) {
@@ -274,7 +456,7 @@
   }
 
   /** Polls a condition every 50 ms until it holds or the start timeout passes. */
-  static void awaitCondition(String what, BooleanSupplier condition) throws Exception {
+  public static void awaitCondition(String what, BooleanSupplier condition) throws Exception {
     long deadline = System.nanoTime() + START_TIMEOUT.toNanos();
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > deadline) {
@@ -296,7 +478,12 @@
 
   /** Returns the control daemons' base URLs. */
   public List<String> controls() {
-    return List.copyOf(controlUrls);
+    return List.copyOf(controlUrlByNode.values());
+  }
+
+  /** Returns the control daemons' node ids. */
+  public List<String> controlNodes() {
+    return List.copyOf(controlUrlByNode.keySet());
   }
 
   /** Returns the stand-in runners' base URLs by group prefix. */
@@ -309,56 +496,53 @@
    * operating system reports it.
    */
   public long cpuNanos(java.util.function.Predicate<String> names) {
-    return processes.stream()
-        .filter(m -> names.test(m.name()))
+    return processes.values().stream()
+        .filter(m -> names.test(m.name))
         .mapToLong(
-            m -> m.process().toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L))
+            m -> m.process.toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L))
         .sum();
   }
 
   /** Returns the log files of all processes. */
   public List<Path> logs() {
-    return processes.stream().map(ManagedProcess::log).toList();
+    return processes.values().stream().map(m -> m.log).toList();
   }
 
   /**
    * Stops the stand-ins and entries, then the control daemons, each by SIGTERM (a graceful
-   * shutdown), and waits for them to exit; returns how many exited with a non-zero status.
+   * shutdown), and waits for them to exit; returns the names of those that did not exit cleanly.
    */
-  public int stop() throws InterruptedException {
-    int failures = 0;
-    List<ManagedProcess> order = new ArrayList<>(processes);
-    order.sort(
-        java.util.Comparator.comparing((ManagedProcess m) -> m.name().startsWith("control")));
-    for (ManagedProcess m : order) {
-      if (!m.name().startsWith("control")) {
-        m.process().destroy();
-      }
-    }
-    for (ManagedProcess m : order) {
-      if (m.name().startsWith("control")) {
-        continue;
-      }
-      failures += awaitExit(m);
-    }
-    for (ManagedProcess m : order) {
-      if (m.name().startsWith("control")) {
-        m.process().destroy();
-        failures += awaitExit(m);
+  public List<String> stop() throws InterruptedException {
+    List<ManagedProcess> running =
+        processes.values().stream().filter(m -> !expectedDown.contains(m.name)).toList();
+    List<ManagedProcess> controls =
+        running.stream().filter(m -> m.name.startsWith("control")).toList();
+    List<ManagedProcess> rest = running.stream().filter(m -> !controls.contains(m)).toList();
+    List<String> failures = new ArrayList<>(stopAll(rest));
+    failures.addAll(stopAll(controls));
+    processes.clear();
+    return failures;
+  }
+
+  private static List<String> stopAll(List<ManagedProcess> group) throws InterruptedException {
+    group.forEach(m -> m.process.destroy());
+    List<String> failures = new ArrayList<>();
+    for (ManagedProcess m : group) {
+      if (!exitsCleanly(m.process)) {
+        failures.add(m.name);
       }
     }
-    processes.clear();
     return failures;
   }
 
-  private static int awaitExit(ManagedProcess m) throws InterruptedException {
-    if (!m.process().waitFor(STOP_TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
-      m.process().destroyForcibly();
-      m.process().waitFor(5, TimeUnit.SECONDS);
-      return 1;
+  private static boolean exitsCleanly(Process process) throws InterruptedException {
+    if (!process.waitFor(STOP_TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
+      process.destroyForcibly();
+      process.waitFor(5, TimeUnit.SECONDS);
+      return false;
     }
-    int code = m.process().exitValue();
-    return code == 0 || code == 143 ? 0 : 1;
+    int code = process.exitValue();
+    return code == 0 || code == SIGTERM_STATUS;
   }
 
   @Override
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
@@ -20,6 +20,9 @@
 import org.lacewingcroft.config.ConfigParser;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.config.GatewayConfig;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.control.DurableLog;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointDirectory;
 import org.lacewingcroft.endpoint.EndpointKind;
@@ -231,12 +234,13 @@
     java.nio.file.Path dir = java.nio.file.Files.createTempDirectory("lwc-log-bench");
     String document = "selectors: []\n#" + "x".repeat(Math.max(0, changeBytes - 16)) + "\n";
     org.HdrHistogram.Histogram micros = new org.HdrHistogram.Histogram(10_000_000L, 3);
-    try (org.lacewingcroft.control.ControlLog log =
-        org.lacewingcroft.control.ControlLog.open(dir)) {
+    try (DurableLog log = DurableLog.open(dir, true)) {
       long cpu0 = THREADS.getCurrentThreadCpuTime();
       for (int i = 0; i < appends; i++) {
         long t0 = System.nanoTime();
-        log.append("change-" + i, log.lastIndex(), 1, document);
+        log.append(
+            List.of(
+                new LogEntry(i + 1, 1, i + 1, new Command.ConfigChange("change-" + i, document))));
         micros.recordValue((System.nanoTime() - t0) / 1000);
       }
       long cpuNanos = THREADS.getCurrentThreadCpuTime() - cpu0;
--- a/lacewingcroft-standins/src/test/java/org/lacewingcroft/bench/DeploymentEndToEndTest.java
+++ b/lacewingcroft-standins/src/test/java/org/lacewingcroft/bench/DeploymentEndToEndTest.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.bench;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -47,7 +48,7 @@
 
   @AfterAll
   void stop() throws Exception {
-    assertThat("processes that did not stop cleanly", deployment.stop(), is(0));
+    assertThat("processes that did not stop cleanly", deployment.stop(), is(empty()));
   }
 
   @Test
