bench config: changes under kills, freezes, cuts and lost disks; two ways to step back mended

Found, each with a test that failed first: - a control daemon that restarts showed the version its disk held, older than what it had shown (ControlGroup#checkShownVersion under the property test: 'control-1 shows 0 after 1'). It now shows nothing until it is a voter and has committed an entry of the term it follows, told by a message that echoes its session, so one delayed since before the restart does not count.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
@@ -6,7 +6,12 @@
 @Command(
     name = "bench",
     description = "Load and experiment tool.",
-    subcommands = {OverheadBenchCommand.class, SlopesBenchCommand.class, LoadBenchCommand.class})
+    subcommands = {
+      OverheadBenchCommand.class,
+      SlopesBenchCommand.class,
+      LoadBenchCommand.class,
+      ConfigBenchCommand.class
+    })
 final class BenchCommand implements Runnable {
   @Override
   public void run() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -68,6 +68,7 @@
    * @param commitIndex the last log index known to be committed
    * @param version the committed configuration version
    * @param voter false while the data folder is new and not yet readmitted
+   * @param caughtUp false since the start until the newest committed version is known
    */
   public record Status(
       ConsensusMember.Role role,
@@ -75,7 +76,17 @@
       long term,
       long commitIndex,
       long version,
-      boolean voter) {}
+      boolean voter,
+      boolean caughtUp) {
+
+    /**
+     * Returns whether a daemon that holds the given version may show it as the one in force: the
+     * role knows which version is the newest committed, and the daemon has put it in force.
+     */
+    public boolean confirms(long heldVersion) {
+      return caughtUp && heldVersion >= version;
+    }
+  }
 
   /**
    * Opens the log in the data folder and recovers it; {@link #start} begins to take part.
@@ -226,12 +237,12 @@
             member.term(),
             member.commitIndex(),
             state.version(),
-            member.voter());
-    if (state.version() <= configs.current().version()) {
+            member.voter(),
+            member.caughtUp());
+    if (!member.caughtUp() || state.version() <= configs.current().version()) {
       return;
     }
     configs.offer(state.version(), state.document());
-    LOG.log(System.Logger.Level.INFO, "config.applied", "version", state.version());
     if (member.role() == ConsensusMember.Role.LEADER) {
       membership.broadcast(
           null, null, new PeerMessage.ConfigOffer(state.version(), state.document()));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.lacewingcroft.config.ConfigParser;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ChangeResult;
@@ -48,8 +49,22 @@
     this.client = vertx.createHttpClient();
   }
 
-  void mountRead(Router router) {
-    router.get("/v1/config").handler(this::configPage);
+  /**
+   * Serves the configuration in force.
+   *
+   * @param known whether this daemon knows which version is in force; until then reads are refused
+   */
+  void mountRead(Router router, BooleanSupplier known) {
+    router
+        .get("/v1/config")
+        .handler(
+            ctx -> {
+              if (known.getAsBoolean()) {
+                configPage(ctx);
+              } else {
+                refuse(ctx, ErrorKind.NOT_RUN, "this daemon has not learned the version in force");
+              }
+            });
   }
 
   void mountControl(Router router, ControlService control) {
@@ -73,6 +88,7 @@
     reply.put("commitIndex", status.commitIndex());
     reply.put("version", status.version());
     reply.put("voter", status.voter());
+    reply.put("caughtUp", status.caughtUp());
     JsonReply.send(ctx, reply);
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.lacewingcroft.config.ConfigLearning;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.control.ControlService;
 import org.lacewingcroft.error.ErrorKind;
@@ -45,6 +46,7 @@
   private final Vertx vertx;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final ConfigStore configs = new ConfigStore();
+  private final ConfigLearning learning;
   private final EndpointRegistry endpoints;
   private final PeerTransport transport;
   private Membership membership;
@@ -57,6 +59,7 @@
   private Daemon(Settings settings) {
     this.settings = settings;
     this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+    this.learning = new ConfigLearning(configs, settings.heartbeatInterval().multipliedBy(3));
     this.endpoints = new EndpointRegistry(clock, settings.endpointLease());
     this.transport = new PeerTransport(vertx, new FrameCodec(settings.secret()));
   }
@@ -103,7 +106,7 @@
     membership =
         new Membership(self, settings.peers(), transport, clock, settings.heartbeatInterval());
     ConfigApi configApi = new ConfigApi(vertx, configs, membership);
-    configApi.mountRead(router);
+    configApi.mountRead(router, this::knowsConfig);
     DirectoryApi directoryApi =
         new DirectoryApi(membership, endpoints, configs, clock, this::servesCallers);
     directoryApi.mountEntries(router);
@@ -164,7 +167,12 @@
   }
 
   private boolean servesCallers() {
-    return gateway != null && !gateway.shuttingDown();
+    return gateway != null && !gateway.shuttingDown() && knowsConfig();
+  }
+
+  private boolean knowsConfig() {
+    long version = configs.current().version();
+    return control == null ? version > 0 : control.status().confirms(version);
   }
 
   private void injectFaults(LinkFaults faults) {
@@ -192,6 +200,7 @@
   }
 
   private void heartbeat() {
+    learning.tick(clock.instant());
     membership.beat(
         configs.current().version(),
         gateway == null ? java.util.Map.of() : gateway.freeSlotsByModel());
@@ -205,17 +214,15 @@
   private void onPeerMessage(String stamp, PeerMessage message) {
     if (message instanceof PeerMessage.Heartbeat h) {
       membership.onHeartbeat(h);
-      if (h.configVersion() > configs.current().version()) {
+      if (control == null && learning.heard(h.configVersion(), clock.instant())) {
         transport.send(
             h.sender().peerAddress(),
             new PeerMessage.ConfigRequest(
-                configs.current().version(), membership.self().peerAddress()));
+                learning.highestOffered(), membership.self().peerAddress()));
       }
     } else if (message instanceof PeerMessage.ConfigOffer offer) {
-      ConfigStore.Outcome outcome = configs.offer(offer.version(), offer.document());
-      if (outcome == ConfigStore.Outcome.APPLIED) {
-        metrics.configVersion.set(offer.version());
-        LOG.log(System.Logger.Level.INFO, "config.applied", "version", offer.version());
+      if (control == null) {
+        learning.offered(offer.version(), offer.document(), clock.instant());
       }
     } else if (message instanceof PeerMessage.ConfigRequest request) {
       ConfigStore.Applied current = configs.current();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
@@ -35,6 +35,7 @@
     }
   }
 
+  private static final System.Logger LOG = System.getLogger(ConfigStore.class.getName());
   private final AtomicReference<Applied> current =
       new AtomicReference<>(new Applied(GatewayConfig.EMPTY, ""));
   private final AtomicLong staleOffers = new AtomicLong();
@@ -75,6 +76,7 @@
         return Outcome.STALE;
       }
       if (current.compareAndSet(seen, next)) {
+        LOG.log(System.Logger.Level.INFO, "config.applied", "version", version);
         return Outcome.APPLIED;
       }
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -113,6 +113,7 @@
     } else if (message instanceof ConsensusMessage.AppendRequest m) {
       p.packInt(APPEND_REQUEST).packLong(m.term());
       p.packLong(m.previousIndex()).packLong(m.previousTerm()).packLong(m.commitIndex());
+      p.packLong(m.echoedSession());
       p.packArrayHeader(m.entries().size());
       for (LogEntry e : m.entries()) {
         packEntry(p, e);
@@ -120,6 +121,7 @@
     } else if (message instanceof ConsensusMessage.AppendResponse m) {
       p.packInt(APPEND_RESPONSE).packLong(m.term()).packBoolean(m.accepted());
       p.packLong(m.matchIndex()).packString(m.storageId()).packBoolean(m.voter());
+      p.packLong(m.session());
     } else if (message instanceof ConsensusMessage.SnapshotRequest m) {
       p.packInt(SNAPSHOT_REQUEST).packLong(m.term());
       packSnapshot(p, m.snapshot());
@@ -139,16 +141,22 @@
         long previousIndex = u.unpackLong();
         long previousTerm = u.unpackLong();
         long commitIndex = u.unpackLong();
+        long echoedSession = u.unpackLong();
         List<LogEntry> entries = new ArrayList<>();
         for (int n = u.unpackArrayHeader(); n > 0; n--) {
           entries.add(unpackEntry(u));
         }
         yield new ConsensusMessage.AppendRequest(
-            term, previousIndex, previousTerm, entries, commitIndex);
+            term, previousIndex, previousTerm, entries, commitIndex, echoedSession);
       }
       case APPEND_RESPONSE ->
           new ConsensusMessage.AppendResponse(
-              term, u.unpackBoolean(), u.unpackLong(), u.unpackString(), u.unpackBoolean());
+              term,
+              u.unpackBoolean(),
+              u.unpackLong(),
+              u.unpackString(),
+              u.unpackBoolean(),
+              u.unpackLong());
       case SNAPSHOT_REQUEST -> new ConsensusMessage.SnapshotRequest(term, unpackSnapshot(u));
       default -> throw new IOException("unknown consensus message type " + type);
     };
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -50,6 +50,7 @@
   private final ConsensusTiming timing;
   private final LogStorage storage;
   private final RandomGenerator random;
+  private final long session;
   private final ReplicatedLog log;
   private final Set<String> votes = new HashSet<>();
   private final Map<String, Progress> followers = new HashMap<>();
@@ -60,6 +61,7 @@
   private long leaderHeardMillis;
   private long electionDueMillis;
   private long termStartIndex;
+  private boolean caughtUp;
 
   /**
    * Recovers a member from its storage.
@@ -87,6 +89,7 @@
     this.timing = timing;
     this.storage = storage;
     this.random = random;
+    this.session = random.nextLong();
     this.log = new ReplicatedLog(storage);
     this.hardState = storage.hardState();
     this.leaderHeardMillis = nowMillis - 2 * timing.electionMillis();
@@ -127,6 +130,16 @@
     return log.lastIndex();
   }
 
+  /**
+   * Returns whether the committed state is current: since it started, this member has committed an
+   * entry of the term it follows or leads and all that its leader had committed, and it is a voter.
+   * Before that the state may be older than what was in force here, and must not be shown: the one
+   * recovered from disk lags, and a member that lost its disk may follow a leader long deposed.
+   */
+  public boolean caughtUp() {
+    return caughtUp;
+  }
+
   /** Returns the state after the committed entries. */
   public ConfigState state() {
     return log.state();
@@ -361,7 +374,8 @@
             previous,
             log.termAt(previous),
             log.from(p.nextIndex, ENTRIES_PER_MESSAGE),
-            log.commitIndex()));
+            log.commitIndex(),
+            p.session));
   }
 
   private void heardLeader(String from, long nowMillis, Output out) {
@@ -387,6 +401,9 @@
     log.merge(request.entries());
     long matchIndex = request.previousIndex() + request.entries().size();
     commit(Math.min(request.commitIndex(), matchIndex), out);
+    if (request.echoedSession() == session) {
+      noteCaughtUp(request.commitIndex());
+    }
     respond(from, true, matchIndex, out);
   }
 
@@ -406,7 +423,12 @@
     out.send(
         to,
         new ConsensusMessage.AppendResponse(
-            hardState.term(), accepted, matchIndex, hardState.storageId(), hardState.voter()));
+            hardState.term(),
+            accepted,
+            matchIndex,
+            hardState.storageId(),
+            hardState.voter(),
+            session));
   }
 
   private void takeResponse(
@@ -423,6 +445,7 @@
     p.lastHeardMillis = nowMillis;
     p.awaitingResponse = false;
     p.voter = response.voter();
+    p.session = response.session();
     if (response.accepted()) {
       p.matchIndex = Math.max(p.matchIndex, response.matchIndex());
       p.nextIndex = p.matchIndex + 1;
@@ -451,6 +474,7 @@
     long quorumIndex = held.length < quorum ? 0 : held[held.length - quorum];
     if (quorumIndex > log.commitIndex() && log.termAt(quorumIndex) == hardState.term()) {
       commit(quorumIndex, out);
+      noteCaughtUp(quorumIndex);
       replicateNow(nowMillis, out);
     }
     resolveWaiting(out);
@@ -462,6 +486,11 @@
     log.compactOver(timing.compactAfterEntries());
   }
 
+  private void noteCaughtUp(long leaderCommitIndex) {
+    caughtUp |=
+        log.commitIndex() >= leaderCommitIndex && log.termAt(log.commitIndex()) == hardState.term();
+  }
+
   private void becomeVoterIfReadmitted() {
     String registered = log.state().storageIdByMember().get(id);
     if (!hardState.voter() && hardState.storageId().equals(registered)) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMessage.java
@@ -36,9 +36,16 @@
    * @param previousTerm the term at that index
    * @param entries the entries, possibly none
    * @param commitIndex the leader's commit index
+   * @param echoedSession the session the leader last heard from this follower, so that a message
+   *     sent after the follower's restart can be told from one delayed since before
    */
   record AppendRequest(
-      long term, long previousIndex, long previousTerm, List<LogEntry> entries, long commitIndex)
+      long term,
+      long previousIndex,
+      long previousTerm,
+      List<LogEntry> entries,
+      long commitIndex,
+      long echoedSession)
       implements ConsensusMessage {
     /** Copies the entries so the message is immutable. */
     public AppendRequest {
@@ -54,9 +61,10 @@
    * @param matchIndex on acceptance the last index known to match, else the follower's last index
    * @param storageId the follower's data folder
    * @param voter whether the follower is a voter, so that its acknowledgement counts
+   * @param session a number the follower drew at its start
    */
   record AppendResponse(
-      long term, boolean accepted, long matchIndex, String storageId, boolean voter)
+      long term, boolean accepted, long matchIndex, String storageId, boolean voter, long session)
       implements ConsensusMessage {}
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
@@ -5,6 +5,7 @@
   long nextIndex;
   long matchIndex;
   long sentCommitIndex;
+  long session;
   boolean voter;
   boolean awaitingResponse;
   long lastSentMillis;
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
@@ -43,17 +43,17 @@
 
   private static Response ack(String from, long matchIndex, String disk, boolean voter) {
     return new Response(
-        from, new ConsensusMessage.AppendResponse(3, matchIndex > 0, matchIndex, disk, voter));
+        from, new ConsensusMessage.AppendResponse(3, matchIndex > 0, matchIndex, disk, voter, 1));
   }
 
   private static Response refusal(String from, long matchIndex) {
     return new Response(
-        from, new ConsensusMessage.AppendResponse(3, false, matchIndex, "disk", true));
+        from, new ConsensusMessage.AppendResponse(3, false, matchIndex, "disk", true, 1));
   }
 
   private static Response stale(String from, long matchIndex) {
     return new Response(
-        from, new ConsensusMessage.AppendResponse(2, true, matchIndex, "disk", true));
+        from, new ConsensusMessage.AppendResponse(2, true, matchIndex, "disk", true, 1));
   }
 
   @ParameterizedTest(name = "{0}")
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -36,6 +36,7 @@
   private int maxDelayMillis = 1;
   private long nowMillis = 1_000;
   private long nextTicket = 1;
+  private final Map<String, Long> shownVersion = new HashMap<>();
   private int wipes;
 
   ControlGroup(int size, long seed) {
@@ -173,6 +174,7 @@
         }
       }
     }
+    checkShownVersion(id);
     out.committed().forEach(this::checkCommitted);
     out.decisions().forEach(this::checkDecision);
     checkLeader(id);
@@ -183,6 +185,18 @@
     network.add(new InFlight(from, e.to(), e.message(), due));
   }
 
+  /** What a member shows never steps back, over restarts too. */
+  private void checkShownVersion(String id) {
+    ConsensusMember m = members.get(id);
+    if (m != null && m.caughtUp()) {
+      long before = shownVersion.getOrDefault(id, 0L);
+      if (m.state().version() < before) {
+        throw new AssertionError(id + " shows " + m.state().version() + " after " + before);
+      }
+      shownVersion.put(id, m.state().version());
+    }
+  }
+
   private void checkCommitted(LogEntry entry) {
     LogEntry earlier = committedByIndex.putIfAbsent(entry.index(), entry);
     if (earlier != null && !earlier.equals(entry)) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -16,6 +16,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.ConfigState;
+import org.lacewingcroft.consensus.ConsensusMessage;
+import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.Snapshot;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointKind;
 
@@ -30,6 +35,25 @@
         new PeerMessage.Heartbeat(MEMBER, 4, Map.of("writer", 3), List.of(MEMBER)),
         new PeerMessage.ConfigOffer(9, "selectors: []"),
         new PeerMessage.ConfigRequest(2, "127.0.0.1:9"),
+        consensus(new ConsensusMessage.VoteRequest(3, 5, 2, true)),
+        consensus(new ConsensusMessage.VoteResponse(3, false, false)),
+        consensus(
+            new ConsensusMessage.AppendRequest(
+                3,
+                1,
+                1,
+                List.of(
+                    new LogEntry(2, 2, 0, new Command.Noop()),
+                    new LogEntry(3, 2, 1, new Command.ConfigChange("c", "doc")),
+                    new LogEntry(4, 3, 1, new Command.StorageRegistration("m", "disk"))),
+                2,
+                9)),
+        consensus(new ConsensusMessage.AppendResponse(3, true, 4, "disk", true, 9)),
+        consensus(
+            new ConsensusMessage.SnapshotRequest(
+                3,
+                new Snapshot(
+                    4, 3, new ConfigState(1, "doc", Map.of("c", 1L), Map.of("m", "disk"))))),
         new PeerMessage.EndpointAnnounce(
             new Endpoint(
                 "e1",
@@ -46,6 +70,10 @@
                 Instant.ofEpochMilli(1234))));
   }
 
+  private static PeerMessage consensus(ConsensusMessage message) {
+    return new PeerMessage.Consensus("control-1", message);
+  }
+
   @ParameterizedTest
   @MethodSource("messages")
   void roundTrips(PeerMessage message) {
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/ConfigBench.java
@@ -0,0 +1,394 @@
+package org.lacewingcroft.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Applies configuration changes to a local deployment while its daemons are killed, frozen, cut off
+ * and robbed of their disks, with operators racing each other and resending, and measures how long
+ * a change takes to be in force everywhere and whether any was lost or reverted.
+ */
+public final class ConfigBench {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int RACE_EVERY = 5;
+  private static final int RESEND_EVERY = 7;
+  private static final int MAX_SENDS = 60;
+  private static final long RETRY_MILLIS = 200;
+  private static final Duration RECOVERY = Duration.ofSeconds(5);
+
+  private final Options options;
+  private final Consumer<String> out;
+  private final Random random;
+  private final List<Accepted> accepted = new ArrayList<>();
+  private final Map<String, List<Disturbance>> disturbances = new LinkedHashMap<>();
+  private LocalDeployment deployment;
+  private int conflicts;
+  private int resends;
+  private int wrongResends;
+
+  /**
+   * What to run.
+   *
+   * @param changes how many changes to have accepted
+   * @param controls control daemons, 3 or 5
+   * @param delayMillis injected one-way delay between regions
+   * @param intervalMillis pause between changes
+   * @param faults whether daemons are disturbed
+   * @param seed the seed of faults and races
+   */
+  public record Options(
+      int changes,
+      int controls,
+      long delayMillis,
+      long intervalMillis,
+      boolean faults,
+      long seed) {}
+
+  private record Accepted(String changeId, long version, long sentNanos, long ackedNanos) {}
+
+  private record Disturbance(long fromNanos, long untilNanos) {}
+
+  private enum Fault {
+    KILL_CONTROL,
+    KILL_ENTRY,
+    FREEZE_CONTROL,
+    CUT_REGION,
+    LOSE_DISK
+  }
+
+  /** Creates the bench writing its report to the given sink. */
+  public ConfigBench(Options options, Consumer<String> out) {
+    this.options = options;
+    this.out = out;
+    this.random = new Random(options.seed());
+  }
+
+  /**
+   * Runs the bench.
+   *
+   * @param workDir folder for logs and data
+   * @return whether no accepted change was lost or reverted
+   * @throws Exception if the deployment does not start
+   */
+  public boolean run(Path workDir) throws Exception {
+    LocalDeployment.Topology topology =
+        new LocalDeployment.Topology(
+            DemoDeployment.REGIONS,
+            2,
+            options.controls(),
+            List.of(),
+            document("start"),
+            List.of("--fault-injection"));
+    try (LocalDeployment started = LocalDeployment.start(topology, workDir)) {
+      deployment = started;
+      List<String> nodes = new ArrayList<>(started.controlNodes());
+      nodes.addAll(started.entries().keySet());
+      nodes.forEach(n -> disturbances.put(n, new ArrayList<>()));
+      for (String node : nodes) {
+        started.injectFaults(node, Set.of(), options.delayMillis());
+      }
+      try (VersionWatch watch = new VersionWatch(started, nodes)) {
+        return runWatched(watch, nodes);
+      }
+    }
+  }
+
+  private boolean runWatched(VersionWatch watch, List<String> nodes) throws Exception {
+    Thread faults = new Thread(this::disturb, "faults");
+    if (options.faults()) {
+      faults.start();
+    }
+    long version = deployment.configVersion(anyControl());
+    for (int i = 0; i < options.changes(); i++) {
+      version = i % RACE_EVERY == 0 ? race(i, version) : applied("change-" + i, version);
+      if (i % RESEND_EVERY == 0) {
+        resendLast();
+      }
+      TimeUnit.MILLISECONDS.sleep(options.intervalMillis());
+    }
+    faults.interrupt();
+    faults.join();
+    long last = accepted.get(accepted.size() - 1).version();
+    for (String node : nodes) {
+      LocalDeployment.awaitCondition(
+          node + " has version " + last,
+          () -> deployment.configVersion(deployment.urlOf(node)) >= last);
+    }
+    return report(watch, nodes, lostChanges());
+  }
+
+  private static String document(String changeId) {
+    return DemoDeployment.resource("demo/selectors.yaml") + "# " + changeId + "\n";
+  }
+
+  private String anyControl() {
+    List<String> urls = deployment.controls();
+    return urls.get(random.nextInt(urls.size()));
+  }
+
+  /** Sends a change until it is accepted, rebasing on conflicts, and returns its version. */
+  private long applied(String changeId, long expectedVersion) throws Exception {
+    long expected = expectedVersion;
+    for (int rebase = 0; rebase < MAX_SENDS; rebase++) {
+      String id = rebase == 0 ? changeId : changeId + "-rebased-" + rebase;
+      Optional<Long> version = sendUntilAnswered(id, expected);
+      if (version.isPresent()) {
+        return version.get();
+      }
+      expected = Math.max(expected, highestVersion());
+    }
+    throw new IllegalStateException(changeId + " was never accepted");
+  }
+
+  private long highestVersion() {
+    return deployment.controls().stream().mapToLong(deployment::configVersion).max().orElse(0);
+  }
+
+  /**
+   * Sends one change, resending the same id to other control daemons while the answer is lost or a
+   * refusal to retry; returns its version, or empty on a conflict.
+   */
+  private Optional<Long> sendUntilAnswered(String changeId, long expected) throws Exception {
+    final long sentNanos = System.nanoTime();
+    for (int send = 0; send < MAX_SENDS; send++) {
+      Optional<HttpResponse<String>> answer =
+          deployment.put(anyControl(), changeId, expected, document(changeId));
+      int status = answer.map(HttpResponse::statusCode).orElse(0);
+      if (status == 200) {
+        long version = versionIn(answer.get());
+        note(new Accepted(changeId, version, sentNanos, System.nanoTime()));
+        return Optional.of(version);
+      }
+      if (status == 409) {
+        countConflict();
+        return Optional.empty();
+      }
+      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+    }
+    throw new IllegalStateException(changeId + " got no answer");
+  }
+
+  private synchronized void note(Accepted change) {
+    accepted.add(change);
+  }
+
+  private synchronized void countConflict() {
+    conflicts++;
+  }
+
+  private static long versionIn(HttpResponse<String> answer) {
+    try {
+      return JSON.readTree(answer.body()).path("version").asLong(-1);
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  /** Two operators send different changes based on the same version; returns the newest version. */
+  private long race(int i, long expected) throws Exception {
+    CompletableFuture<Optional<Long>> rival =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try {
+                return sendUntilAnswered("rival-" + i, expected);
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    Optional<Long> mine = sendUntilAnswered("change-" + i, expected);
+    Optional<Long> theirs = rival.get(120, TimeUnit.SECONDS);
+    if (mine.isPresent() && theirs.isPresent()) {
+      throw new IllegalStateException("both changes racing on version " + expected + " won");
+    }
+    return mine.or(() -> theirs).isPresent()
+        ? mine.or(() -> theirs).get()
+        : applied("after-race-" + i, highestVersion());
+  }
+
+  private void resendLast() throws Exception {
+    Accepted last = accepted.get(accepted.size() - 1);
+    if (resend(last) != last.version()) {
+      wrongResends++;
+    }
+  }
+
+  /** Resends an accepted change and returns the version it is answered with. */
+  private long resend(Accepted change) throws Exception {
+    resends++;
+    for (int send = 0; send < MAX_SENDS; send++) {
+      Optional<HttpResponse<String>> answer =
+          deployment.put(
+              anyControl(), change.changeId(), change.version() - 1, document(change.changeId()));
+      int status = answer.map(HttpResponse::statusCode).orElse(0);
+      if (status == 200 || status == 409) {
+        return versionIn(answer.get());
+      }
+      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+    }
+    return -1;
+  }
+
+  private long lostChanges() throws Exception {
+    long lost = 0;
+    for (Accepted change : accepted) {
+      if (resend(change) != change.version()) {
+        out.accept("lost: " + change);
+        lost++;
+      }
+    }
+    return lost;
+  }
+
+  /** Disturbs one daemon or region after another until interrupted. */
+  private void disturb() {
+    Fault[] faults = Fault.values();
+    int next = 0;
+    try {
+      while (!Thread.interrupted()) {
+        TimeUnit.MILLISECONDS.sleep(800);
+        inject(faults[next++ % faults.length]);
+        TimeUnit.MILLISECONDS.sleep(1_500);
+      }
+    } catch (InterruptedException e) {
+      // The run is over.
+    } catch (Exception e) {
+      out.accept("fault injection failed: " + e);
+    }
+  }
+
+  private void inject(Fault fault) throws Exception {
+    List<String> controls = deployment.controlNodes();
+    List<String> entries = new ArrayList<>(deployment.entries().keySet());
+    String control = controls.get(random.nextInt(controls.size()));
+    final String entry = entries.get(random.nextInt(entries.size()));
+    final long from = System.nanoTime();
+    switch (fault) {
+      case KILL_CONTROL -> killFor(control, 700);
+      case KILL_ENTRY -> killFor(entry, 300);
+      case FREEZE_CONTROL -> {
+        deployment.pause(control);
+        sleepUninterrupted(2_500);
+        deployment.resume(control);
+        disturbed(control, from);
+      }
+      case CUT_REGION -> cutRegion(DemoDeployment.REGIONS.get(random.nextInt(3)), from);
+      default -> {
+        deployment.kill(control);
+        deployment.loseDisk(control);
+        restart(control, from);
+      }
+    }
+  }
+
+  private void killFor(String node, long downMillis) throws Exception {
+    long from = System.nanoTime();
+    deployment.kill(node);
+    sleepUninterrupted(downMillis);
+    restart(node, from);
+  }
+
+  private void restart(String node, long fromNanos) throws Exception {
+    deployment.restart(node);
+    deployment.injectFaults(node, Set.of(), options.delayMillis());
+    disturbed(node, fromNanos);
+  }
+
+  private void cutRegion(String region, long fromNanos) throws Exception {
+    Map<String, String> regions = deployment.regionsByNode();
+    for (Map.Entry<String, String> node : regions.entrySet()) {
+      Set<String> cut =
+          node.getValue().equals(region)
+              ? Set.copyOf(DemoDeployment.REGIONS.stream().filter(r -> !r.equals(region)).toList())
+              : Set.of(region);
+      deployment.injectFaults(node.getKey(), cut, options.delayMillis());
+    }
+    sleepUninterrupted(2_500);
+    for (Map.Entry<String, String> node : regions.entrySet()) {
+      deployment.injectFaults(node.getKey(), Set.of(), options.delayMillis());
+      if (node.getValue().equals(region)) {
+        disturbed(node.getKey(), fromNanos);
+      }
+    }
+  }
+
+  /** Sleeps so that an interrupt ends the run only after the fault was undone. */
+  private static void sleepUninterrupted(long millis) {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    boolean interrupted = false;
+    while (System.nanoTime() < until) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(10);
+      } catch (InterruptedException e) {
+        interrupted = true;
+      }
+    }
+    if (interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void disturbed(String node, long fromNanos) {
+    long until = System.nanoTime() + RECOVERY.toNanos();
+    synchronized (disturbances) {
+      disturbances.get(node).add(new Disturbance(fromNanos, until));
+    }
+  }
+
+  private boolean calm(String node, long fromNanos, long untilNanos) {
+    return disturbances.get(node).stream()
+        .noneMatch(d -> d.fromNanos() <= untilNanos && fromNanos <= d.untilNanos());
+  }
+
+  private boolean report(VersionWatch watch, List<String> nodes, long lost) {
+    Histogram fromSend = new Histogram(3_600_000L, 3);
+    Histogram fromAck = new Histogram(3_600_000L, 3);
+    long excluded = 0;
+    for (Accepted change : accepted) {
+      long everywhereNanos = change.ackedNanos();
+      for (String node : nodes) {
+        long at = watch.inForceAtNanos(node, change.version()).orElse(Long.MAX_VALUE);
+        if (calm(node, change.sentNanos(), at)) {
+          everywhereNanos = Math.max(everywhereNanos, at);
+        } else {
+          excluded++;
+        }
+      }
+      fromSend.recordValue((everywhereNanos - change.sentNanos()) / 1_000_000);
+      fromAck.recordValue((everywhereNanos - change.ackedNanos()) / 1_000_000);
+    }
+    ObjectNode line = JSON.createObjectNode();
+    line.put("bench", "config");
+    line.put("controls", options.controls());
+    line.put("daemons", nodes.size());
+    line.put("delayMillis", options.delayMillis());
+    line.put("faults", disturbances.values().stream().mapToInt(List::size).sum());
+    line.put("accepted", accepted.size());
+    line.put("conflicts", conflicts);
+    line.put("resends", resends);
+    line.put("wrongResends", wrongResends);
+    line.put("lost", lost);
+    line.put("reverts", watch.reverts());
+    line.put("inForceFromAckP50Millis", fromAck.getValueAtPercentile(50));
+    line.put("inForceFromAckP99Millis", fromAck.getValueAtPercentile(99));
+    line.put("inForceFromSendP50Millis", fromSend.getValueAtPercentile(50));
+    line.put("inForceFromSendP99Millis", fromSend.getValueAtPercentile(99));
+    line.put("disturbedPairsLeftOut", excluded);
+    out.accept(line.toString());
+    return lost == 0 && wrongResends == 0 && watch.reverts() == 0;
+  }
+}
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -41,6 +41,7 @@
   private final Path secretFile;
   private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
   private final Map<String, String> controlUrlByNode = new LinkedHashMap<>();
+  private final Map<String, String> controlRegionByNode = new LinkedHashMap<>();
   private final Set<String> expectedDown = new HashSet<>();
   private final Map<String, String> entryUrlByNode = new LinkedHashMap<>();
   private final Map<String, String> entryRegionByNode = new LinkedHashMap<>();
@@ -194,6 +195,7 @@
     args.addAll(List.of("--control-group", String.join(",", group)));
     JsonNode ports = startDaemon(node, args, List.of("--bootstrap"));
     controlUrlByNode.put(node, "http://127.0.0.1:" + ports.get("http").asInt());
+    controlRegionByNode.put(node, region);
     controlPeers.add("127.0.0.1:" + ports.get("peer").asInt());
   }
 
@@ -437,7 +439,7 @@
                   .timeout(Duration.ofSeconds(2))
                   .build(),
               HttpResponse.BodyHandlers.ofString());
-      return Long.parseLong(r.headers().firstValue("X-Config-Version").orElse("0"));
+      return r.headers().firstValueAsLong("X-Config-Version").orElse(-1);
     } catch (IOException | InterruptedException | RuntimeException e) {
       return -1;
     }
@@ -476,6 +478,13 @@
     return Map.copyOf(entryRegionByNode);
   }
 
+  /** Returns the region of every daemon. */
+  public Map<String, String> regionsByNode() {
+    Map<String, String> all = new LinkedHashMap<>(controlRegionByNode);
+    all.putAll(entryRegionByNode);
+    return all;
+  }
+
   /** Returns the control daemons' base URLs. */
   public List<String> controls() {
     return List.copyOf(controlUrlByNode.values());
