Faults on real processes: cut regions, killed, frozen and stopped entries, planned stops

OrderLoad compares what callers heard with the stand-in service's run counter.

Also: a stopping entry lingers for four heartbeats and answers late requests with 'shutting_down' and Connection: close instead of cutting them; the stand-in runner does the same; a fixed number of seconds was ruled out, as the peers' knowledge depends on the heartbeat.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -42,6 +43,7 @@
 public final class Daemon implements AutoCloseable {
   private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
   private static final int EXIT_DISK_FAILURE = 3;
+  private static final int LINGER_HEARTBEATS = 4;
 
   private final Settings settings;
   private final InstantSource clock = new SteadyInstantSource();
@@ -270,19 +272,17 @@
   }
 
   /**
-   * Shuts down gracefully: stops taking new requests, waits for requests in flight up to the drain
-   * timeout, then closes the servers.
+   * Shuts down gracefully: stops taking new requests, tells peers, waits for requests in flight up
+   * to the drain timeout, then closes the servers. An entry stays up for a few heartbeats at least,
+   * so that peers and callers that still send to it are told to go elsewhere rather than cut off.
    */
   @Override
   public void close() throws Exception {
     LOG.log(System.Logger.Level.INFO, "daemon.draining", "role", settings.role().spelling());
-    long deadline = System.nanoTime() + settings.drainTimeout().toNanos();
     if (gateway != null) {
       gateway.beginShutdown();
       heartbeat();
-      while (gateway.inFlight() > 0 && System.nanoTime() < deadline) {
-        TimeUnit.MILLISECONDS.sleep(10);
-      }
+      drain();
     }
     final int left = gateway == null ? 0 : gateway.inFlight();
     if (control != null) {
@@ -293,6 +293,17 @@
     LOG.log(System.Logger.Level.INFO, "daemon.stopped", "cutRequests", left);
   }
 
+  private void drain() throws InterruptedException {
+    long startNanos = System.nanoTime();
+    Duration linger = settings.heartbeatInterval().multipliedBy(LINGER_HEARTBEATS);
+    long lingerUntil = startNanos + linger.toNanos();
+    long deadline = startNanos + Math.max(linger.toNanos(), settings.drainTimeout().toNanos());
+    while (System.nanoTime() < lingerUntil
+        || gateway.inFlight() > 0 && System.nanoTime() < deadline) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
   private static <T> T await(Future<T> future) throws Exception {
     return future.toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -182,7 +182,7 @@
     response.exceptionHandler(e -> {});
     try {
       HopAuthenticator.Hop hop = hops.verify(ctx.request()::getHeader, requestId);
-      requireReady();
+      requireReady(response);
       CallerRequest request = parser.get();
       if (hop == HopAuthenticator.Hop.NONE) {
         requireAdmission(request, response);
@@ -193,8 +193,9 @@
     }
   }
 
-  private void requireReady() {
+  private void requireReady(HttpServerResponse response) {
     if (shuttingDown.get()) {
+      response.putHeader("Connection", "close");
       throw new GatewayException(ErrorKind.SHUTTING_DOWN, "this entry is shutting down");
     }
     if (configs.current().version() == 0) {
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -265,9 +265,13 @@
             "--port-file", workDir.resolve(g.idPrefix() + ".ports").toString()));
     g.labels().forEach((k, v) -> args.addAll(List.of("--label", k + "=" + v)));
     launch(g.idPrefix(), "org.lacewingcroft.standin.Main", args);
+    noteStandinUrls(g.idPrefix(), awaitPorts(g.idPrefix()));
+  }
+
+  private void noteStandinUrls(String group, JsonNode ports) {
     List<String> urls = new ArrayList<>();
-    awaitPorts(g.idPrefix()).forEach(n -> urls.add(n.asText()));
-    standinUrls.put(g.idPrefix(), urls);
+    ports.forEach(n -> urls.add(n.asText()));
+    standinUrls.put(group, urls);
   }
 
   private ManagedProcess launch(String name, String mainClass, List<String> args)
@@ -320,7 +324,10 @@
       args.addAll(List.of("--peers", String.join(",", controlPeers)));
     }
     run(managed, args);
-    awaitPorts(name);
+    JsonNode ports = awaitPorts(name);
+    if (standinUrls.containsKey(name)) {
+      noteStandinUrls(name, ports);
+    }
     expectedDown.remove(name);
   }
 
@@ -445,6 +452,15 @@
     }
   }
 
+  /** Returns what an entry knows of the endpoints, as {@code GET /v1/endpoints} answers. */
+  public JsonNode endpoints(String node) throws Exception {
+    HttpResponse<String> r =
+        http.send(
+            HttpRequest.newBuilder(URI.create(urlOf(node) + "/v1/endpoints")).build(),
+            HttpResponse.BodyHandlers.ofString());
+    return JSON.readTree(r.body());
+  }
+
   private int endpointCount(String url) {
     try {
       HttpResponse<String> r =
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/OrderLoad.java
@@ -0,0 +1,240 @@
+package org.lacewingcroft.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Callers that send non-idempotent orders to the entries of one region, twice at once and again
+ * after every refusal or lost answer, until an answer is final; afterwards the stand-in service's
+ * run counter is compared with what the callers heard.
+ */
+public final class OrderLoad {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int CALLERS = 8;
+  private static final int MAX_SENDS = 40;
+  private static final long RETRY_MILLIS = 150;
+  private static final long SETTLE_MILLIS = 1_000;
+
+  private final LocalDeployment deployment;
+  private final List<String> entries;
+  private final List<String> runners;
+  private final String name;
+  private final AtomicBoolean stopping = new AtomicBoolean();
+  private final AtomicInteger nextOrder = new AtomicInteger();
+  private final Map<String, Set<String>> ordersByKey = new ConcurrentHashMap<>();
+  private final Map<String, String> lastWordByKey = new ConcurrentHashMap<>();
+  private final Map<String, AtomicInteger> words = new ConcurrentHashMap<>();
+  private final ExecutorService callers = Executors.newFixedThreadPool(2 * CALLERS);
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(1))
+          .build();
+  private Map<String, Integer> runs = Map.of();
+
+  /** Whether a caller is told something final about its order. */
+  private enum Finality {
+    FINAL,
+    ASK_AGAIN
+  }
+
+  /**
+   * Creates the load.
+   *
+   * @param deployment the deployment
+   * @param entries the entry nodes callers choose among
+   * @param runners the base URLs of the stand-in service's runners
+   * @param name distinguishes the keys of this load
+   */
+  public OrderLoad(
+      LocalDeployment deployment, List<String> entries, List<String> runners, String name) {
+    this.deployment = deployment;
+    this.entries = List.copyOf(entries);
+    this.runners = List.copyOf(runners);
+    this.name = name;
+  }
+
+  /** Starts the callers; they go on until {@link #finish}. */
+  public CompletableFuture<Void> start() {
+    List<CompletableFuture<Void>> all = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      all.add(CompletableFuture.runAsync(this::callUntilStopped, callers));
+    }
+    return CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0]));
+  }
+
+  /** Ends the load once every order has its final answer, and reads the run counters. */
+  public void finish(CompletableFuture<Void> started) throws Exception {
+    pause(SETTLE_MILLIS);
+    stopping.set(true);
+    started.get(120, TimeUnit.SECONDS);
+    callers.shutdown();
+    runs = readRuns();
+  }
+
+  private void callUntilStopped() {
+    while (!stopping.get()) {
+      int n = nextOrder.getAndIncrement();
+      String key = name + "-" + n;
+      CompletableFuture<Void> twin = CompletableFuture.runAsync(() -> order(key, n + 1), callers);
+      order(key, n);
+      twin.join();
+    }
+  }
+
+  private void order(String key, int firstEntry) {
+    for (int send = 0; send < MAX_SENDS; send++) {
+      String entry = deployment.urlOf(entries.get((firstEntry + send) % entries.size()));
+      if (sendOnce(entry, key) == Finality.FINAL) {
+        return;
+      }
+      pause(RETRY_MILLIS);
+    }
+  }
+
+  private Finality sendOnce(String entry, String key) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(entry + "/v1/services/desk/v1/orders"))
+            .timeout(Duration.ofSeconds(8))
+            .header("X-Organisation", "puhdas-seina")
+            .header("X-Idempotent", "false")
+            .header("Idempotency-Key", key)
+            .POST(HttpRequest.BodyPublishers.ofString("{\"wall\":\"A\"}"))
+            .build();
+    try {
+      HttpResponse<String> r = http.send(request, HttpResponse.BodyHandlers.ofString());
+      JsonNode body = JSON.readTree(r.body());
+      if (r.statusCode() == 200) {
+        String order = body.path("runner").asText() + "/" + body.path("order").asText();
+        ordersByKey.computeIfAbsent(key, k -> ConcurrentHashMap.newKeySet()).add(order);
+        note(key, "served");
+        return Finality.FINAL;
+      }
+      String code = body.path("error").path("code").asText("http_" + r.statusCode());
+      note(key, code);
+      return code.equals("outcome_unknown") ? Finality.FINAL : Finality.ASK_AGAIN;
+    } catch (IOException e) {
+      note(key, "no_answer");
+      return Finality.ASK_AGAIN;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Finality.FINAL;
+    }
+  }
+
+  private void note(String key, String word) {
+    words.computeIfAbsent(word, w -> new AtomicInteger()).incrementAndGet();
+    lastWordByKey.merge(
+        key, word, (held, next) -> held.equals("served") ? held : worse(held, next));
+  }
+
+  /** Keeps a word that leaves the outcome open over one that says the order was not run. */
+  private static String worse(String held, String next) {
+    return saysNotRun(held) ? next : held;
+  }
+
+  private static boolean saysNotRun(String word) {
+    return word.equals("not_run") || word.equals("shutting_down");
+  }
+
+  private Map<String, Integer> readRuns() throws IOException, InterruptedException {
+    Map<String, Integer> all = new HashMap<>();
+    for (String runner : runners) {
+      HttpResponse<String> r =
+          http.send(
+              HttpRequest.newBuilder(URI.create(runner + "/v1/runs")).build(),
+              HttpResponse.BodyHandlers.ofString());
+      JSON.readTree(r.body())
+          .path("byKey")
+          .fields()
+          .forEachRemaining(f -> all.merge(f.getKey(), f.getValue().asInt(), Integer::sum));
+    }
+    all.keySet().removeIf(k -> !k.startsWith(name + "-"));
+    return all;
+  }
+
+  /** Returns how often each key was run. */
+  public Map<String, Integer> runsByKey() {
+    return runs;
+  }
+
+  /** Returns the keys whose callers were given different orders. */
+  public Set<String> keysAnsweredTwoWays() {
+    Set<String> keys = new TreeSet<>();
+    ordersByKey.forEach(
+        (key, orders) -> {
+          if (orders.size() > 1) {
+            keys.add(key);
+          }
+        });
+    return keys;
+  }
+
+  /** Returns the keys answered with an order that no runner ran. */
+  public Set<String> servedKeysNotRun() {
+    Set<String> keys = new TreeSet<>(ordersByKey.keySet());
+    keys.removeAll(runs.keySet());
+    return keys;
+  }
+
+  /** Returns the keys of which every answer said not run, and which a runner ran. */
+  public Set<String> refusedKeysThatRan() {
+    Set<String> keys = new TreeSet<>();
+    lastWordByKey.forEach(
+        (key, word) -> {
+          if (saysNotRun(word) && runs.containsKey(key)) {
+            keys.add(key);
+          }
+        });
+    return keys;
+  }
+
+  /** Returns the number of keys served. */
+  public int served() {
+    return ordersByKey.size();
+  }
+
+  /** Returns what callers heard, and how many keys were run more than once. */
+  public String summary() {
+    Map<String, Integer> heard = new TreeMap<>();
+    words.forEach((word, n) -> heard.put(word, n.get()));
+    long doubled = runs.values().stream().filter(n -> n > 1).count();
+    return "orders "
+        + nextOrder.get()
+        + ", answers "
+        + heard
+        + ", keys run "
+        + runs.size()
+        + ", doubled "
+        + doubled;
+  }
+
+  /** Sleeps, for a fault's duration. */
+  public static void pause(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/TraceReplayer.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/TraceReplayer.java
@@ -73,12 +73,19 @@
     r.idempotencyKey().ifPresent(v -> options.putHeader("Idempotency-Key", v));
     client
         .request(options)
-        .compose(req -> req.send(Buffer.buffer(r.body())))
         .onFailure(
             e -> {
-              result.count("transport_error");
+              result.count("unreachable");
               done.countDown();
             })
+        .compose(
+            req ->
+                req.send(Buffer.buffer(r.body()))
+                    .onFailure(
+                        e -> {
+                          result.count("cut");
+                          done.countDown();
+                        }))
         .onSuccess(
             response -> {
               String servedIn = response.getHeader("X-Lacewingcroft-Region");
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
@@ -81,6 +81,14 @@
     System.exit(new CommandLine(new Main()).execute(args));
   }
 
+  private static void stop(StandinRunner runner) {
+    try {
+      runner.close();
+    } catch (Exception e) {
+      LOG.log(System.Logger.Level.WARNING, "standin.stop_failed", e);
+    }
+  }
+
   @Override
   public Integer call() throws Exception {
     LogContext.setNodeId(idPrefix);
@@ -120,13 +128,7 @@
         .addShutdownHook(
             new Thread(
                 () -> {
-                  for (StandinRunner r : started) {
-                    try {
-                      r.close();
-                    } catch (Exception e) {
-                      LOG.log(System.Logger.Level.WARNING, "standin.stop_failed", e);
-                    }
-                  }
+                  started.parallelStream().forEach(Main::stop);
                   LOG.log(System.Logger.Level.INFO, "standin.stopped", "runners", runners);
                   vertx.close();
                   stopped.countDown();
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/StandinRunner.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/StandinRunner.java
@@ -37,6 +37,7 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int DEFAULT_MAX_TOKENS = 16;
   private static final long SERVICE_MILLIS = 3;
+  private static final long LINGER_MILLIS = 1_000;
   private static final long DRAIN_WAIT_MILLIS = 20_000;
 
   private final RunnerSpec spec;
@@ -331,14 +332,15 @@
     }
   }
 
-  /** Announces draining, waits for requests in flight, then stops serving. */
+  /** Announces draining, serves on for a while and until no request is in flight, then stops. */
   @Override
   public void close() throws Exception {
     draining = true;
     vertx.cancelTimer(announceTimer);
     announce();
+    long lingerUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_WAIT_MILLIS);
-    while (inFlight.get() > 0 && System.nanoTime() < deadline) {
+    while (System.nanoTime() < lingerUntil || inFlight.get() > 0 && System.nanoTime() < deadline) {
       TimeUnit.MILLISECONDS.sleep(10);
     }
     server.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
