--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/BenchCommand.java
@@ -11,7 +11,8 @@
       SlopesBenchCommand.class,
       LoadBenchCommand.class,
       ConfigBenchCommand.class,
-      PolicyBenchCommand.class
+      PolicyBenchCommand.class,
+      OrdersBenchCommand.class
     })
 final class BenchCommand implements Runnable {
   @Override
--- /dev/null
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/OrderBench.java
@@ -0,0 +1,88 @@
+package org.lacewingcroft.bench;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Sends non-idempotent orders to one region of the demo deployment for a while, with resends, while
+ * its entries are killed, frozen and stopped by turns; reports whether any order ran twice, or ran
+ * although every answer said it was not run.
+ */
+public final class OrderBench {
+  private static final String REGION = "uusimaa";
+  private static final long CALM_MILLIS = 6_000;
+  private static final long FREEZE_MILLIS = 1_500;
+
+  private final int seconds;
+  private final Consumer<String> out;
+
+  /** Creates the bench running for the given time and writing its report to the given sink. */
+  public OrderBench(int seconds, Consumer<String> out) {
+    this.seconds = seconds;
+    this.out = out;
+  }
+
+  /**
+   * Runs the bench.
+   *
+   * @param workDir folder for logs and data
+   * @return whether no order ran twice and every answer was true
+   * @throws Exception if the deployment does not start
+   */
+  public boolean run(Path workDir) throws Exception {
+    try (LocalDeployment deployment = LocalDeployment.start(DemoDeployment.topology(), workDir)) {
+      List<String> entries = List.of(REGION + "-entry-1", REGION + "-entry-2");
+      List<String> desks =
+          deployment.standins().entrySet().stream()
+              .filter(group -> group.getKey().startsWith("desk-"))
+              .flatMap(group -> group.getValue().stream())
+              .toList();
+      OrderLoad load = new OrderLoad(deployment, entries, desks, "bench");
+      final CompletableFuture<Void> sending = load.start();
+      int faults = disturb(deployment, entries);
+      load.finish(sending);
+      out.accept("faults " + faults + ", " + load.summary());
+      out.accept(
+          "answered two ways "
+              + load.keysAnsweredTwoWays().size()
+              + ", served and not run "
+              + load.servedKeysNotRun().size()
+              + ", refused and run "
+              + load.refusedKeysThatRan().size());
+      return load.runsByKey().values().stream().allMatch(runs -> runs <= 1)
+          && load.keysAnsweredTwoWays().isEmpty()
+          && load.servedKeysNotRun().isEmpty()
+          && load.refusedKeysThatRan().isEmpty();
+    }
+  }
+
+  private int disturb(LocalDeployment deployment, List<String> entries) throws Exception {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    int faults = 0;
+    while (System.nanoTime() < until) {
+      OrderLoad.pause(CALM_MILLIS);
+      String entry = entries.get(faults % entries.size());
+      switch (faults % 3) {
+        case 0 -> {
+          deployment.kill(entry);
+          deployment.restart(entry);
+        }
+        case 1 -> {
+          deployment.pause(entry);
+          OrderLoad.pause(FREEZE_MILLIS);
+          deployment.resume(entry);
+        }
+        default -> {
+          deployment.terminate(entry);
+          deployment.restart(entry);
+        }
+      }
+      deployment.awaitEndpoints(entry);
+      faults++;
+    }
+    return faults;
+  }
+}
