Gossip: a digest's contact must not carry a made-up counter

The table kept a region digest's contacts with the digest's stamp as their counter; a control daemon that answered an entry looking for its region passed it on, it outranked the member's own signs of life, so the entry took a live neighbour for dead, removed it, and claimed keys alone (members 8, then 7, in /metrics). Ruled out: the claims themselves (each entry claimed at every replica it knew); retries and the spill to other regions (no second send in the logs). Test: GossipTest with incarnations of real size (stamps start there): 6 of 11 red before, 0 after. It had passed because its incarnations were 1 and 2. Conclusion: at most once rests on membership, as INVARIANTS says; a wrong removal is as bad as a partition inside the region.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/membership/MemberTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/membership/MemberTable.java
@@ -153,8 +153,9 @@
                 : m);
     for (MemberInfo contact : digest.contacts()) {
       if (!follows(contact)) {
-        Liveness sign =
-            new Liveness(contact.nodeId(), contact.incarnation(), digest.stamp(), false);
+        // A digest says that a contact lives, but not by which counter: one made up here would
+        // outrank the contact's own signs of life wherever it is passed on.
+        Liveness sign = new Liveness(contact.nodeId(), contact.incarnation(), 0, false);
         members.put(contact.nodeId(), new Member(contact, sign, now, digest.freeSlotsByModel()));
       }
     }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/membership/GossipTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/membership/GossipTest.java
@@ -24,6 +24,7 @@
 
 /** Many daemons gossiping in lockstep, one interval a second, without a network. */
 class GossipTest {
+  private static final long FIRST_INCARNATION = 1_790_000_000_000L;
   private static final Duration INTERVAL = Duration.ofSeconds(1);
   private static final int LATEST_NEWS_ROUNDS = 16;
   private static final int SETTLE_ROUNDS = 30;
@@ -46,8 +47,10 @@
     }
   }
 
-  private void start(String id, String role, String region, long incarnation) {
-    MemberInfo info = new MemberInfo(id, role, region, region + "-a", id, id, incarnation);
+  /** Starts a daemon; as in Daemon, its incarnation is of the size of a time in milliseconds. */
+  private void start(String id, String role, String region, long run) {
+    MemberInfo info =
+        new MemberInfo(id, role, region, region + "-a", id, id, FIRST_INCARNATION + run);
     nodes.put(id, new Node(info, List.of("control-1"), random.nextLong()));
   }
 
@@ -139,7 +142,9 @@
     start("entry-0-1", MemberInfo.ENTRY, "region-0", 2);
     rounds(SETTLE_ROUNDS);
     for (String id : List.of("entry-0-0", "entry-0-2", "control-1")) {
-      assertThat(nodes.get(id).table.get("entry-0-1").orElseThrow().info().incarnation(), is(2L));
+      assertThat(
+          nodes.get(id).table.get("entry-0-1").orElseThrow().info().incarnation(),
+          is(FIRST_INCARNATION + 2));
     }
   }
 
