Configuration patches: a change costs what it changes

The log holds the patch, daemons apply it to the configuration they hold, and a daemon that lags fetches the patches it lacks (the last 512 are kept) or else the document. Ruled out: diffing whole documents at the leader (an operator's intent would be guessed, and each PUT still moves 3.7 MB); a CRDT per entry (see DESIGN).

Conclusion: the mechanism is in.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ApplyCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ApplyCommand.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import java.util.concurrent.Callable;
 import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.error.GatewayException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -20,6 +21,11 @@
   @Option(names = "-f", required = true, description = "the YAML document")
   Path file;
 
+  @Option(
+      names = "--patch",
+      description = "the document changes only the selectors and organisations it names")
+  boolean patch;
+
   @Option(names = "--server", required = true, description = "a control daemon's base URL")
   String server;
 
@@ -31,11 +37,19 @@
   @Option(names = "--change-id", description = "client change id; default: a new UUID")
   String changeId;
 
+  private void check(String document) {
+    if (patch) {
+      ConfigPatch.parse(document);
+    } else {
+      ConfigParser.parse(document);
+    }
+  }
+
   @Override
   public Integer call() throws Exception {
     String document = Files.readString(file);
     try {
-      ConfigParser.parse(document);
+      check(document);
     } catch (GatewayException e) {
       System.err.println("lacewingcroft apply: " + e.getMessage());
       return 2;
@@ -48,7 +62,7 @@
       String id = changeId != null ? changeId : UUID.randomUUID().toString();
       Http.Reply reply =
           http.send(
-              HttpMethod.PUT,
+              patch ? HttpMethod.PATCH : HttpMethod.PUT,
               server + "/v1/config",
               Map.of("X-Change-Id", id, "X-Expected-Version", Long.toString(expected)),
               document);
--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/SlopesBenchCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/SlopesBenchCommand.java
@@ -16,10 +16,13 @@
   @Option(names = "--endpoints", split = ",", defaultValue = "25,100,400,1600")
   List<Integer> endpoints;
 
-  @Option(names = "--organisations", split = ",", defaultValue = "1000,4000,16000")
+  @Option(names = "--organisations", split = ",", defaultValue = "1000,16000,48000")
   List<Integer> organisations;
 
-  @Option(names = "--seconds", defaultValue = "40", description = "membership run per size")
+  @Option(
+      names = "--seconds",
+      defaultValue = "40",
+      description = "membership run per size; 0 leaves it out")
   int seconds;
 
   @Option(names = "--interval-millis", defaultValue = "1000", description = "gossip interval")
@@ -32,6 +35,9 @@
     bench.configuration(organisations);
     bench.controlLog(200, 200);
     bench.controlLog(50, 200_000);
+    if (seconds == 0) {
+      return 0;
+    }
     bench.membership(members, Duration.ofSeconds(seconds), Duration.ofMillis(intervalMillis));
     return 0;
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
@@ -121,7 +122,7 @@
             log,
             new SplittableRandom(),
             steadyMillis.getAsLong());
-    publish();
+    publish(List.of());
     LOG.log(
         System.Logger.Level.INFO,
         "control.recovered",
@@ -158,21 +159,20 @@
   /**
    * Proposes an operator's change.
    *
-   * @param changeId the operator's client change id
+   * @param change the change, already checked
    * @param expectedVersion the version the change is based on
-   * @param document the YAML document, already checked
    * @param patience how long to wait for a quorum
    * @return the outcome; {@link ChangeResult.Unknown} once the patience is over
    */
   public Future<ChangeResult> propose(
-      String changeId, long expectedVersion, String document, Duration patience) {
+      Command.Change change, long expectedVersion, Duration patience) {
     Promise<ChangeResult> promise = Promise.promise();
     boolean taken =
         execute(
             () -> {
               long ticket = nextTicket++;
               waiting.put(ticket, promise);
-              step(now -> member.propose(ticket, changeId, expectedVersion, document, now));
+              step(now -> member.propose(ticket, change, expectedVersion, now));
               if (waiting.containsKey(ticket)) {
                 thread.schedule(
                     () -> decide(ticket, new ChangeResult.Unknown()),
@@ -227,13 +227,13 @@
               address ->
                   membership.send(address, new PeerMessage.Consensus(nodeId, envelope.message())));
     }
-    publish();
+    publish(out.committed());
     out.committed().forEach(this::logCommitted);
     out.decisions().forEach(d -> decide(d.ticket(), d.result()));
   }
 
   /** Puts the committed state in force here; the daemon then spreads it. */
-  private void publish() {
+  private void publish(List<LogEntry> committed) {
     ConfigState state = member.state();
     status =
         new Status(
@@ -247,11 +247,18 @@
     if (!member.caughtUp() || state.version() <= configs.current().version()) {
       return;
     }
-    configs.offer(state.version(), state.document());
+    for (LogEntry entry : committed) {
+      if (entry.command() instanceof Command.PatchChange change) {
+        configs.offerPatches(entry.version() - 1, List.of(ConfigPatch.parse(change.patch())));
+      }
+    }
+    if (state.version() > configs.current().version()) {
+      configs.offer(state.version(), state.document().text());
+    }
   }
 
   private void logCommitted(LogEntry entry) {
-    if (entry.command() instanceof Command.ConfigChange change
+    if (entry.command() instanceof Command.Change change
         && member.role() == ConsensusMember.Role.LEADER) {
       LOG.log(
           System.Logger.Level.INFO,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -15,8 +15,10 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.control.ControlService;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
@@ -25,7 +27,8 @@
 
 /**
  * The operators' configuration API: {@code GET /v1/config} on every daemon, and on control daemons
- * {@code PUT /v1/config} and {@code GET /v1/control}.
+ * {@code PUT /v1/config} (a whole document), {@code PATCH /v1/config} (a {@link ConfigPatch}) and
+ * {@code GET /v1/control}.
  *
  * <p>A change sent to a control daemon that does not lead is relayed to the leader, once.
  */
@@ -41,7 +44,13 @@
   private final Membership membership;
   private final HttpClient client;
 
-  private record Change(String id, long expectedVersion, String document, boolean relayed) {}
+  /** One change as an operator sent it, in a whole document or a patch. */
+  private record Request(
+      Command.Change change,
+      long expectedVersion,
+      HttpMethod method,
+      String body,
+      boolean relayed) {}
 
   ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
     this.configs = configs;
@@ -69,6 +78,7 @@
 
   void mountControl(Router router, ControlService control) {
     router.put("/v1/config").handler(ctx -> apply(ctx, control));
+    router.patch("/v1/config").handler(ctx -> apply(ctx, control));
     router.get("/v1/control").handler(ctx -> statusPage(ctx, control.status()));
   }
 
@@ -93,19 +103,19 @@
   }
 
   private void apply(RoutingContext ctx, ControlService control) {
-    Change change;
+    Request request;
     try {
-      change = parse(ctx);
+      request = parse(ctx);
     } catch (GatewayException e) {
       refuse(ctx, e.kind(), e.detail());
       return;
     }
     control
-        .propose(change.id(), change.expectedVersion(), change.document(), QUORUM_PATIENCE)
-        .onSuccess(result -> answer(ctx, change, result));
+        .propose(request.change(), request.expectedVersion(), QUORUM_PATIENCE)
+        .onSuccess(result -> answer(ctx, request, result));
   }
 
-  private static Change parse(RoutingContext ctx) {
+  private static Request parse(RoutingContext ctx) {
     String id = ctx.request().getHeader(CHANGE_ID_HEADER);
     String expected = ctx.request().getHeader(EXPECTED_VERSION_HEADER);
     if (id == null || id.isBlank() || expected == null || !expected.matches("\\d{1,18}")) {
@@ -115,12 +125,21 @@
     }
     String document =
         Optional.ofNullable(ctx.body().asString(StandardCharsets.UTF_8.name())).orElse("");
-    ConfigParser.parse(document);
+    boolean patches = ctx.request().method().equals(HttpMethod.PATCH);
+    Command.Change change =
+        patches
+            ? new Command.PatchChange(id, ConfigPatch.parse(document).text())
+            : checkedChange(id, document);
     boolean relayed = ctx.request().getHeader(CONTROL_HOP_HEADER) != null;
-    return new Change(id, Long.parseLong(expected), document, relayed);
+    return new Request(change, Long.parseLong(expected), ctx.request().method(), document, relayed);
+  }
+
+  private static Command.Change checkedChange(String id, String document) {
+    ConfigParser.parse(document);
+    return new Command.ConfigChange(id, document);
   }
 
-  private void answer(RoutingContext ctx, Change change, ChangeResult result) {
+  private void answer(RoutingContext ctx, Request request, ChangeResult result) {
     if (result instanceof ChangeResult.Accepted accepted) {
       ObjectNode reply = JsonReply.JSON.createObjectNode();
       reply.put("version", accepted.version());
@@ -131,41 +150,41 @@
           ctx,
           ErrorKind.VERSION_CONFLICT,
           "the change expects version "
-              + change.expectedVersion()
+              + request.expectedVersion()
               + " but version "
               + conflict.currentVersion()
               + " is in force; rebase on "
               + conflict.currentVersion());
     } else if (result instanceof ChangeResult.NotLeader notLeader) {
-      relay(ctx, change, notLeader.leader());
+      relay(ctx, request, notLeader.leader());
     } else {
       refuse(ctx, ErrorKind.CHANGE_UNKNOWN, "no quorum confirmed the change in time");
     }
   }
 
-  private void relay(RoutingContext ctx, Change change, Optional<String> leader) {
+  private void relay(RoutingContext ctx, Request request, Optional<String> leader) {
     Optional<String> address =
         leader.flatMap(membership.table()::get).map(m -> m.info().httpAddress());
-    if (change.relayed() || address.isEmpty()) {
+    if (request.relayed() || address.isEmpty()) {
       refuse(ctx, ErrorKind.NO_QUORUM, "the control group has no leader that can be reached");
       return;
     }
     RequestOptions options =
         new RequestOptions()
-            .setMethod(HttpMethod.PUT)
+            .setMethod(request.method())
             .setAbsoluteURI("http://" + address.get() + "/v1/config")
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
             .setIdleTimeout(RELAY_TIMEOUT_MILLIS)
-            .putHeader(CHANGE_ID_HEADER, change.id())
-            .putHeader(EXPECTED_VERSION_HEADER, Long.toString(change.expectedVersion()))
+            .putHeader(CHANGE_ID_HEADER, request.change().changeId())
+            .putHeader(EXPECTED_VERSION_HEADER, Long.toString(request.expectedVersion()))
             .putHeader(CONTROL_HOP_HEADER, membership.self().nodeId());
     client
         .request(options)
         .onFailure(e -> refuse(ctx, ErrorKind.NO_QUORUM, "the leader cannot be reached"))
         .onSuccess(
-            request ->
-                request
-                    .send(Buffer.buffer(change.document()))
+            upstream ->
+                upstream
+                    .send(Buffer.buffer(request.body()))
                     .compose(response -> response.body().map(body -> pass(ctx, response, body)))
                     .onFailure(
                         e -> refuse(ctx, ErrorKind.CHANGE_UNKNOWN, "the leader did not answer")));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -246,6 +246,20 @@
     }
   }
 
+  /** Sends a lagging peer the patches it lacks, or the whole document if they are not at hand. */
+  private void answerConfigRequest(PeerMessage.ConfigRequest request) {
+    ConfigStore.Applied current = configs.current();
+    if (current.version() <= request.haveVersion()) {
+      return;
+    }
+    PeerMessage answer =
+        configs
+            .patchesSince(request.haveVersion())
+            .<PeerMessage>map(p -> new PeerMessage.ConfigPatches(request.haveVersion(), p))
+            .orElseGet(() -> new PeerMessage.ConfigOffer(current.version(), current.document()));
+    transport.send(request.replyTo(), answer);
+  }
+
   private void onPeerMessage(String stamp, PeerMessage message) {
     if (membership == null) {
       return;
@@ -259,12 +273,12 @@
       if (settings.role() == Role.ENTRY) {
         learning.offered(offer.version(), offer.document(), clock.instant());
       }
-    } else if (message instanceof PeerMessage.ConfigRequest request) {
-      ConfigStore.Applied current = configs.current();
-      if (current.version() > request.haveVersion()) {
-        transport.send(
-            request.replyTo(), new PeerMessage.ConfigOffer(current.version(), current.document()));
+    } else if (message instanceof PeerMessage.ConfigPatches offer) {
+      if (settings.role() == Role.ENTRY) {
+        learning.offeredPatches(offer.baseVersion(), offer.patches());
       }
+    } else if (message instanceof PeerMessage.ConfigRequest request) {
+      answerConfigRequest(request);
     } else if (message instanceof PeerMessage.EndpointAnnounce announce) {
       endpoints.renew(announce.endpoint());
     } else if (message instanceof PeerMessage.Consensus consensus && control != null) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingcroft.config.ConfigDocument;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConfigState;
@@ -43,7 +44,11 @@
 
   private static Snapshot snapshot(long lastIndex) {
     ConfigState state =
-        new ConfigState(lastIndex, "doc", Map.of("change-1", 1L), Map.of("control-2", "disk"));
+        new ConfigState(
+            lastIndex,
+            new ConfigDocument("doc"),
+            Map.of("change-1", 1L),
+            Map.of("control-2", "disk"));
     return new Snapshot(lastIndex, 1, state);
   }
 
@@ -148,7 +153,7 @@
       assertThat(accepted(member, "change-1", 0), is(1L));
       assertThat(accepted(member, "change-2", 1), is(2L));
       disk.failing = true;
-      assertThrows(UncheckedIOException.class, () -> member.propose(9, "change-3", 2, "doc", 0));
+      assertThrows(UncheckedIOException.class, () -> member.propose(9, change("change-3"), 2, 0));
     }
     long written = Files.size(dataDir.resolve(DurableLog.LOG_FILE));
     truncateLog(disk.syncedBytes + (long) ((written - disk.syncedBytes) * keptShare));
@@ -184,8 +189,14 @@
     return member;
   }
 
+  private static Command.Change change(String id) {
+    return id.endsWith("2")
+        ? new Command.PatchChange(id, "organisations: [{name: a}]")
+        : new Command.ConfigChange(id, "# " + id);
+  }
+
   private static long accepted(ConsensusMember member, String changeId, long expectedVersion) {
-    Output out = member.propose(1, changeId, expectedVersion, "doc", 0);
+    Output out = member.propose(1, change(changeId), expectedVersion, 0);
     assertThat(out.decisions(), hasSize(1));
     return ((ChangeResult.Accepted) out.decisions().get(0).result()).version();
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigLearning.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigLearning.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -57,6 +58,16 @@
     tick(now);
   }
 
+  /**
+   * Takes patches that a peer offers; before this daemon has a version of its own they are of no
+   * use and ignored.
+   */
+  public synchronized void offeredPatches(long baseVersion, List<String> patches) {
+    if (configs.current().version() > 0) {
+      configs.offerPatches(baseVersion, patches.stream().map(ConfigPatch::parse).toList());
+    }
+  }
+
   /** Returns the newest version offered or in force. */
   public synchronized long highestOffered() {
     return Math.max(configs.current().version(), best.map(Offer::version).orElse(0L));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigParser.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigParser.java
@@ -1,11 +1,14 @@
 package org.lacewingcroft.config;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.exc.StreamReadException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -56,9 +59,43 @@
    * @throws GatewayException of kind {@link ErrorKind#INVALID_CONFIGURATION} on any error
    */
   public static GatewayConfig parse(String yaml) {
+    return bind(() -> YAML.readValue(yaml, Document.class));
+  }
+
+  /** Parses a document that was read as a tree. */
+  static GatewayConfig parse(JsonNode tree) {
+    return bind(() -> YAML.treeToValue(tree, Document.class));
+  }
+
+  /** Reads a document as a tree, without checking its keys; an empty text is an empty tree. */
+  static JsonNode tree(String yaml) {
+    try {
+      return YAML.readTree(yaml);
+    } catch (IOException e) {
+      throw invalid("the document is not valid YAML: " + e.getMessage());
+    }
+  }
+
+  static ObjectNode newTree() {
+    return YAML.createObjectNode();
+  }
+
+  static String write(ObjectNode tree) {
+    try {
+      return YAML.writeValueAsString(tree);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("writing YAML into memory failed", e);
+    }
+  }
+
+  private interface Binding {
+    Document read() throws IOException;
+  }
+
+  private static GatewayConfig bind(Binding binding) {
     Document document;
     try {
-      document = YAML.readValue(yaml, Document.class);
+      document = binding.read();
     } catch (UnrecognizedPropertyException e) {
       throw invalid(
           "unknown key '"
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
@@ -1,5 +1,8 @@
 package org.lacewingcroft.config;
 
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongConsumer;
@@ -27,18 +30,27 @@
    * A version in force with its source document.
    *
    * @param config the parsed configuration, carrying the version
-   * @param document the YAML document it came from
+   * @param source the document it came from
    */
-  public record Applied(GatewayConfig config, String document) {
+  public record Applied(GatewayConfig config, ConfigDocument source) {
     /** Returns the version. */
     public long version() {
       return config.version();
     }
+
+    /** Returns the YAML document. */
+    public String document() {
+      return source.text();
+    }
   }
 
+  /** How many patches are kept for daemons that lag behind. */
+  public static final int PATCHES_KEPT = 512;
+
   private static final System.Logger LOG = System.getLogger(ConfigStore.class.getName());
   private final AtomicReference<Applied> current =
-      new AtomicReference<>(new Applied(GatewayConfig.EMPTY, ""));
+      new AtomicReference<>(new Applied(GatewayConfig.EMPTY, ConfigDocument.EMPTY));
+  private final TreeMap<Long, String> recentPatches = new TreeMap<>();
   private volatile LongConsumer applied = version -> {};
   private final AtomicLong staleOffers = new AtomicLong();
 
@@ -75,18 +87,60 @@
     } catch (GatewayException e) {
       return Outcome.INVALID;
     }
-    Applied next = new Applied(parsed, document);
-    while (true) {
+    return put(new Applied(parsed, new ConfigDocument(document)), Optional.empty());
+  }
+
+  /**
+   * Offers the patches that lead from one version to the next ones.
+   *
+   * @param baseVersion the version the first patch applies to
+   * @param patches one patch a version
+   * @return what happened; stale too if the version in force is older than the base
+   */
+  public Outcome offerPatches(long baseVersion, List<ConfigPatch> patches) {
+    Outcome outcome = Outcome.STALE;
+    for (int i = 0; i < patches.size(); i++) {
       Applied seen = current.get();
-      if (seen.version() >= version) {
+      if (seen.version() == baseVersion + i) {
+        ConfigPatch patch = patches.get(i);
+        Applied next =
+            new Applied(
+                seen.config().patched(patch, baseVersion + i + 1), seen.source().patched(patch));
+        outcome = put(next, Optional.of(patch));
+      }
+    }
+    return outcome;
+  }
+
+  private Outcome put(Applied next, Optional<ConfigPatch> patch) {
+    synchronized (recentPatches) {
+      if (current.get().version() >= next.version()) {
         staleOffers.incrementAndGet();
         return Outcome.STALE;
       }
-      if (current.compareAndSet(seen, next)) {
-        LOG.log(System.Logger.Level.INFO, "config.applied", "version", version);
-        applied.accept(version);
-        return Outcome.APPLIED;
+      patch.ifPresentOrElse(p -> recentPatches.put(next.version(), p.text()), recentPatches::clear);
+      if (recentPatches.size() > PATCHES_KEPT) {
+        recentPatches.pollFirstEntry();
       }
+      current.set(next);
+    }
+    LOG.log(System.Logger.Level.INFO, "config.applied", "version", next.version());
+    applied.accept(next.version());
+    return Outcome.APPLIED;
+  }
+
+  /**
+   * Returns the patches that lead from an older version to the one in force.
+   *
+   * @return one patch a version in order, or empty if the whole document must be sent instead
+   */
+  public Optional<List<String>> patchesSince(long version) {
+    synchronized (recentPatches) {
+      long missing = current.get().version() - version;
+      List<String> patches = List.copyOf(recentPatches.tailMap(version, false).values());
+      return version > 0 && missing > 0 && patches.size() == missing
+          ? Optional.of(patches)
+          : Optional.empty();
     }
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/GatewayConfig.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/GatewayConfig.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.config;
 
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,6 +45,18 @@
     return new GatewayConfig(newVersion, rules, organisations);
   }
 
+  /** Returns the configuration with a patch applied, under a new version. */
+  public GatewayConfig patched(ConfigPatch patch, long newVersion) {
+    Map<String, RoutingRule> patchedRules = new LinkedHashMap<>();
+    rules.forEach(r -> patchedRules.put(r.name(), r));
+    patch.removedSelectors().forEach(patchedRules::remove);
+    patch.added().rules().forEach(r -> patchedRules.put(r.name(), r));
+    Map<String, OrganisationPolicy> patchedOrganisations = new HashMap<>(organisations);
+    patch.removedOrganisations().forEach(patchedOrganisations::remove);
+    patchedOrganisations.putAll(patch.added().organisations());
+    return new GatewayConfig(newVersion, List.copyOf(patchedRules.values()), patchedOrganisations);
+  }
+
   /** Returns the first rule covering the request, if any. */
   public Optional<RoutingRule> ruleFor(String organisation, String model, String priority) {
     return rules.stream().filter(r -> r.work().covers(organisation, model, priority)).findFirst();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
@@ -1,18 +1,48 @@
 package org.lacewingcroft.consensus;
 
+import org.lacewingcroft.config.ConfigDocument;
+import org.lacewingcroft.config.ConfigPatch;
+
 /** What a {@link LogEntry} does to the {@link ConfigState} once it is committed. */
 public sealed interface Command {
 
   /** Does nothing; a new leader commits one so that earlier terms' entries commit with it. */
   record Noop() implements Command {}
 
+  /** An operator's accepted change, which raises the configuration version by one. */
+  sealed interface Change extends Command {
+    /** Returns the operator's client change id. */
+    String changeId();
+
+    /** Returns the configuration after the change. */
+    ConfigDocument applyTo(ConfigDocument before);
+  }
+
   /**
-   * An operator's accepted configuration change.
+   * A change of the whole configuration.
    *
    * @param changeId the operator's client change id
    * @param document the YAML document that replaces the one in force
    */
-  record ConfigChange(String changeId, String document) implements Command {}
+  record ConfigChange(String changeId, String document) implements Change {
+    @Override
+    public ConfigDocument applyTo(ConfigDocument before) {
+      return new ConfigDocument(document);
+    }
+  }
+
+  /**
+   * A change of single selectors and organisations.
+   *
+   * @param changeId the operator's client change id
+   * @param patch the YAML of a {@link ConfigPatch}
+   */
+  record PatchChange(String changeId, String patch) implements Change {
+    @Override
+    public ConfigDocument applyTo(ConfigDocument before) {
+      return before.patched(ConfigPatch.parse(patch));
+    }
+  }
 
   /**
    * Readmits a member whose data folder is new (its disk was lost or the instance replaced), so
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConfigState.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConfigState.java
@@ -4,20 +4,21 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.lacewingcroft.config.ConfigDocument;
 
 /**
  * What the committed log adds up to: the configuration in force, the client change ids that were
  * applied (so a resend is applied once) and the readmitted members' data folders. Immutable.
  *
  * @param version the configuration version; 0 before the first change
- * @param document the YAML document of that version; empty at version 0
+ * @param document the document of that version; empty at version 0
  * @param versionByChangeId the version each of the last {@link #CHANGE_IDS_KEPT} change ids got,
  *     oldest first
  * @param storageIdByMember the data folder last registered for each readmitted member
  */
 public record ConfigState(
     long version,
-    String document,
+    ConfigDocument document,
     Map<String, Long> versionByChangeId,
     Map<String, String> storageIdByMember) {
 
@@ -25,7 +26,8 @@
   public static final int CHANGE_IDS_KEPT = 8_192;
 
   /** The state before the first change. */
-  public static final ConfigState EMPTY = new ConfigState(0, "", Map.of(), Map.of());
+  public static final ConfigState EMPTY =
+      new ConfigState(0, ConfigDocument.EMPTY, Map.of(), Map.of());
 
   /** Copies the maps, keeping their order, so the state is immutable. */
   public ConfigState {
@@ -35,13 +37,13 @@
 
   /** Returns the state after a committed entry. */
   public ConfigState apply(LogEntry entry) {
-    if (entry.command() instanceof Command.ConfigChange change) {
+    if (entry.command() instanceof Command.Change change) {
       LinkedHashMap<String, Long> ids = new LinkedHashMap<>(versionByChangeId);
       ids.put(change.changeId(), entry.version());
       if (ids.size() > CHANGE_IDS_KEPT) {
         ids.remove(ids.keySet().iterator().next());
       }
-      return new ConfigState(entry.version(), change.document(), ids, storageIdByMember);
+      return new ConfigState(entry.version(), change.applyTo(document), ids, storageIdByMember);
     }
     if (entry.command() instanceof Command.StorageRegistration registration) {
       Map<String, String> storages = new LinkedHashMap<>(storageIdByMember);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lacewingcroft.config.ConfigDocument;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -17,6 +18,7 @@
   private static final int NOOP = 0;
   private static final int CONFIG_CHANGE = 1;
   private static final int STORAGE_REGISTRATION = 2;
+  private static final int PATCH_CHANGE = 3;
 
   private static final int VOTE_REQUEST = 1;
   private static final int VOTE_RESPONSE = 2;
@@ -31,6 +33,8 @@
     p.packLong(e.index()).packLong(e.term()).packLong(e.version());
     if (e.command() instanceof Command.ConfigChange c) {
       p.packInt(CONFIG_CHANGE).packString(c.changeId()).packString(c.document());
+    } else if (e.command() instanceof Command.PatchChange c) {
+      p.packInt(PATCH_CHANGE).packString(c.changeId()).packString(c.patch());
     } else if (e.command() instanceof Command.StorageRegistration r) {
       p.packInt(STORAGE_REGISTRATION).packString(r.memberId()).packString(r.storageId());
     } else {
@@ -51,6 +55,7 @@
     return switch (type) {
       case NOOP -> new Command.Noop();
       case CONFIG_CHANGE -> new Command.ConfigChange(u.unpackString(), u.unpackString());
+      case PATCH_CHANGE -> new Command.PatchChange(u.unpackString(), u.unpackString());
       case STORAGE_REGISTRATION ->
           new Command.StorageRegistration(u.unpackString(), u.unpackString());
       default -> throw new IOException("unknown command type " + type);
@@ -60,7 +65,7 @@
   /** Packs a snapshot. */
   public static void packSnapshot(MessagePacker p, Snapshot s) throws IOException {
     p.packLong(s.lastIndex()).packLong(s.lastTerm());
-    p.packLong(s.state().version()).packString(s.state().document());
+    p.packLong(s.state().version()).packString(s.state().document().text());
     p.packMapHeader(s.state().versionByChangeId().size());
     for (Map.Entry<String, Long> e : s.state().versionByChangeId().entrySet()) {
       p.packString(e.getKey()).packLong(e.getValue());
@@ -86,7 +91,9 @@
       storages.put(u.unpackString(), u.unpackString());
     }
     return new Snapshot(
-        lastIndex, lastTerm, new ConfigState(version, document, changeIds, storages));
+        lastIndex,
+        lastTerm,
+        new ConfigState(version, new ConfigDocument(document), changeIds, storages));
   }
 
   /** Packs a hard state. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -168,20 +168,18 @@
    *
    * @param ticket names the proposal in the {@link Output.Decision} that answers it, which may come
    *     with a later step
-   * @param changeId the operator's client change id
+   * @param change the change, already checked
    * @param expectedVersion the version the change is based on
-   * @param document the YAML document, already checked
    * @param nowMillis the steady clock's reading
    */
-  public Output propose(
-      long ticket, String changeId, long expectedVersion, String document, long nowMillis) {
+  public Output propose(long ticket, Command.Change change, long expectedVersion, long nowMillis) {
     Output out = new Output();
     if (role != Role.LEADER) {
       out.decide(ticket, new ChangeResult.NotLeader(leader));
       return out;
     }
-    Optional<Long> earlier = log.state().versionOf(changeId);
-    long uncommitted = log.uncommittedIndexOf(changeId);
+    Optional<Long> earlier = log.state().versionOf(change.changeId());
+    long uncommitted = log.uncommittedIndexOf(change.changeId());
     if (earlier.isPresent()) {
       decideAt(ticket, termStartIndex, new ChangeResult.Accepted(earlier.get(), true));
     } else if (uncommitted > 0) {
@@ -191,7 +189,7 @@
     } else if (expectedVersion != log.lastVersion()) {
       decideAt(ticket, log.lastIndex(), new ChangeResult.Conflict(log.lastVersion()));
     } else {
-      LogEntry entry = log.append(hardState.term(), new Command.ConfigChange(changeId, document));
+      LogEntry entry = log.append(hardState.term(), change);
       decideAt(ticket, entry.index(), new ChangeResult.Accepted(entry.version(), false));
       replicateNow(nowMillis, out);
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogEntry.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogEntry.java
@@ -5,8 +5,8 @@
  *
  * @param index position in the log, from 1 without gaps
  * @param term the leader's term that appended it
- * @param version the configuration version in force after this entry; only a {@link
- *     Command.ConfigChange} raises it, by one
+ * @param version the configuration version in force after this entry; only a {@link Command.Change}
+ *     raises it, by one
  * @param command what it does
  */
 public record LogEntry(long index, long term, long version, Command command) {}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
@@ -79,7 +79,7 @@
   /** Returns the index of a change that is in the log but not yet committed, or 0. */
   long uncommittedIndexOf(String changeId) {
     for (long i = commitIndex + 1; i <= lastIndex(); i++) {
-      if (entry(i).command() instanceof Command.ConfigChange c && c.changeId().equals(changeId)) {
+      if (entry(i).command() instanceof Command.Change c && c.changeId().equals(changeId)) {
         return i;
       }
     }
@@ -99,7 +99,7 @@
 
   /** Appends one entry of the leader's own and returns it. */
   LogEntry append(long term, Command command) {
-    long version = lastVersion() + (command instanceof Command.ConfigChange ? 1 : 0);
+    long version = lastVersion() + (command instanceof Command.Change ? 1 : 0);
     LogEntry entry = new LogEntry(lastIndex() + 1, term, version, command);
     storage.append(List.of(entry));
     tail.add(entry);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,7 @@
   private static final int KEY_CLAIM_REPLY = 8;
   private static final int KEY_RELEASE = 9;
   private static final int CONFIG_NOTICE = 10;
+  private static final int CONFIG_PATCHES = 11;
 
   private MessageCodec() {}
 
@@ -43,6 +45,10 @@
       if (message instanceof PeerMessage.Gossip g) {
         p.packInt(GOSSIP);
         packGossip(p, g);
+      } else if (message instanceof PeerMessage.ConfigPatches c) {
+        p.packInt(CONFIG_PATCHES);
+        p.packLong(c.baseVersion());
+        packStrings(p, c.patches());
       } else if (message instanceof PeerMessage.ConfigNotice n) {
         p.packInt(CONFIG_NOTICE);
         p.packLong(n.version()).packString(n.replyTo());
@@ -96,6 +102,7 @@
       int type = u.unpackInt();
       return switch (type) {
         case GOSSIP -> unpackGossip(u);
+        case CONFIG_PATCHES -> new PeerMessage.ConfigPatches(u.unpackLong(), unpackStrings(u));
         case CONFIG_NOTICE -> new PeerMessage.ConfigNotice(u.unpackLong(), u.unpackString());
         case ENDPOINT_ANNOUNCE -> new PeerMessage.EndpointAnnounce(unpackEndpoint(u));
         case CONFIG_OFFER -> new PeerMessage.ConfigOffer(u.unpackLong(), u.unpackString());
@@ -248,16 +255,17 @@
     return counts;
   }
 
-  private static void packStrings(MessageBufferPacker p, Set<String> values) throws IOException {
+  private static void packStrings(MessageBufferPacker p, Collection<String> values)
+      throws IOException {
     p.packArrayHeader(values.size());
     for (String v : values) {
       p.packString(v);
     }
   }
 
-  private static Set<String> unpackStrings(MessageUnpacker u) throws IOException {
+  private static List<String> unpackStrings(MessageUnpacker u) throws IOException {
     int n = u.unpackArrayHeader();
-    Set<String> values = new HashSet<>();
+    List<String> values = new ArrayList<>(n);
     for (int i = 0; i < n; i++) {
       values.add(u.unpackString());
     }
@@ -296,12 +304,12 @@
     for (int i = 0; i < n; i++) {
       labels.put(u.unpackString(), u.unpackString());
     }
-    Set<String> models = unpackStrings(u);
+    Set<String> models = new HashSet<>(unpackStrings(u));
     int capacity = u.unpackInt();
     boolean checksFencing = u.unpackBoolean();
     boolean draining = u.unpackBoolean();
     int reportedLoad = u.unpackInt();
-    Set<String> cachedPrefixes = unpackStrings(u);
+    Set<String> cachedPrefixes = new HashSet<>(unpackStrings(u));
     long sequence = u.unpackLong();
     Instant lease = Instant.ofEpochMilli(u.unpackLong());
     return new Endpoint(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
@@ -64,6 +64,20 @@
    */
   record ConfigOffer(long version, String document) implements PeerMessage {}
 
+  /**
+   * The patches that lead from a version to the one in force at the sender, in answer to {@link
+   * ConfigRequest} where they are fewer bytes than the document.
+   *
+   * @param baseVersion the version the first patch applies to
+   * @param patches the YAML of one patch a version, in order
+   */
+  record ConfigPatches(long baseVersion, List<String> patches) implements PeerMessage {
+    /** Copies the list so the message is immutable. */
+    public ConfigPatches {
+      patches = List.copyOf(patches);
+    }
+  }
+
   /**
    * Asks the receiver for its configuration if it is newer than {@code haveVersion}.
    *
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
@@ -72,7 +72,7 @@
     for (String id : group.ids()) {
       if (group.runs(id)) {
         assertThat(id, group.member(id).state().version(), is(4L));
-        assertThat(id, group.member(id).state().document(), is("after"));
+        assertThat(id, group.member(id).state().versionOf("after"), is(Optional.of(4L)));
         assertThat(id, group.member(id).voter(), is(true));
       }
     }
@@ -93,7 +93,7 @@
     assertThat(group.change("elsewhere", 1), is(new ChangeResult.Accepted(2, false)));
     group.heal();
     group.run(2_000);
-    assertThat(group.member(leader).state().document(), is("elsewhere"));
+    assertThat(group.member(leader).state().versionOf("elsewhere"), is(Optional.of(2L)));
   }
 
   @Test
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -99,11 +99,18 @@
     long ticket = nextTicket++;
     changeByTicket.put(ticket, changeId);
     if (runs(id)) {
-      carryOut(id, member(id).propose(ticket, changeId, expectedVersion, changeId, nowMillis));
+      carryOut(id, member(id).propose(ticket, command(changeId), expectedVersion, nowMillis));
     }
     return ticket;
   }
 
+  /** Every third change is a patch that adds an organisation, the others replace the document. */
+  static Command.Change command(String changeId) {
+    return changeId.hashCode() % 3 == 0
+        ? new Command.PatchChange(changeId, "organisations: [{name: " + changeId + "}]")
+        : new Command.ConfigChange(changeId, "# " + changeId);
+  }
+
   Optional<ChangeResult> result(long ticket) {
     return Optional.ofNullable(results.get(ticket));
   }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.config.ConfigDocument;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConfigState;
 import org.lacewingcroft.consensus.ConsensusMessage;
@@ -43,6 +44,7 @@
             List.of(MEMBER),
             List.of(new RegionDigest("uusimaa", "n1", 8, List.of(MEMBER), Map.of("writer", 3))),
             true),
+        new PeerMessage.ConfigPatches(4, List.of("a: 1", "b: 2")),
         new PeerMessage.ConfigNotice(9, "127.0.0.1:9"),
         new PeerMessage.ConfigOffer(9, "selectors: []"),
         new PeerMessage.ConfigRequest(2, "127.0.0.1:9"),
@@ -59,6 +61,7 @@
                 List.of(
                     new LogEntry(2, 2, 0, new Command.Noop()),
                     new LogEntry(3, 2, 1, new Command.ConfigChange("c", "doc")),
+                    new LogEntry(4, 2, 2, new Command.PatchChange("p", "a: 1")),
                     new LogEntry(4, 3, 1, new Command.StorageRegistration("m", "disk"))),
                 2,
                 9)),
@@ -67,7 +70,10 @@
             new ConsensusMessage.SnapshotRequest(
                 3,
                 new Snapshot(
-                    4, 3, new ConfigState(1, "doc", Map.of("c", 1L), Map.of("m", "disk"))))),
+                    4,
+                    3,
+                    new ConfigState(
+                        1, new ConfigDocument("doc"), Map.of("c", 1L), Map.of("m", "disk"))))),
         new PeerMessage.EndpointAnnounce(
             new Endpoint(
                 "e1",
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/ConfigBench.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/ConfigBench.java
@@ -128,7 +128,12 @@
           node + " has version " + last,
           () -> deployment.client().configVersion(deployment.urlOf(node)) >= last);
     }
-    return report(watch, nodes, lostChanges());
+    long differing =
+        nodes.stream()
+            .map(node -> deployment.client().configDocument(deployment.urlOf(node)))
+            .distinct()
+            .count();
+    return report(watch, nodes, lostChanges()) && differing == 1;
   }
 
   private static String document(String changeId) {
@@ -140,6 +145,24 @@
     return urls.get(random.nextInt(urls.size()));
   }
 
+  /** Sends a change to any control daemon: two of three as patches, the others whole. */
+  private Optional<HttpResponse<String>> put(String changeId, long expected) {
+    boolean patch = Math.floorMod(changeId.hashCode(), 3) != 0;
+    return patch
+        ? deployment
+            .client()
+            .change(
+                DaemonClient.ChangeKind.PATCH,
+                anyControl(),
+                changeId,
+                expected,
+                "organisations: [{name: " + changeId + "}]")
+        : deployment
+            .client()
+            .change(
+                DaemonClient.ChangeKind.PUT, anyControl(), changeId, expected, document(changeId));
+  }
+
   /** Sends a change until it is accepted, rebasing on conflicts, and returns its version. */
   private long applied(String changeId, long expectedVersion) throws Exception {
     long expected = expectedVersion;
@@ -168,8 +191,7 @@
   private Optional<Long> sendUntilAnswered(String changeId, long expected) throws Exception {
     final long sentNanos = System.nanoTime();
     for (int send = 0; send < MAX_SENDS; send++) {
-      Optional<HttpResponse<String>> answer =
-          deployment.client().change(anyControl(), changeId, expected, document(changeId));
+      Optional<HttpResponse<String>> answer = put(changeId, expected);
       int status = answer.map(HttpResponse::statusCode).orElse(0);
       if (status == 200) {
         long version = DaemonClient.acceptedVersion(answer);
@@ -225,14 +247,7 @@
   private long resend(Accepted change) throws Exception {
     resends++;
     for (int send = 0; send < MAX_SENDS; send++) {
-      Optional<HttpResponse<String>> answer =
-          deployment
-              .client()
-              .change(
-                  anyControl(),
-                  change.changeId(),
-                  change.version() - 1,
-                  document(change.changeId()));
+      Optional<HttpResponse<String>> answer = put(change.changeId(), change.version() - 1);
       int status = answer.map(HttpResponse::statusCode).orElse(0);
       if (status == 200 || status == 409) {
         return DaemonClient.acceptedVersion(answer);
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DaemonClient.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DaemonClient.java
@@ -62,19 +62,32 @@
     return get(daemonUrl + "/readyz").filter(r -> r.statusCode() == 200).isPresent();
   }
 
+  /** Returns the configuration document in force at a daemon, if it answers. */
+  public Optional<String> configDocument(String daemonUrl) {
+    return get(daemonUrl + "/v1/config").filter(r -> r.statusCode() == 200).map(HttpResponse::body);
+  }
+
+  /** How a change is sent: as a whole document or as a patch. */
+  public enum ChangeKind {
+    /** {@code PUT}: replaces the whole document. */
+    PUT,
+    /** {@code PATCH}: adds, replaces and removes by name. */
+    PATCH
+  }
+
   /**
    * Sends one configuration change to a control daemon.
    *
    * @return the answer, or empty if the daemon did not answer
    */
   public Optional<HttpResponse<String>> change(
-      String daemonUrl, String changeId, long expectedVersion, String document) {
+      ChangeKind kind, String daemonUrl, String changeId, long expectedVersion, String body) {
     return send(
         HttpRequest.newBuilder(URI.create(daemonUrl + "/v1/config"))
             .timeout(CHANGE_TIMEOUT)
             .header("X-Change-Id", changeId)
             .header("X-Expected-Version", Long.toString(expectedVersion))
-            .PUT(HttpRequest.BodyPublishers.ofString(document))
+            .method(kind.name(), HttpRequest.BodyPublishers.ofString(body))
             .build());
   }
 
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/LocalDeployment.java
@@ -365,7 +365,8 @@
             long current = client.configVersion(url);
             if (current >= 0) {
               version[0] =
-                  DaemonClient.acceptedVersion(client.change(url, changeId, current, document));
+                  DaemonClient.acceptedVersion(
+                      client.change(DaemonClient.ChangeKind.PUT, url, changeId, current, document));
             }
             if (version[0] > 0) {
               return true;
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/SlopeBench.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.lacewingcroft.config.ConfigParser;
+import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.config.GatewayConfig;
 import org.lacewingcroft.consensus.Command;
@@ -49,6 +50,7 @@
 public final class SlopeBench {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+  private static final int PATCH_ROUNDS = 50;
   private static final int MEMBERS_PER_REGION = 27;
   private static final int CONTROL_MEMBERS = 5;
   private static final GatewayView IDLE =
@@ -164,6 +166,16 @@
       line.put("documentBytes", document.getBytes(StandardCharsets.UTF_8).length);
       line.put("parseCpuMillis", cpuNanos / 1e6);
       line.put("heapBytesHeld", heapAfter - heapBefore);
+      String patch = "organisations: [{name: org-7, residency: [uusimaa], requestsPerSecond: 9}]";
+      store.offerPatches(1, List.of(ConfigPatch.parse(patch)));
+      long patchCpu0 = THREADS.getCurrentThreadCpuTime();
+      for (int v = 2; v < 2 + PATCH_ROUNDS; v++) {
+        store.offerPatches(v, List.of(ConfigPatch.parse(patch)));
+      }
+      long patchNanos = (THREADS.getCurrentThreadCpuTime() - patchCpu0) / PATCH_ROUNDS;
+      line.put("patchBytes", patch.length());
+      line.put("patchCpuMicros", patchNanos / 1000.0);
+      line.put("heapBytesHeldPatched", usedHeapAfterGc() - heapBefore);
       line.put("version", store.current().version());
       out.accept(line.toString());
     }
