A frozen entry starts anew; no 404 for a model that is expected; no 404 at start

Cause, found by reading for the case 'frozen for longer than its removal': after such a break an entry took its own silence for that of the others, removed all of them and would have claimed keys alone at once.

Change: Membership notices its own break (no beat for the suspicion time), counts the others' silence from its return and settles again before it claims; a model named by a selector is refused as 'not_run' while no endpoint is known; requests are refused as 'not_run' until the routes stand. Ruled out: a fixed bound of four intervals (400 ms with the tests' interval; a busy machine would look frozen).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -58,6 +58,7 @@
   private volatile Membership membership;
   private volatile EntryGateway gateway;
   private volatile ControlService control;
+  private volatile boolean started;
   private HttpServer httpServer;
   private int httpPort;
   private int peerPort;
@@ -97,6 +98,7 @@
                 ErrorKind.PAYLOAD_TOO_LARGE,
                 "the body exceeds " + settings.maxBodyBytes() + " bytes",
                 Optional.empty()));
+    router.route().handler(this::refuseWhileStarting);
     router.get("/metrics").handler(this::metricsPage);
     router.get("/readyz").handler(this::readyPage);
     router.get("/healthz").handler(ctx -> ctx.response().end("ok\n"));
@@ -128,6 +130,7 @@
     if (settings.faultInjection()) {
       new FaultApi(membership, this::injectFaults).mount(router);
     }
+    started = true;
     vertx.setPeriodic(settings.heartbeatInterval().toMillis(), id -> heartbeat());
     heartbeat();
     writePortFile();
@@ -144,6 +147,16 @@
         self.peerAddress());
   }
 
+  /** The port is open before all routes are there; callers must not be told that they are not. */
+  private void refuseWhileStarting(RoutingContext ctx) {
+    if (started) {
+      ctx.next();
+    } else {
+      ErrorReply.send(
+          ctx.response(), ErrorKind.NOT_RUN, "this daemon is starting", Optional.empty());
+    }
+  }
+
   private void startControl() throws IOException {
     List<String> group =
         settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/Membership.java
@@ -18,6 +18,8 @@
  * keeps what it hears as an immutable {@link MemberTable} behind an {@link AtomicReference}.
  */
 public final class Membership {
+  private static final System.Logger LOG = System.getLogger(Membership.class.getName());
+
   private final MemberInfo self;
   private final PeerTransport transport;
   private final InstantSource clock;
@@ -26,6 +28,8 @@
   private final Duration interval;
   private final AtomicReference<Optional<Instant>> firstHeardAt =
       new AtomicReference<>(Optional.empty());
+  private final AtomicReference<Optional<Instant>> lastBeatAt =
+      new AtomicReference<>(Optional.empty());
   private final AtomicReference<MemberTable> table;
 
   /**
@@ -75,26 +79,51 @@
   }
 
   /**
-   * Returns whether this daemon has taken part for long enough to know its region's members. Until
-   * then it must not take itself for the only one responsible for anything.
+   * Returns whether this daemon has taken part without a break for long enough to know its region's
+   * members. Until then it must not take itself for the only one responsible for anything.
    */
   public boolean settled() {
-    Duration needed =
-        interval.multipliedBy(MemberTable.suspectIntervals(table().followed().size() + 1));
-    return firstHeardAt
+    return !brokeOff()
+        && firstHeardAt
+            .get()
+            .filter(first -> !first.plus(suspicionTime()).isAfter(clock.instant()))
+            .isPresent();
+  }
+
+  /**
+   * Returns whether this daemon has not run for so long that others suspect it, as when its
+   * instance is frozen.
+   */
+  private boolean brokeOff() {
+    return lastBeatAt
         .get()
-        .filter(first -> !first.plus(needed).isAfter(clock.instant()))
+        .filter(at -> at.plus(suspicionTime()).isBefore(clock.instant()))
         .isPresent();
   }
 
+  private Duration suspicionTime() {
+    return interval.multipliedBy(MemberTable.suspectIntervals(table().followed().size() + 1));
+  }
+
   /** Sends this interval's gossip. */
   public void beat(Gossiper.SelfReport report) {
+    if (brokeOff()) {
+      startAnew();
+    }
+    lastBeatAt.set(Optional.of(clock.instant()));
     MemberTable current = table.updateAndGet(t -> t.withoutDead(clock.instant()));
     for (Gossiper.Outgoing message : gossiper.round(report, current, clock.instant())) {
       transport.send(message.address(), message.gossip());
     }
   }
 
+  /** After a break, judges the others' silence from now on and settles again. */
+  private void startAnew() {
+    LOG.log(System.Logger.Level.WARNING, "membership.broke_off", "node", self.nodeId());
+    firstHeardAt.set(Optional.empty());
+    table.updateAndGet(t -> t.allHeardAt(clock.instant()));
+  }
+
   /** Returns the peer address of a member, if it is known. */
   public Optional<String> addressOf(String nodeId) {
     return table.get().get(nodeId).map(m -> m.info().peerAddress());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/GatewayConfig.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/GatewayConfig.java
@@ -62,6 +62,11 @@
     return rules.stream().filter(r -> r.work().covers(organisation, model, priority)).findFirst();
   }
 
+  /** Returns whether a rule names the model, so that callers may expect it to be served. */
+  public boolean namesModel(String model) {
+    return rules.stream().anyMatch(r -> r.work().models().contains(model));
+  }
+
   /** Returns the organisation's policy, if the document has one. */
   public Optional<OrganisationPolicy> organisation(String name) {
     return Optional.ofNullable(organisations.get(name));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/membership/MemberTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/membership/MemberTable.java
@@ -161,6 +161,14 @@
     }
   }
 
+  /** Returns the table with every member's silence counted from the given time on. */
+  public MemberTable allHeardAt(Instant now) {
+    Map<String, Member> members = new HashMap<>();
+    byId.forEach(
+        (id, m) -> members.put(id, new Member(m.info(), m.liveness(), now, m.freeSlotsByModel())));
+    return new MemberTable(self, interval, members, tombstones, digestByOriginator, incomplete);
+  }
+
   /** Returns the table without members silent for longer than the removal timeout. */
   public MemberTable withoutDead(Instant now) {
     Map<String, Member> members = new HashMap<>(byId);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/Router.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/routing/Router.java
@@ -75,8 +75,10 @@
               + "'s residency");
     }
     if (!servedAnywhere(request.model(), directory, view)) {
+      boolean expected = config.namesModel(request.model());
       return new RouteDecision.Refuse(
-          ErrorKind.UNKNOWN_MODEL, "no endpoint serves model '" + request.model() + "'");
+          expected ? ErrorKind.NOT_RUN : ErrorKind.UNKNOWN_MODEL,
+          "no endpoint serves model '" + request.model() + "'" + (expected ? " now" : ""));
     }
     Optional<RoutingRule> rule =
         config.ruleFor(request.organisation(), request.model(), request.priority());
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/routing/RouterTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/routing/RouterTest.java
@@ -132,6 +132,13 @@
             northHasRoom,
             NOW,
             "refuse:UNKNOWN_MODEL"),
+        Arguments.of(
+            "a selector names it, no endpoint is known",
+            request("any", "writer", Set.of(), false),
+            EndpointDirectory.EMPTY,
+            List.of(),
+            NOW,
+            "refuse:NOT_RUN"),
         Arguments.of(
             "no selector covers it",
             request("any", "other", Set.of(), false),
