--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigParser.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigParser.java
@@ -22,6 +22,7 @@
 import org.lacewingcroft.selector.LabelSelector;
 import org.lacewingcroft.selector.Operator;
 import org.lacewingcroft.selector.Requirement;
+import org.yaml.snakeyaml.LoaderOptions;
 
 /**
  * Reads the operators' YAML document into a {@link GatewayConfig}.
@@ -45,12 +46,20 @@
  */
 public final class ConfigParser {
   private static final ObjectMapper YAML =
-      new ObjectMapper(new YAMLFactory())
+      new ObjectMapper(YAMLFactory.builder().loaderOptions(loaderOptions()).build())
           .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
+  private static final int MAX_DOCUMENT_CODE_POINTS = 64 * 1024 * 1024;
+
   private ConfigParser() {}
 
+  private static LoaderOptions loaderOptions() {
+    LoaderOptions options = new LoaderOptions();
+    options.setCodePointLimit(MAX_DOCUMENT_CODE_POINTS);
+    return options;
+  }
+
   /**
    * Parses a document; the result carries version 0 until the control role assigns one.
    *
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/config/ConfigParserTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/config/ConfigParserTest.java
@@ -68,4 +68,16 @@
     assertThat(e.getMessage(), containsString(expected));
     assertThat(e.getMessage(), containsString("remedy"));
   }
+
+  /** The users' target: the document is larger than the YAML reader's limit by default. */
+  @Test
+  void readsDocumentOfTheTargetSize() {
+    int organisations = 48_000;
+    StringBuilder document = new StringBuilder("organisations:\n");
+    for (int i = 0; i < organisations; i++) {
+      document.append("  - {name: organisation-").append(i).append(", residency: [uusimaa],");
+      document.append(" requestsPerSecond: 20}\n");
+    }
+    assertThat(ConfigParser.parse(document.toString()).organisations().size(), is(organisations));
+  }
 }
