What was refused as not run at the deadline must not run afterwards

Cause, found by reading the request path as a newcomer: the deadline could be over after a key's claim was granted, or while the connection to the endpoint was being made. The caller heard 'not_run' and the key was given back, then the connection came up and the request was sent.

Change: a refusal marks the exchange and cancels every attempt that is not yet sent; a claim granted after the answer is taken back. Ruled out: checking the clock again before the send (the refusal, not the time, is what binds). Also: one method connects attempts instead of two copies, the role's name is a constant, a method nobody called is gone.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/DirectoryApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/DirectoryApi.java
@@ -65,7 +65,8 @@
     Stream<MemberInfo> self =
         servesCallers.getAsBoolean() ? Stream.of(membership.self()) : Stream.empty();
     Stream<MemberInfo> others =
-        membership.table().alive("entry", null, clock.instant()).stream().map(Member::info);
+        membership.table().alive(MemberInfo.ENTRY, null, clock.instant()).stream()
+            .map(Member::info);
     ArrayNode list = JsonReply.JSON.createArrayNode();
     Stream.concat(self, others)
         .sorted(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
@@ -33,6 +33,7 @@
       outcomeUnknown(exchange, detail);
       return;
     }
+    exchange.refuse();
     exchange.claimedKey().ifPresent(keys::takeBack);
     LOG.log(
         System.Logger.Level.INFO,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -14,11 +14,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.LinkFaults;
+import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.request.CallerRequest;
 import org.lacewingcroft.routing.RouteDecision;
@@ -94,7 +96,7 @@
   }
 
   private void send(Exchange exchange) {
-    if (exchange.answered() && exchange.claimedKey().isEmpty()) {
+    if (exchange.refused() || exchange.answered() && exchange.claimedKey().isEmpty()) {
       return;
     }
     RouteDecision decision = routes.choose(exchange);
@@ -112,29 +114,40 @@
   private void sendToEndpoint(Exchange exchange, Endpoint endpoint, String rule) {
     Attempt attempt = begin(exchange, endpoint.id(), endpoint.region(), Attempt.Kind.ENDPOINT);
     regions.sent(endpoint.id(), exchange.request().prefixKey());
+    connect(
+        exchange,
+        attempt,
+        endpoint.baseUrl() + exchange.request().path(),
+        upstream -> {
+          LOG.log(
+              System.Logger.Level.INFO,
+              "request.dispatched",
+              "request",
+              exchange.requestId(),
+              "target",
+              endpoint.id(),
+              "rule",
+              rule,
+              "organisation",
+              exchange.request().organisation());
+          write(exchange, attempt, upstream);
+          hedgeLater(exchange);
+        });
+  }
+
+  /** Connects an attempt and goes on with it, unless it was cancelled in the meantime. */
+  private void connect(
+      Exchange exchange, Attempt attempt, String url, Consumer<HttpClientRequest> connected) {
     client
-        .request(options(exchange, endpoint.baseUrl() + exchange.request().path()))
+        .request(options(exchange, url))
         .onFailure(e -> notSent(exchange, attempt, e))
         .onSuccess(
             upstream -> {
-              if (!attempt.live()) {
+              if (attempt.live()) {
+                connected.accept(upstream);
+              } else {
                 upstream.reset();
-                return;
               }
-              LOG.log(
-                  System.Logger.Level.INFO,
-                  "request.dispatched",
-                  "request",
-                  exchange.requestId(),
-                  "target",
-                  endpoint.id(),
-                  "rule",
-                  rule,
-                  "organisation",
-                  exchange.request().organisation());
-              exchange.mayRun();
-              write(exchange, attempt, upstream);
-              hedgeLater(exchange);
             });
   }
 
@@ -155,6 +168,7 @@
 
   private void write(Exchange exchange, Attempt attempt, HttpClientRequest upstream) {
     CallerRequest request = exchange.request();
+    exchange.mayRun();
     attempt.connected(upstream);
     String contentType = exchange.context().request().getHeader(CONTENT_TYPE);
     upstream.putHeader(CONTENT_TYPE, contentType != null ? contentType : "application/json");
@@ -284,7 +298,8 @@
   }
 
   private void forward(Exchange exchange, String targetRegion) {
-    List<Member> entries = membership.table().alive("entry", targetRegion, clock.instant());
+    List<Member> entries =
+        membership.table().alive(MemberInfo.ENTRY, targetRegion, clock.instant());
     if (entries.isEmpty()) {
       reply.notRun(exchange, ErrorKind.NOT_RUN, "no live entry in region " + targetRegion);
       return;
@@ -308,33 +323,28 @@
       return;
     }
     String url = "http://" + target.info().httpAddress() + exchange.context().request().path();
-    client
-        .request(options(exchange, url))
-        .onFailure(e -> notSent(exchange, attempt, e))
-        .onSuccess(
-            upstream -> {
-              if (!attempt.live()) {
-                upstream.reset();
-                return;
-              }
-              copyCallerHeaders(exchange, upstream);
-              String from =
-                  hop == HopAuthenticator.Hop.ACROSS_REGIONS
-                      ? membership.self().region()
-                      : membership.self().nodeId();
-              hops.mark(hop, from, exchange.requestId(), upstream::putHeader);
-              LOG.log(
-                  System.Logger.Level.INFO,
-                  "request.relayed",
-                  "request",
-                  exchange.requestId(),
-                  "entry",
-                  target.info().nodeId(),
-                  "hop",
-                  hop);
-              exchange.mayRun();
-              write(exchange, attempt, upstream);
-            });
+    connect(
+        exchange,
+        attempt,
+        url,
+        upstream -> {
+          copyCallerHeaders(exchange, upstream);
+          String from =
+              hop == HopAuthenticator.Hop.ACROSS_REGIONS
+                  ? membership.self().region()
+                  : membership.self().nodeId();
+          hops.mark(hop, from, exchange.requestId(), upstream::putHeader);
+          LOG.log(
+              System.Logger.Level.INFO,
+              "request.relayed",
+              "request",
+              exchange.requestId(),
+              "entry",
+              target.info().nodeId(),
+              "hop",
+              hop);
+          write(exchange, attempt, upstream);
+        });
   }
 
   private static void copyCallerHeaders(Exchange exchange, HttpClientRequest upstream) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -256,7 +256,10 @@
     keys.admit(key)
         .onSuccess(
             admitted -> {
-              if (admitted instanceof KeyAdmission.Run) {
+              boolean runs = admitted instanceof KeyAdmission.Run;
+              if (runs && exchange.answered()) {
+                keys.takeBack(key);
+              } else if (runs) {
                 exchange.claimed(key);
                 dispatcher.dispatch(exchange);
               } else {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -27,6 +27,7 @@
   private Optional<String> claimedKey = Optional.empty();
   private int sends;
   private int possibleRuns;
+  private boolean refused;
   private boolean callerLeft;
   private boolean finished;
 
@@ -110,6 +111,17 @@
     return possibleRuns > 0;
   }
 
+  /** Decides that the request is not run: no attempt that is not yet sent may go on. */
+  void refuse() {
+    refused = true;
+    cancelAttemptsBut(Optional.empty());
+  }
+
+  /** Returns whether the caller is told that the request was not run, so that it must not be. */
+  boolean refused() {
+    return refused;
+  }
+
   List<Attempt> attempts() {
     return attempts;
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/KeyOwnership.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/KeyOwnership.java
@@ -96,7 +96,7 @@
 
   /** Returns the key's owner if it is another live entry of the region. */
   Optional<Member> remoteOwner(String key) {
-    List<Member> live = membership.table().alive("entry", region(), clock.instant());
+    List<Member> live = membership.table().alive(MemberInfo.ENTRY, region(), clock.instant());
     List<String> ids = new ArrayList<>();
     ids.add(self.nodeId());
     live.forEach(m -> ids.add(m.info().nodeId()));
@@ -186,7 +186,7 @@
 
   /** Returns the key's replicas without this daemon, suspect members included. */
   private List<MemberInfo> otherReplicas(String key) {
-    return replicasAmong(membership.table().known("entry", region()), key).stream()
+    return replicasAmong(membership.table().known(MemberInfo.ENTRY, region()), key).stream()
         .filter(r -> !r.nodeId().equals(self.nodeId()))
         .toList();
   }
@@ -227,7 +227,7 @@
    */
   public synchronized void maintain() {
     table.expire(clock.instant());
-    List<Member> members = membership.table().known("entry", region());
+    List<Member> members = membership.table().known(MemberInfo.ENTRY, region());
     Set<String> peers = new HashSet<>();
     members.forEach(m -> peers.add(m.info().nodeId() + "/" + m.info().incarnation()));
     if (peers.equals(knownPeers)) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
@@ -12,6 +12,7 @@
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.misc.PrefixHash;
+import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.routing.GatewayView;
 import org.lacewingcroft.routing.RegionSummary;
@@ -96,7 +97,7 @@
   @Override
   public List<RegionSummary> otherRegions() {
     Map<String, Map<String, Integer>> byRegion = new HashMap<>();
-    for (Member m : membership.table().alive("entry", null, clock.instant())) {
+    for (Member m : membership.table().alive(MemberInfo.ENTRY, null, clock.instant())) {
       if (!m.info().region().equals(region)) {
         Map<String, Integer> slots =
             byRegion.computeIfAbsent(m.info().region(), r -> new HashMap<>());
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -4,7 +4,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -33,6 +35,7 @@
   private final Behaviour behaviour;
   private final HttpServer server;
   private final AtomicInteger runs = new AtomicInteger();
+  private final Set<String> keysRun = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> released = new CompletableFuture<>();
 
   FakeEndpoint(Vertx vertx, Behaviour behaviour) throws Exception {
@@ -55,12 +58,18 @@
     return runs.get();
   }
 
+  /** Returns the idempotency keys of the requests that reached it. */
+  Set<String> keysRun() {
+    return keysRun;
+  }
+
   void release() {
     released.complete(null);
   }
 
   private void handle(HttpServerRequest request) {
     runs.incrementAndGet();
+    keysRun.add(String.valueOf(request.getHeader("Idempotency-Key")));
     HttpServerResponse response = request.response();
     String id = request.getHeader("X-Request-Id");
     response.exceptionHandler(e -> {});
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -14,9 +15,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
@@ -37,6 +40,7 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class RequestFaultTest {
   private static final String REGION = "uusimaa";
+  private static final int SHORT_DEADLINES = 600;
   private final Vertx vertx = Vertx.vertx();
   private final List<FakeEndpoint> endpoints = new ArrayList<>();
   private TestCluster cluster;
@@ -169,6 +173,25 @@
     assertThat(runsInAll(), is(1));
   }
 
+  /** Deadlines so short that many are over between the claim of the key and the send. */
+  @Test
+  void neverRunsWhatItRefusedAtTheDeadline() throws Exception {
+    String model = announced(FakeEndpoint.Behaviour.ANSWERS);
+    Set<String> refused = new HashSet<>();
+    for (int i = 0; i < SHORT_DEADLINES; i++) {
+      String key = "short-" + i;
+      String deadlineMillis = Integer.toString(1 + i % 2);
+      TestCluster.Reply reply =
+          chat(model, Optional.of(key), Map.of("X-Deadline-Millis", deadlineMillis));
+      if (reply.code().equals("not_run")) {
+        refused.add(key);
+      }
+    }
+    assertThat(chat(model, Optional.of("last"), Map.of()).status(), is(200));
+    refused.retainAll(endpoints.get(0).keysRun());
+    assertThat("refused as not run, and run", refused, is(empty()));
+  }
+
   @Test
   void refusesAtOnceWhatExceedsTheRequestsInFlight() throws Exception {
     String model = announced(FakeEndpoint.Behaviour.HANGS);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
@@ -238,11 +237,6 @@
     return new GatewayException(ErrorKind.MALFORMED_REQUEST, detail);
   }
 
-  /** Returns the body as text, for logs. */
-  public String bodyText() {
-    return new String(body, StandardCharsets.UTF_8);
-  }
-
   /**
    * Returns what the router needs of this request.
    *
