One load estimate, one count of attempts

RegionView wrote out the estimate of an endpoint's load that Candidate#estimatedLoad already gives, and Exchange counted sends beside the list of attempts that each send is added to. Change: RegionView calls Candidate; the count is the list's size. Behaviour is as it was. Ruled out: hashing the prompt prefix once for Router and RegionView (about 256 characters; it would put the hash into three records).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -152,9 +152,8 @@
   }
 
   private Attempt begin(Exchange exchange, String target, String region, Attempt.Kind kind) {
-    exchange.countSend();
     Attempt attempt = new Attempt(target, region, kind, inFlight);
-    exchange.attempts().add(attempt);
+    exchange.begin(attempt);
     return attempt;
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -25,7 +25,6 @@
   private final Set<String> passedOver = new HashSet<>();
   private final List<Attempt> attempts = new ArrayList<>();
   private Optional<String> claimedKey = Optional.empty();
-  private int sends;
   private int possibleRuns;
   private boolean refused;
   private boolean callerLeft;
@@ -87,13 +86,14 @@
     claimedKey = Optional.of(key);
   }
 
-  /** Counts a send to an endpoint or another entry and returns how many there were. */
-  int countSend() {
-    return ++sends;
+  /** Notes an attempt to send the request to an endpoint or another entry. */
+  void begin(Attempt attempt) {
+    attempts.add(attempt);
   }
 
+  /** Returns how many attempts there were, the live ones included. */
   int sends() {
-    return sends;
+    return attempts.size();
   }
 
   /** Notes that the request is being written to a target, which from now on may run it. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
@@ -14,6 +14,7 @@
 import org.lacewingcroft.misc.PrefixHash;
 import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
+import org.lacewingcroft.routing.Candidate;
 import org.lacewingcroft.routing.GatewayView;
 import org.lacewingcroft.routing.RegionSummary;
 
@@ -58,7 +59,7 @@
     Map<String, Integer> free = new HashMap<>();
     for (Endpoint e : endpoints.snapshot().all()) {
       if (e.region().equals(region) && e.acceptsWork(clock.instant())) {
-        int used = Math.max(e.reportedLoad(), inFlight.to(e.id()));
+        int used = new Candidate(e, inFlight.to(e.id()), false).estimatedLoad();
         for (String model : e.models()) {
           free.merge(model, Math.max(0, e.capacity() - used), Integer::sum);
         }
