--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -1,22 +1,13 @@
 package org.lacewingcroft.control;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
 import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ChangeResult;
@@ -26,39 +17,22 @@
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
-import org.lacewingcroft.consensus.Output;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 
 /**
- * The control role: drives this instance's {@link ConsensusMember} on one thread that owns its
- * files, carries its messages over the peer transport, and puts each committed configuration in
- * force.
- *
- * <p>A failed write or sync stops the role for good: the file's state is then unknown, so the
- * member must not acknowledge anything more. {@code onDiskFailure} is told.
+ * The control role: drives this instance's {@link ConsensusMember}, carries its messages over the
+ * peer transport, and puts each committed configuration in force.
  */
 public final class ControlService implements AutoCloseable {
   private static final System.Logger LOG = System.getLogger(ControlService.class.getName());
-  private static final long TICK_MILLIS = 20;
 
   private final String nodeId;
   private final ConfigStore configs;
   private final Membership membership;
-  private final Consumer<Throwable> onDiskFailure;
-  private final DurableLog log;
   private final ConsensusMember member;
-  private final LongSupplier steadyMillis;
-  private final ScheduledExecutorService thread =
-      Executors.newSingleThreadScheduledExecutor(
-          task -> {
-            Thread t = new Thread(task, "control-log");
-            t.setDaemon(true);
-            return t;
-          });
-  private final Map<Long, Promise<ChangeResult>> waiting = new HashMap<>();
+  private final ConsensusDriver driver;
   private volatile Status status;
-  private long nextTicket;
 
   /**
    * The role as an operator sees it.
@@ -111,9 +85,7 @@
     this.nodeId = membership.self().nodeId();
     this.configs = configs;
     this.membership = membership;
-    this.onDiskFailure = onDiskFailure;
-    this.log = DurableLog.open(dataDir, bootstrap);
-    this.steadyMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    DurableLog log = DurableLog.open(dataDir, bootstrap);
     this.member =
         new ConsensusMember(
             nodeId,
@@ -121,7 +93,8 @@
             ConsensusTiming.DEFAULT,
             log,
             new SplittableRandom(),
-            steadyMillis.getAsLong());
+            ConsensusDriver.steadyMillis());
+    this.driver = new ConsensusDriver(member, log, new Carrier(), onDiskFailure);
     publish(List.of());
     LOG.log(
         System.Logger.Level.INFO,
@@ -138,7 +111,7 @@
 
   /** Begins to take part in the group. */
   public void start() {
-    thread.scheduleAtFixedRate(() -> step(member::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    driver.start();
   }
 
   /** Returns whether this member leads its group; called from any thread. */
@@ -153,7 +126,7 @@
 
   /** Takes a message of another member. */
   public void receive(String from, ConsensusMessage message) {
-    execute(() -> step(now -> member.receive(from, message, now)));
+    driver.later(now -> member.receive(from, message, now));
   }
 
   /**
@@ -166,70 +139,23 @@
    */
   public Future<ChangeResult> propose(
       Command.Change change, long expectedVersion, Duration patience) {
-    Promise<ChangeResult> promise = Promise.promise();
-    boolean taken =
-        execute(
-            () -> {
-              long ticket = nextTicket++;
-              waiting.put(ticket, promise);
-              step(now -> member.propose(ticket, change, expectedVersion, now));
-              if (waiting.containsKey(ticket)) {
-                thread.schedule(
-                    () -> decide(ticket, new ChangeResult.Unknown()),
-                    patience.toMillis(),
-                    TimeUnit.MILLISECONDS);
-              }
-            });
-    if (!taken) {
-      promise.complete(new ChangeResult.NotLeader(Optional.empty()));
-    }
-    return promise.future();
-  }
-
-  private boolean execute(Runnable task) {
-    try {
-      thread.execute(task);
-      return true;
-    } catch (RejectedExecutionException stopped) {
-      return false;
-    }
+    return driver.propose(
+        (ticket, now) -> member.propose(ticket, change, expectedVersion, now), patience);
   }
 
-  private void step(Function<Long, Output> action) {
-    ConsensusMember.Role before = member.role();
-    long termBefore = member.term();
-    try {
-      carryOut(action.apply(steadyMillis.getAsLong()));
-    } catch (RuntimeException e) {
-      LOG.log(System.Logger.Level.ERROR, "control.stopped", e);
-      thread.shutdownNow();
-      onDiskFailure.accept(e);
-      return;
-    }
-    if (member.role() != before || member.term() != termBefore) {
-      LOG.log(
-          System.Logger.Level.INFO,
-          "control.role",
-          "role",
-          member.role(),
-          "term",
-          member.term(),
-          "leader",
-          member.leader().orElse("none"));
+  private final class Carrier implements ConsensusDriver.Listener {
+    @Override
+    public void send(String to, ConsensusMessage message) {
+      membership
+          .addressOf(to)
+          .ifPresent(a -> membership.send(a, new PeerMessage.Consensus(nodeId, message)));
     }
-  }
 
-  private void carryOut(Output out) {
-    for (Output.Envelope envelope : out.messages()) {
-      membership
-          .addressOf(envelope.to())
-          .ifPresent(
-              address ->
-                  membership.send(address, new PeerMessage.Consensus(nodeId, envelope.message())));
+    @Override
+    public void stepped(ConsensusMember stepped, List<LogEntry> committed) {
+      publish(committed);
+      committed.forEach(ControlService.this::logCommitted);
     }
-    publish(out.committed());
-    out.committed().forEach(this::logCommitted);
-    out.decisions().forEach(d -> decide(d.ticket(), d.result()));
   }
 
   /** Puts the committed state in force here; the daemon then spreads it. */
@@ -280,19 +206,8 @@
     }
   }
 
-  private void decide(long ticket, ChangeResult result) {
-    Promise<ChangeResult> promise = waiting.remove(ticket);
-    if (promise != null) {
-      promise.complete(result);
-    }
-  }
-
   @Override
   public void close() throws IOException, InterruptedException {
-    thread.shutdown();
-    if (!thread.awaitTermination(5, TimeUnit.SECONDS)) {
-      thread.shutdownNow();
-    }
-    log.close();
+    driver.close();
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -10,7 +10,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
+import org.lacewingcroft.consensus.ConfigState;
 import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.consensus.HardState;
 import org.lacewingcroft.consensus.LogEntry;
@@ -71,6 +73,25 @@
     return open(dataDir, bootstrap, c -> c.force(true));
   }
 
+  /**
+   * Opens the log of a group that its log names. On the deployment's first start the founding
+   * members begin with a snapshot that names them; every other data folder that is empty begins as
+   * a non-voter that learns the group from its leader.
+   *
+   * @param dataDir the data folder
+   * @param founders the ids of the founding members if this is one of them on the first start,
+   *     otherwise empty
+   * @throws IOException if the folder or a file cannot be used
+   */
+  public static DurableLog openFounded(Path dataDir, Set<String> founders) throws IOException {
+    DurableLog log = open(dataDir, !founders.isEmpty());
+    boolean unused = log.snapshot.equals(Snapshot.EMPTY) && log.entries.isEmpty();
+    if (!founders.isEmpty() && unused) {
+      log.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founders)), List.of());
+    }
+    return log;
+  }
+
   static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
       throws IOException {
     Files.createDirectories(dataDir);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
@@ -167,6 +167,7 @@
       System.err.println("lacewingcroftd: " + e.getMessage());
       return 2;
     }
+    LogContext.logToStandardOutput();
     LogContext.setNodeId(settings.nodeId());
     Daemon daemon = Daemon.start(settings);
     CountDownLatch stopped = new CountDownLatch(1);
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -0,0 +1,433 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lacewingcroft.consensus.RoutingState;
+import org.lacewingcroft.control.RoutingControl;
+
+/**
+ * A control instance of a fleet: keeps the roster of endpoints from their announcements, knows the
+ * entries that take callers, and holds the routing state in its {@link RoutingControl}.
+ *
+ * <p>Announcements are passed on to the other control instances in small batches; what changes the
+ * roster is pushed to every entry at once, and a digest in each entry's report finds what a push
+ * missed. That an endpoint leaves is acknowledged only once a majority of the group knows it, so
+ * that no single loss forgets it.
+ *
+ * <p>All state is owned by the event loop.
+ */
+public final class ControlNode implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(ControlNode.class.getName());
+
+  /** How often announcements are passed on. */
+  private static final long FLUSH_MILLIS = 100;
+
+  /** How often control instances greet each other and leases are checked. */
+  private static final long HELLO_MILLIS = 500;
+
+  /** An entry that has not reported for this long is not named to callers. */
+  private static final Duration ENTRY_VALID = Duration.ofMillis(1_700);
+
+  /** A control instance that has not greeted for this long is not named to others. */
+  private static final Duration CONTROL_VALID = Duration.ofSeconds(10);
+
+  /** Announcements that may be missing before an endpoint counts as lost. */
+  private static final int LEASE_HEARTBEATS = 4;
+
+  /** How long the majority may take to confirm that an endpoint leaves: callers wait a second. */
+  private static final Duration CONFIRM_PATIENCE = Duration.ofMillis(750);
+
+  /** Least pause between two whole rosters to one entry. */
+  private static final Duration WHOLE_PAUSE = Duration.ofMillis(900);
+
+  private final FleetSettings settings;
+  private final InstantSource clock;
+  private final Vertx vertx;
+  private final Context context;
+  private final FleetTransport transport;
+  private final RoutingControl control;
+  private final OrderRelay orders;
+  private final EndpointRoster roster = new EndpointRoster();
+  private final Map<String, SeenEntry> entries = new TreeMap<>();
+  private final Map<String, Instant> controls = new HashMap<>();
+  private final Map<String, EndpointRecord> outbox = new TreeMap<>();
+  private final Map<Long, Confirmation> confirmations = new HashMap<>();
+  private final Set<String> confirmedLeaving = new HashSet<>();
+  private final Instant startedAt;
+  private volatile List<String> seeds;
+  private boolean hadMajority;
+  private long nextCallId = 1;
+
+  private static final class SeenEntry {
+    private EntryInfo info;
+    private boolean ready;
+    private Instant at;
+    private Instant wholeSentAt = Instant.EPOCH;
+  }
+
+  private record Confirmation(Promise<Boolean> done, Set<String> missing, int needed) {}
+
+  /**
+   * Starts a control instance.
+   *
+   * @throws IOException if the data folder cannot be used
+   */
+  public ControlNode(Context context, FleetSettings settings, InstantSource clock)
+      throws IOException {
+    this.context = context;
+    this.vertx = context.owner();
+    this.settings = settings;
+    this.clock = clock;
+    this.startedAt = clock.instant();
+    this.seeds = settings.seedPeers();
+    this.transport = new FleetTransport(context, settings);
+    boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
+    this.control =
+        new RoutingControl(
+            settings.peerAddress(),
+            settings.dataDir().orElseThrow(),
+            founder ? Set.copyOf(seeds) : Set.of(),
+            settings.toleratedLosses(),
+            transport::send,
+            state -> context.runOnContext(v -> announceState(state)),
+            failure -> Runtime.getRuntime().halt(EXIT_DISK_FAILURE));
+    this.orders = new OrderRelay(context, settings.peerAddress(), control, transport);
+  }
+
+  /** The exit status after the data folder failed: what it holds is then unknown. */
+  private static final int EXIT_DISK_FAILURE = 3;
+
+  /** Listens and begins to greet. */
+  public Future<Void> start() {
+    vertx.setPeriodic(FLUSH_MILLIS, id -> flush());
+    vertx.setPeriodic(HELLO_MILLIS, id -> hello());
+    return transport
+        .listen(this::receive, control::receive)
+        .onSuccess(port -> hello())
+        .mapEmpty();
+  }
+
+  /** Takes other seeds from changed settings. */
+  public void seeds(List<String> peers) {
+    seeds = List.copyOf(peers);
+  }
+
+  /** Returns the orders of operators. */
+  public OrderRelay orders() {
+    return orders;
+  }
+
+  /** Returns the control group's view, for metrics. */
+  public RoutingControl.View view() {
+    return control.view();
+  }
+
+  /** Returns how many endpoints are known. */
+  public int endpoints() {
+    return roster.records(clock.instant()).size();
+  }
+
+  /**
+   * Takes an endpoint's announcement.
+   *
+   * @return whether it may be acknowledged; if not, the endpoint shall try another instance
+   */
+  public Future<Boolean> announced(EndpointRecord record) {
+    Optional<EndpointRecord> changed = roster.announced(record, clock.instant());
+    changed.ifPresent(c -> logEndpoint(c, "announcement"));
+    if (record.state() == EndpointState.READY) {
+      outbox.put(record.id(), record);
+      changed.ifPresent(c -> pushToEntries(List.of(c)));
+      return Future.succeededFuture(control.view().inMajority());
+    }
+    return confirmLeaving(record, changed.isPresent());
+  }
+
+  /** Takes an endpoint's word that it leaves now. */
+  public Future<Boolean> left(String id) {
+    Optional<EndpointRecord> known = roster.find(id);
+    EndpointRecord gone =
+        known
+            .map(r -> r.inState(EndpointState.GONE))
+            .orElseGet(
+                () ->
+                    new EndpointRecord(id, "", "", "", 0, EndpointState.GONE, Long.MAX_VALUE, 0));
+    boolean changed = roster.merge(gone, clock.instant()).isPresent();
+    if (changed) {
+      logEndpoint(gone, "left");
+    }
+    return confirmLeaving(gone, changed);
+  }
+
+  private Future<Boolean> confirmLeaving(EndpointRecord record, boolean changed) {
+    outbox.put(record.id(), record);
+    String key = record.id() + record.state();
+    if (confirmedLeaving.contains(key)) {
+      return Future.succeededFuture(true);
+    }
+    Set<String> members = control.view().members();
+    Set<String> others = new TreeSet<>(members);
+    others.remove(settings.peerAddress());
+    if (changed) {
+      pushToEntries(List.of(record));
+    }
+    Promise<Boolean> done = Promise.promise();
+    long callId = nextCallId++;
+    int needed = members.size() / 2;
+    confirmations.put(callId, new Confirmation(done, others, needed));
+    FleetMessage update =
+        new FleetMessage.RosterUpdate(settings.peerAddress(), callId, false, List.of(record));
+    others.forEach(o -> transport.send(o, update));
+    vertx.setTimer(
+        CONFIRM_PATIENCE.toMillis(),
+        id -> {
+          if (confirmations.remove(callId) != null) {
+            done.tryComplete(false);
+          }
+        });
+    return done.future()
+        .onSuccess(
+            confirmed -> {
+              if (confirmed) {
+                confirmedLeaving.add(key);
+              }
+            });
+  }
+
+  private void confirmed(FleetMessage.RosterAck ack) {
+    Confirmation confirmation = confirmations.get(ack.callId());
+    if (confirmation == null || !confirmation.missing().remove(ack.from())) {
+      return;
+    }
+    int have = control.view().members().size() - 1 - confirmation.missing().size();
+    if (have >= confirmation.needed()) {
+      confirmations.remove(ack.callId());
+      confirmation.done().tryComplete(true);
+    }
+  }
+
+  private static void logEndpoint(EndpointRecord r, String cause) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "endpoint.changed",
+        "endpoint",
+        r.id(),
+        "state",
+        r.state(),
+        "sequence",
+        r.sequence(),
+        "address",
+        r.address(),
+        "coldMillis",
+        r.coldMillis(),
+        "cause",
+        cause);
+  }
+
+  /** Returns the public addresses of entries for a caller, those of its region if there are any. */
+  public List<String> entriesFor(String region, int most) {
+    List<EntryInfo> ready = readyEntries();
+    List<EntryInfo> near = ready.stream().filter(e -> e.region().equals(region)).toList();
+    return (near.isEmpty() ? ready : near)
+        .stream().map(EntryInfo::publicAddress).limit(most).toList();
+  }
+
+  private List<EntryInfo> readyEntries() {
+    Instant horizon = clock.instant().minus(ENTRY_VALID);
+    return entries.values().stream()
+        .filter(e -> e.ready && e.at.isAfter(horizon))
+        .map(e -> e.info)
+        .toList();
+  }
+
+  private void receive(FleetMessage message) {
+    if (message instanceof FleetMessage.EntryReport report) {
+      reported(report);
+    } else if (message instanceof FleetMessage.ControlHello hello) {
+      greeted(hello);
+    } else if (message instanceof FleetMessage.RosterUpdate update) {
+      updated(update);
+    } else if (message instanceof FleetMessage.RosterAck ack) {
+      confirmed(ack);
+    } else if (message instanceof FleetMessage.StateRequest request) {
+      offerState(request.from());
+    } else if (message instanceof FleetMessage.ControlCall call) {
+      orders.called(call);
+    } else if (message instanceof FleetMessage.ControlReply reply) {
+      orders.replied(reply);
+    }
+  }
+
+  private void reported(FleetMessage.EntryReport report) {
+    SeenEntry seen = entries.computeIfAbsent(report.entry().name(), n -> new SeenEntry());
+    Instant now = clock.instant();
+    if (seen.info == null || report.ready() != seen.ready) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "entry.changed",
+          "entry",
+          report.entry().name(),
+          "ready",
+          report.ready());
+    }
+    seen.info = report.entry();
+    seen.ready = report.ready();
+    seen.at = now;
+    String peer = report.entry().peerAddress();
+    transport.send(peer, pulse());
+    boolean settled = settled(now);
+    if (report.rosterDigest() != roster.digest()
+        && seen.wholeSentAt.plus(WHOLE_PAUSE).isBefore(now)) {
+      seen.wholeSentAt = now;
+      transport.send(
+          peer,
+          new FleetMessage.RosterUpdate(
+              settings.peerAddress(),
+              0,
+              settled && control.view().inMajority(),
+              List.copyOf(roster.records(now))));
+    }
+    List<EntryInfo> ready = readyEntries();
+    if (settled && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
+      transport.send(peer, new FleetMessage.EntryList(settings.peerAddress(), ready));
+    }
+  }
+
+  /** Whether this instance has run for as long as an endpoint may stay unheard of. */
+  private boolean settled(Instant now) {
+    return startedAt.plus(settings.endpointHeartbeat().multipliedBy(2)).isBefore(now);
+  }
+
+  private FleetMessage.ControlPulse pulse() {
+    return new FleetMessage.ControlPulse(
+        settings.peerAddress(),
+        control.view().inMajority(),
+        settled(clock.instant()),
+        control.view().routing().revision(),
+        knownControls());
+  }
+
+  private List<String> knownControls() {
+    Set<String> known = new TreeSet<>(control.view().members());
+    known.addAll(controls.keySet());
+    known.add(settings.peerAddress());
+    return List.copyOf(known);
+  }
+
+  private void hello() {
+    Instant now = clock.instant();
+    controls.values().removeIf(at -> at.plus(CONTROL_VALID).isBefore(now));
+    entries.values().removeIf(e -> e.at.plus(CONTROL_VALID).isBefore(now));
+    Set<String> targets = new TreeSet<>(knownControls());
+    targets.addAll(seeds);
+    targets.remove(settings.peerAddress());
+    FleetMessage hello = new FleetMessage.ControlHello(settings.peerAddress(), knownControls());
+    targets.forEach(t -> transport.send(t, hello));
+    expireLeases(now);
+  }
+
+  private void expireLeases(Instant now) {
+    boolean majority = control.view().inMajority();
+    if (majority && !hadMajority) {
+      roster.renewAll(now);
+    }
+    hadMajority = majority;
+    if (majority) {
+      Duration lease = settings.endpointHeartbeat().multipliedBy(LEASE_HEARTBEATS);
+      List<EndpointRecord> lost = roster.expire(now, lease);
+      lost.forEach(r -> logEndpoint(r, "lease over"));
+      if (!lost.isEmpty()) {
+        pushToEntries(lost);
+      }
+    }
+  }
+
+  private void greeted(FleetMessage.ControlHello hello) {
+    controls.put(hello.from(), clock.instant());
+    control.admit(hello.from());
+  }
+
+  private void updated(FleetMessage.RosterUpdate update) {
+    Instant now = clock.instant();
+    List<EndpointRecord> changed = new ArrayList<>();
+    for (EndpointRecord record : update.records()) {
+      Optional<EndpointRecord> change =
+          record.state() == EndpointState.GONE
+              ? roster.merge(record, now)
+              : roster.announced(record, now);
+      change.ifPresent(changed::add);
+    }
+    if (!changed.isEmpty()) {
+      changed.forEach(c -> logEndpoint(c, update.from()));
+      pushToEntries(changed);
+    }
+    if (update.callId() != 0) {
+      transport.send(
+          update.from(), new FleetMessage.RosterAck(settings.peerAddress(), update.callId()));
+    }
+  }
+
+  private void pushToEntries(List<EndpointRecord> records) {
+    FleetMessage update =
+        new FleetMessage.RosterUpdate(settings.peerAddress(), 0, false, records);
+    entries.values().forEach(e -> transport.send(e.info.peerAddress(), update));
+  }
+
+  private void flush() {
+    if (outbox.isEmpty()) {
+      return;
+    }
+    FleetMessage update =
+        new FleetMessage.RosterUpdate(
+            settings.peerAddress(), 0, false, List.copyOf(outbox.values()));
+    outbox.clear();
+    for (String other : knownControls()) {
+      if (!other.equals(settings.peerAddress())) {
+        transport.send(other, update);
+      }
+    }
+  }
+
+  private void announceState(RoutingState state) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "routing.in_force",
+        "revision",
+        state.revision(),
+        "version",
+        state.version(),
+        "evacuated",
+        state.evacuatedDomains());
+    FleetMessage pulse = pulse();
+    entries.values().forEach(e -> transport.send(e.info.peerAddress(), pulse));
+  }
+
+  private void offerState(String peer) {
+    RoutingState state = control.view().routing();
+    transport.send(
+        peer,
+        new FleetMessage.StateOffer(
+            state.revision(), state.version(), state.document(), state.evacuatedDomains()));
+  }
+
+  @Override
+  public void close() throws Exception {
+    control.close();
+    transport.close();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -0,0 +1,502 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ThreadLocalRandom;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.ExtraSendBudget;
+import org.lacewingcroft.placement.Placement;
+import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.placement.Placer;
+import org.lacewingcroft.placement.RegionLoads;
+import org.lacewingcroft.route.InvalidRouteTableException;
+import org.lacewingcroft.route.RouteDocumentParser;
+import org.lacewingcroft.route.ServiceSpec;
+
+/**
+ * What an entry of a fleet believes: the routing state, the endpoints with their load, the other
+ * entries and the control instances. It reports to every control instance it knows, takes what they
+ * push, and goes on with what it knows while none is in reach.
+ *
+ * <p>All state is owned by the event loop.
+ */
+public final class EntryNode implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(EntryNode.class.getName());
+
+  /** How often an entry reports to the control instances. */
+  private static final long REPORT_MILLIS = 500;
+
+  /** How often entries of a region tell each other their work: about one short prompt's reading. */
+  private static final long LOAD_MILLIS = 120;
+
+  /** Without any word of a control instance for this long, the seeds are tried again. */
+  private static final Duration CONTROL_SILENCE = Duration.ofSeconds(2);
+
+  /** A record younger than this may be missing in another control instance's whole roster. */
+  private static final Duration ROSTER_SPREAD = Duration.ofSeconds(3);
+
+  /** Pause before the routing state is asked for again. */
+  private static final Duration REQUEST_PAUSE = Duration.ofMillis(400);
+
+  /** Added to a service's warm-up after an evacuation ends: the word of it takes a while. */
+  private static final Duration RETURN_SLACK = Duration.ofSeconds(1);
+
+  /** Share of an endpoint's connections that all entries together use. */
+  private static final double CONNECTION_SHARE = 0.8;
+
+  /** Share of a cold endpoint's bound that entries use together. */
+  private static final double COLD_SHARE = 0.5;
+
+  private final FleetSettings settings;
+  private final EntryInfo self;
+  private final InstantSource clock;
+  private final Vertx vertx;
+  private final FleetTransport transport;
+  private final RouteDocumentParser parser;
+  private final EndpointRoster roster = new EndpointRoster();
+  private final Map<String, EndpointTracker> trackers = new TreeMap<>();
+  private final Map<String, Instant> knownSince = new HashMap<>();
+  private final RegionLoads regionLoads = new RegionLoads();
+  private final ExtraSendBudget extraSends;
+  private final Map<String, Instant> controlsHeard = new HashMap<>();
+  private volatile List<String> seeds;
+  private List<String> controls = List.of();
+  private List<EntryInfo> entries = List.of();
+  private volatile RoutingView routing = RoutingView.NONE;
+  private Instant requestedAt = Instant.EPOCH;
+  private boolean rosterKnown;
+  private boolean reachedControl;
+  private boolean stopping;
+  private boolean toldLoad;
+
+  /** Creates the entry; {@link #start} begins to report. */
+  public EntryNode(
+      Context context,
+      FleetSettings settings,
+      EntryInfo self,
+      RouteDocumentParser parser,
+      InstantSource clock) {
+    this.vertx = context.owner();
+    this.settings = settings;
+    this.self = self;
+    this.parser = parser;
+    this.clock = clock;
+    this.seeds = settings.seedPeers();
+    this.transport = new FleetTransport(context, settings);
+    FleetBounds bounds = settings.bounds();
+    this.extraSends =
+        new ExtraSendBudget(
+            bounds.extraSendRatio(), bounds.extraSendSlack(), bounds.extraSendWindow());
+  }
+
+  /** Listens to peers and begins to report. */
+  public Future<Void> start() {
+    vertx.setPeriodic(REPORT_MILLIS, id -> report());
+    vertx.setPeriodic(LOAD_MILLIS, id -> tellLoad());
+    return transport
+        .listen(this::receive, (from, message) -> {})
+        .onSuccess(port -> report())
+        .mapEmpty();
+  }
+
+  /** Takes other seeds from changed settings. */
+  public void seeds(List<String> peers) {
+    seeds = List.copyOf(peers);
+  }
+
+  /** Tells everybody that this entry takes no callers any more. */
+  public void stopping() {
+    stopping = true;
+    report();
+  }
+
+  /** Returns whether callers may be sent here. */
+  public boolean ready() {
+    return !stopping && routing.revision() > 0 && rosterKnown;
+  }
+
+  /** Returns whether this entry is about to stop. */
+  public boolean isStopping() {
+    return stopping;
+  }
+
+  /** Returns what this entry routes by now. */
+  public RoutingView routing() {
+    return routing;
+  }
+
+  /** Returns the budget of sends beyond a request's first. */
+  public boolean mayResend(String service) {
+    return extraSends.tryTake(service, entries.size(), clock.instant());
+  }
+
+  /** Counts a request sent for the first time. */
+  public void firstSend(String service) {
+    extraSends.firstSend(service, clock.instant());
+  }
+
+  /** Returns the entries known, this one included while it takes callers. */
+  public List<EntryInfo> entries() {
+    return entries;
+  }
+
+  /** Returns how many control instances answered lately. */
+  public long controlsInTouch() {
+    Instant horizon = clock.instant().minus(CONTROL_SILENCE);
+    return controlsHeard.values().stream().filter(at -> at.isAfter(horizon)).count();
+  }
+
+  /** Returns the endpoints tracked, for metrics. */
+  public Collection<EndpointTracker> endpoints() {
+    return trackers.values();
+  }
+
+  /** Returns the other regions' loads. */
+  public RegionLoads regionLoads() {
+    return regionLoads;
+  }
+
+  /** Returns the number that {@link FleetMessage.EntryReport} carries for a list of entries. */
+  static int entriesDigest(List<EntryInfo> entries) {
+    int digest = 0;
+    for (EntryInfo entry : entries) {
+      digest += entry.hashCode();
+    }
+    return digest;
+  }
+
+  /**
+   * Places a request.
+   *
+   * @param request the request
+   * @param mayLeave whether it may go to another region
+   * @param allowedRegions regions that may run it; empty for any
+   * @param passedOverRegions regions not to be tried again
+   */
+  public Placement place(
+      PlacementRequest request,
+      boolean mayLeave,
+      Set<String> allowedRegions,
+      Set<String> passedOverRegions) {
+    Optional<ServiceSpec> spec = routing.table().service(request.service());
+    List<String> near = regionEntryNames();
+    Placer placer = new Placer(coldOwners(spec), ThreadLocalRandom.current());
+    return placer.place(
+        request,
+        new Placer.Surroundings(
+            endpointsOf(request.service()),
+            self.name(),
+            near,
+            ownLimit(spec, near.size()),
+            mayLeave ? Optional.of(regionLoads) : Optional.empty(),
+            allowedRegions,
+            passedOverRegions,
+            settings.region()),
+        clock.instant());
+  }
+
+  private List<EndpointTracker> endpointsOf(String service) {
+    Set<String> evacuated = routing.evacuatedDomains();
+    return trackers.values().stream()
+        .filter(t -> t.record().service().equals(service))
+        .filter(t -> !evacuated.contains(t.record().failureDomain()))
+        .filter(this::inRegion)
+        .toList();
+  }
+
+  private boolean inRegion(EndpointTracker tracker) {
+    return settings
+        .regionOf(tracker.record().failureDomain())
+        .filter(settings.region()::equals)
+        .isPresent();
+  }
+
+  private List<String> regionEntryNames() {
+    Set<String> names = new TreeSet<>();
+    names.add(self.name());
+    entries.stream()
+        .filter(e -> e.region().equals(settings.region()))
+        .forEach(e -> names.add(e.name()));
+    return List.copyOf(names);
+  }
+
+  private static int ownLimit(Optional<ServiceSpec> spec, int entriesNear) {
+    int connections = spec.map(ServiceSpec::maxConnections).orElse(1);
+    return Math.max(2, (int) (connections * CONNECTION_SHARE / entriesNear));
+  }
+
+  private int coldOwners(Optional<ServiceSpec> spec) {
+    double rate = spec.map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
+    double bound = rate * settings.bounds().coldOvershoot() + settings.bounds().coldSlack();
+    return Math.max(1, (int) (bound * COLD_SHARE));
+  }
+
+  /** Returns the entries of a region. */
+  public List<EntryInfo> entriesOf(String region) {
+    return entries.stream().filter(e -> e.region().equals(region)).toList();
+  }
+
+  private void report() {
+    Instant now = clock.instant();
+    boolean silent =
+        controlsHeard.values().stream().noneMatch(at -> at.plus(CONTROL_SILENCE).isAfter(now));
+    if (silent && reachedControl) {
+      reachedControl = false;
+      LOG.log(System.Logger.Level.WARNING, "control.lost", "known", controls);
+    }
+    Set<String> targets = new TreeSet<>(controls);
+    if (silent || controls.isEmpty()) {
+      targets.addAll(seeds);
+    }
+    FleetMessage report =
+        new FleetMessage.EntryReport(
+            self, ready(), routing.revision(), roster.digest(), entriesDigest(entries));
+    targets.forEach(t -> transport.send(t, report));
+    tellRegions();
+  }
+
+  private void receive(FleetMessage message) {
+    if (message instanceof FleetMessage.ControlPulse pulse) {
+      pulse(pulse);
+    } else if (message instanceof FleetMessage.RosterUpdate update) {
+      rosterUpdated(update);
+    } else if (message instanceof FleetMessage.EntryList list) {
+      entriesChanged(list);
+    } else if (message instanceof FleetMessage.StateOffer offer) {
+      stateOffered(offer);
+    } else if (message instanceof FleetMessage.LoadReport load) {
+      loadReported(load);
+    } else if (message instanceof FleetMessage.RegionLoad load) {
+      Instant now = clock.instant();
+      load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
+    }
+  }
+
+  private void pulse(FleetMessage.ControlPulse pulse) {
+    Instant now = clock.instant();
+    if (!reachedControl) {
+      reachedControl = true;
+      LOG.log(System.Logger.Level.INFO, "control.reached", "control", pulse.from());
+    }
+    controlsHeard.put(pulse.from(), now);
+    if (pulse.inMajority() || controls.isEmpty()) {
+      controls = pulse.controls();
+      controlsHeard.keySet().retainAll(controls);
+    }
+    boolean mayAsk = requestedAt.plus(REQUEST_PAUSE).isBefore(now);
+    if (pulse.revision() > routing.revision() && mayAsk) {
+      requestedAt = now;
+      transport.send(pulse.from(), new FleetMessage.StateRequest(self.peerAddress()));
+    }
+    if (pulse.settled() && pulse.inMajority()) {
+      rosterKnown = true;
+    }
+  }
+
+  private void stateOffered(FleetMessage.StateOffer offer) {
+    if (offer.revision() <= routing.revision()) {
+      return;
+    }
+    try {
+      RoutingView before = routing;
+      boolean sameDocument = offer.version() == before.table().version();
+      routing =
+          new RoutingView(
+              offer.revision(),
+              sameDocument || offer.version() == 0
+                  ? before.table()
+                  : parser.parse(offer.document()),
+              offer.evacuatedDomains());
+      requestedAt = Instant.EPOCH;
+      returned(before.evacuatedDomains());
+      LOG.log(
+          System.Logger.Level.INFO,
+          "routing.in_force",
+          "revision",
+          offer.revision(),
+          "version",
+          offer.version(),
+          "evacuated",
+          offer.evacuatedDomains());
+    } catch (InvalidRouteTableException e) {
+      LOG.log(System.Logger.Level.ERROR, "routing.unreadable", e);
+    }
+  }
+
+  /** Endpoints of a failure domain that is taken back may have turned cold in the meantime. */
+  private void returned(Set<String> evacuatedBefore) {
+    Set<String> back = new HashSet<>(evacuatedBefore);
+    back.removeAll(routing.evacuatedDomains());
+    Instant now = clock.instant();
+    for (EndpointTracker tracker : trackers.values()) {
+      if (back.contains(tracker.record().failureDomain())) {
+        Duration warmup =
+            routing
+                .table()
+                .service(tracker.record().service())
+                .map(ServiceSpec::warmup)
+                .orElse(Duration.ZERO);
+        if (!warmup.isZero()) {
+          tracker.coldUntil(now.plus(warmup).plus(RETURN_SLACK));
+        }
+      }
+    }
+  }
+
+  private void rosterUpdated(FleetMessage.RosterUpdate update) {
+    Instant now = clock.instant();
+    Set<String> named = new HashSet<>();
+    for (EndpointRecord record : update.records()) {
+      named.add(record.id());
+      take(record, update.from(), now);
+    }
+    if (update.whole()) {
+      for (EndpointRecord record : roster.records(now)) {
+        boolean old =
+            knownSince.getOrDefault(record.id(), Instant.EPOCH).plus(ROSTER_SPREAD).isBefore(now);
+        if (!named.contains(record.id()) && old && record.state() != EndpointState.GONE) {
+          take(record.inState(EndpointState.LOST), update.from(), now);
+        }
+      }
+      rosterKnown = true;
+    }
+    roster.renewAll(now);
+  }
+
+  private void take(EndpointRecord record, String from, Instant now) {
+    Optional<EndpointRecord> changed = roster.merge(record, now);
+    EndpointRecord known = roster.find(record.id()).orElse(record);
+    EndpointTracker tracker = trackers.get(record.id());
+    if (tracker == null) {
+      trackers.put(record.id(), new EndpointTracker(known, now));
+      knownSince.put(record.id(), now);
+    } else if (known.equals(record)) {
+      tracker.update(record, now);
+    }
+    if (known.state() == EndpointState.GONE && trackers.get(record.id()).running() == 0) {
+      trackers.remove(record.id());
+    }
+    changed.ifPresent(
+        c ->
+            LOG.log(
+                System.Logger.Level.INFO,
+                "endpoint.changed",
+                "endpoint",
+                c.id(),
+                "state",
+                c.state(),
+                "sequence",
+                c.sequence(),
+                "address",
+                c.address(),
+                "coldMillis",
+                c.coldMillis(),
+                "from",
+                from));
+  }
+
+  private void entriesChanged(FleetMessage.EntryList list) {
+    if (entriesDigest(list.entries()) != entriesDigest(entries)) {
+      entries = List.copyOf(list.entries());
+      LOG.log(
+          System.Logger.Level.INFO,
+          "entries.changed",
+          "entries",
+          entries.stream().map(EntryInfo::name).toList(),
+          "from",
+          list.from());
+    }
+  }
+
+  private void tellLoad() {
+    List<FleetMessage.EndpointLoad> loads = new ArrayList<>();
+    for (EndpointTracker tracker : trackers.values()) {
+      if (tracker.running() > 0) {
+        loads.add(
+            new FleetMessage.EndpointLoad(
+                tracker.record().id(), tracker.running(), tracker.prefillTokens()));
+      }
+    }
+    boolean news = !loads.isEmpty() || toldLoad;
+    toldLoad = !loads.isEmpty();
+    if (news) {
+      FleetMessage report = new FleetMessage.LoadReport(self.name(), loads);
+      entriesOf(settings.region()).stream()
+          .filter(e -> !e.name().equals(self.name()))
+          .forEach(e -> transport.send(e.peerAddress(), report));
+    }
+  }
+
+  private void loadReported(FleetMessage.LoadReport report) {
+    Instant now = clock.instant();
+    Map<String, FleetMessage.EndpointLoad> byId = new HashMap<>();
+    report.loads().forEach(l -> byId.put(l.endpoint(), l));
+    for (EndpointTracker tracker : trackers.values()) {
+      FleetMessage.EndpointLoad load = byId.get(tracker.record().id());
+      if (load == null) {
+        tracker.peerWork(report.from(), 0, new long[0], now);
+      } else {
+        tracker.peerWork(report.from(), load.running(), load.prefillTokens(), now);
+      }
+    }
+  }
+
+  /** One entry of a region, the first by name, tells the other regions how loaded it is. */
+  private void tellRegions() {
+    List<String> near = regionEntryNames();
+    if (stopping || !near.get(0).equals(self.name()) || !rosterKnown) {
+      return;
+    }
+    Instant now = clock.instant();
+    Map<String, List<EndpointTracker>> byService = new TreeMap<>();
+    for (EndpointTracker tracker : trackers.values()) {
+      boolean open =
+          inRegion(tracker)
+              && tracker.takesWork(now)
+              && !tracker.cold(now)
+              && !routing.evacuatedDomains().contains(tracker.record().failureDomain());
+      if (open) {
+        byService
+            .computeIfAbsent(tracker.record().service(), s -> new ArrayList<>())
+            .add(tracker);
+      }
+    }
+    List<FleetMessage.ServiceLoad> services = new ArrayList<>();
+    byService.forEach((service, list) -> services.add(serviceLoad(service, list, now)));
+    FleetMessage load = new FleetMessage.RegionLoad(settings.region(), services);
+    entries.stream()
+        .filter(e -> !e.region().equals(settings.region()))
+        .forEach(e -> transport.send(e.peerAddress(), load));
+  }
+
+  private static FleetMessage.ServiceLoad serviceLoad(
+      String service, List<EndpointTracker> list, Instant now) {
+    long[] waits = new long[EndpointTracker.PRIORITIES];
+    for (int p = 0; p < waits.length; p++) {
+      int priority = p;
+      waits[p] =
+          Math.round(
+              list.stream().mapToDouble(t -> t.waitMillis(priority, now)).average().orElse(0));
+    }
+    return new FleetMessage.ServiceLoad(service, list.size(), waits);
+  }
+
+  @Override
+  public void close() {
+    transport.close();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -0,0 +1,64 @@
+package org.lacewingcroft.fleet;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The settings of one instance of a fleet, of either role.
+ *
+ * @param nodeName the instance's name
+ * @param ip the address that others reach it at
+ * @param region its region
+ * @param failureDomain its failure domain
+ * @param regionByDomain the region of each failure domain of the deployment
+ * @param peerPort the port of the peer transport, the same on all instances
+ * @param relayPort the port at which entries take requests from each other
+ * @param seedPeers peer addresses of some control instances
+ * @param dataDir the data folder, of control instances
+ * @param firstStart whether the deployment starts for the first time
+ * @param toleratedLosses how many control instances may be lost at once
+ * @param endpointHeartbeat how often endpoints announce themselves
+ * @param bounds what the deployment promises
+ * @param secret the shared secret of the peer transport
+ */
+public record FleetSettings(
+    String nodeName,
+    String ip,
+    String region,
+    String failureDomain,
+    Map<String, String> regionByDomain,
+    int peerPort,
+    int relayPort,
+    List<String> seedPeers,
+    Optional<Path> dataDir,
+    boolean firstStart,
+    int toleratedLosses,
+    Duration endpointHeartbeat,
+    FleetBounds bounds,
+    byte[] secret) {
+
+  /** Copies the collections so the settings are immutable. */
+  public FleetSettings {
+    regionByDomain = Map.copyOf(regionByDomain);
+    seedPeers = List.copyOf(seedPeers);
+    secret = secret.clone();
+  }
+
+  /** Returns this instance's address on the peer transport. */
+  public String peerAddress() {
+    return ip + ":" + peerPort;
+  }
+
+  /** Returns this instance's address for requests of other entries. */
+  public String relayAddress() {
+    return ip + ":" + relayPort;
+  }
+
+  /** Returns the region of a failure domain, if the deployment names it. */
+  public Optional<String> regionOf(String domain) {
+    return Optional.ofNullable(regionByDomain.get(domain));
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -0,0 +1,194 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.RoutingState;
+import org.lacewingcroft.control.RoutingControl;
+import org.lacewingcroft.fleet.FleetMessage.ControlOrder;
+
+/**
+ * Carries operators' orders and reads to the leader of the control group, from whichever instance
+ * they reached. An order is idempotent, so that it may be passed on again while its outcome is not
+ * known; a read is answered only by a leader that has just proved that it leads.
+ */
+public final class OrderRelay {
+  private static final System.Logger LOG = System.getLogger(OrderRelay.class.getName());
+
+  /** How long an order may take here: operators move on to another instance after a second. */
+  private static final Duration PATIENCE = Duration.ofMillis(930);
+
+  /** How long one try with one leader may take: some round trips and slow syncs. */
+  private static final Duration TRY_PATIENCE = Duration.ofMillis(600);
+
+  /** Pause before another try, when no leader is known or it did not answer. */
+  private static final long RETRY_MILLIS = 60;
+
+  private final Context context;
+  private final Vertx vertx;
+  private final String self;
+  private final RoutingControl control;
+  private final FleetTransport transport;
+  private final Map<Long, Promise<Outcome>> calls = new HashMap<>();
+  private long nextCallId = 1;
+
+  /**
+   * What became of an order.
+   *
+   * @param done whether it is committed; otherwise nobody knows yet
+   * @param version for a read the operator's version in force
+   * @param document for a read its document
+   */
+  public record Outcome(boolean done, long version, String document) {
+    static final Outcome UNKNOWN = new Outcome(false, 0, "");
+  }
+
+  private record Order(ControlOrder kind, long version, String text, long deadlineNanos) {
+    Command command() {
+      return switch (kind) {
+        case ROUTE -> new Command.RoutingChange(version, text);
+        case EVACUATE -> new Command.EvacuationChange(text, true);
+        case RETURN -> new Command.EvacuationChange(text, false);
+        case READ -> new Command.Noop();
+      };
+    }
+
+    long leftMillis() {
+      return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+    }
+  }
+
+  OrderRelay(Context context, String self, RoutingControl control, FleetTransport transport) {
+    this.context = context;
+    this.vertx = context.owner();
+    this.self = self;
+    this.control = control;
+    this.transport = transport;
+  }
+
+  /** Puts a checked routing document in force. */
+  public Future<Outcome> route(long version, String document) {
+    return order(ControlOrder.ROUTE, version, document);
+  }
+
+  /** Begins or ends the evacuation of a failure domain. */
+  public Future<Outcome> evacuate(String failureDomain, boolean active) {
+    return order(active ? ControlOrder.EVACUATE : ControlOrder.RETURN, 0, failureDomain);
+  }
+
+  /** Reads the newest routing document. */
+  public Future<Outcome> read() {
+    return order(ControlOrder.READ, 0, "");
+  }
+
+  private Future<Outcome> order(ControlOrder kind, long version, String text) {
+    Promise<Outcome> result = Promise.promise();
+    long deadline = System.nanoTime() + PATIENCE.toNanos();
+    attempt(new Order(kind, version, text, deadline), result);
+    return result.future()
+        .onSuccess(
+            o ->
+                LOG.log(
+                    System.Logger.Level.INFO,
+                    "order.answered",
+                    "order",
+                    kind,
+                    "version",
+                    kind == ControlOrder.READ ? o.version() : version,
+                    "domain",
+                    kind == ControlOrder.ROUTE ? "" : text,
+                    "done",
+                    o.done(),
+                    "leader",
+                    control.view().leader().orElse("none"),
+                    "term",
+                    control.view().term()));
+  }
+
+  private void attempt(Order order, Promise<Outcome> result) {
+    Optional<String> leader = control.view().leader();
+    if (order.leftMillis() <= 0) {
+      result.tryComplete(Outcome.UNKNOWN);
+      return;
+    }
+    Future<Outcome> tried;
+    if (leader.isEmpty()) {
+      tried = Future.succeededFuture(Outcome.UNKNOWN);
+    } else if (leader.get().equals(self)) {
+      tried = submitHere(order.kind(), order.command(), order.leftMillis());
+    } else {
+      tried = callLeader(leader.get(), order);
+    }
+    tried.onComplete(
+        done -> {
+          if (done.succeeded() && done.result().done()) {
+            result.tryComplete(done.result());
+          } else {
+            vertx.setTimer(RETRY_MILLIS, id -> attempt(order, result));
+          }
+        });
+  }
+
+  private Future<Outcome> submitHere(ControlOrder kind, Command command, long patienceMillis) {
+    Promise<Outcome> promise = Promise.promise();
+    control
+        .submit(command, Duration.ofMillis(Math.max(1, patienceMillis)))
+        .onSuccess(
+            result -> context.runOnContext(v -> promise.complete(outcome(kind, result))));
+    return promise.future();
+  }
+
+  private Outcome outcome(ControlOrder kind, ChangeResult result) {
+    if (!(result instanceof ChangeResult.Accepted)) {
+      return Outcome.UNKNOWN;
+    }
+    RoutingState state = control.view().routing();
+    boolean read = kind == ControlOrder.READ;
+    return new Outcome(true, state.version(), read ? state.document() : "");
+  }
+
+  private Future<Outcome> callLeader(String leader, Order order) {
+    Promise<Outcome> promise = Promise.promise();
+    long callId = nextCallId++;
+    calls.put(callId, promise);
+    transport.send(
+        leader,
+        new FleetMessage.ControlCall(self, callId, order.kind(), order.version(), order.text()));
+    vertx.setTimer(
+        Math.max(1, Math.min(order.leftMillis(), TRY_PATIENCE.toMillis())),
+        id -> {
+          if (calls.remove(callId) != null) {
+            promise.tryComplete(Outcome.UNKNOWN);
+          }
+        });
+    return promise.future();
+  }
+
+  /** Serves an order that another instance passed on. */
+  void called(FleetMessage.ControlCall call) {
+    Order order = new Order(call.order(), call.version(), call.text(), 0);
+    submitHere(call.order(), order.command(), TRY_PATIENCE.toMillis())
+        .onSuccess(
+            o ->
+                transport.send(
+                    call.from(),
+                    new FleetMessage.ControlReply(
+                        call.callId(), o.done(), o.version(), o.document())));
+  }
+
+  /** Takes the leader's reply. */
+  void replied(FleetMessage.ControlReply reply) {
+    Promise<Outcome> promise = calls.remove(reply.callId());
+    if (promise != null) {
+      promise.tryComplete(new Outcome(reply.done(), reply.version(), reply.document()));
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -0,0 +1,224 @@
+package org.lacewingcroft.forward;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.SocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.fleet.FleetSettings;
+import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.Route;
+
+/**
+ * The sockets at which an entry takes requests: the public one of callers, and the relay of other
+ * regions' entries, which have chosen the service already and ask for an endpoint of this region.
+ */
+public final class EntryServer {
+  private static final System.Logger LOG = System.getLogger(EntryServer.class.getName());
+
+  /** Longest unused connection kept: callers stay within four fifths of their idle timeout. */
+  private static final int IDLE_TIMEOUT_SECONDS = 75;
+
+  /** Room for heads; the document's own limit is checked on top. */
+  private static final int MAX_HEAD_BYTES = 65_536;
+
+  /** Connections that may wait to be accepted while this entry is busy. */
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  private static final Duration START_RETRY_AFTER = Duration.ofMillis(500);
+
+  private final Vertx vertx;
+  private final EntryNode node;
+  private final HeaderNames names;
+  private final RequestReader reader;
+  private final ForwardContext context;
+  private final InstantSource clock;
+  private final HopAuthenticator hops;
+  private HttpServer publicServer;
+  private HttpServer relayServer;
+
+  /** Creates the servers; {@link #listen} opens them. */
+  public EntryServer(
+      Vertx vertx,
+      FleetSettings settings,
+      EntryNode node,
+      HeaderNames names,
+      GatewayMetrics metrics,
+      InstantSource clock) {
+    this.vertx = vertx;
+    this.node = node;
+    this.names = names;
+    this.reader = new RequestReader(names);
+    this.clock = clock;
+    this.hops = new HopAuthenticator(settings.secret());
+    this.context =
+        new ForwardContext(
+            vertx,
+            node,
+            new UpstreamConnections(vertx, clock),
+            names,
+            hops,
+            settings.region(),
+            metrics,
+            clock,
+            new AtomicInteger());
+  }
+
+  /** Opens both sockets. */
+  public Future<Void> listen(SocketAddress publicAddress, SocketAddress relayAddress) {
+    publicServer =
+        vertx.createHttpServer(options()).requestHandler(this::handleCaller);
+    relayServer =
+        vertx.createHttpServer(options()).requestHandler(this::handleRelayed);
+    return relayServer
+        .listen(relayAddress)
+        .compose(s -> publicServer.listen(publicAddress))
+        .mapEmpty();
+  }
+
+  private static HttpServerOptions options() {
+    return new HttpServerOptions()
+        .setTcpNoDelay(true)
+        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+        .setIdleTimeoutUnit(TimeUnit.SECONDS)
+        .setMaxHeaderSize(MAX_HEAD_BYTES)
+        .setAcceptBacklog(ACCEPT_BACKLOG)
+        .setHttp2ClearTextEnabled(false)
+        .setHandle100ContinueAutomatically(true);
+  }
+
+  /** Returns how many requests are being handled. */
+  public int inFlight() {
+    return context.open().get();
+  }
+
+  private void handleCaller(HttpServerRequest request) {
+    Instant arrivedAt = clock.instant();
+    CallerAnswer answer = new CallerAnswer(request, false);
+    request.exceptionHandler(e -> {});
+    if (node.routing().revision() == 0) {
+      answer.own(503, "no routes are known yet", true, Optional.of(START_RETRY_AFTER));
+      return;
+    }
+    Optional<Route> route =
+        node.routing().table().match(hostOf(request), Optional.ofNullable(request.path()).orElse(""));
+    if (route.isEmpty()) {
+      logRejected(request, "no route for " + hostOf(request) + request.path());
+      answer.own(404, "no route matches the host and path", true, Optional.empty());
+      return;
+    }
+    String id = request.getHeader(names.requestId());
+    if (id == null || id.isEmpty()) {
+      answer.own(400, "the header " + names.requestId() + " is missing", true, Optional.empty());
+      return;
+    }
+    Handling handling =
+        Handling.of(route.get(), route.get().pick(ThreadLocalRandom.current().nextDouble()));
+    readBody(
+        request,
+        answer,
+        body ->
+            new ForwardCall(
+                    context, reader.read(request, body, handling, arrivedAt), answer, false)
+                .start());
+  }
+
+  private static String hostOf(HttpServerRequest request) {
+    String host = request.getHeader("Host");
+    return host == null ? "" : host.toLowerCase(Locale.ROOT);
+  }
+
+  private static void logRejected(HttpServerRequest request, String why) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.rejected",
+        "path",
+        String.valueOf(request.path()),
+        "why",
+        why);
+  }
+
+  private void readBody(
+      HttpServerRequest request, CallerAnswer answer, Consumer<Buffer> next) {
+    RequestLimits limits = node.routing().table().limits();
+    Buffer body = Buffer.buffer();
+    boolean[] tooLarge = {false};
+    request.handler(
+        piece -> {
+          if (body.length() + piece.length() > limits.maxBodyBytes()) {
+            tooLarge[0] = true;
+          } else {
+            body.appendBuffer(piece);
+          }
+        });
+    request.endHandler(
+        v -> {
+          if (tooLarge[0]) {
+            answer.own(
+                413, "the body exceeds " + limits.maxBodyBytes() + " bytes", true, Optional.empty());
+          } else {
+            next.accept(body);
+          }
+        });
+  }
+
+  private void handleRelayed(HttpServerRequest request) {
+    Instant arrivedAt = clock.instant();
+    CallerAnswer answer = new CallerAnswer(request, true);
+    request.exceptionHandler(e -> {});
+    try {
+      String id = request.getHeader(names.requestId());
+      boolean marked =
+          id != null && hops.verify(request::getHeader, id) == HopAuthenticator.Hop.ACROSS_REGIONS;
+      if (!marked) {
+        throw new IllegalArgumentException("the request carries no entry's mark");
+      }
+      Handling sent =
+          Handling.decodeRelayed(
+              Optional.ofNullable(request.getHeader(ForwardContext.HANDLING_HEADER)).orElse(""));
+      Duration due =
+          Duration.ofMillis(Long.parseLong(request.getHeader(ForwardContext.DUE_HEADER)));
+      Handling handling =
+          new Handling(
+              sent.route(),
+              sent.service(),
+              sent.kind(),
+              sent.resumable(),
+              sent.priority(),
+              1,
+              sent.objective(),
+              due,
+              sent.regions());
+      readBody(
+          request,
+          answer,
+          body ->
+              new ForwardCall(
+                      context, reader.read(request, body, handling, arrivedAt), answer, true)
+                  .start());
+    } catch (GatewayException | IllegalArgumentException e) {
+      logRejected(request, e.getMessage());
+      answer.own(400, e.getMessage(), true, Optional.empty());
+    }
+  }
+
+  /** Stops listening; open connections go on. */
+  public Future<Void> close() {
+    return publicServer.close().compose(v -> relayServer.close());
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -0,0 +1,493 @@
+package org.lacewingcroft.forward;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.placement.EndpointTracker.Outcome;
+import org.lacewingcroft.placement.Placement;
+import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.stream.EventSplitter;
+
+/**
+ * One caller's request on its way: placed, sent, sent once more elsewhere where that is safe, and
+ * answered exactly once.
+ *
+ * <p>What is safe: a request that no endpoint ran may always go elsewhere; one that an endpoint may
+ * have run goes elsewhere only if it is idempotent, within its route's attempts and the shared
+ * budget. A stream goes on after the last whole event that the caller has. The status of a refusal
+ * that promises "not run" is used only if no endpoint can have run the request.
+ *
+ * <p>Owned by the event loop.
+ */
+final class ForwardCall {
+  private static final System.Logger LOG = System.getLogger(ForwardCall.class.getName());
+
+  /** Targets tried at most while none has run the request. */
+  private static final int MAX_TARGETS = 4;
+
+  /** Silence at which an idempotent request goes elsewhere, besides twice what was expected. */
+  private static final Duration SILENCE = Duration.ofMillis(900);
+
+  /** How long before the caller's deadline our own answer goes out, so that it arrives. */
+  private static final Duration ANSWER_LEAD = Duration.ofMillis(20);
+
+  private static final int OK = 200;
+  private static final int MULTIPLE_CHOICES = 300;
+  private static final int WRONG_INSTANCE = 421;
+  private static final int BAD_GATEWAY = 502;
+  private static final int UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+
+  /** Statuses that promise that the request has not run. */
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  private final ForwardContext context;
+  private final ForwardRequest request;
+  private final CallerAnswer answer;
+  private final boolean relayed;
+  private final Set<String> passedOver = new HashSet<>();
+  private final Set<String> passedOverRegions = new HashSet<>();
+  private Optional<UpstreamAttempt> current = Optional.empty();
+  private int targets;
+  private int runs;
+  private boolean mayHaveRun;
+  private boolean streaming;
+  private boolean done;
+  private OptionalLong lastEventId;
+  private String servedBy = "none";
+  private long dueTimer;
+  private long silenceTimer;
+
+  ForwardCall(
+      ForwardContext context, ForwardRequest request, CallerAnswer answer, boolean relayed) {
+    this.context = context;
+    this.request = request;
+    this.answer = answer;
+    this.relayed = relayed;
+    this.lastEventId = request.lastEventId();
+  }
+
+  void start() {
+    Duration left = Duration.between(context.now(), request.answerDue()).minus(ANSWER_LEAD);
+    dueTimer =
+        context.vertx().setTimer(Math.max(1, left.toMillis()), id -> due());
+    context.open().incrementAndGet();
+    answer.onLeft(this::callerLeft);
+    if (!relayed) {
+      context.node().firstSend(request.handling().service());
+    }
+    place();
+  }
+
+  private void place() {
+    if (done) {
+      return;
+    }
+    PlacementRequest wanted = request.placement(context.now(), passedOver);
+    Placement placement =
+        context
+            .node()
+            .place(wanted, !relayed, request.handling().regions(), passedOverRegions);
+    if (placement instanceof Placement.Here here) {
+      logPlaced(here.endpoint().record().id(), here.expectedMillis());
+      UpstreamTarget target =
+          UpstreamTarget.endpoint(
+              here.endpoint(),
+              here.endpoint()
+                  .begin(wanted, context.kvCapacity(wanted.service()), context.now()));
+      send(target, here.expectedMillis());
+    } else if (placement instanceof Placement.Elsewhere elsewhere) {
+      relay(elsewhere, wanted);
+    } else if (placement instanceof Placement.Refused refused) {
+      refuse(refused);
+    }
+  }
+
+  private void logPlaced(String target, double expectedMillis) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.placed",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "service",
+        request.handling().service(),
+        "target",
+        target,
+        "expectedMillis",
+        Math.round(expectedMillis),
+        "try",
+        targets + 1,
+        "revision",
+        context.node().routing().revision());
+  }
+
+  private void relay(Placement.Elsewhere elsewhere, PlacementRequest wanted) {
+    List<EntryInfo> entries =
+        context.node().entriesOf(elsewhere.region()).stream()
+            .filter(e -> !passedOver.contains(e.name()))
+            .toList();
+    if (entries.isEmpty()) {
+      passedOverRegions.add(elsewhere.region());
+      place();
+      return;
+    }
+    EntryInfo entry = entries.get(Math.floorMod(request.id().hashCode() + targets, entries.size()));
+    context.node().regionLoads().sent(elsewhere.region(), wanted);
+    logPlaced(entry.name(), elsewhere.expectedMillis());
+    send(UpstreamTarget.entry(entry), elsewhere.expectedMillis());
+  }
+
+  private void refuse(Placement.Refused refused) {
+    boolean overloaded = refused.reason() == Placement.Reason.OVERLOADED;
+    String reason =
+        overloaded
+            ? "every endpoint that may run this is overloaded"
+            : "no endpoint that may run this is in reach";
+    if (mayHaveRun) {
+      finish(BAD_GATEWAY, reason + "; an earlier try may have run", Optional.empty());
+    } else {
+      finish(UNAVAILABLE, reason, Optional.of(refused.retryAfter()));
+    }
+  }
+
+  private void send(UpstreamTarget target, double expectedMillis) {
+    targets++;
+    Attempt listener = new Attempt();
+    UpstreamAttempt attempt =
+        new UpstreamAttempt(target, context.names(), context.clock(), listener);
+    listener.attempt = attempt;
+    current = Optional.of(attempt);
+    attempt.start(context.connections(), request, headersFor(target));
+    watchSilence(attempt, expectedMillis);
+  }
+
+  private List<Map.Entry<String, String>> headersFor(UpstreamTarget target) {
+    HeaderNames names = context.names();
+    Instant now = context.now();
+    long leftMillis = Math.max(1, Duration.between(now, request.answerDue()).toMillis());
+    List<Map.Entry<String, String>> headers = new ArrayList<>();
+    lastEventId.ifPresent(
+        id -> headers.add(Map.entry(names.lastEventId(), Long.toString(id))));
+    if (target.endpoint().isPresent()) {
+      headers.add(Map.entry(names.deadlineMillis(), Long.toString(leftMillis)));
+      headers.add(Map.entry(names.expectInstance(), target.name()));
+      if (request.promptTokens() > 0) {
+        int priority = Math.max(0, Math.min(9, request.handling().priority()));
+        headers.add(Map.entry(names.priority(), Integer.toString(priority)));
+      }
+    } else {
+      long callerMillis =
+          Math.max(1, Duration.between(now, request.callerDeadline()).toMillis());
+      headers.add(Map.entry(names.deadlineMillis(), Long.toString(callerMillis)));
+      headers.addAll(context.relayHeaders(request, leftMillis));
+    }
+    return headers;
+  }
+
+  /** Moves an idempotent request on when its target says nothing for much longer than expected. */
+  private void watchSilence(UpstreamAttempt attempt, double expectedMillis) {
+    context.vertx().cancelTimer(silenceTimer);
+    if (!request.handling().idempotent()) {
+      return;
+    }
+    long millis = SILENCE.toMillis() + Math.round(2 * Math.min(5_000, expectedMillis));
+    silenceTimer =
+        context
+            .vertx()
+            .setTimer(
+                millis,
+                id -> {
+                  if (!done && current.filter(attempt::equals).isPresent() && mayRunAgain()) {
+                    attempt.cancel(Outcome.FAILED);
+                    broken(attempt, "silent for " + millis + " ms");
+                  }
+                });
+  }
+
+  /** Returns whether one more endpoint may run the request, as far as its kind and route go. */
+  private boolean mayRunAgain() {
+    return request.handling().idempotent() && runs < request.handling().maxAttempts() && !relayed;
+  }
+
+  /** The answers of one attempt. */
+  private final class Attempt implements UpstreamAttempt.Listener {
+    private UpstreamAttempt attempt;
+    private int status;
+    private List<Map.Entry<String, String>> headers = List.of();
+    private Optional<EventSplitter> events = Optional.empty();
+    private Buffer whole = Buffer.buffer();
+    private String refusal = "";
+
+    @Override
+    public void head(int newStatus, HttpClientResponse response) {
+      status = newStatus;
+      headers = ForwardRequest.endToEnd(response.headers(), ForwardContext.RELAY_HEADERS);
+      refusal = refusalOf(response);
+      String echoed = response.getHeader(context.names().requestId());
+      boolean success = status >= OK && status < MULTIPLE_CHOICES;
+      if (echoed != null && !echoed.equals(request.id())) {
+        spoiled("answered request " + echoed);
+      } else if (success && response.getHeader(context.names().proof()) == null) {
+        spoiled("answered " + status + " without signature");
+      } else if (success && request.handling().stream()) {
+        runs++;
+        mayHaveRun = true;
+        events = Optional.of(new EventSplitter(lastEventId));
+        if (!streaming) {
+          streaming = true;
+          if (context.node().isStopping()) {
+            answer.closeAfterwards();
+          }
+          answer.beginStream(status, headers);
+        }
+      }
+    }
+
+    private String refusalOf(HttpClientResponse response) {
+      if (attempt.target().entry().isPresent()) {
+        return response.getHeader(CallerAnswer.NOT_RUN_HEADER) != null ? "entry" : "";
+      }
+      String notRun = response.getHeader(context.names().notRun());
+      return notRun != null || status == WRONG_INSTANCE ? "endpoint" : "";
+    }
+
+    private void spoiled(String detail) {
+      attempt.cancel(Outcome.FAILED);
+      broken(attempt, detail);
+    }
+
+    @Override
+    public void body(Buffer piece) {
+      if (events.isEmpty()) {
+        whole.appendBuffer(piece);
+        return;
+      }
+      byte[] ready = events.get().take(piece.getBytes());
+      lastEventId = events.get().lastId();
+      if (ready.length > 0) {
+        answer.write(ready);
+        watchSilence(attempt, 0);
+        if (answer.full()) {
+          attempt.pause();
+          answer.onDrained(attempt::resume);
+        }
+      }
+    }
+
+    @Override
+    public void complete() {
+      if (done) {
+        return;
+      }
+      if (events.isPresent()) {
+        if (events.get().rest().length > 0) {
+          broken(attempt, "ended within an event");
+        } else {
+          served(attempt);
+          answer.endStream();
+          finished("served", status);
+        }
+      } else if (!refusal.isEmpty()) {
+        refusedBy(attempt, status, refusal);
+      } else {
+        completeWhole();
+      }
+    }
+
+    private void completeWhole() {
+      runs++;
+      mayHaveRun = true;
+      boolean serverError = status >= 500;
+      if (serverError && mayRunAgain() && resend()) {
+        passedOver.add(attempt.target().name());
+        place();
+      } else if (streaming) {
+        broken(attempt, "answered " + status + " to a resumption");
+      } else if (PROMISES.contains(status)) {
+        finish(BAD_GATEWAY, "the endpoint answered " + status + " after it ran", Optional.empty());
+      } else {
+        served(attempt);
+        if (context.node().isStopping()) {
+          answer.closeAfterwards();
+        }
+        answer.whole(status, headers, whole);
+        finished("served", status);
+      }
+    }
+
+    @Override
+    public void failed(boolean sent, String detail) {
+      if (done) {
+        return;
+      }
+      if (sent) {
+        broken(attempt, detail);
+      } else {
+        unreachable(attempt, detail);
+      }
+    }
+  }
+
+  private void served(UpstreamAttempt attempt) {
+    servedBy = attempt.target().name();
+  }
+
+  /** The target could not be connected to. */
+  private void unreachable(UpstreamAttempt attempt, String detail) {
+    logTry(attempt, "unreachable", detail);
+    attempt.target().endpoint().ifPresent(e -> e.refusedConnection(context.now()));
+    passOver(attempt);
+    tryElsewhere(detail, true);
+  }
+
+  /** The target said that it did not run the request. */
+  private void refusedBy(UpstreamAttempt attempt, int status, String who) {
+    logTry(attempt, "refused", who + " answered " + status);
+    attempt
+        .target()
+        .endpoint()
+        .ifPresent(
+            e -> {
+              if (status == WRONG_INSTANCE) {
+                e.wrongInstance();
+              } else {
+                e.full(context.now());
+              }
+            });
+    passOver(attempt);
+    tryElsewhere("the endpoint was full", attempt.target().entry().isPresent());
+  }
+
+  private void passOver(UpstreamAttempt attempt) {
+    passedOver.add(attempt.target().name());
+    attempt
+        .target()
+        .entry()
+        .ifPresent(
+            e -> {
+              if (context.node().entriesOf(e.region()).stream()
+                  .allMatch(other -> passedOver.contains(other.name()))) {
+                passedOverRegions.add(e.region());
+                context.node().regionLoads().failed(e.region(), context.now());
+              }
+            });
+  }
+
+  /** Goes elsewhere with a request that this target did not run. */
+  private void tryElsewhere(String detail, boolean free) {
+    boolean allowed = targets < MAX_TARGETS && (free || resend());
+    if (allowed) {
+      place();
+    } else if (streaming || mayHaveRun) {
+      finish(BAD_GATEWAY, detail, Optional.empty());
+    } else {
+      finish(UNAVAILABLE, detail, Optional.of(context.shortRetryAfter(request)));
+    }
+  }
+
+  private boolean resend() {
+    return context.node().mayResend(request.handling().service());
+  }
+
+  /** The target may have run the request and did not answer it in full. */
+  private void broken(UpstreamAttempt attempt, String detail) {
+    if (!streaming) {
+      runs++;
+    }
+    mayHaveRun = true;
+    logTry(attempt, "broken", detail);
+    passOver(attempt);
+    if (mayRunAgain() && targets < MAX_TARGETS && resend()) {
+      place();
+    } else {
+      finish(BAD_GATEWAY, "the endpoint failed: " + detail, Optional.empty());
+    }
+  }
+
+  private void logTry(UpstreamAttempt attempt, String what, String detail) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.try_failed",
+        "request",
+        request.id(),
+        "target",
+        attempt.target().name(),
+        "what",
+        what,
+        "detail",
+        detail,
+        "lastEvent",
+        lastEventId.isPresent() ? lastEventId.getAsLong() : "none");
+  }
+
+  private void due() {
+    if (done) {
+      return;
+    }
+    boolean sent = current.filter(UpstreamAttempt::written).isPresent();
+    current.ifPresent(a -> a.cancel(Outcome.CANCELLED));
+    if (sent || mayHaveRun) {
+      finish(GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
+    } else {
+      finish(UNAVAILABLE, "not sent in time", Optional.empty());
+    }
+  }
+
+  private void callerLeft() {
+    if (!done) {
+      current.ifPresent(a -> a.cancel(Outcome.CANCELLED));
+      finished("caller left", 0);
+    }
+  }
+
+  private void finish(int status, String reason, Optional<Duration> retryAfter) {
+    if (done) {
+      return;
+    }
+    current.ifPresent(a -> a.cancel(Outcome.CANCELLED));
+    boolean notRun = !mayHaveRun && PROMISES.contains(status);
+    answer.own(status, reason, notRun, retryAfter);
+    finished(reason, status);
+  }
+
+  private void finished(String outcome, int status) {
+    done = true;
+    context.open().decrementAndGet();
+    Vertx vertx = context.vertx();
+    vertx.cancelTimer(dueTimer);
+    vertx.cancelTimer(silenceTimer);
+    long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
+    context.count(status, outcome, millis);
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.finished",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "outcome",
+        outcome,
+        "status",
+        status,
+        "endpoint",
+        servedBy,
+        "targets",
+        targets,
+        "mayHaveRun",
+        mayHaveRun,
+        "millis",
+        millis);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/Handling.java
@@ -0,0 +1,91 @@
+package org.lacewingcroft.forward;
+
+import java.time.Duration;
+import java.util.Set;
+import org.lacewingcroft.route.Route;
+import org.lacewingcroft.route.RouteKind;
+
+/**
+ * How one request is to be handled: its route's rules with the service picked. An entry that passes
+ * a request to another region sends this along, so that both go by the same version of the route.
+ *
+ * @param route the route's name
+ * @param service the service that shall run it
+ * @param kind what may be repeated
+ * @param resumable whether a stream may go on elsewhere
+ * @param priority its rank
+ * @param maxAttempts how many endpoints may run it
+ * @param objective the time to the first byte that callers want
+ * @param timeout the longest it may go without its final answer
+ * @param regions regions that may run it; empty for any
+ */
+record Handling(
+    String route,
+    String service,
+    RouteKind kind,
+    boolean resumable,
+    int priority,
+    int maxAttempts,
+    Duration objective,
+    Duration timeout,
+    Set<String> regions) {
+  private static final String SEPARATOR = ";";
+  private static final int FIELDS = 8;
+
+  static Handling of(Route route, String service) {
+    return new Handling(
+        route.name(),
+        service,
+        route.kind(),
+        route.resumable(),
+        route.priority(),
+        route.maxAttempts(),
+        route.latencyObjective(),
+        route.timeout(),
+        route.homeRegions());
+  }
+
+  boolean idempotent() {
+    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAM && resumable;
+  }
+
+  boolean stream() {
+    return kind == RouteKind.STREAM;
+  }
+
+  /** The form in which it is sent to another entry, which runs the request once at most. */
+  String encodeForRelay() {
+    return String.join(
+        SEPARATOR,
+        route,
+        service,
+        kind.name(),
+        Boolean.toString(resumable),
+        Integer.toString(priority),
+        Integer.toString(maxAttempts),
+        Long.toString(objective.toMillis()),
+        Long.toString(timeout.toMillis()));
+  }
+
+  /**
+   * Reads the form sent by another entry.
+   *
+   * @throws IllegalArgumentException if it is not one
+   */
+  static Handling decodeRelayed(String text) {
+    String[] fields = text.split(SEPARATOR, -1);
+    if (fields.length != FIELDS) {
+      throw new IllegalArgumentException("a relayed request needs " + FIELDS + " fields: " + text);
+    }
+    return new Handling(
+        fields[0],
+        fields[1],
+        RouteKind.valueOf(fields[2]),
+        Boolean.parseBoolean(fields[3]),
+        Integer.parseInt(fields[4]),
+        Integer.parseInt(fields[5]),
+        Duration.ofMillis(Long.parseLong(fields[6])),
+        Duration.ofMillis(Long.parseLong(fields[7])),
+        Set.of());
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -0,0 +1,29 @@
+package org.lacewingcroft.forward;
+
+import java.util.Set;
+
+/**
+ * The names of the headers that a deployment's callers and endpoints use.
+ *
+ * @param requestId names a request; echoed by endpoints
+ * @param deadlineMillis how long the sender waits for the answer
+ * @param proof an endpoint's signature of its answer
+ * @param expectInstance names the incarnation that shall run the request
+ * @param notRun an endpoint's word that it did not run the request
+ * @param promptParts the prompt's parts, {@code id:tokens} separated by commas
+ * @param tokenUsage prompt tokens and most output tokens, separated by a comma
+ * @param priority rank of the request at the endpoint, 0 the most urgent
+ * @param lastEventId the last event that the sender of the request has
+ * @param owned headers in lower case that only this system may set; callers' are dropped
+ */
+public record HeaderNames(
+    String requestId,
+    String deadlineMillis,
+    String proof,
+    String expectInstance,
+    String notRun,
+    String promptParts,
+    String tokenUsage,
+    String priority,
+    String lastEventId,
+    Set<String> owned) {}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -0,0 +1,82 @@
+package org.lacewingcroft.forward;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.lacewingcroft.placement.PromptPart;
+
+/** Turns a received HTTP request into a {@link ForwardRequest}. */
+final class RequestReader {
+  /** Wait granted to callers that state no deadline. */
+  private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
+
+  private final HeaderNames names;
+  private final Set<String> dropped;
+
+  RequestReader(HeaderNames names) {
+    this.names = names;
+    this.dropped = new HashSet<>(names.owned());
+    this.dropped.addAll(ForwardContext.RELAY_HEADERS);
+  }
+
+  ForwardRequest read(
+      HttpServerRequest request, Buffer body, Handling handling, Instant arrivedAt) {
+    MultiMap headers = request.headers();
+    Duration patience =
+        numbers(headers.get(names.deadlineMillis())).stream()
+            .findFirst()
+            .map(Duration::ofMillis)
+            .orElse(DEFAULT_DEADLINE);
+    List<Long> usage = numbers(headers.get(names.tokenUsage()));
+    List<Long> lastEvent = numbers(headers.get(names.lastEventId()));
+    return new ForwardRequest(
+        headers.get(names.requestId()),
+        request.method(),
+        request.uri(),
+        ForwardRequest.endToEnd(headers, dropped),
+        body,
+        handling,
+        arrivedAt,
+        arrivedAt.plus(patience),
+        lastEvent.isEmpty() ? OptionalLong.empty() : OptionalLong.of(lastEvent.get(0)),
+        usage.isEmpty() ? 0 : usage.get(0),
+        parts(headers.get(names.promptParts())));
+  }
+
+  /** Reads comma-separated whole numbers; what is not one ends the list. */
+  private static List<Long> numbers(String text) {
+    List<Long> numbers = new ArrayList<>();
+    if (text != null) {
+      for (String field : text.split(",")) {
+        String digits = field.trim();
+        if (!digits.matches("\\d{1,15}")) {
+          break;
+        }
+        numbers.add(Long.parseLong(digits));
+      }
+    }
+    return numbers;
+  }
+
+  private static List<PromptPart> parts(String text) {
+    List<PromptPart> parts = new ArrayList<>();
+    if (text != null) {
+      for (String entry : text.split(",")) {
+        int colon = entry.indexOf(':');
+        List<Long> tokens = colon < 0 ? List.of() : numbers(entry.substring(colon + 1));
+        if (tokens.isEmpty()) {
+          return List.of();
+        }
+        parts.add(new PromptPart(entry.substring(0, colon).trim(), tokens.get(0)));
+      }
+    }
+    return parts;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -0,0 +1,196 @@
+package org.lacewingcroft.forward;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.lacewingcroft.placement.EndpointTracker.Outcome;
+
+/**
+ * One send of a request to one target: connects, writes, and hands the answer's pieces to its
+ * {@link Listener}, which hears exactly one end.
+ */
+final class UpstreamAttempt {
+  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
+  /** What becomes of the attempt. After one of the ends nothing more is called. */
+  interface Listener {
+    /** The head of the answer is there. */
+    void head(int status, HttpClientResponse response);
+
+    /** A piece of the body is there. */
+    void body(Buffer piece);
+
+    /** The answer is complete. */
+    void complete();
+
+    /**
+     * It failed.
+     *
+     * @param sent whether anything of the request may have reached the target
+     * @param detail what happened
+     */
+    void failed(boolean sent, String detail);
+  }
+
+  private final UpstreamTarget target;
+  private final HeaderNames names;
+  private final InstantSource clock;
+  private final Listener listener;
+  private Optional<UpstreamConnections.Lease> lease = Optional.empty();
+  private Optional<HttpClientResponse> response = Optional.empty();
+  private boolean written;
+  private boolean over;
+
+  UpstreamAttempt(
+      UpstreamTarget target, HeaderNames names, InstantSource clock, Listener listener) {
+    this.target = target;
+    this.names = names;
+    this.clock = clock;
+    this.listener = listener;
+  }
+
+  UpstreamTarget target() {
+    return target;
+  }
+
+  /** Returns whether the request may have reached the target. */
+  boolean written() {
+    return written;
+  }
+
+  void start(
+      UpstreamConnections connections,
+      ForwardRequest request,
+      List<Map.Entry<String, String>> extraHeaders) {
+    connections
+        .acquire(target.address())
+        .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
+        .onSuccess(
+            acquired -> {
+              if (over) {
+                acquired.release(Optional.empty());
+                return;
+              }
+              lease = Optional.of(acquired);
+              write(acquired, request, extraHeaders);
+            });
+  }
+
+  private void write(
+      UpstreamConnections.Lease acquired,
+      ForwardRequest request,
+      List<Map.Entry<String, String>> extraHeaders) {
+    acquired
+        .connection()
+        .request(new RequestOptions().setMethod(request.method()).setURI(request.uri()))
+        .onFailure(e -> fail(false, Outcome.NOT_RUN, "no request: " + e.getMessage()))
+        .onSuccess(upstream -> send(upstream, request, extraHeaders));
+  }
+
+  private void send(
+      HttpClientRequest upstream,
+      ForwardRequest request,
+      List<Map.Entry<String, String>> extraHeaders) {
+    if (over) {
+      return;
+    }
+    request.headers().forEach(h -> upstream.headers().add(h.getKey(), h.getValue()));
+    extraHeaders.forEach(h -> upstream.headers().set(h.getKey(), h.getValue()));
+    upstream.exceptionHandler(e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
+    upstream
+        .response()
+        .onSuccess(this::answered)
+        .onFailure(e -> fail(true, Outcome.FAILED, "no answer: " + e.getMessage()));
+    written = true;
+    if (request.body().length() > 0) {
+      upstream.end(request.body());
+    } else {
+      upstream.end();
+    }
+  }
+
+  private void answered(HttpClientResponse answer) {
+    if (over) {
+      return;
+    }
+    response = Optional.of(answer);
+    target.ticket().ifPresent(t -> t.bytes(clock.instant()));
+    answer.exceptionHandler(e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
+    answer.handler(
+        piece -> {
+          if (!over) {
+            target.ticket().ifPresent(t -> t.bytes(clock.instant()));
+            listener.body(piece);
+          }
+        });
+    answer.endHandler(v -> completed(answer));
+    listener.head(answer.statusCode(), answer);
+  }
+
+  private void completed(HttpClientResponse answer) {
+    if (over) {
+      return;
+    }
+    over = true;
+    boolean notRun = answer.getHeader(names.notRun()) != null || answer.statusCode() == 421;
+    Outcome outcome =
+        notRun ? Outcome.NOT_RUN : answer.statusCode() >= 500 ? Outcome.FAILED : Outcome.ANSWERED;
+    target.ticket().ifPresent(t -> t.end(outcome, clock.instant()));
+    lease.ifPresent(l -> giveBack(l, answer));
+    listener.complete();
+  }
+
+  private void giveBack(UpstreamConnections.Lease l, HttpClientResponse answer) {
+    String connection = answer.getHeader("Connection");
+    boolean framed =
+        answer.getHeader("Content-Length") != null
+            || answer.getHeader("Transfer-Encoding") != null;
+    if (!framed || "close".equalsIgnoreCase(connection)) {
+      l.discard();
+    } else {
+      l.release(keepAlive(answer.getHeader("Keep-Alive")));
+    }
+  }
+
+  private static Optional<Duration> keepAlive(String header) {
+    Matcher matcher = KEEP_ALIVE_SECONDS.matcher(header == null ? "" : header);
+    return matcher.find()
+        ? Optional.of(Duration.ofSeconds(Long.parseLong(matcher.group(1))))
+        : Optional.empty();
+  }
+
+  void pause() {
+    response.ifPresent(HttpClientResponse::pause);
+  }
+
+  void resume() {
+    response.ifPresent(HttpClientResponse::resume);
+  }
+
+  /** Gives the attempt up without a word to the listener; its connection is closed. */
+  void cancel(Outcome outcome) {
+    if (!over) {
+      over = true;
+      target.ticket().ifPresent(t -> t.end(outcome, clock.instant()));
+      lease.ifPresent(UpstreamConnections.Lease::discard);
+    }
+  }
+
+  private void fail(boolean sent, Outcome outcome, String detail) {
+    if (over) {
+      return;
+    }
+    over = true;
+    target.ticket().ifPresent(t -> t.end(outcome, clock.instant()));
+    lease.ifPresent(UpstreamConnections.Lease::discard);
+    listener.failed(sent && written, detail);
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.io.StringWriter;
 import java.text.MessageFormat;
 import java.time.Instant;
@@ -19,12 +18,10 @@
 final class JsonLogger implements System.Logger {
   private static final JsonFactory JSON = new JsonFactory();
   private final String name;
-  private final PrintStream out;
   private final Level threshold;
 
-  JsonLogger(String name, PrintStream out, Level threshold) {
+  JsonLogger(String name, Level threshold) {
     this.name = name;
-    this.out = out;
     this.threshold = threshold;
   }
 
@@ -79,8 +76,6 @@
     } catch (IOException e) {
       throw new IllegalStateException("writing a log line into memory failed", e);
     }
-    synchronized (out) {
-      out.println(line);
-    }
+    LogContext.write(line.toString());
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLoggerFinder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLoggerFinder.java
@@ -1,7 +1,7 @@
 package org.lacewingcroft.logging;
 
 /**
- * Gives every {@link System.Logger} of the process a {@link JsonLogger} writing to standard error.
+ * Gives every {@link System.Logger} of the process a {@link JsonLogger}.
  * Registered through {@code META-INF/services/java.lang.System$LoggerFinder}.
  *
  * <p>The level is read from the environment variable {@code LWC_LOG_LEVEL} (default {@code INFO}).
@@ -11,7 +11,7 @@
 
   @Override
   public System.Logger getLogger(String name, Module module) {
-    return new JsonLogger(name, System.err, threshold);
+    return new JsonLogger(name, threshold);
   }
 
   private static System.Logger.Level levelFromEnvironment() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogContext.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.logging;
 
 import java.time.InstantSource;
+import java.util.Optional;
 import org.lacewingcroft.misc.HybridLogicalClock;
 
 /**
@@ -13,6 +14,8 @@
   private static volatile String nodeId = "unnamed";
   private static final HybridLogicalClock CLOCK = new HybridLogicalClock(InstantSource.system());
 
+  private static volatile Optional<LogWriter> writer = Optional.empty();
+
   private LogContext() {}
 
   /** Sets the node id printed on every line. */
@@ -29,4 +32,21 @@
   public static HybridLogicalClock clock() {
     return CLOCK;
   }
+
+  /**
+   * Sends this process's log lines to standard output, through a bounded queue that never blocks
+   * the logging thread. Until then they go to standard error as they are logged.
+   */
+  public static void logToStandardOutput() {
+    writer = Optional.of(LogWriter.toStandardOutput());
+  }
+
+  static void write(String line) {
+    Optional<LogWriter> current = writer;
+    if (current.isPresent()) {
+      current.get().offer(line);
+    } else {
+      System.err.println(line);
+    }
+  }
 }
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogWriter.java
@@ -0,0 +1,93 @@
+package org.lacewingcroft.logging;
+
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes log lines on a thread of its own, so that a reader that is slow or gone never holds up a
+ * request: lines wait in a bounded queue, and once it is full they are dropped and counted. The
+ * count is logged with the next line that gets through.
+ */
+public final class LogWriter {
+  /** Lines that may wait: some seconds of a busy entry, about 2 MB. */
+  private static final int QUEUE_LINES = 8_192;
+
+  private static final int BATCH_LINES = 256;
+
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final OutputStream out;
+
+  /** Starts a writer to standard output. */
+  static LogWriter toStandardOutput() {
+    LogWriter writer = new LogWriter(new FileOutputStream(java.io.FileDescriptor.out));
+    writer.start();
+    return writer;
+  }
+
+  LogWriter(OutputStream out) {
+    this.out = out;
+  }
+
+  private void start() {
+    Thread thread = new Thread(this::run, "log-writer");
+    thread.setDaemon(true);
+    thread.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(this::flushAtExit, "log-flush"));
+  }
+
+  /** Hands a line over; returns at once. */
+  void offer(String line) {
+    if (!queue.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private void run() {
+    try {
+      while (true) {
+        writeBatch(queue.take());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Writes a line and those waiting behind it in one system call. */
+  void writeBatch(String first) {
+    List<String> lines = new ArrayList<>();
+    lines.add(first);
+    queue.drainTo(lines, BATCH_LINES);
+    long lost = dropped.getAndSet(0);
+    if (lost > 0) {
+      lines.add("{\"level\":\"WARNING\",\"event\":\"log.lines_dropped\",\"count\":" + lost + "}");
+    }
+    StringBuilder text = new StringBuilder(lines.size() * 256);
+    lines.forEach(l -> text.append(l).append('\n'));
+    try {
+      out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+    } catch (IOException readerGone) {
+      dropped.addAndGet(lines.size());
+    }
+  }
+
+  private void flushAtExit() {
+    try {
+      String line = queue.poll(50, TimeUnit.MILLISECONDS);
+      while (line != null) {
+        writeBatch(line);
+        line = queue.poll();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -11,6 +11,7 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.lacewingcroft.logging.LogContext;
@@ -27,10 +28,20 @@
   private static final System.Logger LOG = System.getLogger(PeerTransport.class.getName());
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+  /** Pause between checks of a connection in use. */
+  private static final long PING_MILLIS = 400;
+
+  /**
+   * Silence after a ping that proves a connection dead, in ms: several round trips between regions
+   * and a resent packet. A link that went silent without a reset is noticed by nothing else.
+   */
+  private static final long DEAD_MILLIS = 1_300;
+
   private final Vertx vertx;
   private final FrameCodec codec;
   private final NetClient client;
   private final Map<String, Future<NetSocket>> connections = new ConcurrentHashMap<>();
+  private final Map<String, Watch> watches = new ConcurrentHashMap<>();
   private final AtomicLong framesRejected = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
@@ -103,9 +114,25 @@
         .onSuccess(
             socket -> {
               bytesSent.addAndGet(frame.length);
+              Watch watch = watches.get(address);
+              if (watch != null) {
+                watch.used = true;
+              }
               socket.write(Buffer.buffer(frame));
             })
-        .onFailure(e -> connections.remove(address));
+        .onFailure(e -> connectFailed(address, e));
+  }
+
+  private void connectFailed(String address, Throwable e) {
+    if (connections.remove(address) != null) {
+      LOG.log(
+          System.Logger.Level.DEBUG,
+          "peer.unreachable",
+          "peer",
+          address,
+          "error",
+          String.valueOf(e.getMessage()));
+    }
   }
 
   private Future<NetSocket> connection(String address) {
@@ -117,14 +144,56 @@
               client.connect(Integer.parseInt(a.substring(colon + 1)), a.substring(0, colon));
           f.onSuccess(
               s -> {
-                s.closeHandler(v -> connections.remove(a));
+                Watch watch = new Watch(s);
+                watches.put(a, watch);
+                s.closeHandler(
+                    v -> {
+                      connections.remove(a, f);
+                      watches.remove(a, watch);
+                      watch.stop();
+                    });
                 s.exceptionHandler(e -> s.close());
-                s.handler(b -> {});
+                s.handler(b -> watch.heard());
               });
           return f;
         });
   }
 
+  /** Closes a connection on which a ping stays unanswered. */
+  private final class Watch {
+    private final NetSocket socket;
+    private final long timer;
+    private long sentSinceNanos;
+    private boolean used;
+
+    private Watch(NetSocket socket) {
+      this.socket = socket;
+      this.timer = vertx.setPeriodic(PING_MILLIS, id -> check());
+    }
+
+    private void check() {
+      long now = System.nanoTime();
+      if (sentSinceNanos != 0
+          && TimeUnit.NANOSECONDS.toMillis(now - sentSinceNanos) > DEAD_MILLIS) {
+        LOG.log(System.Logger.Level.WARNING, "peer.silent", "peer", socket.remoteAddress());
+        socket.close();
+      } else if (used && sentSinceNanos == 0) {
+        used = false;
+        sentSinceNanos = now;
+        socket.write(
+            Buffer.buffer(codec.encode(LogContext.clock().tick(), new PeerMessage.Ping())));
+      }
+    }
+
+    private void heard() {
+      sentSinceNanos = 0;
+    }
+
+    private void stop() {
+      vertx.cancelTimer(timer);
+    }
+  }
+
   private void readFrames(NetSocket socket, BiConsumer<String, PeerMessage> handler) {
     RecordParser parser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES);
     boolean[] expectLength = {true};
@@ -141,6 +210,11 @@
             parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
             FrameCodec.Frame frame = codec.decode(buffer.getBytes());
             LogContext.clock().receive(frame.stamp());
+            if (frame.message() instanceof PeerMessage.Ping) {
+              socket.write(
+                  Buffer.buffer(codec.encode(LogContext.clock().tick(), new PeerMessage.Pong())));
+              return;
+            }
             handler.accept(frame.stamp(), frame.message());
           } catch (MalformedFrameException e) {
             framesRejected.incrementAndGet();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.consensus;
 
+import java.util.Set;
 import org.lacewingcroft.config.ConfigDocument;
 import org.lacewingcroft.config.ConfigPatch;
 
@@ -52,4 +53,34 @@
    * @param storageId the id of the member's new data folder
    */
   record StorageRegistration(String memberId, String storageId) implements Command {}
+
+  /**
+   * Puts a routing document in force if its version is higher than the one in force; otherwise it
+   * changes nothing.
+   *
+   * @param version the operator's version
+   * @param document the document's text
+   */
+  record RoutingChange(long version, String document) implements Command {}
+
+  /**
+   * Begins or ends the evacuation of a failure domain.
+   *
+   * @param failureDomain the failure domain
+   * @param active whether its endpoints shall get no work
+   */
+  record EvacuationChange(String failureDomain, boolean active) implements Command {}
+
+  /**
+   * Replaces the members of the control group; in force at each member as soon as it holds the
+   * entry.
+   *
+   * @param members the ids of all members after the change
+   */
+  record GroupChange(Set<String> members) implements Command {
+    /** Copies the set so the command is immutable. */
+    public GroupChange {
+      members = Set.copyOf(members);
+    }
+  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lacewingcroft.config.ConfigDocument;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -19,6 +21,9 @@
   private static final int CONFIG_CHANGE = 1;
   private static final int STORAGE_REGISTRATION = 2;
   private static final int PATCH_CHANGE = 3;
+  private static final int ROUTING_CHANGE = 4;
+  private static final int EVACUATION_CHANGE = 5;
+  private static final int GROUP_CHANGE = 6;
 
   private static final int VOTE_REQUEST = 1;
   private static final int VOTE_RESPONSE = 2;
@@ -37,11 +42,33 @@
       p.packInt(PATCH_CHANGE).packString(c.changeId()).packString(c.patch());
     } else if (e.command() instanceof Command.StorageRegistration r) {
       p.packInt(STORAGE_REGISTRATION).packString(r.memberId()).packString(r.storageId());
+    } else if (e.command() instanceof Command.RoutingChange c) {
+      p.packInt(ROUTING_CHANGE).packLong(c.version()).packString(c.document());
+    } else if (e.command() instanceof Command.EvacuationChange c) {
+      p.packInt(EVACUATION_CHANGE).packString(c.failureDomain()).packBoolean(c.active());
+    } else if (e.command() instanceof Command.GroupChange c) {
+      p.packInt(GROUP_CHANGE);
+      packNames(p, c.members());
     } else {
       p.packInt(NOOP);
     }
   }
 
+  private static void packNames(MessagePacker p, Set<String> names) throws IOException {
+    p.packArrayHeader(names.size());
+    for (String name : names) {
+      p.packString(name);
+    }
+  }
+
+  private static Set<String> unpackNames(MessageUnpacker u) throws IOException {
+    Set<String> names = new HashSet<>();
+    for (int n = u.unpackArrayHeader(); n > 0; n--) {
+      names.add(u.unpackString());
+    }
+    return names;
+  }
+
   /** Unpacks an entry. */
   public static LogEntry unpackEntry(MessageUnpacker u) throws IOException {
     long index = u.unpackLong();
@@ -58,6 +85,9 @@
       case PATCH_CHANGE -> new Command.PatchChange(u.unpackString(), u.unpackString());
       case STORAGE_REGISTRATION ->
           new Command.StorageRegistration(u.unpackString(), u.unpackString());
+      case ROUTING_CHANGE -> new Command.RoutingChange(u.unpackLong(), u.unpackString());
+      case EVACUATION_CHANGE -> new Command.EvacuationChange(u.unpackString(), u.unpackBoolean());
+      case GROUP_CHANGE -> new Command.GroupChange(unpackNames(u));
       default -> throw new IOException("unknown command type " + type);
     };
   }
@@ -74,6 +104,10 @@
     for (Map.Entry<String, String> e : s.state().storageIdByMember().entrySet()) {
       p.packString(e.getKey()).packString(e.getValue());
     }
+    RoutingState routing = s.state().routing();
+    p.packLong(routing.revision()).packLong(routing.version()).packString(routing.document());
+    packNames(p, routing.evacuatedDomains());
+    packNames(p, s.state().members());
   }
 
   /** Unpacks a snapshot. */
@@ -90,10 +124,13 @@
     for (int n = u.unpackMapHeader(); n > 0; n--) {
       storages.put(u.unpackString(), u.unpackString());
     }
+    RoutingState routing =
+        new RoutingState(u.unpackLong(), u.unpackLong(), u.unpackString(), unpackNames(u));
     return new Snapshot(
         lastIndex,
         lastTerm,
-        new ConfigState(version, new ConfigDocument(document), changeIds, storages));
+        new ConfigState(
+            version, new ConfigDocument(document), changeIds, storages, routing, unpackNames(u)));
   }
 
   /** Packs a hard state. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -30,6 +30,9 @@
 public final class ConsensusMember {
   private static final int ENTRIES_PER_MESSAGE = 64;
 
+  /** Silence after which a leader stops sending to an instance outside the group, in ms. */
+  private static final long LEARNER_PATIENCE_MILLIS = 10_000;
+
   /** What a member is doing. */
   public enum Role {
     /** Follows a leader, or waits for one. */
@@ -45,8 +48,7 @@
   private record Waiting(long ticket, long index, ChangeResult resultOnCommit) {}
 
   private final String id;
-  private final List<String> others;
-  private final int quorum;
+  private final Set<String> namedGroup;
   private final ConsensusTiming timing;
   private final LogStorage storage;
   private final RandomGenerator random;
@@ -67,7 +69,8 @@
    * Recovers a member from its storage.
    *
    * @param id this member's id
-   * @param group the ids of all members, this one included; the same at every member
+   * @param group the ids of all members, this one included, the same at every member; empty if the
+   *     log names them (a {@link Command.GroupChange}, or the snapshot of the first start)
    * @param timing the timeouts
    * @param storage the durable log
    * @param random draws the election timeouts
@@ -80,12 +83,11 @@
       LogStorage storage,
       RandomGenerator random,
       long nowMillis) {
-    if (!group.contains(id)) {
+    if (!group.isEmpty() && !group.contains(id)) {
       throw new IllegalArgumentException("the control group " + group + " does not name " + id);
     }
     this.id = id;
-    this.others = group.stream().filter(m -> !m.equals(id)).toList();
-    this.quorum = group.size() / 2 + 1;
+    this.namedGroup = Set.copyOf(group);
     this.timing = timing;
     this.storage = storage;
     this.random = random;
@@ -93,13 +95,26 @@
     this.log = new ReplicatedLog(storage);
     this.hardState = storage.hardState();
     this.leaderHeardMillis = nowMillis - 2 * timing.electionMillis();
-    if (others.isEmpty()) {
+    if (group().equals(Set.of(id))) {
       this.electionDueMillis = nowMillis;
     } else {
       restartElectionTimer(nowMillis);
     }
   }
 
+  /** Returns the group's members, as the settings or else the log's last entries name them. */
+  public Set<String> group() {
+    return namedGroup.isEmpty() ? log.members() : namedGroup;
+  }
+
+  private List<String> others() {
+    return group().stream().filter(m -> !m.equals(id)).sorted().toList();
+  }
+
+  private int quorum() {
+    return group().size() / 2 + 1;
+  }
+
   /** Returns what this member is doing. */
   public Role role() {
     return role;
@@ -156,7 +171,7 @@
       followers.forEach((member, p) -> replicateWhenDue(member, p, nowMillis, out));
     } else if (nowMillis >= electionDueMillis) {
       restartElectionTimer(nowMillis);
-      if (hardState.voter()) {
+      if (hardState.voter() && group().contains(id)) {
         startPreVote(nowMillis, out);
       }
     }
@@ -197,6 +212,94 @@
     return out;
   }
 
+  /**
+   * Proposes a command that needs no expected version. A routing document whose version is not
+   * higher than the newest held is answered as accepted without an entry, once that newest one is
+   * committed.
+   *
+   * @param ticket names the proposal in the {@link Output.Decision} that answers it
+   * @param command the command, already checked; a {@link Command.Noop} proves that this member
+   *     still leads, as a read of the newest state needs
+   * @param nowMillis the steady clock's reading
+   */
+  public Output submit(long ticket, Command command, long nowMillis) {
+    Output out = new Output();
+    if (role != Role.LEADER) {
+      out.decide(ticket, new ChangeResult.NotLeader(leader));
+      return out;
+    }
+    ChangeResult accepted = new ChangeResult.Accepted(log.lastVersion(), false);
+    boolean overtaken =
+        command instanceof Command.RoutingChange c && c.version() <= log.lastRoutingVersion();
+    if (overtaken) {
+      decideAt(ticket, log.lastIndex(), new ChangeResult.Accepted(log.lastVersion(), true));
+    } else {
+      decideAt(ticket, log.append(hardState.term(), command).index(), accepted);
+      replicateNow(nowMillis, out);
+    }
+    advanceCommit(nowMillis, out);
+    return out;
+  }
+
+  /** Begins to replicate to an instance that is no member yet, if this member leads. */
+  public Output admit(String learner, long nowMillis) {
+    Output out = new Output();
+    if (role == Role.LEADER && !learner.equals(id) && !followers.containsKey(learner)) {
+      Progress p = new Progress(log.lastIndex() + 1, nowMillis);
+      followers.put(learner, p);
+      replicate(learner, p, nowMillis, out);
+    }
+    return out;
+  }
+
+  /** Changes the group as the policy says, if this member leads and no change is pending. */
+  public Output adjustGroup(GroupPolicy policy, long nowMillis) {
+    Output out = new Output();
+    boolean settled =
+        role == Role.LEADER
+            && namedGroup.isEmpty()
+            && log.commitIndex() >= termStartIndex
+            && !log.groupChangePending();
+    if (!settled) {
+      return out;
+    }
+    followers
+        .entrySet()
+        .removeIf(
+            f ->
+                !group().contains(f.getKey())
+                    && nowMillis - f.getValue().lastHeardMillis > LEARNER_PATIENCE_MILLIS);
+    policy
+        .next(group(), followerViews(nowMillis))
+        .ifPresent(
+            members -> {
+              log.append(hardState.term(), new Command.GroupChange(members));
+              replicateNow(nowMillis, out);
+              advanceCommit(nowMillis, out);
+            });
+    return out;
+  }
+
+  private List<FollowerView> followerViews(long nowMillis) {
+    return followers.entrySet().stream()
+        .map(
+            f ->
+                new FollowerView(
+                    f.getKey(),
+                    nowMillis - f.getValue().lastHeardMillis,
+                    f.getValue().matchIndex >= log.commitIndex(),
+                    f.getValue().voter))
+        .toList();
+  }
+
+  /**
+   * Returns whether this member is in touch with a majority: it leads and hears a quorum, or it has
+   * heard such a leader within an election timeout.
+   */
+  public boolean inMajority(long nowMillis) {
+    return role == Role.LEADER ? hearsQuorum(nowMillis) : leaderIsAlive(nowMillis);
+  }
+
   /** Takes a message from another member. */
   public Output receive(String from, ConsensusMessage message, long nowMillis) {
     Output out = new Output();
@@ -271,7 +374,7 @@
   private void askForVotes(long term, boolean preVote, long nowMillis, Output out) {
     votes.clear();
     votes.add(id);
-    for (String member : others) {
+    for (String member : others()) {
       out.send(
           member, new ConsensusMessage.VoteRequest(term, log.lastIndex(), log.lastTerm(), preVote));
     }
@@ -279,7 +382,7 @@
   }
 
   private void countedVotes(long nowMillis, Output out) {
-    if (votes.size() < quorum) {
+    if (votes.stream().filter(group()::contains).count() < quorum()) {
       return;
     }
     if (role == Role.PRE_CANDIDATE) {
@@ -323,20 +426,22 @@
     role = Role.LEADER;
     leader = Optional.of(id);
     votes.clear();
-    for (String member : others) {
+    for (String member : others()) {
       followers.put(member, new Progress(log.lastIndex() + 1, nowMillis));
     }
-    termStartIndex = log.append(hardState.term(), new Command.Noop()).index();
+    Command first = namedGroup.isEmpty() ? new Command.GroupChange(group()) : new Command.Noop();
+    termStartIndex = log.append(hardState.term(), first).index();
     replicateNow(nowMillis, out);
     advanceCommit(nowMillis, out);
   }
 
   private boolean hearsQuorum(long nowMillis) {
     long heard =
-        followers.values().stream()
-            .filter(p -> nowMillis - p.lastHeardMillis < 2 * timing.electionMillis())
+        others().stream()
+            .map(followers::get)
+            .filter(p -> p != null && nowMillis - p.lastHeardMillis < 2 * timing.electionMillis())
             .count();
-    return heard + 1 >= quorum;
+    return heard + 1 >= quorum();
   }
 
   private void replicateNow(long nowMillis, Output out) {
@@ -466,10 +571,12 @@
     long[] held =
         java.util.stream.LongStream.concat(
                 java.util.stream.LongStream.of(log.lastIndex()),
-                followers.values().stream().mapToLong(p -> p.voter ? p.matchIndex : 0))
+                others().stream()
+                    .map(followers::get)
+                    .mapToLong(p -> p != null && p.voter ? p.matchIndex : 0))
             .sorted()
             .toArray();
-    long quorumIndex = held.length < quorum ? 0 : held[held.length - quorum];
+    long quorumIndex = held.length < quorum() ? 0 : held[held.length - quorum()];
     if (quorumIndex > log.commitIndex() && log.termAt(quorumIndex) == hardState.term()) {
       commit(quorumIndex, out);
       noteCaughtUp(quorumIndex);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One member's log in memory over its {@link LogStorage}: the snapshot, the entries behind it and
@@ -14,6 +15,7 @@
   private Snapshot snapshot;
   private ConfigState state;
   private long commitIndex;
+  private Set<String> members = Set.of();
 
   ReplicatedLog(LogStorage storage) {
     this.storage = storage;
@@ -21,6 +23,7 @@
     this.tail = new ArrayList<>(storage.entries());
     this.state = snapshot.state();
     this.commitIndex = snapshot.lastIndex();
+    refreshMembers();
   }
 
   long firstIndex() {
@@ -40,6 +43,42 @@
     return tail.isEmpty() ? snapshot.state().version() : tail.get(tail.size() - 1).version();
   }
 
+  /** Returns the members the log names last, committed or not; empty if it names none. */
+  Set<String> members() {
+    return members;
+  }
+
+  /** Returns whether a change of the members is held that is not yet committed. */
+  boolean groupChangePending() {
+    for (long i = lastIndex(); i > commitIndex; i--) {
+      if (entry(i).command() instanceof Command.GroupChange) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the routing version after the last entry, committed or not. */
+  long lastRoutingVersion() {
+    long version = state.routing().version();
+    for (long i = lastIndex(); i > commitIndex; i--) {
+      if (entry(i).command() instanceof Command.RoutingChange c) {
+        version = Math.max(version, c.version());
+      }
+    }
+    return version;
+  }
+
+  private void refreshMembers() {
+    for (int i = tail.size() - 1; i >= 0; i--) {
+      if (tail.get(i).command() instanceof Command.GroupChange c) {
+        members = c.members();
+        return;
+      }
+    }
+    members = snapshot.state().members();
+  }
+
   long commitIndex() {
     return commitIndex;
   }
@@ -103,6 +142,7 @@
     LogEntry entry = new LogEntry(lastIndex() + 1, term, version, command);
     storage.append(List.of(entry));
     tail.add(entry);
+    refreshMembers();
     return entry;
   }
 
@@ -121,6 +161,7 @@
     if (!fresh.isEmpty()) {
       storage.append(fresh);
       tail.addAll(fresh);
+      refreshMembers();
     }
   }
 
@@ -172,5 +213,6 @@
     snapshot = newer;
     tail.clear();
     tail.addAll(kept);
+    refreshMembers();
   }
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -0,0 +1,193 @@
+package org.lacewingcroft.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The messages between entries and control instances of a fleet: who is there, which endpoints they
+ * know, what the routing state is, and how loaded the endpoints are. Addresses are those of the
+ * peer transport.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = FleetMessage.EntryReport.class, name = "er"),
+  @JsonSubTypes.Type(value = FleetMessage.ControlPulse.class, name = "cp"),
+  @JsonSubTypes.Type(value = FleetMessage.ControlHello.class, name = "ch"),
+  @JsonSubTypes.Type(value = FleetMessage.RosterUpdate.class, name = "ru"),
+  @JsonSubTypes.Type(value = FleetMessage.RosterAck.class, name = "ra"),
+  @JsonSubTypes.Type(value = FleetMessage.EntryList.class, name = "el"),
+  @JsonSubTypes.Type(value = FleetMessage.StateRequest.class, name = "sr"),
+  @JsonSubTypes.Type(value = FleetMessage.StateOffer.class, name = "so"),
+  @JsonSubTypes.Type(value = FleetMessage.ControlCall.class, name = "cc"),
+  @JsonSubTypes.Type(value = FleetMessage.ControlReply.class, name = "cr"),
+  @JsonSubTypes.Type(value = FleetMessage.LoadReport.class, name = "lr"),
+  @JsonSubTypes.Type(value = FleetMessage.RegionLoad.class, name = "rl")
+})
+public sealed interface FleetMessage {
+
+  /**
+   * An entry's periodic report to every control instance.
+   *
+   * @param entry the entry
+   * @param ready whether it takes callers
+   * @param revision the revision of its routing state
+   * @param rosterDigest the digest of its roster
+   * @param entriesDigest the digest of the entries it knows
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record EntryReport(
+      EntryInfo entry, boolean ready, long revision, int rosterDigest, int entriesDigest)
+      implements FleetMessage {}
+
+  /**
+   * A control instance's answer to a report.
+   *
+   * @param from the control instance
+   * @param inMajority whether it is in touch with a majority of its group
+   * @param settled whether it has run long enough to know all endpoints that announce themselves
+   * @param revision the revision of its committed routing state
+   * @param controls the control instances it knows
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ControlPulse(
+      String from, boolean inMajority, boolean settled, long revision, List<String> controls)
+      implements FleetMessage {}
+
+  /**
+   * A control instance's sign of life to the others; it also asks to be replicated to.
+   *
+   * @param from the control instance
+   * @param controls the control instances it knows
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ControlHello(String from, List<String> controls) implements FleetMessage {}
+
+  /**
+   * Records of endpoints: announcements passed on between control instances, changes pushed to
+   * entries, or the whole roster.
+   *
+   * @param from the sender
+   * @param callId names the update in a {@link RosterAck}; 0 if none is wanted
+   * @param whole whether these are all endpoints that the sender knows
+   * @param records the records
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record RosterUpdate(String from, long callId, boolean whole, List<EndpointRecord> records)
+      implements FleetMessage {}
+
+  /**
+   * Confirms a {@link RosterUpdate}.
+   *
+   * @param from the control instance that has it now
+   * @param callId the update
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record RosterAck(String from, long callId) implements FleetMessage {}
+
+  /**
+   * The entries that take callers.
+   *
+   * @param from the control instance
+   * @param entries the entries
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record EntryList(String from, List<EntryInfo> entries) implements FleetMessage {}
+
+  /**
+   * Asks for the routing state.
+   *
+   * @param from the asking entry
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record StateRequest(String from) implements FleetMessage {}
+
+  /**
+   * The committed routing state.
+   *
+   * @param revision its revision
+   * @param version the operator's version of the document
+   * @param document the document
+   * @param evacuatedDomains the evacuated failure domains
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record StateOffer(long revision, long version, String document, Set<String> evacuatedDomains)
+      implements FleetMessage {}
+
+  /** What a {@link ControlCall} asks of the leader. */
+  enum ControlOrder {
+    /** Put the document in force under the version. */
+    ROUTE,
+    /** Begin the evacuation of the failure domain that the text names. */
+    EVACUATE,
+    /** End it. */
+    RETURN,
+    /** Read the routing state. */
+    READ
+  }
+
+  /**
+   * An operator's order, passed on to the leader.
+   *
+   * @param from the control instance that passes it on
+   * @param callId names it in the reply
+   * @param order the order
+   * @param version the document's version, for {@link ControlOrder#ROUTE}
+   * @param text the document or the failure domain
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ControlCall(String from, long callId, ControlOrder order, long version, String text)
+      implements FleetMessage {}
+
+  /**
+   * Answers a {@link ControlCall}.
+   *
+   * @param callId the call
+   * @param done whether the order is committed; otherwise its outcome is not known
+   * @param version for a read the operator's version in force
+   * @param document for a read its document
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ControlReply(long callId, boolean done, long version, String document)
+      implements FleetMessage {}
+
+  /**
+   * What an entry has in flight at the endpoints of its region, told to the region's other entries.
+   *
+   * @param from the entry's name
+   * @param loads one element an endpoint
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record LoadReport(String from, List<EndpointLoad> loads) implements FleetMessage {}
+
+  /**
+   * One entry's work at one endpoint.
+   *
+   * @param endpoint the endpoint's id
+   * @param running requests sent and not answered in full
+   * @param prefillTokens prompt tokens of those not yet begun to be answered, by priority from 0
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record EndpointLoad(String endpoint, int running, long[] prefillTokens) {}
+
+  /**
+   * How loaded a region is, told to the entries of other regions.
+   *
+   * @param region the region
+   * @param services one element a service
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record RegionLoad(String region, List<ServiceLoad> services) implements FleetMessage {}
+
+  /**
+   * How loaded a service is in a region.
+   *
+   * @param service the service
+   * @param endpoints endpoints that take work
+   * @param waitMillis the wait expected there, by priority from 0
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ServiceLoad(String service, int endpoints, long[] waitMillis) {}
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -13,6 +13,7 @@
 import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointKind;
+import org.lacewingcroft.fleet.FleetCodec;
 import org.lacewingcroft.idempotency.Claimant;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.membership.Liveness;
@@ -36,6 +37,9 @@
   private static final int KEY_RELEASE = 9;
   private static final int CONFIG_NOTICE = 10;
   private static final int CONFIG_PATCHES = 11;
+  private static final int FLEET = 12;
+  private static final int PING = 13;
+  private static final int PONG = 14;
 
   private MessageCodec() {}
 
@@ -85,6 +89,13 @@
         p.packInt(CONSENSUS);
         p.packString(c.from());
         ConsensusCodec.packMessage(p, c.message());
+      } else if (message instanceof PeerMessage.Fleet f) {
+        byte[] body = FleetCodec.encode(f.message());
+        p.packInt(FLEET).packBinaryHeader(body.length).writePayload(body);
+      } else if (message instanceof PeerMessage.Ping) {
+        p.packInt(PING);
+      } else if (message instanceof PeerMessage.Pong) {
+        p.packInt(PONG);
       }
       return p.toByteArray();
     } catch (IOException e) {
@@ -104,6 +115,10 @@
         case GOSSIP -> unpackGossip(u);
         case CONFIG_PATCHES -> new PeerMessage.ConfigPatches(u.unpackLong(), unpackStrings(u));
         case CONFIG_NOTICE -> new PeerMessage.ConfigNotice(u.unpackLong(), u.unpackString());
+        case FLEET ->
+            new PeerMessage.Fleet(FleetCodec.decode(u.readPayload(u.unpackBinaryHeader())));
+        case PING -> new PeerMessage.Ping();
+        case PONG -> new PeerMessage.Pong();
         case ENDPOINT_ANNOUNCE -> new PeerMessage.EndpointAnnounce(unpackEndpoint(u));
         case CONFIG_OFFER -> new PeerMessage.ConfigOffer(u.unpackLong(), u.unpackString());
         case CONFIG_REQUEST -> new PeerMessage.ConfigRequest(u.unpackLong(), u.unpackString());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.fleet.FleetMessage;
 import org.lacewingcroft.idempotency.Claimant;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.membership.Liveness;
@@ -129,4 +130,20 @@
    * @param message the message
    */
   record Consensus(String from, ConsensusMessage message) implements PeerMessage {}
+
+  /**
+   * A message between the entries and control instances of a fleet.
+   *
+   * @param message the message
+   */
+  record Fleet(FleetMessage message) implements PeerMessage {}
+
+  /**
+   * Asks the other end of a connection for a {@link Pong} on the same connection, to tell a silent
+   * one from one that has nothing to say.
+   */
+  record Ping() implements PeerMessage {}
+
+  /** Answers a {@link Ping}. */
+  record Pong() implements PeerMessage {}
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -0,0 +1,315 @@
+package org.lacewingcroft.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lacewingcroft.fleet.EndpointRecord;
+import org.lacewingcroft.fleet.EndpointState;
+
+/**
+ * What one entry knows of one endpoint beyond its record: the work it has in flight there, what the
+ * region's other entries told of theirs, how fast and how reliably it answers, and which prefixes
+ * it holds. {@link Placer} decides by it.
+ *
+ * <p>Not thread-safe: owned by the entry's event loop.
+ */
+public final class EndpointTracker {
+  /** Priorities told apart; the platform of the model engines knows ten. */
+  public static final int PRIORITIES = 10;
+
+  /** Prompt tokens read in a millisecond, until measured: a large model on a recent accelerator. */
+  private static final double INITIAL_TOKENS_PER_MILLI = 80;
+
+  /** Bounds of a believable measurement of the same. */
+  private static final double MIN_TOKENS_PER_MILLI = 4;
+
+  private static final double MAX_TOKENS_PER_MILLI = 120;
+
+  /** Prompts shorter than this say more about the network than about the engine's speed. */
+  private static final long MEASURABLE_TOKENS = 1_500;
+
+  /** Time a request takes at a plain service, until measured. */
+  private static final double INITIAL_SERVICE_MILLIS = 30;
+
+  /** Weight of a new sample in the running averages: about the last ten count. */
+  private static final double SAMPLE_WEIGHT = 0.1;
+
+  /** After this long another entry's report says nothing about the present any more. */
+  private static final Duration PEER_REPORT_VALID = Duration.ofMillis(1_500);
+
+  /**
+   * Silence of an endpoint that owes an answer after which new work avoids it: engines yield a byte
+   * of some stream many times a second, and callers give up after two seconds.
+   */
+  private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(800);
+
+  /** How long an endpoint that refused a connection is left alone at first, doubling up to 2 s. */
+  private static final long REFUSED_PAUSE_MILLIS = 250;
+
+  private static final long MAX_REFUSED_PAUSE_MILLIS = 2_000;
+
+  /** Least pause between two requests of one entry to a cold endpoint: its bound is a second. */
+  private static final Duration COLD_PAUSE = Duration.ofMillis(1_100);
+
+  /** Time in which a remembered failure counts half. */
+  private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
+
+  private EndpointRecord record;
+  private Instant coldUntil;
+  private boolean wrongInstance;
+  private int running;
+  private final long[] prefillTokens = new long[PRIORITIES];
+  private final Map<String, PeerWork> peers = new HashMap<>();
+  private final List<Ticket> open = new ArrayList<>();
+  private final PrefixMemory prefixes = new PrefixMemory();
+  private double tokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+  private double serviceMillis = INITIAL_SERVICE_MILLIS;
+  private double failureScore;
+  private Instant failureAt = Instant.EPOCH;
+  private Instant lastByteAt = Instant.EPOCH;
+  private Instant refusedUntil = Instant.EPOCH;
+  private int refusals;
+  private Instant coldSentAt = Instant.EPOCH;
+  private Instant busyUntil = Instant.EPOCH;
+
+  private record PeerWork(int running, long[] prefillTokens, Instant at) {}
+
+  /** One request in flight at the endpoint. */
+  public final class Ticket {
+    private final int priority;
+    private final long uncachedTokens;
+    private final long aheadTokens;
+    private final Instant sentAt;
+    private boolean begun;
+    private boolean ended;
+
+    private Ticket(int priority, long uncachedTokens, long aheadTokens, Instant sentAt) {
+      this.priority = priority;
+      this.uncachedTokens = uncachedTokens;
+      this.aheadTokens = aheadTokens;
+      this.sentAt = sentAt;
+    }
+
+    /** Notes bytes of the answer; the first ones end the reading of the prompt. */
+    public void bytes(Instant now) {
+      lastByteAt = now;
+      if (!begun) {
+        begun = true;
+        prefillTokens[priority] -= uncachedTokens;
+        measureSpeed(now);
+      }
+    }
+
+    private void measureSpeed(Instant now) {
+      long tokens = aheadTokens + uncachedTokens;
+      long millis = Duration.between(sentAt, now).toMillis();
+      if (tokens >= MEASURABLE_TOKENS && millis > 0) {
+        double sample = (double) tokens / millis;
+        double bounded = Math.max(MIN_TOKENS_PER_MILLI, Math.min(MAX_TOKENS_PER_MILLI, sample));
+        tokensPerMilli += SAMPLE_WEIGHT * (bounded - tokensPerMilli);
+      }
+    }
+
+    /** Ends the request. */
+    public void end(Outcome outcome, Instant now) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      open.remove(this);
+      running--;
+      if (!begun) {
+        prefillTokens[priority] -= uncachedTokens;
+      }
+      if (outcome == Outcome.ANSWERED) {
+        double millis = Duration.between(sentAt, now).toMillis();
+        serviceMillis += SAMPLE_WEIGHT * (millis - serviceMillis);
+        refusals = 0;
+      } else if (outcome == Outcome.FAILED) {
+        failed(1, now);
+      }
+    }
+  }
+
+  /** How a request ended at an endpoint. */
+  public enum Outcome {
+    /** It answered, whatever the status, in full. */
+    ANSWERED,
+    /** It answered with a server error, broke off or said nothing. */
+    FAILED,
+    /** It refused the request without running it. */
+    NOT_RUN,
+    /** The caller left, or this instance gave up. */
+    CANCELLED
+  }
+
+  /** Starts tracking an endpoint. */
+  public EndpointTracker(EndpointRecord record, Instant now) {
+    update(record, now);
+  }
+
+  /** Takes a newer record of the same endpoint. */
+  public void update(EndpointRecord newer, Instant now) {
+    record = newer;
+    wrongInstance = false;
+    Instant cold = now.plusMillis(newer.coldMillis());
+    coldUntil = coldUntil == null || cold.isAfter(coldUntil) ? cold : coldUntil;
+  }
+
+  /** Treats the endpoint as cold until an instant. */
+  public void coldUntil(Instant until) {
+    coldUntil = until.isAfter(coldUntil) ? until : coldUntil;
+  }
+
+  /** Returns the endpoint's newest record. */
+  public EndpointRecord record() {
+    return record;
+  }
+
+  /** Returns whether the endpoint is still warming up. */
+  public boolean cold(Instant now) {
+    return coldUntil.isAfter(now);
+  }
+
+  /** Returns the requests of this entry in flight there. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns this entry's prompt tokens not yet read there, by priority. */
+  public long[] prefillTokens() {
+    return prefillTokens.clone();
+  }
+
+  /** Takes another entry's report of its work there. */
+  public void peerWork(String entry, int peerRunning, long[] peerPrefill, Instant now) {
+    peers.put(entry, new PeerWork(peerRunning, peerPrefill, now));
+  }
+
+  /** Begins a request there. */
+  public Ticket begin(PlacementRequest request, long kvCapacityTokens, Instant now) {
+    int priority = Math.max(0, Math.min(PRIORITIES - 1, request.priority()));
+    long uncached = uncachedTokens(request);
+    Ticket ticket = new Ticket(priority, uncached, prefillAhead(priority, now), now);
+    if (running == 0) {
+      lastByteAt = now;
+    }
+    running++;
+    open.add(ticket);
+    prefillTokens[priority] += uncached;
+    if (!request.parts().isEmpty()) {
+      prefixes.read(request.parts(), kvCapacityTokens);
+    }
+    if (cold(now)) {
+      coldSentAt = now;
+    }
+    return ticket;
+  }
+
+  /** Notes that a connection could not be had. */
+  public void refusedConnection(Instant now) {
+    refusals++;
+    long pause = REFUSED_PAUSE_MILLIS << Math.min(8, refusals - 1);
+    refusedUntil = now.plusMillis(Math.min(MAX_REFUSED_PAUSE_MILLIS, pause));
+  }
+
+  /** Notes that another incarnation answers at the address. */
+  public void wrongInstance() {
+    wrongInstance = true;
+  }
+
+  /** Notes that the endpoint refused a request because it is full. */
+  public void full(Instant now) {
+    busyUntil = now.plusMillis(Math.round(Math.min(500, Math.max(50, serviceMillis))));
+  }
+
+  private void failed(double weight, Instant now) {
+    failureScore = failureScore(now) + weight;
+    failureAt = now;
+  }
+
+  private double failureScore(Instant now) {
+    double millis = Duration.between(failureAt, now).toMillis();
+    return failureScore * Math.pow(0.5, Math.min(100, millis / FAILURE_HALF_LIFE_MILLIS));
+  }
+
+  /** Returns the recent failures, each counting less the older it is. */
+  public double recentFailures(Instant now) {
+    return failureScore(now);
+  }
+
+  /** Returns whether the endpoint may get new work at all. */
+  public boolean takesWork(Instant now) {
+    return record.state() == EndpointState.READY && !wrongInstance && !refusedUntil.isAfter(now);
+  }
+
+  /** Returns whether a cold endpoint bears one more request of this entry now. */
+  public boolean coldPauseOver(Instant now) {
+    return !coldSentAt.plus(COLD_PAUSE).isAfter(now);
+  }
+
+  /** Returns whether the endpoint owes answers and has been silent for too long. */
+  public boolean suspect(Instant now) {
+    return !open.isEmpty()
+        && open.get(0).sentAt.plus(SUSPICIOUS_SILENCE).isBefore(now)
+        && lastByteAt.plus(SUSPICIOUS_SILENCE).isBefore(now);
+  }
+
+  /** Returns whether the endpoint said a moment ago that it is full. */
+  public boolean saidFull(Instant now) {
+    return busyUntil.isAfter(now);
+  }
+
+  /** Returns how many tokens of the prompt it would have to read. */
+  public long uncachedTokens(PlacementRequest request) {
+    return Math.max(0, request.promptTokens() - prefixes.heldTokensOf(request.parts()));
+  }
+
+  /** Returns all entries' prompt tokens ahead of a request of this priority. */
+  public long prefillAhead(int priority, Instant now) {
+    long ahead = 0;
+    for (int p = 0; p <= priority; p++) {
+      ahead += prefillTokens[p];
+    }
+    for (PeerWork peer : peers.values()) {
+      if (peer.at.plus(PEER_REPORT_VALID).isAfter(now)) {
+        for (int p = 0; p <= priority && p < peer.prefillTokens.length; p++) {
+          ahead += peer.prefillTokens[p];
+        }
+      }
+    }
+    return ahead;
+  }
+
+  /** Returns all entries' requests in flight there. */
+  public int allRunning(Instant now) {
+    int all = running;
+    for (PeerWork peer : peers.values()) {
+      if (peer.at.plus(PEER_REPORT_VALID).isAfter(now)) {
+        all += peer.running;
+      }
+    }
+    return all;
+  }
+
+  /** Returns the time until a request of this priority would begin to be worked on, in ms. */
+  public double waitMillis(int priority, Instant now) {
+    int slots = Math.max(1, record.slots());
+    int over = allRunning(now) + 1 - slots;
+    double slotWait = over > 0 ? serviceMillis * over / slots : 0;
+    return prefillAhead(priority, now) / tokensPerMilli + slotWait;
+  }
+
+  /** Returns the time from sending a request to the first byte of its answer, in ms. */
+  public double firstByteMillis(PlacementRequest request, Instant now) {
+    return waitMillis(request.priority(), now) + uncachedTokens(request) / tokensPerMilli;
+  }
+
+  /** Returns the measured reading speed in prompt tokens a millisecond. */
+  public double tokensPerMilli() {
+    return tokensPerMilli;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -0,0 +1,38 @@
+package org.lacewingcroft.placement;
+
+import java.time.Duration;
+
+/** Where a request goes. */
+public sealed interface Placement {
+  /**
+   * To an endpoint of this region.
+   *
+   * @param endpoint the endpoint
+   * @param expectedMillis the expected time to the first byte of its answer
+   */
+  record Here(EndpointTracker endpoint, double expectedMillis) implements Placement {}
+
+  /**
+   * To an entry of another region, which places it there.
+   *
+   * @param region the region
+   * @param expectedMillis the expected wait there
+   */
+  record Elsewhere(String region, double expectedMillis) implements Placement {}
+
+  /**
+   * Nowhere: it would wait too long, or nothing can run it.
+   *
+   * @param reason why, for the log and the caller
+   * @param retryAfter when it is worth coming back
+   */
+  record Refused(Reason reason, Duration retryAfter) implements Placement {}
+
+  /** Why a request is refused. */
+  enum Reason {
+    /** No endpoint that may run it is known or usable. */
+    NO_ENDPOINT,
+    /** Wherever it may run, the wait is longer than the caller's objective. */
+    OVERLOADED
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PlacementRequest.java
@@ -0,0 +1,41 @@
+package org.lacewingcroft.placement;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What placement needs to know of a request.
+ *
+ * @param service the service that shall run it
+ * @param priority its rank, 0 the most urgent
+ * @param promptTokens the length of its prompt; 0 for a plain service
+ * @param parts the prompt's parts, as far as the caller named them
+ * @param objective the time to the first byte of the answer that the caller wants
+ * @param remaining what is left of its deadline
+ * @param passedOver endpoints not to be tried (again)
+ */
+public record PlacementRequest(
+    String service,
+    int priority,
+    long promptTokens,
+    List<PromptPart> parts,
+    Duration objective,
+    Duration remaining,
+    Set<String> passedOver) {
+
+  /** Copies the collections so the request is immutable. */
+  public PlacementRequest {
+    parts = List.copyOf(parts);
+    passedOver = Set.copyOf(passedOver);
+  }
+
+  /** Returns a key that requests with the same shared parts (all but the last) have in common. */
+  public String sharedKey() {
+    StringBuilder key = new StringBuilder();
+    for (PromptPart part : parts.subList(0, Math.max(0, parts.size() - 1))) {
+      key.append(part.id()).append('/');
+    }
+    return key.toString();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefixMemory.java
@@ -0,0 +1,52 @@
+package org.lacewingcroft.placement;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which prompt prefixes an endpoint is believed to hold in its KV cache, from what this instance
+ * sent there: the least recently used yield once they exceed the capacity.
+ */
+final class PrefixMemory {
+  /** Share of the KV cache counted on for prefixes: running requests need the rest. */
+  private static final double USABLE_SHARE = 0.6;
+
+  private final Map<String, Long> tokensByPrefix = new LinkedHashMap<>(64, 0.75f, true);
+  private long heldTokens;
+
+  /** Returns how many of the prompt's leading tokens are believed to be held. */
+  long heldTokensOf(List<PromptPart> parts) {
+    StringBuilder prefix = new StringBuilder();
+    long held = 0;
+    for (PromptPart part : parts) {
+      prefix.append(part.id()).append('/');
+      if (!tokensByPrefix.containsKey(prefix.toString())) {
+        break;
+      }
+      held += part.tokens();
+    }
+    return held;
+  }
+
+  /** Notes that a prompt was read there. */
+  void read(List<PromptPart> parts, long capacityTokens) {
+    StringBuilder prefix = new StringBuilder();
+    for (PromptPart part : parts) {
+      prefix.append(part.id()).append('/');
+      Long before = tokensByPrefix.put(prefix.toString(), part.tokens());
+      heldTokens += part.tokens() - (before == null ? 0 : before);
+    }
+    Iterator<Long> oldest = tokensByPrefix.values().iterator();
+    while (heldTokens > capacityTokens * USABLE_SHARE && oldest.hasNext()) {
+      heldTokens -= oldest.next();
+      oldest.remove();
+    }
+  }
+
+  void clear() {
+    tokensByPrefix.clear();
+    heldTokens = 0;
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
@@ -0,0 +1,94 @@
+package org.lacewingcroft.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
+
+/**
+ * How loaded the services of other regions are, as their entries tell, corrected by what this entry
+ * has sent there since.
+ *
+ * <p>Not thread-safe: owned by the entry's event loop.
+ */
+public final class RegionLoads {
+  /** A region not heard of for this long is taken to be out of reach. */
+  private static final Duration VALID = Duration.ofMillis(2_500);
+
+  /** After a relay failed to reach a region, how long no other is tried there. */
+  private static final Duration FAILED_PAUSE = Duration.ofMillis(1_500);
+
+  private record Heard(ServiceLoad load, Instant at) {}
+
+  private record Key(String region, String service) {}
+
+  private final Map<Key, Heard> heard = new HashMap<>();
+  private final Map<Key, Long> sentTokens = new HashMap<>();
+  private final Map<String, Instant> failedAt = new HashMap<>();
+
+  /**
+   * A region that can take a request.
+   *
+   * @param region the region
+   * @param waitMillis the wait expected there
+   */
+  public record Offer(String region, double waitMillis) {}
+
+  /** Takes a region's report. */
+  public void heard(String region, ServiceLoad load, Instant now) {
+    Key key = new Key(region, load.service());
+    heard.put(key, new Heard(load, now));
+    sentTokens.remove(key);
+  }
+
+  /** Notes a request relayed to a region. */
+  public void sent(String region, PlacementRequest request) {
+    sentTokens.merge(new Key(region, request.service()), request.promptTokens(), Long::sum);
+  }
+
+  /** Notes that a region could not be reached. */
+  public void failed(String region, Instant now) {
+    failedAt.put(region, now);
+  }
+
+  /** Returns whether a region has endpoints of a service that take work, as far as is known. */
+  public boolean serves(String region, String service, Instant now) {
+    Heard h = heard.get(new Key(region, service));
+    return h != null && h.load.endpoints() > 0 && h.at.plus(VALID).isAfter(now);
+  }
+
+  /** Returns the allowed region with the least wait, if any can be reached. */
+  public Optional<Offer> best(
+      PlacementRequest request, Set<String> allowed, Set<String> excluded, Instant now) {
+    Optional<Offer> best = Optional.empty();
+    for (Map.Entry<Key, Heard> e : heard.entrySet()) {
+      String region = e.getKey().region();
+      boolean usable =
+          e.getKey().service().equals(request.service())
+              && (allowed.isEmpty() || allowed.contains(region))
+              && !excluded.contains(region)
+              && serves(region, request.service(), now)
+              && !failedAt.getOrDefault(region, Instant.EPOCH).plus(FAILED_PAUSE).isAfter(now);
+      if (usable) {
+        double wait = waitMillis(e.getKey(), e.getValue().load, request.priority());
+        if (best.isEmpty() || wait < best.get().waitMillis()) {
+          best = Optional.of(new Offer(region, wait));
+        }
+      }
+    }
+    return best;
+  }
+
+  private double waitMillis(Key key, ServiceLoad load, int priority) {
+    long[] waits = load.waitMillis();
+    double told = waits.length == 0 ? 0 : waits[Math.min(priority, waits.length - 1)];
+    double sent = sentTokens.getOrDefault(key, 0L);
+    return told + sent / (ASSUMED_TOKENS_PER_MILLI * load.endpoints());
+  }
+
+  /** Reading speed assumed for another region's endpoints, in tokens a millisecond. */
+  private static final double ASSUMED_TOKENS_PER_MILLI = 60;
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -0,0 +1,104 @@
+package org.lacewingcroft.route;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * One version of the routing document, checked and indexed: hosts and path prefixes to routes, and
+ * the services they name. Immutable.
+ */
+public final class RouteTable {
+  /** The table before any document is known: it matches nothing. */
+  public static final RouteTable EMPTY =
+      new RouteTable(0, List.of(), List.of(), RequestLimits.DEFAULT);
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost;
+  private final Map<String, ServiceSpec> services;
+  private final RequestLimits limits;
+
+  /**
+   * Checks and indexes a document.
+   *
+   * @throws InvalidRouteTableException if two routes share a place, or a route names an unknown
+   *     service, has weights that add up to 0 or no timeout
+   */
+  public RouteTable(
+      long version, List<Route> routes, List<ServiceSpec> services, RequestLimits limits) {
+    this.version = version;
+    this.limits = limits;
+    this.services = new HashMap<>();
+    services.forEach(s -> this.services.put(s.name(), s));
+    Set<String> places = new HashSet<>();
+    for (Route route : routes) {
+      check(route);
+      if (!places.add(route.host() + route.pathPrefix())) {
+        throw new InvalidRouteTableException(
+            "two routes share " + route.host() + route.pathPrefix() + "; remove one");
+      }
+    }
+    this.routesByHost =
+        routes.stream()
+            .sorted(Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed())
+            .collect(Collectors.groupingBy(Route::host));
+  }
+
+  private void check(Route route) {
+    String subject = "route '" + route.name() + "' ";
+    for (ServiceShare share : route.shares()) {
+      if (!services.containsKey(share.service())) {
+        throw new InvalidRouteTableException(
+            subject + "names the unknown service '" + share.service() + "'; define it");
+      }
+      if (share.weight() < 0) {
+        throw new InvalidRouteTableException(subject + "has a negative weight; use 0 or more");
+      }
+    }
+    if (route.shares().stream().mapToInt(ServiceShare::weight).sum() <= 0) {
+      throw new InvalidRouteTableException(subject + "has weights that add up to 0; raise one");
+    }
+    if (route.timeout().isZero() || route.timeout().isNegative()) {
+      throw new InvalidRouteTableException(subject + "has no timeout; set it above 0 ms");
+    }
+    if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
+      throw new InvalidRouteTableException(
+          subject + "has the prefix '" + route.pathPrefix() + "'; begin and end it with a slash");
+    }
+  }
+
+  /** Returns the operator's version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the limits on callers. */
+  public RequestLimits limits() {
+    return limits;
+  }
+
+  /** Returns a service's specification. */
+  public Optional<ServiceSpec> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Returns the route with the longest prefix that begins a path.
+   *
+   * @param hostHeader the Host header, with or without port
+   * @param path the path without query
+   */
+  public Optional<Route> match(String hostHeader, String path) {
+    int colon = hostHeader.indexOf(':');
+    String host = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+    return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
+        .filter(r -> path.startsWith(r.pathPrefix()))
+        .findFirst();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/stream/EventSplitter.java
@@ -0,0 +1,86 @@
+package org.lacewingcroft.stream;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Cuts an event stream into whole events, so that only whole ones are passed on: an event broken
+ * off in the middle can then be made again elsewhere, after the last one that the caller has.
+ *
+ * <p>An event ends with an empty line; its id stands in a line {@code id: N}.
+ */
+public final class EventSplitter {
+  private static final String ID_FIELD = "id:";
+
+  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream event = new ByteArrayOutputStream();
+  private boolean lineEmpty = true;
+  private OptionalLong lastId;
+
+  /**
+   * Creates a splitter.
+   *
+   * @param lastId the id of the last event passed on so far; events up to it are dropped
+   */
+  public EventSplitter(OptionalLong lastId) {
+    this.lastId = lastId;
+  }
+
+  /**
+   * Takes bytes of the stream.
+   *
+   * @return the bytes of the events that are complete now and not known yet, possibly none
+   */
+  public byte[] take(byte[] bytes) {
+    pending.reset();
+    for (byte b : bytes) {
+      event.write(b);
+      if (b == '\n') {
+        if (lineEmpty) {
+          finishEvent();
+        }
+        lineEmpty = true;
+      } else if (b != '\r') {
+        lineEmpty = false;
+      }
+    }
+    return pending.toByteArray();
+  }
+
+  private void finishEvent() {
+    byte[] whole = event.toByteArray();
+    event.reset();
+    OptionalLong id = idOf(whole);
+    boolean known = id.isPresent() && lastId.isPresent() && id.getAsLong() <= lastId.getAsLong();
+    if (!known) {
+      pending.writeBytes(whole);
+      lastId = id.isPresent() ? id : lastId;
+    }
+  }
+
+  private static OptionalLong idOf(byte[] whole) {
+    Optional<String> id =
+        new String(whole, StandardCharsets.ISO_8859_1)
+            .lines()
+            .filter(l -> l.startsWith(ID_FIELD))
+            .map(l -> l.substring(ID_FIELD.length()).trim())
+            .findFirst();
+    try {
+      return id.isPresent() ? OptionalLong.of(Long.parseLong(id.get())) : OptionalLong.empty();
+    } catch (NumberFormatException notNumbered) {
+      return OptionalLong.empty();
+    }
+  }
+
+  /** Returns the id of the last event passed on. */
+  public OptionalLong lastId() {
+    return lastId;
+  }
+
+  /** Returns the bytes behind the last whole event. */
+  public byte[] rest() {
+    return event.toByteArray();
+  }
+}
