Sooner back after a restart of everything; shared prefixes weigh more in placement

Cause: after all instances were killed the entries were up 1.6 s later, but for two more seconds they did not know each other (the list of entries was held back until a control instance had run for two heartbeats) nor the other regions' load, so a region without endpoints of its own refused everything: 43 of 63 requests in the log between 38.4 s and 40 s ended "no endpoint in reach". They also reported that they were ready up to half a second late. A prefix that another engine holds was read again too lightly: in the load replay at peak 730 k tokens. Changes: an entry that knows nobody gets the list at once and tells its load; it reports when it becomes ready; reading again counts 8 times its time, more of the objective is kept in reserve. Ruled out: election and recovery of the control group (leader 0.6 s after start, log checked).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -38,7 +38,7 @@
   private static final long FLUSH_MILLIS = 100;
 
   /** How often control instances greet each other and leases are checked. */
-  private static final long HELLO_MILLIS = 500;
+  private static final long HELLO_MILLIS = 800;
 
   /** An entry that has not reported for this long is not named to callers. */
   private static final Duration ENTRY_VALID = Duration.ofMillis(1_700);
@@ -299,7 +299,8 @@
               List.copyOf(roster.records(now))));
     }
     List<EntryInfo> ready = readyEntries();
-    if (settled && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
+    boolean knowsNone = report.entriesDigest() == EntryNode.entriesDigest(List.of());
+    if ((settled || knowsNone) && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
       transport.send(peer, new FleetMessage.EntryList(settings.peerAddress(), ready));
     }
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -83,6 +83,7 @@
   private boolean reachedControl;
   private boolean stopping;
   private boolean toldLoad;
+  private boolean toldReady;
 
   /** Creates the entry; {@link #start} begins to report. */
   public EntryNode(
@@ -294,6 +295,7 @@
       Instant now = clock.instant();
       load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
     }
+    reportReady();
   }
 
   private void pulse(FleetMessage.ControlPulse pulse) {
@@ -429,6 +431,15 @@
           entries.stream().map(EntryInfo::name).toList(),
           "from",
           list.from());
+      tellRegions();
+    }
+  }
+
+  /** Reports at once when this entry has become ready, so that callers are sent here again. */
+  private void reportReady() {
+    if (!toldReady && ready()) {
+      toldReady = true;
+      report();
     }
   }
 
@@ -468,7 +479,7 @@
   /** One entry of a region, the first by name, tells the other regions how loaded it is. */
   private void tellRegions() {
     List<String> near = regionEntryNames();
-    if (stopping || !near.get(0).equals(self.name()) || !rosterKnown) {
+    if (stopping || !near.get(0).equals(self.name()) || !ready()) {
       return;
     }
     Instant now = clock.instant();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -29,7 +29,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Pause between checks of a connection in use. */
-  private static final long PING_MILLIS = 400;
+  private static final long PING_MILLIS = 1_000;
 
   /**
    * Silence after a ping that proves a connection dead, in ms: several round trips between regions
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -40,7 +40,7 @@
    * How much more the reading of a shared prefix counts that another endpoint holds, besides its
    * time: it also drives other prefixes out of the cache.
    */
-  private static final double READ_AGAIN_FACTOR = 4;
+  private static final double READ_AGAIN_FACTOR = 8;
 
   /** Share of the objective up to which a first byte is expected to be in time after all. */
   private static final double SAFE_SHARE = 0.5;
@@ -48,16 +48,16 @@
   /**
    * How much more each ms beyond that counts: a late answer is worth less than a re-read prefix.
    */
-  private static final double LATENESS_FACTOR = 6;
+  private static final double LATENESS_FACTOR = 2;
 
   /** Share of the objective that a request with a long prompt of its own may wait at least. */
-  private static final double LEAST_PATIENCE = 0.3;
+  private static final double LEAST_PATIENCE = 0.2;
 
   /**
    * Share of the objective kept for what is not foretold: urgent requests that come later, steps of
    * other requests, the network.
    */
-  private static final double RESERVE_SHARE = 0.3;
+  private static final double RESERVE_SHARE = 0.35;
 
   /** Share of the remaining time that a plain service's request may wait. */
   private static final double PLAIN_SHARE = 0.3;
