Tests of the group's growth, the roster, routes, placement, budget and streams

Late and reordered announcements, addresses that change hands, single placement decisions, the bound of a cold endpoint over six entries, the shared budget of extra sends and event cutting are tables.

--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -37,6 +37,8 @@
   private long nowMillis = 1_000;
   private long nextTicket = 1;
   private final Map<String, Long> shownVersion = new HashMap<>();
+  private final Map<Long, Long> routeByTicket = new HashMap<>();
+  private Optional<GroupPolicy> policy = Optional.empty();
   private int wipes;
 
   ControlGroup(int size, long seed) {
@@ -50,10 +52,60 @@
     }
   }
 
+  /**
+   * A group that its log names: the first members found it, the others stand by and are taken in as
+   * the policy says.
+   */
+  ControlGroup(int founders, int standingBy, GroupPolicy groupPolicy, long seed) {
+    random = new Random(seed);
+    policy = Optional.of(groupPolicy);
+    for (int i = 1; i <= founders + standingBy; i++) {
+      ids.add("control-" + i);
+    }
+    Set<String> founding = Set.copyOf(ids.subList(0, founders));
+    for (String id : ids) {
+      MemoryStorage disk = new MemoryStorage(id + "-disk-0", founding.contains(id));
+      if (founding.contains(id)) {
+        disk.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founding)), List.of());
+      }
+      disks.put(id, disk);
+      restart(id);
+    }
+  }
+
   List<String> ids() {
     return ids;
   }
 
+  /** Submits a routing document at a member; the result comes with a later step. */
+  long route(String id, long version) {
+    long ticket = nextTicket++;
+    routeByTicket.put(ticket, version);
+    if (runs(id)) {
+      Command change = new Command.RoutingChange(version, "document " + version);
+      carryOut(id, member(id).submit(ticket, change, nowMillis));
+    }
+    return ticket;
+  }
+
+  /** Returns the highest routing version that was answered as accepted. */
+  long acceptedRoute() {
+    return results.entrySet().stream()
+        .filter(r -> r.getValue() instanceof ChangeResult.Accepted)
+        .mapToLong(r -> routeByTicket.getOrDefault(r.getKey(), 0L))
+        .max()
+        .orElse(0);
+  }
+
+  private void adjust(String id) {
+    for (String other : ids) {
+      if (runs(other) && cutOff.contains(id) == cutOff.contains(other)) {
+        carryOut(id, member(id).admit(other, nowMillis));
+      }
+    }
+    carryOut(id, member(id).adjustGroup(policy.orElseThrow(), nowMillis));
+  }
+
   ConsensusMember member(String id) {
     return members.get(id);
   }
@@ -75,7 +127,12 @@
     members.put(
         id,
         new ConsensusMember(
-            id, ids, TIMING, disks.get(id), new Random(random.nextLong()), nowMillis));
+            id,
+            policy.isPresent() ? List.of() : ids,
+            TIMING,
+            disks.get(id),
+            new Random(random.nextLong()),
+            nowMillis));
   }
 
   /** Replaces a member's disk by an empty one, as after a disk loss, and restarts it. */
@@ -123,6 +180,9 @@
       for (String id : ids) {
         if (runs(id)) {
           carryOut(id, member(id).tick(nowMillis));
+          if (policy.isPresent()) {
+            adjust(id);
+          }
         }
       }
     }
@@ -213,7 +273,8 @@
 
   private void checkDecision(Output.Decision decision) {
     results.put(decision.ticket(), decision.result());
-    if (decision.result() instanceof ChangeResult.Accepted a) {
+    if (decision.result() instanceof ChangeResult.Accepted a
+        && !routeByTicket.containsKey(decision.ticket())) {
       String change = changeByTicket.get(decision.ticket());
       String earlier = changeByVersion.putIfAbsent(a.version(), change);
       if (earlier != null && !earlier.equals(change)) {
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointRosterTest.java
@@ -0,0 +1,128 @@
+package org.lacewingcroft.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Announcements that come late, out of order, or from an address that changed hands. */
+class EndpointRosterTest {
+  private static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
+  private static final Duration LEASE = Duration.ofSeconds(5);
+  private static final EndpointState READY = EndpointState.READY;
+  private static final EndpointState DRAINING = EndpointState.DRAINING;
+  private static final EndpointState LOST = EndpointState.LOST;
+  private static final EndpointState GONE = EndpointState.GONE;
+
+  /** One announcement, or word of another instance, in order of arrival. */
+  record Word(String id, EndpointState state, long sequence) {}
+
+  /** A row: the words that arrive and the states believed afterwards of "old" and "new". */
+  record Row(String name, List<Word> words, EndpointState old, EndpointState fresh) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  private static Word old(EndpointState state, long sequence) {
+    return new Word("old", state, sequence);
+  }
+
+  private static Word fresh(EndpointState state, long sequence) {
+    return new Word("new", state, sequence);
+  }
+
+  static Stream<Row> rows() {
+    return Stream.of(
+        new Row("drains", List.of(old(READY, 1), old(DRAINING, 2)), DRAINING, null),
+        new Row(
+            "a late ready does not undo draining",
+            List.of(old(READY, 1), old(DRAINING, 3), old(READY, 2)),
+            DRAINING,
+            null),
+        new Row(
+            "leaving is final", List.of(old(READY, 1), old(GONE, 1), old(READY, 9)), GONE, null),
+        new Row(
+            "a new incarnation takes over", List.of(old(READY, 7), fresh(READY, 1)), LOST, READY),
+        new Row(
+            "one late word of the old one changes nothing",
+            List.of(old(READY, 7), fresh(READY, 1), old(READY, 8)),
+            LOST,
+            READY),
+        new Row(
+            "nor do two with one of the new between",
+            List.of(old(READY, 7), fresh(READY, 1), old(READY, 8), fresh(READY, 2), old(READY, 9)),
+            LOST,
+            READY),
+        new Row(
+            "who goes on alone gets the address back",
+            List.of(fresh(READY, 1), old(READY, 7), fresh(READY, 2), fresh(READY, 3)),
+            LOST,
+            READY));
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void believesTheNewestWord(Row row) {
+    EndpointRoster roster = new EndpointRoster();
+    Instant now = START;
+    for (Word word : row.words()) {
+      now = now.plusMillis(100);
+      EndpointRecord record = record(word.id(), word.state(), word.sequence(), 0);
+      if (word.state() == GONE) {
+        roster.merge(record, now);
+      } else {
+        roster.announced(record, now);
+      }
+    }
+    assertThat(roster.find("old").map(EndpointRecord::state).orElse(null), equalTo(row.old()));
+    assertThat(roster.find("new").map(EndpointRecord::state).orElse(null), equalTo(row.fresh()));
+  }
+
+  private static EndpointRecord record(
+      String id, EndpointState state, long sequence, long coldMillis) {
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", 4, state, sequence, coldMillis);
+  }
+
+  @Test
+  void aLeaseEndsAndAnAnnouncementRenewsIt() {
+    EndpointRoster roster = new EndpointRoster();
+    roster.announced(record("old", READY, 1, 0), START);
+    Instant later = START.plus(LEASE).plusMillis(1);
+    assertThat(roster.expire(later, LEASE).size(), equalTo(1));
+    assertThat(roster.expire(later, LEASE).size(), equalTo(0));
+    assertThat(roster.announced(record("old", READY, 2, 0), later).isPresent(), equalTo(true));
+    assertThat(roster.find("old").orElseThrow().state(), equalTo(READY));
+  }
+
+  @Test
+  void coldTimeRunsOffAndColdAgainIsNews() {
+    EndpointRoster roster = new EndpointRoster();
+    roster.announced(record("old", READY, 1, 3_000), START);
+    long left = roster.records(START.plusMillis(1_000)).iterator().next().coldMillis();
+    assertThat(left, equalTo(2_000L));
+    Instant warm = START.plusMillis(4_000);
+    assertThat(roster.announced(record("old", READY, 2, 0), warm).isPresent(), equalTo(false));
+    assertThat(roster.announced(record("old", READY, 3, 3_000), warm).isPresent(), equalTo(true));
+  }
+
+  @Test
+  void equalRostersHaveEqualDigestsWhateverTheOrder() {
+    EndpointRoster one = new EndpointRoster();
+    EndpointRoster two = new EndpointRoster();
+    one.merge(record("a", READY, 1, 0), START);
+    one.merge(record("b", DRAINING, 1, 0), START);
+    two.merge(record("b", DRAINING, 5, 0), START);
+    two.merge(record("a", READY, 2, 0), START);
+    assertThat(one.digest(), equalTo(two.digest()));
+    two.merge(record("a", LOST, 2, 0), START);
+    assertThat(one.digest() == two.digest(), equalTo(false));
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -0,0 +1,152 @@
+package org.lacewingcroft.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.fleet.EndpointRecord;
+import org.lacewingcroft.fleet.EndpointState;
+import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
+
+/** Single decisions: what keeps an endpoint from getting work, and when a request leaves. */
+class PlacerTest {
+  private static final Instant NOW = Instant.parse("2030-01-01T00:00:00Z");
+
+  /** A row: how the only endpoint here is, how the other region is, and where the request goes. */
+  record Row(
+      String name,
+      EndpointState state,
+      int backlogTokens,
+      long elsewhereMillis,
+      Set<String> homes,
+      long promptTokens,
+      String goes) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Row> rows() {
+    EndpointState ready = EndpointState.READY;
+    Set<String> anywhere = Set.of();
+    return Stream.of(
+        new Row("idle", ready, 0, 0, anywhere, 2_000, "here"),
+        new Row("short queue", ready, 8_000, 0, anywhere, 2_000, "here"),
+        new Row("long queue", ready, 200_000, 0, anywhere, 2_000, "elsewhere"),
+        new Row("long everywhere", ready, 200_000, 5_000, anywhere, 2_000, "refused"),
+        new Row("may not leave", ready, 200_000, 0, Set.of("here"), 2_000, "refused"),
+        new Row("may not stay", ready, 0, 0, Set.of("there"), 2_000, "elsewhere"),
+        new Row("draining", EndpointState.DRAINING, 0, 0, anywhere, 2_000, "elsewhere"),
+        new Row("gone and nobody else", EndpointState.GONE, 0, -1, anywhere, 2_000, "refused"),
+        new Row("long prompt, idle", ready, 0, 0, anywhere, 54_000, "here"),
+        new Row("plain service far away", EndpointState.GONE, 0, 0, anywhere, 0, "elsewhere"));
+  }
+
+  private static EndpointTracker tracker(String id, EndpointState state, long coldMillis) {
+    EndpointRecord record =
+        new EndpointRecord(id, "s", "10.0.0.1:1", "a", 32, state, 1, coldMillis);
+    return new EndpointTracker(record, NOW);
+  }
+
+  private static PlacementRequest request(long promptTokens) {
+    return new PlacementRequest(
+        "s", 1, promptTokens, List.of(), Duration.ofMillis(300), Duration.ofSeconds(5), Set.of());
+  }
+
+  private static String where(Placement placement) {
+    return placement instanceof Placement.Here
+        ? "here"
+        : placement instanceof Placement.Elsewhere ? "elsewhere" : "refused";
+  }
+
+  private static Placer.Surroundings around(
+      List<EndpointTracker> endpoints, RegionLoads loads, Set<String> homes, String entry) {
+    return new Placer.Surroundings(
+        endpoints,
+        entry,
+        List.of("e1", "e2", "e3", "e4", "e5", "e6"),
+        100,
+        Optional.of(loads),
+        homes,
+        Set.of(),
+        "here");
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void goesWhereItIsServedInTime(Row row) {
+    EndpointTracker endpoint = tracker("i-1", row.state(), 0);
+    if (row.backlogTokens() > 0) {
+      endpoint.begin(request(row.backlogTokens()), 400_000, NOW);
+    }
+    RegionLoads loads = new RegionLoads();
+    if (row.elsewhereMillis() >= 0) {
+      long[] waits = {row.elsewhereMillis(), row.elsewhereMillis()};
+      loads.heard("there", new ServiceLoad("s", 2, waits), NOW);
+    }
+    Placement placement =
+        new Placer(3, new Random(1))
+            .place(
+                request(row.promptTokens()),
+                around(List.of(endpoint), loads, row.homes(), "e1"),
+                NOW);
+    assertThat(where(placement), equalTo(row.goes()));
+  }
+
+  @Test
+  void coldEndpointsGetFewRequestsFromAllEntriesTogether() {
+    Placer placer = new Placer(3, new Random(1));
+    List<EndpointTracker> views = new ArrayList<>();
+    for (int e = 1; e <= 6; e++) {
+      views.add(tracker("i-1", EndpointState.READY, 10_000));
+    }
+    int mostInSecond = 0;
+    List<Instant> sent = new ArrayList<>();
+    for (int ms = 0; ms < 5_000; ms += 10) {
+      Instant now = NOW.plusMillis(ms);
+      for (int e = 1; e <= 6; e++) {
+        EndpointTracker view = views.get(e - 1);
+        Placement placement =
+            placer.place(
+                request(0), around(List.of(view), new RegionLoads(), Set.of(), "e" + e), now);
+        if (placement instanceof Placement.Here) {
+          view.begin(request(0), 0, now).end(EndpointTracker.Outcome.ANSWERED, now);
+          sent.add(now);
+        }
+      }
+      mostInSecond =
+          Math.max(
+              mostInSecond,
+              (int) sent.stream().filter(t -> t.isAfter(now.minusSeconds(1))).count());
+    }
+    assertThat("three owners, one request a second each", mostInSecond, equalTo(3));
+  }
+
+  @Test
+  void aSilentEndpointThatOwesAnswersIsAvoided() {
+    EndpointTracker silent = tracker("i-1", EndpointState.READY, 0);
+    EndpointTracker sound = tracker("i-2", EndpointState.READY, 0);
+    silent.begin(request(100), 1_000, NOW);
+    Instant later = NOW.plusSeconds(1);
+    for (int i = 0; i < 20; i++) {
+      Placement placement =
+          new Placer(3, new Random(i))
+              .place(
+                  request(100 + i),
+                  around(List.of(silent, sound), new RegionLoads(), Set.of(), "e1"),
+                  later);
+      assertThat(((Placement.Here) placement).endpoint().record().id(), equalTo("i-2"));
+    }
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
@@ -0,0 +1,84 @@
+package org.lacewingcroft.route;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class RouteTableTest {
+  private static final List<ServiceSpec> SERVICES =
+      List.of(new ServiceSpec("s", 10, Duration.ZERO, 0, Optional.empty()));
+
+  private static Route route(String name, String prefix, long timeoutMillis, ServiceShare... to) {
+    return new Route(
+        name,
+        "host.example",
+        prefix,
+        RouteKind.IDEMPOTENT,
+        Duration.ofMillis(timeoutMillis),
+        Duration.ofMillis(100),
+        0,
+        List.of(to),
+        1,
+        false,
+        Optional.empty(),
+        Set.of());
+  }
+
+  private static RouteTable table(Route... routes) {
+    return new RouteTable(1, List.of(routes), SERVICES, RequestLimits.DEFAULT);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "host.example, /a/x, short",
+    "HOST.example:8080, /a/b/x, long",
+    "host.example, /a/b/, long",
+    "host.example, /a, none",
+    "host.example, /c/, none",
+    "other.example, /a/x, none"
+  })
+  void theLongestPrefixWins(String host, String path, String expected) {
+    ServiceShare all = new ServiceShare("s", 1);
+    RouteTable table = table(route("short", "/a/", 1, all), route("long", "/a/b/", 1, all));
+    assertThat(table.match(host, path).map(Route::name).orElse("none"), equalTo(expected));
+  }
+
+  /** A row: routes that must not be put in force, and what the error says. */
+  record Bad(List<Route> routes, String says) {}
+
+  static Stream<Bad> bad() {
+    ServiceShare all = new ServiceShare("s", 1);
+    return Stream.of(
+        new Bad(List.of(route("r", "/a/", 1, new ServiceShare("t", 1))), "unknown service 't'"),
+        new Bad(List.of(route("r", "/a/", 1, new ServiceShare("s", 0))), "add up to 0"),
+        new Bad(List.of(route("r", "/a/", 0, all)), "no timeout"),
+        new Bad(List.of(route("r", "a/", 1, all)), "slash"),
+        new Bad(List.of(route("r", "/a/", 1, all), route("q", "/a/", 1, all)), "two routes share"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("bad")
+  void refusesWhatMustNotBeInForce(Bad bad) {
+    InvalidRouteTableException refused =
+        assertThrows(
+            InvalidRouteTableException.class, () -> table(bad.routes().toArray(Route[]::new)));
+    assertThat(refused.getMessage(), containsString(bad.says()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0.0, s", "0.89, s", "0.91, t", "0.9999, t"})
+  void sharesFollowTheirWeights(double point, String expected) {
+    Route route = route("r", "/a/", 1, new ServiceShare("s", 90), new ServiceShare("t", 10));
+    assertThat(route.pick(point), equalTo(expected));
+  }
+}
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/stream/EventSplitterTest.java
@@ -0,0 +1,44 @@
+package org.lacewingcroft.stream;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class EventSplitterTest {
+  private static final String ONE = "id: 1\ndata: a\n\n";
+  private static final String TWO = "id: 2\r\ndata: b\r\n\r\n";
+
+  /** A row: the last event known, the bytes, what is passed on, the last id and the rest. */
+  record Row(long known, String bytes, String passedOn, long lastId, String rest) {}
+
+  static Stream<Row> rows() {
+    return Stream.of(
+        new Row(-1, ONE + TWO, ONE + TWO, 2, ""),
+        new Row(-1, ONE + "id: 2\nda", ONE, 1, "id: 2\nda"),
+        new Row(1, ONE + TWO, TWO, 2, ""),
+        new Row(-1, "data: plain\n\n", "data: plain\n\n", -1, ""),
+        new Row(-1, "x-weight-versions: 3\n" + ONE, "x-weight-versions: 3\n" + ONE, 1, ""));
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void passesOnWholeNewEvents(Row row) {
+    for (int piece : new int[] {1, 5, 1_000}) {
+      EventSplitter splitter =
+          new EventSplitter(row.known() < 0 ? OptionalLong.empty() : OptionalLong.of(row.known()));
+      StringBuilder out = new StringBuilder();
+      for (int i = 0; i < row.bytes().length(); i += piece) {
+        String part = row.bytes().substring(i, Math.min(row.bytes().length(), i + piece));
+        out.append(new String(splitter.take(part.getBytes(StandardCharsets.UTF_8))));
+      }
+      assertThat(out.toString(), equalTo(row.passedOn()));
+      assertThat(splitter.lastId().orElse(-1), equalTo(row.lastId()));
+      assertThat(new String(splitter.rest(), StandardCharsets.UTF_8), equalTo(row.rest()));
+    }
+  }
+}
