--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
@@ -133,6 +133,8 @@
     } catch (RuntimeException e) {
       LOG.log(System.Logger.Level.ERROR, "control.stopped", e);
       thread.shutdownNow();
+      closeLog();
+      waiting.values().forEach(p -> p.tryComplete(new ChangeResult.Unknown()));
       onDiskFailure.accept(e);
       return;
     }
@@ -149,10 +151,18 @@
     }
   }
 
+  private void closeLog() {
+    try {
+      log.close();
+    } catch (IOException e) {
+      LOG.log(System.Logger.Level.WARNING, "control.log_not_closed", e);
+    }
+  }
+
   private void decide(long ticket, ChangeResult result) {
     Promise<ChangeResult> promise = waiting.remove(ticket);
     if (promise != null) {
-      promise.complete(result);
+      promise.tryComplete(result);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -55,7 +55,13 @@
       boolean inMajority,
       Optional<String> leader,
       Set<String> members,
-      long term) {}
+      long term) {
+
+    /** Returns the view of an instance whose data folder failed: it knows nothing newer. */
+    private View outOfTouch() {
+      return new View(routing, false, Optional.empty(), members, term);
+    }
+  }
 
   /**
    * Opens the log and begins to take part.
@@ -66,7 +72,8 @@
    * @param toleratedLosses how many members may be lost at once
    * @param send carries a message to a member
    * @param onRouting told of each newer routing state, on the group's thread
-   * @param onDiskFailure called once if the data folder fails
+   * @param onDiskFailure called once, on the group's thread, if the data folder fails; this object
+   *     then takes no part any more and its data folder may be opened again
    * @throws IOException if the log cannot be opened
    */
   public RoutingControl(
@@ -78,7 +85,22 @@
       Consumer<RoutingState> onRouting,
       Consumer<Throwable> onDiskFailure)
       throws IOException {
-    DurableLog log = DurableLog.openFounded(dataDir, founders);
+    this(
+        self,
+        DurableLog.openFounded(dataDir, founders),
+        toleratedLosses,
+        send,
+        onRouting,
+        onDiskFailure);
+  }
+
+  RoutingControl(
+      String self,
+      DurableLog log,
+      int toleratedLosses,
+      BiConsumer<String, ConsensusMessage> send,
+      Consumer<RoutingState> onRouting,
+      Consumer<Throwable> onDiskFailure) {
     member =
         new ConsensusMember(
             self,
@@ -114,7 +136,10 @@
                 publish(committed, onRouting);
               }
             },
-            onDiskFailure);
+            failure -> {
+              view = view.outOfTouch();
+              onDiskFailure.accept(failure);
+            });
     driver.start();
     GroupPolicy policy = new GroupPolicy(2 * toleratedLosses + 1, REPLACE_AFTER_MILLIS);
     driver.every(ADJUST_MILLIS, now -> member.adjustGroup(policy, now));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -52,6 +52,9 @@
   /** How long the majority may take to confirm that an endpoint leaves: callers wait a second. */
   private static final Duration CONFIRM_PATIENCE = Duration.ofMillis(750);
 
+  /** Pause before a data folder that failed is opened again. */
+  private static final long REOPEN_MILLIS = 1_000;
+
   /** Least pause between two whole rosters to one entry. */
   private static final Duration WHOLE_PAUSE = Duration.ofMillis(900);
 
@@ -60,7 +63,7 @@
   private final Vertx vertx;
   private final Context context;
   private final FleetTransport transport;
-  private final RoutingControl control;
+  private volatile RoutingControl control;
   private final OrderRelay orders;
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, SeenEntry> entries = new TreeMap<>();
@@ -97,26 +100,47 @@
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
     boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
-    this.control =
-        new RoutingControl(
-            settings.peerAddress(),
-            settings.dataDir().orElseThrow(),
-            founder ? Set.copyOf(seeds) : Set.of(),
-            settings.toleratedLosses(),
-            transport::send,
-            state -> context.runOnContext(v -> announceState(state)),
-            failure -> Runtime.getRuntime().halt(EXIT_DISK_FAILURE));
-    this.orders = new OrderRelay(context, settings.peerAddress(), control, transport);
+    this.control = openControl(founder ? Set.copyOf(seeds) : Set.of());
+    this.orders = new OrderRelay(context, settings.peerAddress(), () -> this.control, transport);
+  }
+
+  private RoutingControl openControl(Set<String> founders) throws IOException {
+    return new RoutingControl(
+        settings.peerAddress(),
+        settings.dataDir().orElseThrow(),
+        founders,
+        settings.toleratedLosses(),
+        transport::send,
+        state -> context.runOnContext(v -> announceState(state)),
+        failure -> context.runOnContext(v -> reopenLater()));
   }
 
-  /** The exit status after the data folder failed: what it holds is then unknown. */
-  private static final int EXIT_DISK_FAILURE = 3;
+  /**
+   * Goes on without the control group after the data folder failed, and opens it again once it can
+   * be used: what it holds on disk is all that this instance may then still stand for. A full or
+   * faulty disk so costs one member for a while and not the directory and the roster as well.
+   */
+  private void reopenLater() {
+    vertx.setTimer(
+        REOPEN_MILLIS,
+        id -> {
+          try {
+            control = openControl(Set.of());
+          } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "control.data_folder_unusable", e);
+            reopenLater();
+          }
+        });
+  }
 
   /** Listens and begins to greet. */
   public Future<Void> start() {
     vertx.setPeriodic(FLUSH_MILLIS, id -> flush());
     vertx.setPeriodic(HELLO_MILLIS, id -> hello());
-    return transport.listen(this::receive, control::receive).onSuccess(port -> hello()).mapEmpty();
+    return transport
+        .listen(this::receive, (from, message) -> control.receive(from, message))
+        .onSuccess(port -> hello())
+        .mapEmpty();
   }
 
   /** Takes other seeds from changed settings. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryStop.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryStop.java
@@ -18,8 +18,8 @@
   /** How long callers may still come: three validities of a directory answer, plus its delay. */
   private static final Duration LINGER = Duration.ofMillis(4_200);
 
-  /** Kept free before the kill. */
-  private static final Duration KILL_MARGIN = Duration.ofMillis(500);
+  /** Kept free before the kill: the last answers, the last log lines and the exit need it. */
+  private static final Duration KILL_MARGIN = Duration.ofMillis(900);
 
   private static final long CHECK_MILLIS = 50;
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.RoutingState;
@@ -35,7 +36,7 @@
   private final Context context;
   private final Vertx vertx;
   private final String self;
-  private final RoutingControl control;
+  private final Supplier<RoutingControl> control;
   private final FleetTransport transport;
   private final Map<Long, Promise<Outcome>> calls = new HashMap<>();
   private long nextCallId = 1;
@@ -66,7 +67,8 @@
     }
   }
 
-  OrderRelay(Context context, String self, RoutingControl control, FleetTransport transport) {
+  OrderRelay(
+      Context context, String self, Supplier<RoutingControl> control, FleetTransport transport) {
     this.context = context;
     this.vertx = context.owner();
     this.self = self;
@@ -109,13 +111,13 @@
                     "done",
                     o.done(),
                     "leader",
-                    control.view().leader().orElse("none"),
+                    control.get().view().leader().orElse("none"),
                     "term",
-                    control.view().term()));
+                    control.get().view().term()));
   }
 
   private void attempt(Order order, Promise<Outcome> result) {
-    Optional<String> leader = control.view().leader();
+    Optional<String> leader = control.get().view().leader();
     if (order.leftMillis() <= 0) {
       result.tryComplete(Outcome.UNKNOWN);
       return;
@@ -141,6 +143,7 @@
   private Future<Outcome> submitHere(ControlOrder kind, Command command, long patienceMillis) {
     Promise<Outcome> promise = Promise.promise();
     control
+        .get()
         .submit(command, Duration.ofMillis(Math.max(1, patienceMillis)))
         .onSuccess(result -> context.runOnContext(v -> promise.complete(outcome(kind, result))));
     return promise.future();
@@ -150,7 +153,7 @@
     if (!(result instanceof ChangeResult.Accepted)) {
       return Outcome.UNKNOWN;
     }
-    RoutingState state = control.view().routing();
+    RoutingState state = control.get().view().routing();
     boolean read = kind == ControlOrder.READ;
     return new Outcome(true, state.version(), read ? state.document() : "");
   }
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -0,0 +1,81 @@
+package org.lacewingcroft.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+
+import io.vertx.core.Future;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.lacewingcroft.consensus.ChangeResult;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.ConfigState;
+import org.lacewingcroft.consensus.Snapshot;
+
+/** A control instance whose disk fails takes no part any more, and goes on from what is on disk. */
+class RoutingControlTest {
+  private static final String SELF = "10.0.0.1:7660";
+
+  @TempDir private Path folder;
+
+  private static ChangeResult await(Future<ChangeResult> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
+  private static RoutingControl open(DurableLog log, CompletableFuture<Throwable> failed) {
+    return new RoutingControl(SELF, log, 0, (to, m) -> {}, state -> {}, failed::complete);
+  }
+
+  private static ChangeResult submit(RoutingControl control, long version) throws Exception {
+    ChangeResult result = new ChangeResult.Unknown();
+    for (int i = 0; i < 100 && !(result instanceof ChangeResult.Accepted); i++) {
+      TimeUnit.MILLISECONDS.sleep(20);
+      result =
+          await(
+              control.submit(
+                  new Command.RoutingChange(version, "v" + version), Duration.ofMillis(300)));
+    }
+    return result;
+  }
+
+  @Test
+  void aFailedDiskEndsItsPartAndTheFolderCanBeOpenedAgain() throws Exception {
+    AtomicBoolean full = new AtomicBoolean();
+    DurableLog log =
+        DurableLog.open(
+            folder,
+            true,
+            channel -> {
+              if (full.get()) {
+                throw new IOException("no space left");
+              }
+              channel.force(true);
+            });
+    log.compact(
+        new Snapshot(0, 0, ConfigState.EMPTY.withMembers(Set.of(SELF))), java.util.List.of());
+    CompletableFuture<Throwable> failed = new CompletableFuture<>();
+    RoutingControl control = open(log, failed);
+    assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
+    assertThat(control.view().inMajority(), equalTo(true));
+
+    full.set(true);
+    ChangeResult lost =
+        await(control.submit(new Command.RoutingChange(6, "v6"), Duration.ofSeconds(2)));
+    failed.get(5, TimeUnit.SECONDS);
+    assertThat(lost, instanceOf(ChangeResult.Unknown.class));
+    assertThat(control.view().inMajority(), equalTo(false));
+
+    try (RoutingControl again =
+        open(DurableLog.openFounded(folder, Set.of()), new CompletableFuture<>())) {
+      assertThat(submit(again, 7), instanceOf(ChangeResult.Accepted.class));
+      assertThat(again.view().routing().document(), equalTo("v7"));
+    }
+  }
+}
