--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -73,6 +73,16 @@
     return open(dataDir, bootstrap, c -> c.force(true));
   }
 
+  static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
+      throws IOException {
+    Files.createDirectories(dataDir);
+    DurableLog log = new DurableLog(dataDir, sync);
+    log.recoverHardState(bootstrap);
+    log.recoverSnapshot();
+    log.recoverEntries();
+    return log;
+  }
+
   /**
    * Opens the log of a group that its log names. On the deployment's first start the founding
    * members begin with a snapshot that names them; every other data folder that is empty begins as
@@ -92,16 +102,6 @@
     return log;
   }
 
-  static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
-      throws IOException {
-    Files.createDirectories(dataDir);
-    DurableLog log = new DurableLog(dataDir, sync);
-    log.recoverHardState(bootstrap);
-    log.recoverSnapshot();
-    log.recoverEntries();
-    return log;
-  }
-
   private void recoverHardState(boolean bootstrap) throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE)).payloads();
     if (records.isEmpty()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -19,6 +19,7 @@
 import java.util.TreeSet;
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
+import org.lacewingcroft.metrics.GatewayMetrics;
 
 /**
  * A control instance of a fleet: keeps the roster of endpoints from their announcements, knows the
@@ -62,6 +63,7 @@
   private final InstantSource clock;
   private final Vertx vertx;
   private final Context context;
+  private final GatewayMetrics metrics;
   private final FleetTransport transport;
   private volatile RoutingControl control;
   private final OrderRelay orders;
@@ -90,8 +92,10 @@
    *
    * @throws IOException if the data folder cannot be used
    */
-  public ControlNode(Context context, FleetSettings settings, InstantSource clock)
+  public ControlNode(
+      Context context, FleetSettings settings, InstantSource clock, GatewayMetrics metrics)
       throws IOException {
+    this.metrics = metrics;
     this.context = context;
     this.vertx = context.owner();
     this.settings = settings;
@@ -101,7 +105,8 @@
     this.transport = new FleetTransport(context, settings);
     boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
     this.control = openControl(founder ? Set.copyOf(seeds) : Set.of());
-    this.orders = new OrderRelay(context, settings.peerAddress(), () -> this.control, transport);
+    this.orders =
+        new OrderRelay(context, settings.peerAddress(), () -> this.control, transport, metrics);
   }
 
   private RoutingControl openControl(Set<String> founders) throws IOException {
@@ -169,6 +174,13 @@
    * @return whether it may be acknowledged; if not, the endpoint shall try another instance
    */
   public Future<Boolean> announced(EndpointRecord record) {
+    return take(record)
+        .onSuccess(
+            acknowledged ->
+                metrics.announcements.labelValues(Boolean.toString(acknowledged)).inc());
+  }
+
+  private Future<Boolean> take(EndpointRecord record) {
     Optional<EndpointRecord> changed = roster.announced(record, clock.instant());
     changed.ifPresent(c -> logEndpoint(c, "announcement"));
     if (record.state() == EndpointState.READY) {
@@ -295,7 +307,6 @@
 
   private void reported(FleetMessage.EntryReport report) {
     SeenEntry seen = entries.computeIfAbsent(report.entry().name(), n -> new SeenEntry());
-    Instant now = clock.instant();
     if (seen.info == null || report.ready() != seen.ready) {
       LOG.log(
           System.Logger.Level.INFO,
@@ -305,6 +316,7 @@
           "ready",
           report.ready());
     }
+    Instant now = clock.instant();
     seen.info = report.entry();
     seen.ready = report.ready();
     seen.at = now;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -15,6 +15,7 @@
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.fleet.FleetMessage.ControlOrder;
+import org.lacewingcroft.metrics.GatewayMetrics;
 
 /**
  * Carries operators' orders and reads to the leader of the control group, from whichever instance
@@ -38,6 +39,7 @@
   private final String self;
   private final Supplier<RoutingControl> control;
   private final FleetTransport transport;
+  private final GatewayMetrics metrics;
   private final Map<Long, Promise<Outcome>> calls = new HashMap<>();
   private long nextCallId = 1;
 
@@ -68,7 +70,12 @@
   }
 
   OrderRelay(
-      Context context, String self, Supplier<RoutingControl> control, FleetTransport transport) {
+      Context context,
+      String self,
+      Supplier<RoutingControl> control,
+      FleetTransport transport,
+      GatewayMetrics metrics) {
+    this.metrics = metrics;
     this.context = context;
     this.vertx = context.owner();
     this.self = self;
@@ -93,27 +100,35 @@
 
   private Future<Outcome> order(ControlOrder kind, long version, String text) {
     Promise<Outcome> result = Promise.promise();
-    long deadline = System.nanoTime() + PATIENCE.toNanos();
+    long beganNanos = System.nanoTime();
+    long deadline = beganNanos + PATIENCE.toNanos();
     attempt(new Order(kind, version, text, deadline), result);
     return result
         .future()
         .onSuccess(
-            o ->
-                LOG.log(
-                    System.Logger.Level.INFO,
-                    "order.answered",
-                    "order",
-                    kind,
-                    "version",
-                    kind == ControlOrder.READ ? o.version() : version,
-                    "domain",
-                    kind == ControlOrder.ROUTE ? "" : text,
-                    "done",
-                    o.done(),
-                    "leader",
-                    control.get().view().leader().orElse("none"),
-                    "term",
-                    control.get().view().term()));
+            o -> {
+              metrics.orders.labelValues(kind.name(), Boolean.toString(o.done())).inc();
+              metrics.orderSeconds.observe((System.nanoTime() - beganNanos) / 1e9);
+              log(kind, version, text, o);
+            });
+  }
+
+  private void log(ControlOrder kind, long version, String text, Outcome outcome) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "order.answered",
+        "order",
+        kind,
+        "version",
+        kind == ControlOrder.READ ? outcome.version() : version,
+        "domain",
+        kind == ControlOrder.ROUTE ? "" : text,
+        "done",
+        outcome.done(),
+        "leader",
+        control.get().view().leader().orElse("none"),
+        "term",
+        control.get().view().term());
   }
 
   private void attempt(Order order, Promise<Outcome> result) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -106,7 +106,7 @@
   }
 
   private void handleCaller(HttpServerRequest request) {
-    Instant arrivedAt = clock.instant();
+    final Instant arrivedAt = clock.instant();
     CallerAnswer answer = new CallerAnswer(request, false);
     request.exceptionHandler(e -> {});
     if (node.routing().revision() == 0) {
@@ -179,7 +179,7 @@
   }
 
   private void handleRelayed(HttpServerRequest request) {
-    Instant arrivedAt = clock.instant();
+    final Instant arrivedAt = clock.instant();
     CallerAnswer answer = new CallerAnswer(request, true);
     request.exceptionHandler(e -> {});
     try {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -103,6 +103,7 @@
     PlacementRequest wanted = request.placement(context.now(), passedOver);
     Placement placement =
         context.node().place(wanted, !relayed, request.handling().regions(), passedOverRegions);
+    context.metrics().placements.labelValues(placement.where()).inc();
     if (placement instanceof Placement.Here here) {
       logPlaced(here.endpoint().record().id(), here.expectedMillis());
       UpstreamTarget target =
@@ -349,7 +350,7 @@
         } else {
           served(upstream);
           answer.endStream();
-          finished("served", status);
+          finished(ForwardContext.SERVED, status);
         }
       } else if (!refusal.isEmpty()) {
         refusedBy(upstream, status, refusal);
@@ -374,7 +375,7 @@
           answer.closeAfterwards();
         }
         answer.whole(status, headers, whole);
-        finished("served", status);
+        finished(ForwardContext.SERVED, status);
       }
     }
 
@@ -465,6 +466,7 @@
   }
 
   private void logTry(UpstreamAttempt attempt, String what, String detail) {
+    context.metrics().triesFailed.labelValues(what).inc();
     LOG.log(
         System.Logger.Level.INFO,
         "request.try_failed",
@@ -517,7 +519,7 @@
     vertx.cancelTimer(dueTimer);
     vertx.cancelTimer(silenceTimer);
     long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
-    context.count(status, outcome, millis);
+    context.count(status, outcome, millis, firstByteMillis);
     LOG.log(
         System.Logger.Level.INFO,
         "request.finished",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -54,6 +54,9 @@
           HopAuthenticator.TAG_HEADER.toLowerCase(Locale.ROOT),
           CallerRequest.FORWARDED_HEADER.toLowerCase(Locale.ROOT));
 
+  /** Outcome of a request that an endpoint answered. */
+  static final String SERVED = "served";
+
   /** A pause after which another endpoint may have room: about one short request. */
   private static final Duration SHORT_PAUSE = Duration.ofMillis(400);
 
@@ -90,10 +93,18 @@
     return headers;
   }
 
-  void count(int status, String outcome, long millis) {
-    String label =
-        status == 0 ? "caller_left" : outcome.equals("served") ? "served" : "own_" + status;
+  /** Counts a finished request. */
+  void count(int status, String outcome, long millis, long firstByteMillis) {
+    String label = "own_" + status;
+    if (status == 0) {
+      label = "caller_left";
+    } else if (outcome.equals(SERVED)) {
+      label = SERVED;
+    }
     metrics.requests.labelValues(label).inc();
-    metrics.firstByteSeconds.observe(millis / 1000.0);
+    metrics.requestSeconds.labelValues(label).observe(millis / 1000.0);
+    if (firstByteMillis >= 0) {
+      metrics.firstByteSeconds.observe(firstByteMillis / 1000.0);
+    }
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -73,6 +73,53 @@
           .help("Seconds from request to the first answer byte relayed")
           .register(registry);
 
+  /** Time from receiving a request to its end, whatever that was. */
+  public final Histogram requestSeconds =
+      Histogram.builder()
+          .name("lwc_request_seconds")
+          .help("Seconds from request to its end, by outcome")
+          .labelNames("outcome")
+          .register(registry);
+
+  /** Where requests were placed: here, elsewhere, or refused by reason. */
+  public final Counter placements =
+      Counter.builder()
+          .name("lwc_placements_total")
+          .help("Placement decisions by where the request went")
+          .labelNames("where")
+          .register(registry);
+
+  /** Tries that did not bring an answer, by what the target did. */
+  public final Counter triesFailed =
+      Counter.builder()
+          .name("lwc_tries_failed_total")
+          .help("Tries without an answer, by what the target did")
+          .labelNames("what")
+          .register(registry);
+
+  /** Endpoints' announcements that a control instance took, by whether it acknowledged them. */
+  public final Counter announcements =
+      Counter.builder()
+          .name("lwc_announcements_total")
+          .help("Endpoints' announcements by acknowledgement")
+          .labelNames("acknowledged")
+          .register(registry);
+
+  /** Operators' orders and reads at a control instance. */
+  public final Counter orders =
+      Counter.builder()
+          .name("lwc_orders_total")
+          .help("Operators' orders and reads by kind and by whether they were confirmed")
+          .labelNames("order", "confirmed")
+          .register(registry);
+
+  /** Time from an operator's order to its confirmation or to giving it up. */
+  public final Histogram orderSeconds =
+      Histogram.builder()
+          .name("lwc_order_seconds")
+          .help("Seconds from an operator's order to its answer")
+          .register(registry);
+
   /** Returns the text exposition of every metric. */
   public String scrape() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -46,7 +46,7 @@
   }
 
   @Test
-  void aFailedDiskEndsItsPartAndTheFolderCanBeOpenedAgain() throws Exception {
+  void failedDiskEndsItsPartAndTheFolderCanBeOpenedAgain() throws Exception {
     AtomicBoolean full = new AtomicBoolean();
     DurableLog log =
         DurableLog.open(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -86,7 +86,8 @@
     CompletableFuture<ControlNode> made = new CompletableFuture<>();
     onContext(
         () -> {
-          ControlNode node = new ControlNode(context, founding, new SteadyInstantSource());
+          ControlNode node =
+              new ControlNode(context, founding, new SteadyInstantSource(), new GatewayMetrics());
           made.complete(node);
           return node.start();
         });
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -1,9 +1,18 @@
 package org.lacewingcroft.placement;
 
 import java.time.Duration;
+import java.util.Locale;
 
 /** Where a request goes. */
 public sealed interface Placement {
+  /** Returns a short word for where the request goes, for metrics. */
+  default String where() {
+    if (this instanceof Refused refused) {
+      return refused.reason().name().toLowerCase(Locale.ROOT);
+    }
+    return this instanceof Here ? "here" : "elsewhere";
+  }
+
   /**
    * To an endpoint of this region.
    *
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/GroupGrowthTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/GroupGrowthTest.java
@@ -61,7 +61,7 @@
   @MethodSource("pairs")
   void anyTwoDisksMayBeLostAtOnceRightAfterAnAcknowledgement(List<String> lost) {
     ControlGroup group = grown(2);
-    long version = accept(group, 7);
+    final long version = accept(group, 7);
     group.ids().forEach(group::kill);
     group.ids().stream().filter(id -> !lost.contains(id)).forEach(group::restart);
     lost.forEach(group::wipe);
@@ -84,7 +84,7 @@
   }
 
   @Test
-  void aCutThatHealsChangesNothingWhileNobodyStandsBy() {
+  void cutThatHealsChangesNothingWhileNobodyStandsBy() {
     ControlGroup group = grown(4);
     group.cutOff("control-1", "control-2");
     group.run(3_000);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointRosterTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointRosterTest.java
@@ -92,7 +92,7 @@
   }
 
   @Test
-  void aLeaseEndsAndAnAnnouncementRenewsIt() {
+  void leaseEndsAndAnAnnouncementRenewsIt() {
     EndpointRoster roster = new EndpointRoster();
     roster.announced(record("old", READY, 1, 0), START);
     Instant later = START.plus(LEASE).plusMillis(1);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -134,7 +134,7 @@
   }
 
   @Test
-  void aSilentEndpointThatOwesAnswersIsAvoided() {
+  void silentEndpointThatOwesAnswersIsAvoided() {
     EndpointTracker silent = tracker("i-1", EndpointState.READY, 0);
     EndpointTracker sound = tracker("i-2", EndpointState.READY, 0);
     silent.begin(request(100), 1_000, NOW);
