A region that refuses one request is not out of reach

Cause: when the only entry of another region refused a relayed request (its endpoint was full), the whole region was passed over for 1.5 s, for every service. RelayTest showed it: the next two rows, of other services, were refused with 503 instead of being served there. Now only a region whose entries cannot be connected to is left alone. RelayTest runs two regions in one process: answers, streams, refusals and broken endpoints keep their promises over one hop, homes are kept, entries' headers reach neither endpoints nor callers, a relay without an entry's mark is refused, and a caller that leaves is cancelled at the endpoint.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -401,6 +401,12 @@
     logTry(attempt, "unreachable", detail);
     attempt.target().endpoint().ifPresent(e -> e.refusedConnection(context.now()));
     passOver(attempt);
+    // A region that only refused this request still serves others; one out of reach does not.
+    attempt
+        .target()
+        .entry()
+        .filter(this::isLastOfRegion)
+        .ifPresent(e -> context.node().regionLoads().failed(e.region(), context.now()));
     tryElsewhere(detail, true);
   }
 
@@ -427,14 +433,13 @@
     attempt
         .target()
         .entry()
-        .ifPresent(
-            e -> {
-              if (context.node().entriesOf(e.region()).stream()
-                  .allMatch(other -> passedOver.contains(other.name()))) {
-                passedOverRegions.add(e.region());
-                context.node().regionLoads().failed(e.region(), context.now());
-              }
-            });
+        .filter(this::isLastOfRegion)
+        .ifPresent(e -> passedOverRegions.add(e.region()));
+  }
+
+  private boolean isLastOfRegion(EntryInfo entry) {
+    return context.node().entriesOf(entry.region()).stream()
+        .allMatch(other -> passedOver.contains(other.name()));
   }
 
   /** Goes elsewhere with a request that this target did not run. */
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -62,7 +62,7 @@
   private final ControlNode control;
 
   /** One entry of the fleet. */
-  record Entry(EntryNode node, int publicPort) {}
+  record Entry(EntryNode node, int publicPort, int relayPort) {}
 
   FleetHarness(Path dataDir, Map<Long, RouteTable> tables) throws Exception {
     this.tables = tables;
@@ -148,7 +148,7 @@
                         server.listen(
                             SocketAddress.inetSocketAddress(publicPort, "127.0.0.1"),
                             SocketAddress.inetSocketAddress(settings.relayPort(), "127.0.0.1"))));
-    return new Entry(node, publicPort);
+    return new Entry(node, publicPort, settings.relayPort());
   }
 
   /** Puts a table in force and waits for its acknowledgement. */
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
@@ -0,0 +1,209 @@
+package org.lacewingcroft.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.not;
+
+import io.vertx.core.Future;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.forward.ScriptedEndpoints.Act;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.Route;
+import org.lacewingcroft.route.RouteKind;
+import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceShare;
+import org.lacewingcroft.route.ServiceSpec;
+
+/** Requests whose only endpoint is in another region: one hop, the same promises, the same end. */
+class RelayTest {
+  private static final String EVENTS = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n";
+
+  @TempDir private static Path folder;
+  private static FleetHarness fleet;
+  private static FleetHarness.Entry north;
+  private static FleetHarness.Entry south;
+
+  /** A row: the kind of request, what the endpoint far away does, and what the caller gets. */
+  record Row(
+      String name,
+      RouteKind kind,
+      String home,
+      List<Act> script,
+      int status,
+      String body,
+      int sends) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Row> rows() {
+    RouteKind once = RouteKind.AT_MOST_ONCE;
+    return Stream.of(
+        new Row("relayed", once, "", List.of(Act.ANSWER), 200, "done", 1),
+        new Row("relayed-stream", RouteKind.STREAM, "", List.of(Act.STREAM), 200, EVENTS, 1),
+        new Row("relayed-error", once, "", List.of(Act.ERROR), 500, "done", 1),
+        new Row("relayed-full", once, "", List.of(Act.FULL), 503, "", 1),
+        new Row("relayed-closed", once, "", List.of(Act.CLOSE), 502, "", 1),
+        new Row("bound-south", once, "south", List.of(Act.ANSWER), 200, "done", 1),
+        new Row("bound-north", once, "north", List.of(), 503, "", 0),
+        new Row("left", RouteKind.IDEMPOTENT, "", List.of(Act.HANG), 0, "", 1));
+  }
+
+  @BeforeAll
+  static void start() throws Exception {
+    List<Route> routes = new ArrayList<>();
+    List<ServiceSpec> services = new ArrayList<>();
+    rows()
+        .forEach(
+            row -> {
+              routes.add(
+                  new Route(
+                      row.name(),
+                      "127.0.0.1",
+                      "/" + row.name() + "/",
+                      row.kind(),
+                      Duration.ofSeconds(6),
+                      Duration.ofMillis(800),
+                      0,
+                      List.of(new ServiceShare(row.name(), 1)),
+                      1,
+                      false,
+                      Optional.empty(),
+                      row.home().isEmpty() ? Set.of() : Set.of(row.home())));
+              services.add(new ServiceSpec(row.name(), 100, Duration.ZERO, 0, Optional.empty()));
+            });
+    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    north = fleet.startEntry("north", "north");
+    south = fleet.startEntry("south", "south");
+    fleet.route(1);
+    fleet.announce("anywhere", "other", "north", 1, 1);
+    fleet.awaitReady(north);
+    fleet.awaitReady(south);
+  }
+
+  @AfterAll
+  static void stop() throws Exception {
+    fleet.close();
+  }
+
+  private static void awaitOfferedBySouth(String service) throws Exception {
+    for (int i = 0; i < 400; i++) {
+      boolean offered =
+          fleet.onContext(
+              () ->
+                  Future.succeededFuture(
+                      north
+                          .node()
+                          .regionLoads()
+                          .serves(
+                              "south",
+                              service,
+                              new org.lacewingcroft.misc.SteadyInstantSource().instant())));
+      if (offered) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(25);
+    }
+    throw new AssertionError("the south did not tell the north of " + service);
+  }
+
+  private static HttpRequest request(String service, Duration timeout) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + north.publicPort() + "/" + service + "/x"))
+        .POST(HttpRequest.BodyPublishers.ofString("a body"))
+        .header("X-Request-Id", "id-" + service)
+        .header("X-Deadline", "5000")
+        .header(ForwardContext.HANDLING_HEADER, "forged")
+        .timeout(timeout)
+        .build();
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void keepsItsPromisesOverOneHop(Row row) throws Exception {
+    try (ScriptedEndpoints endpoints = new ScriptedEndpoints(fleet.vertx(), 1, row.script())) {
+      fleet.announce(row.name() + 1, row.name(), "south", endpoints.ports().get(0), 1);
+      awaitOfferedBySouth(row.name());
+      if (row.status() == 0) {
+        leavesAndIsCancelled(row, endpoints);
+        return;
+      }
+      HttpResponse<String> response =
+          HttpClient.newHttpClient()
+              .send(
+                  request(row.name(), Duration.ofSeconds(10)),
+                  HttpResponse.BodyHandlers.ofString());
+      assertThat(response.statusCode(), equalTo(row.status()));
+      if (!row.body().isEmpty()) {
+        assertThat(response.body(), equalTo(row.body()));
+      }
+      assertThat(
+          "entries' headers do not reach callers",
+          response.headers().firstValue(CallerAnswer.NOT_RUN_HEADER).isPresent(),
+          equalTo(false));
+      assertThat(endpoints.heads(), hasSize(row.sends()));
+      for (String head : endpoints.heads()) {
+        assertThat(head, not(containsString("x-lacewingcroft")));
+        assertThat(head, containsString("x-expect: " + row.name() + 1));
+      }
+    }
+  }
+
+  private static void leavesAndIsCancelled(Row row, ScriptedEndpoints endpoints) throws Exception {
+    try (Socket caller = new Socket("127.0.0.1", north.publicPort())) {
+      String head =
+          "POST /left/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: id\r\n"
+              + "X-Deadline: 5000\r\nContent-Length: 0\r\n\r\n";
+      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      caller.getOutputStream().flush();
+      for (int i = 0; i < 200 && endpoints.heads().isEmpty(); i++) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertThat(endpoints.heads(), hasSize(row.sends()));
+    }
+    for (int i = 0; i < 200 && endpoints.openConnections() > 0; i++) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertThat("cancelled at the endpoint", endpoints.openConnections(), equalTo(0));
+  }
+
+  @Test
+  void refusesRelaysWithoutAnEntrysMark() throws IOException, InterruptedException {
+    HttpRequest forged =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + south.relayPort() + "/relayed/x"))
+            .POST(HttpRequest.BodyPublishers.noBody())
+            .header("X-Request-Id", "id")
+            .header(ForwardContext.HANDLING_HEADER, "r;relayed;IDEMPOTENT;false;0;1;800;5000")
+            .header(ForwardContext.DUE_HEADER, "5000")
+            .build();
+    HttpResponse<String> response =
+        HttpClient.newHttpClient().send(forged, HttpResponse.BodyHandlers.ofString());
+    assertThat(response.statusCode(), equalTo(400));
+  }
+}
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -62,6 +62,7 @@
   private final AtomicInteger next = new AtomicInteger();
   private final List<String> heads = new CopyOnWriteArrayList<>();
   private final List<NetServer> servers = new ArrayList<>();
+  private final AtomicInteger openConnections = new AtomicInteger();
 
   ScriptedEndpoints(Vertx vertx, int count, List<Act> script) throws Exception {
     this.vertx = vertx;
@@ -90,9 +91,15 @@
     return heads;
   }
 
+  int openConnections() {
+    return openConnections.get();
+  }
+
   private void connected(NetSocket socket) {
     Buffer[] unread = {Buffer.buffer()};
     socket.exceptionHandler(e -> {});
+    openConnections.incrementAndGet();
+    socket.closeHandler(v -> openConnections.decrementAndGet());
     socket.handler(
         piece -> {
           Buffer received = unread[0].appendBuffer(piece);
