Avoid entries that cannot be connected to; a majority of members confirms that an endpoint leaves

An entry that could not be connected to is now avoided for two seconds unless all of its region failed (UnreachableEntries, with a table of cases). Cause 2: an instance that stands by counted itself when it made a majority know that an endpoint leaves, so that two of five members sufficed; alone in its group it never confirmed at all. The count is now MajorityCount, the waiting LeavingConfirmations, split off ControlNode. Ruled out: a shorter connection timeout (a lost opening packet is sent again only after a second).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.time.Duration;
@@ -10,7 +9,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,9 +48,6 @@
   /** Announcements that may be missing before an endpoint counts as lost. */
   private static final int LEASE_HEARTBEATS = 4;
 
-  /** How long the majority may take to confirm that an endpoint leaves: callers wait a second. */
-  private static final Duration CONFIRM_PATIENCE = Duration.ofMillis(750);
-
   /** Pause before a data folder that failed is opened again. */
   private static final long REOPEN_MILLIS = 1_000;
 
@@ -71,12 +66,10 @@
   private final Map<String, SeenEntry> entries = new TreeMap<>();
   private final Map<String, Instant> controls = new HashMap<>();
   private final Map<String, EndpointRecord> outbox = new TreeMap<>();
-  private final Map<Long, Confirmation> confirmations = new HashMap<>();
-  private final Set<String> confirmedLeaving = new HashSet<>();
+  private final LeavingConfirmations leaving;
   private final Instant startedAt;
   private volatile List<String> seeds;
   private boolean hadMajority;
-  private long nextCallId = 1;
 
   private static final class SeenEntry {
     private EntryInfo info;
@@ -85,8 +78,6 @@
     private Instant wholeSentAt = Instant.EPOCH;
   }
 
-  private record Confirmation(Promise<Boolean> done, Set<String> missing, int needed) {}
-
   /**
    * Starts a control instance.
    *
@@ -103,6 +94,7 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.leaving = new LeavingConfirmations(vertx, settings.peerAddress(), transport);
     boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
     this.control = openControl(founder ? Set.copyOf(seeds) : Set.of());
     this.orders =
@@ -208,49 +200,10 @@
 
   private Future<Boolean> confirmLeaving(EndpointRecord record, boolean changed) {
     outbox.put(record.id(), record);
-    String key = record.id() + record.state();
-    if (confirmedLeaving.contains(key)) {
-      return Future.succeededFuture(true);
-    }
-    Set<String> members = control.view().members();
-    Set<String> others = new TreeSet<>(members);
-    others.remove(settings.peerAddress());
     if (changed) {
       pushToEntries(List.of(record));
     }
-    Promise<Boolean> done = Promise.promise();
-    long callId = nextCallId++;
-    int needed = members.size() / 2;
-    confirmations.put(callId, new Confirmation(done, others, needed));
-    FleetMessage update =
-        new FleetMessage.RosterUpdate(settings.peerAddress(), callId, false, List.of(record));
-    others.forEach(o -> transport.send(o, update));
-    vertx.setTimer(
-        CONFIRM_PATIENCE.toMillis(),
-        id -> {
-          if (confirmations.remove(callId) != null) {
-            done.tryComplete(false);
-          }
-        });
-    return done.future()
-        .onSuccess(
-            confirmed -> {
-              if (confirmed) {
-                confirmedLeaving.add(key);
-              }
-            });
-  }
-
-  private void confirmed(FleetMessage.RosterAck ack) {
-    Confirmation confirmation = confirmations.get(ack.callId());
-    if (confirmation == null || !confirmation.missing().remove(ack.from())) {
-      return;
-    }
-    int have = control.view().members().size() - 1 - confirmation.missing().size();
-    if (have >= confirmation.needed()) {
-      confirmations.remove(ack.callId());
-      confirmation.done().tryComplete(true);
-    }
+    return leaving.confirm(record, control.view().members());
   }
 
   private static void logEndpoint(EndpointRecord r, String cause) {
@@ -295,7 +248,7 @@
     } else if (message instanceof FleetMessage.RosterUpdate update) {
       updated(update);
     } else if (message instanceof FleetMessage.RosterAck ack) {
-      confirmed(ack);
+      leaving.acknowledged(ack);
     } else if (message instanceof FleetMessage.StateRequest request) {
       offerState(request.from());
     } else if (message instanceof FleetMessage.ControlCall call) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -71,6 +71,7 @@
   private final Map<String, EndpointTracker> trackers = new TreeMap<>();
   private final Map<String, Instant> knownSince = new HashMap<>();
   private final RegionLoads regionLoads = new RegionLoads();
+  private final UnreachableEntries unreachable = new UnreachableEntries();
   private final ExtraSendBudget extraSends;
   private final Map<String, Instant> controlsHeard = new HashMap<>();
   private final Instant startedAt;
@@ -261,6 +262,16 @@
     return entries.stream().filter(e -> e.region().equals(region)).toList();
   }
 
+  /** Returns the entries of a region to which a request may be relayed. */
+  public List<EntryInfo> relayEntriesOf(String region) {
+    return unreachable.prefer(entriesOf(region), clock.instant());
+  }
+
+  /** Notes that an entry of another region could not be connected to. */
+  public void entryUnreachable(EntryInfo entry) {
+    unreachable.failed(entry, clock.instant());
+  }
+
   private void report() {
     Instant now = clock.instant();
     boolean silent =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -152,7 +152,7 @@
 
   private void relay(Placement.Elsewhere elsewhere, PlacementRequest wanted) {
     List<EntryInfo> entries =
-        context.node().entriesOf(elsewhere.region()).stream()
+        context.node().relayEntriesOf(elsewhere.region()).stream()
             .filter(e -> !passedOver.contains(e.name()))
             .toList();
     if (entries.isEmpty()) {
@@ -400,6 +400,7 @@
   private void unreachable(UpstreamAttempt attempt, String detail) {
     logTry(attempt, "unreachable", detail);
     attempt.target().endpoint().ifPresent(e -> e.refusedConnection(context.now()));
+    attempt.target().entry().ifPresent(context.node()::entryUnreachable);
     passOver(attempt);
     // A region that only refused this request still serves others; one out of reach does not.
     attempt
