--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -122,6 +122,37 @@
     }
   }
 
+  private void logRefused(Placement.Refused refused) {
+    Placement.Evidence evidence = refused.evidence();
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.refused",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "service",
+        request.handling().service(),
+        "reason",
+        refused.reason(),
+        "waitHereMillis",
+        orNone(evidence.waitHereMillis()),
+        "waitElsewhereMillis",
+        orNone(evidence.waitElsewhereMillis()),
+        "patienceMillis",
+        evidence.patienceMillis(),
+        "retryAfterMillis",
+        refused.retryAfter().toMillis(),
+        "passedOver",
+        passedOver,
+        "revision",
+        context.node().routing().revision());
+  }
+
+  private static Object orNone(OptionalLong number) {
+    return number.isPresent() ? number.getAsLong() : "none";
+  }
+
   /** A request that finds an entry just started waits for its endpoints within its objective. */
   private boolean worthWaiting() {
     Duration waited = Duration.between(request.arrivedAt(), context.now());
@@ -176,6 +207,7 @@
   }
 
   private void refuse(Placement.Refused refused) {
+    logRefused(refused);
     boolean overloaded = refused.reason() == Placement.Reason.OVERLOADED;
     String reason =
         overloaded
@@ -494,7 +526,7 @@
         "detail",
         detail,
         "lastEvent",
-        lastEventId.isPresent() ? lastEventId.getAsLong() : "none");
+        orNone(lastEventId));
   }
 
   private void due() {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Locale;
+import java.util.OptionalLong;
 
 /** Where a request goes. */
 public sealed interface Placement {
@@ -34,8 +35,19 @@
    *
    * @param reason why, for the log and the caller
    * @param retryAfter when it is worth coming back
+   * @param evidence what decided it, for the log
    */
-  record Refused(Reason reason, Duration retryAfter) implements Placement {}
+  record Refused(Reason reason, Duration retryAfter, Evidence evidence) implements Placement {}
+
+  /**
+   * The waits that a refusal went by.
+   *
+   * @param waitHereMillis the shortest wait in this region, if an endpoint here was usable
+   * @param waitElsewhereMillis the shortest wait told by another region that may run it
+   * @param patienceMillis the longest wait with which the request would have been taken
+   */
+  record Evidence(
+      OptionalLong waitHereMillis, OptionalLong waitElsewhereMillis, long patienceMillis) {}
 
   /** Why a request is refused. */
   enum Reason {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -6,6 +6,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lacewingcroft.misc.Rendezvous;
@@ -163,16 +165,30 @@
       Optional<RegionLoads.Offer> elsewhere,
       double patience,
       Instant now) {
+    OptionalDouble waitHere =
+        here.isPresent()
+            ? OptionalDouble.of(waitHere(here.get(), request, now))
+            : OptionalDouble.empty();
+    OptionalDouble waitElsewhere =
+        elsewhere.isPresent()
+            ? OptionalDouble.of(elsewhere.get().waitMillis())
+            : OptionalDouble.empty();
+    Placement.Evidence evidence =
+        new Placement.Evidence(rounded(waitHere), rounded(waitElsewhere), Math.round(patience));
     if (here.isEmpty() && elsewhere.isEmpty()) {
       return new Placement.Refused(
-          Placement.Reason.NO_ENDPOINT, bounded(Duration.ofSeconds(1), request));
+          Placement.Reason.NO_ENDPOINT, bounded(Duration.ofSeconds(1), request), evidence);
     }
     double wait =
-        Math.min(
-            here.map(h -> waitHere(h, request, now)).orElse(Double.MAX_VALUE),
-            elsewhere.map(RegionLoads.Offer::waitMillis).orElse(Double.MAX_VALUE));
+        Math.min(waitHere.orElse(Double.MAX_VALUE), waitElsewhere.orElse(Double.MAX_VALUE));
     Duration until = Duration.ofMillis(Math.round(Math.min(10_000, wait - patience / 2)));
-    return new Placement.Refused(Placement.Reason.OVERLOADED, bounded(until, request));
+    return new Placement.Refused(Placement.Reason.OVERLOADED, bounded(until, request), evidence);
+  }
+
+  private static OptionalLong rounded(OptionalDouble millis) {
+    return millis.isPresent()
+        ? OptionalLong.of(Math.round(millis.getAsDouble()))
+        : OptionalLong.empty();
   }
 
   private static Duration bounded(Duration wanted, PlacementRequest request) {
