--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -96,7 +96,7 @@
   }
 
   private void connected(NetSocket socket) {
-    Buffer[] unread = {Buffer.buffer()};
+    final Buffer[] unread = {Buffer.buffer()};
     socket.exceptionHandler(e -> {});
     openConnections.incrementAndGet();
     socket.closeHandler(v -> openConnections.decrementAndGet());
