Refuse ambiguous framing; the document's limits on heads, idle time and bodies bind

Cause: a request with both a length and chunked framing was read as chunked and the bytes behind its end as another request, on the entry's public port and on the product's own interface; a head's size and time and a connection's idle time went by constants instead of the document in force; a body that never ends was waited for without end. StrictRequestDecoder replaces the decoder of an accepted connection (Vert.x has no setting for either); CallerConnections closes what is unused for the idle timeout, but never while a request is worked on, which the server's own byte timeout would do; a body that does not arrive within the route's timeout is answered 408. Ruled out: two lengths, signed or listed lengths, bad chunk sizes, spaces before the colon and bare line feeds were refused before and stay so (rows of CallerFramingTest).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.lacewingcroft.gateway.EntryGateway;
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.membership.Gossiper;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.SteadyInstantSource;
@@ -36,6 +37,7 @@
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 import org.lacewingcroft.peer.PeerTransport;
+import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.routing.RoutingPolicies;
 
 /**
@@ -102,7 +104,13 @@
     router.get("/metrics").handler(this::metricsPage);
     router.get("/readyz").handler(this::readyPage);
     router.get("/healthz").handler(ctx -> ctx.response().end("ok\n"));
-    httpServer = vertx.createHttpServer(new HttpServerOptions().setHost(settings.host()));
+    HttpServerOptions options =
+        new HttpServerOptions().setHost(settings.host()).setHttp2ClearTextEnabled(false);
+    httpServer =
+        vertx
+            .createHttpServer(options)
+            .connectionHandler(
+                c -> StrictRequestDecoder.install(c, options, () -> RequestLimits.DEFAULT));
     httpPort = await(httpServer.requestHandler(router).listen(settings.httpPort())).actualPort();
     MemberInfo self =
         new MemberInfo(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -20,6 +20,8 @@
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.CallerConnections;
+import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
@@ -31,11 +33,11 @@
 public final class EntryServer {
   private static final System.Logger LOG = System.getLogger(EntryServer.class.getName());
 
-  /** Longest unused connection kept: callers stay within four fifths of their idle timeout. */
-  private static final int IDLE_TIMEOUT_SECONDS = 75;
+  /** Longest unused connection between entries, well above the pause after which they drop it. */
+  private static final int RELAY_IDLE_SECONDS = 75;
 
-  /** Room for heads; the document's own limit is checked on top. */
-  private static final int MAX_HEAD_BYTES = 65_536;
+  /** Room for heads between entries: a caller's head and the marks added to it. */
+  private static final int MAX_RELAY_HEAD_BYTES = 131_072;
 
   /** Connections that may wait to be accepted while this entry is busy. */
   private static final int ACCEPT_BACKLOG = 1_024;
@@ -49,6 +51,7 @@
   private final ForwardContext context;
   private final InstantSource clock;
   private final HopAuthenticator hops;
+  private final CallerConnections callers;
   private HttpServer publicServer;
   private HttpServer relayServer;
 
@@ -66,6 +69,7 @@
     this.reader = new RequestReader(names);
     this.clock = clock;
     this.hops = new HopAuthenticator(settings.secret());
+    this.callers = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.context =
         new ForwardContext(
             vertx,
@@ -81,8 +85,25 @@
 
   /** Opens both sockets. */
   public Future<Void> listen(SocketAddress publicAddress, SocketAddress relayAddress) {
-    publicServer = vertx.createHttpServer(options()).requestHandler(this::handleCaller);
-    relayServer = vertx.createHttpServer(options()).requestHandler(this::handleRelayed);
+    HttpServerOptions publicOptions = options();
+    publicServer =
+        vertx
+            .createHttpServer(publicOptions)
+            .connectionHandler(
+                connection -> {
+                  StrictRequestDecoder.install(connection, publicOptions, this::limits);
+                  callers.opened(connection);
+                })
+            .requestHandler(this::handleCaller);
+    relayServer =
+        vertx
+            .createHttpServer(
+                options()
+                    .setIdleTimeout(RELAY_IDLE_SECONDS)
+                    .setIdleTimeoutUnit(TimeUnit.SECONDS)
+                    .setMaxHeaderSize(MAX_RELAY_HEAD_BYTES)
+                    .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
+            .requestHandler(this::handleRelayed);
     return relayServer
         .listen(relayAddress)
         .compose(s -> publicServer.listen(publicAddress))
@@ -92,14 +113,15 @@
   private static HttpServerOptions options() {
     return new HttpServerOptions()
         .setTcpNoDelay(true)
-        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-        .setIdleTimeoutUnit(TimeUnit.SECONDS)
-        .setMaxHeaderSize(MAX_HEAD_BYTES)
         .setAcceptBacklog(ACCEPT_BACKLOG)
         .setHttp2ClearTextEnabled(false)
         .setHandle100ContinueAutomatically(true);
   }
 
+  private RequestLimits limits() {
+    return node.routing().table().limits();
+  }
+
   /** Returns how many requests are being handled. */
   public int inFlight() {
     return context.open().get();
@@ -109,6 +131,7 @@
     final Instant arrivedAt = clock.instant();
     CallerAnswer answer = new CallerAnswer(request, false);
     request.exceptionHandler(e -> {});
+    callers.requested(request);
     if (node.routing().revision() == 0) {
       answer.own(503, "no routes are known yet", true, Optional.of(START_RETRY_AFTER));
       return;
@@ -132,6 +155,7 @@
     readBody(
         request,
         answer,
+        handling.timeout(),
         body ->
             new ForwardCall(context, reader.read(request, body, handling, arrivedAt), answer, false)
                 .start());
@@ -152,13 +176,31 @@
         why);
   }
 
-  private void readBody(HttpServerRequest request, CallerAnswer answer, Consumer<Buffer> next) {
-    RequestLimits limits = node.routing().table().limits();
+  /**
+   * Reads a request's body.
+   *
+   * @param patience how long it may take; after that nobody waits for the answer any more
+   * @param next takes the body once it is whole and within its limit
+   */
+  private void readBody(
+      HttpServerRequest request, CallerAnswer answer, Duration patience, Consumer<Buffer> next) {
+    int mostBytes = limits().maxBodyBytes();
     Buffer body = Buffer.buffer();
     boolean[] tooLarge = {false};
+    long timer =
+        vertx.setTimer(
+            Math.max(1, patience.toMillis()),
+            id -> {
+              if (!answer.open()) {
+                return;
+              }
+              logRejected(request, "its body did not arrive within " + patience.toMillis() + " ms");
+              answer.closeAfterwards();
+              answer.own(408, "the body did not arrive in time", true, Optional.empty());
+            });
     request.handler(
         piece -> {
-          if (body.length() + piece.length() > limits.maxBodyBytes()) {
+          if (body.length() + piece.length() > mostBytes) {
             tooLarge[0] = true;
           } else {
             body.appendBuffer(piece);
@@ -166,12 +208,11 @@
         });
     request.endHandler(
         v -> {
+          if (!vertx.cancelTimer(timer)) {
+            return;
+          }
           if (tooLarge[0]) {
-            answer.own(
-                413,
-                "the body exceeds " + limits.maxBodyBytes() + " bytes",
-                true,
-                Optional.empty());
+            answer.own(413, "the body exceeds " + mostBytes + " bytes", true, Optional.empty());
           } else {
             next.accept(body);
           }
@@ -208,6 +249,7 @@
       readBody(
           request,
           answer,
+          due,
           body ->
               new ForwardCall(
                       context, reader.read(request, body, handling, arrivedAt), answer, true)
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/CallerConnections.java
@@ -0,0 +1,93 @@
+package org.lacewingcroft.http;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * The open connections of callers, closed once they have been unused for the idle timeout in force.
+ * A connection whose request is being worked on is in use however long its answer takes, which is
+ * why the server's own idle timeout, which counts bytes only, is not used.
+ *
+ * <p>Owned by the event loop.
+ */
+public final class CallerConnections {
+  private static final System.Logger LOG = System.getLogger(CallerConnections.class.getName());
+
+  /** How often unused connections are looked for; it bounds by how much one is kept too long. */
+  private static final long SWEEP_MILLIS = 1_000;
+
+  private final InstantSource clock;
+  private final Supplier<Duration> idleTimeout;
+  private final Map<HttpConnection, Use> uses = new HashMap<>();
+
+  private static final class Use {
+    private int requests;
+    private Instant idleSince;
+
+    private Use(Instant now) {
+      idleSince = now;
+    }
+  }
+
+  /** Starts to watch; {@code idleTimeout} is asked anew at each look. */
+  public CallerConnections(Vertx vertx, InstantSource clock, Supplier<Duration> idleTimeout) {
+    this.clock = clock;
+    this.idleTimeout = idleTimeout;
+    vertx.setPeriodic(SWEEP_MILLIS, id -> closeIdle());
+  }
+
+  /** Takes a connection just accepted. */
+  public void opened(HttpConnection connection) {
+    uses.put(connection, new Use(clock.instant()));
+    connection.closeHandler(v -> uses.remove(connection));
+  }
+
+  /** Counts a request as under way until its answer has ended or its connection is closed. */
+  public void requested(HttpServerRequest request) {
+    Use use = uses.get(request.connection());
+    if (use != null) {
+      use.requests++;
+      request.response().endHandler(v -> answered(use));
+    }
+  }
+
+  private void answered(Use use) {
+    use.requests--;
+    use.idleSince = clock.instant();
+  }
+
+  /** Returns how many connections are open. */
+  public int open() {
+    return uses.size();
+  }
+
+  private void closeIdle() {
+    Duration most = idleTimeout.get();
+    Instant horizon = clock.instant().minus(most);
+    List<HttpConnection> idle =
+        uses.entrySet().stream()
+            .filter(e -> e.getValue().requests == 0 && e.getValue().idleSince.isBefore(horizon))
+            .map(Map.Entry::getKey)
+            .toList();
+    if (!idle.isEmpty()) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "connections.closed_idle",
+          "count",
+          idle.size(),
+          "idleMillis",
+          most.toMillis(),
+          "stillOpen",
+          uses.size() - idle.size());
+    }
+    idle.forEach(HttpConnection::close);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -0,0 +1,125 @@
+package org.lacewingcroft.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.impl.VertxHttpRequestDecoder;
+import io.vertx.core.net.impl.ConnectionBase;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lacewingcroft.route.RequestLimits;
+
+/**
+ * Reads requests as Vert.x does, and refuses what Vert.x lets pass: a message with both a length
+ * and chunked framing, by which one request can be hidden inside another, and a head that takes
+ * longer to arrive than callers may take. Both end the connection, since nobody can say where the
+ * next request on it begins.
+ *
+ * <p>Vert.x has no setting for either, so the decoder of a connection is replaced in its pipeline
+ * before the first byte is read.
+ */
+public final class StrictRequestDecoder extends VertxHttpRequestDecoder {
+  private static final System.Logger LOG = System.getLogger(StrictRequestDecoder.class.getName());
+
+  /** The name that Vert.x gives the decoder in a connection's pipeline. */
+  private static final String DECODER = "httpDecoder";
+
+  private final Supplier<RequestLimits> limits;
+  private boolean insideMessage;
+  private Optional<Future<?>> headTimer = Optional.empty();
+
+  private StrictRequestDecoder(HttpServerOptions options, Supplier<RequestLimits> limits) {
+    super(options);
+    this.limits = limits;
+  }
+
+  /**
+   * Replaces the decoder of a connection that has just been accepted.
+   *
+   * @param connection a connection of an HTTP/1.1 server
+   * @param options the server's options; the limits of heads come from {@code limits}
+   * @param limits what callers may send; a head's size is bounded by what is in force now, the time
+   *     it takes by what is in force when it begins
+   */
+  public static void install(
+      HttpConnection connection, HttpServerOptions options, Supplier<RequestLimits> limits) {
+    int headBytes = limits.get().maxHeaderBytes();
+    HttpServerOptions bounded =
+        new HttpServerOptions(options)
+            .setMaxHeaderSize(headBytes)
+            .setMaxInitialLineLength(headBytes);
+    ChannelPipeline pipeline = ((ConnectionBase) connection).channelHandlerContext().pipeline();
+    pipeline.replace(DECODER, DECODER, new StrictRequestDecoder(bounded, limits));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both a length and chunked framing");
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    int before = out.size();
+    super.decode(ctx, buffer, out);
+    for (Object decoded : out.subList(before, out.size())) {
+      if (decoded instanceof HttpRequest) {
+        insideMessage = true;
+      }
+      if (decoded instanceof LastHttpContent) {
+        insideMessage = false;
+      }
+    }
+    watchHead(ctx, !insideMessage && out.size() == before);
+  }
+
+  /** Starts the timer at a head's first bytes and stops it once the head is whole. */
+  private void watchHead(ChannelHandlerContext ctx, boolean partialHead) {
+    if (!partialHead) {
+      stopTimer();
+    } else if (headTimer.isEmpty()) {
+      long millis = limits.get().headerTimeout().toMillis();
+      headTimer =
+          Optional.of(
+              ctx.executor().schedule(() -> tooSlow(ctx, millis), millis, TimeUnit.MILLISECONDS));
+    }
+  }
+
+  private static void tooSlow(ChannelHandlerContext ctx, long millis) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "connection.closed",
+        "why",
+        "the head of a request took longer than its limit",
+        "limitMillis",
+        millis,
+        "remote",
+        String.valueOf(ctx.channel().remoteAddress()));
+    ctx.close();
+  }
+
+  private void stopTimer() {
+    headTimer.ifPresent(t -> t.cancel(false));
+    headTimer = Optional.empty();
+  }
+
+  @Override
+  public void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
+    stopTimer();
+    super.handlerRemoved0(ctx);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+    stopTimer();
+    super.channelInactive(ctx);
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CallerFramingTest.java
@@ -0,0 +1,184 @@
+package org.lacewingcroft.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.Route;
+import org.lacewingcroft.route.RouteKind;
+import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceShare;
+import org.lacewingcroft.route.ServiceSpec;
+
+/** What an entry does with requests that are framed badly, too large or too slow, byte by byte. */
+class CallerFramingTest {
+  private static final RequestLimits LIMITS =
+      new RequestLimits(2_000, 64, Duration.ofMillis(400), Duration.ofMillis(1_500));
+  private static final int SOCKET_TIMEOUT_MILLIS = 8_000;
+  private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] (\\d{3}) ");
+  private static final String HEAD =
+      "POST /s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: id\r\nX-Deadline: 5000\r\n";
+  private static final String HIDDEN = HEAD.replace("/s/x", "/s/hidden");
+
+  @TempDir private static Path folder;
+  private static FleetHarness fleet;
+  private static FleetHarness.Entry entry;
+  private static ScriptedEndpoints endpoints;
+
+  /**
+   * A row: bytes written at once, and what must come of them until the connection is closed.
+   *
+   * @param statuses the statuses of all answers on the connection; none where it is just closed
+   * @param sends the requests that reach an endpoint
+   */
+  record Row(String name, String bytes, List<Integer> statuses, int sends) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Row> rows() {
+    String whole = HEAD + "Content-Length: 2\r\n\r\nab";
+    return Stream.of(
+        new Row("whole", whole, List.of(200), 1),
+        new Row("two in a row", whole + whole, List.of(200, 200), 2),
+        new Row("chunked", HEAD + chunked("2\r\nab\r\n0\r\n\r\n"), List.of(200), 1),
+        new Row(
+            "length and chunked",
+            HEAD + "Content-Length: 4\r\n" + chunked("0\r\n\r\n") + HIDDEN + "\r\n",
+            List.of(400),
+            0),
+        new Row(
+            "chunked and length",
+            HEAD + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + HIDDEN,
+            List.of(400),
+            0),
+        new Row(
+            "two lengths",
+            HEAD + "Content-Length: 2\r\nContent-Length: 0\r\n\r\nab" + HIDDEN + "\r\n",
+            List.of(400),
+            0),
+        new Row(
+            "a list of lengths", HEAD + "Content-Length: 2, 3\r\n\r\nab" + HIDDEN, List.of(400), 0),
+        new Row("a signed length", HEAD + "Content-Length: +2\r\n\r\nab", List.of(400), 0),
+        new Row("a negative length", HEAD + "Content-Length: -2\r\n\r\nab", List.of(400), 0),
+        new Row("a length in words", HEAD + "Content-Length: two\r\n\r\nab", List.of(400), 0),
+        new Row("a malformed chunk size", HEAD + chunked("0x2\r\nab\r\n0\r\n\r\n"), List.of(), 0),
+        new Row("a negative chunk size", HEAD + chunked("-2\r\nab\r\n0\r\n\r\n"), List.of(), 0),
+        new Row("a space before the colon", HEAD + "Content-Length : 2\r\n\r\nab", List.of(400), 0),
+        // Folding makes one value of both lines, so that the second is no length.
+        new Row(
+            "a folded line",
+            HEAD + "X-Folded: a\r\n Content-Length: 2\r\n\r\n" + HIDDEN,
+            List.of(200),
+            1),
+        new Row(
+            "a bare line feed", HEAD + "X-Bare: a\nContent-Length: 2\r\n\r\nab", List.of(400), 0),
+        new Row("no request at all", "hello\r\n\r\n", List.of(400), 0),
+        new Row(
+            "a head over the limit",
+            HEAD + "X-Long: " + "x".repeat(2_500) + "\r\n\r\n",
+            List.of(431),
+            0),
+        new Row(
+            "a body over the limit",
+            HEAD + "Content-Length: 65\r\n\r\n" + "b".repeat(65),
+            List.of(413),
+            0),
+        new Row("a head that stops midway", HEAD, List.of(), 0),
+        new Row("a body that stops midway", HEAD + "Content-Length: 4\r\n\r\nab", List.of(408), 0),
+        new Row("nothing at all", "", List.of(), 0));
+  }
+
+  private static String chunked(String body) {
+    return "Transfer-Encoding: chunked\r\n\r\n" + body;
+  }
+
+  @BeforeAll
+  static void start() throws Exception {
+    Route route =
+        new Route(
+            "s",
+            "127.0.0.1",
+            "/s/",
+            RouteKind.AT_MOST_ONCE,
+            Duration.ofMillis(2_000),
+            Duration.ofMillis(800),
+            0,
+            List.of(new ServiceShare("s", 1)),
+            1,
+            false,
+            Optional.empty(),
+            Set.of());
+    ServiceSpec service = new ServiceSpec("s", 100, Duration.ZERO, 0, Optional.empty());
+    RouteTable table = new RouteTable(1, List.of(route), List.of(service), LIMITS);
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    entry = fleet.startEntry("entry", "north");
+    fleet.route(1);
+    fleet.awaitReady(entry);
+    endpoints = new ScriptedEndpoints(fleet.vertx(), 1, List.of());
+    fleet.keepAnnouncing("s-1", "s", "north", endpoints.ports().get(0));
+    fleet.awaitEndpoints(entry, "s", 1);
+  }
+
+  @AfterAll
+  static void stop() throws Exception {
+    endpoints.close();
+    fleet.close();
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void answersOrCloses(Row row) throws Exception {
+    int sendsBefore = endpoints.heads().size();
+    String answers = exchange(row.bytes());
+    List<Integer> statuses = new ArrayList<>();
+    Matcher matcher = STATUS.matcher(answers);
+    while (matcher.find()) {
+      statuses.add(Integer.parseInt(matcher.group(1)));
+    }
+    assertThat(answers, statuses, equalTo(row.statuses()));
+    assertThat(endpoints.heads(), hasSize(sendsBefore + row.sends()));
+  }
+
+  /** Writes bytes and reads until the entry closes the connection; a reset ends it as well. */
+  private static String exchange(String bytes) throws IOException {
+    StringBuilder answers = new StringBuilder();
+    try (Socket socket = new Socket("127.0.0.1", entry.publicPort())) {
+      socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+      OutputStream out = socket.getOutputStream();
+      out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      InputStream in = socket.getInputStream();
+      byte[] buffer = new byte[4_096];
+      for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+        answers.append(new String(buffer, 0, read, StandardCharsets.ISO_8859_1));
+      }
+    } catch (SocketException reset) {
+      answers.append("(reset)");
+    }
+    return answers.toString();
+  }
+}
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.lacewingcroft.fleet.ControlNode;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
@@ -53,6 +54,7 @@
           Duration.ofSeconds(10),
           1.5,
           3);
+  private static final Duration HEARTBEAT = Duration.ofMillis(300);
   private static final byte[] SECRET = "a secret of the test fleet".getBytes();
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -80,7 +82,7 @@
             Optional.of(dataDir),
             true,
             0,
-            Duration.ofMillis(300),
+            HEARTBEAT,
             BOUNDS,
             SECRET);
     CompletableFuture<ControlNode> made = new CompletableFuture<>();
@@ -112,7 +114,7 @@
         dataDir,
         true,
         0,
-        Duration.ofMillis(300),
+        HEARTBEAT,
         BOUNDS,
         SECRET);
   }
@@ -164,18 +166,40 @@
   /** Announces an endpoint until the entry knows it. */
   void announce(String id, String service, String region, int port, long sequence)
       throws Exception {
-    onContext(
-        () ->
-            control.announced(
-                new EndpointRecord(
-                    id,
-                    service,
-                    "127.0.0.1:" + port,
-                    region + "-a",
-                    8,
-                    EndpointState.READY,
-                    sequence,
-                    0)));
+    onContext(() -> control.announced(record(id, service, region, port, sequence)));
+  }
+
+  private static EndpointRecord record(
+      String id, String service, String region, int port, long sequence) {
+    return new EndpointRecord(
+        id, service, "127.0.0.1:" + port, region + "-a", 8, EndpointState.READY, sequence, 0);
+  }
+
+  /** Announces an endpoint again and again, as a live one does. */
+  void keepAnnouncing(String id, String service, String region, int port) throws Exception {
+    announce(id, service, region, port, 1);
+    AtomicLong sequence = new AtomicLong(1);
+    vertx.setPeriodic(
+        HEARTBEAT.toMillis(),
+        t -> control.announced(record(id, service, region, port, sequence.incrementAndGet())));
+  }
+
+  /** Waits until an entry knows so many endpoints of a service. */
+  void awaitEndpoints(Entry entry, String service, int count) throws Exception {
+    for (int i = 0; i < 200; i++) {
+      long known =
+          onContext(
+              () ->
+                  Future.succeededFuture(
+                      entry.node().endpoints().stream()
+                          .filter(e -> e.record().service().equals(service))
+                          .count()));
+      if (known == count) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    throw new AssertionError("the endpoints of " + service + " did not reach the entry");
   }
 
   ControlNode control() {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
@@ -129,7 +129,7 @@
       for (int port : endpoints.ports()) {
         fleet.announce(row.name() + port, row.name(), "north", port, 1);
       }
-      awaitEndpoints(row.name());
+      fleet.awaitEndpoints(entry, row.name(), 2);
       int status = CUT;
       String body = "";
       try {
@@ -153,23 +153,6 @@
     }
   }
 
-  private static void awaitEndpoints(String service) throws Exception {
-    for (int i = 0; i < 200; i++) {
-      long known =
-          fleet.onContext(
-              () ->
-                  io.vertx.core.Future.succeededFuture(
-                      entry.node().endpoints().stream()
-                          .filter(e -> e.record().service().equals(service))
-                          .count()));
-      if (known == 2) {
-        return;
-      }
-      Thread.sleep(10);
-    }
-    throw new AssertionError("the endpoints of " + service + " did not reach the entry");
-  }
-
   private static HttpResponse<String> call(String service) throws Exception {
     HttpRequest request =
         HttpRequest.newBuilder(
