Count the neighbours' relays, know regions out of reach, keep an endpoint's own error as the answer

RegionLoads counts what the region's other entries send as well and forgets a region after two missed reports; warming connections finds out that an entry is out of reach before a request does, and a region whose partners all are is not offered. The endpoint's answer is kept and given.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -284,9 +284,29 @@
     return self.name();
   }
 
-  /** Notes that an entry of another region could not be connected to. */
+  /** Notes a request relayed to another region. */
+  public void relayed(String region, PlacementRequest request) {
+    regionLoads.sent(region, request, entriesOf(settings.region()).size());
+  }
+
+  /**
+   * Notes that an entry of another region could not be connected to. Once that holds for all the
+   * partners there, the region is out of reach, and no request waits to find it out anew.
+   */
   public void entryUnreachable(EntryInfo entry) {
-    unreachable.failed(entry, clock.instant());
+    Instant now = clock.instant();
+    unreachable.failed(entry, now);
+    List<EntryInfo> partners = RelayPartners.of(entriesOf(entry.region()), self.name());
+    if (unreachable.allFailed(partners, now)) {
+      regionLoads.failed(entry.region(), now);
+      LOG.log(
+          System.Logger.Level.INFO,
+          "region.unreachable",
+          "region",
+          entry.region(),
+          "entries",
+          partners.stream().map(EntryInfo::name).toList());
+    }
   }
 
   private void report() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.lacewingcroft.error.GatewayException;
+import org.lacewingcroft.fleet.EntryInfo;
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.gateway.HopAuthenticator;
@@ -115,7 +116,25 @@
   }
 
   private void warmRelays() {
-    node.relayPartners().forEach(e -> context.connections().warm(e.relayAddress()));
+    node.relayPartners().forEach(this::warmRelay);
+  }
+
+  /** Keeps a connection open; that it cannot be had is known before a request needs it. */
+  private void warmRelay(EntryInfo partner) {
+    context
+        .connections()
+        .warm(partner.relayAddress(), UpstreamConnections.RELAY_KEEP)
+        .onFailure(
+            e -> {
+              node.entryUnreachable(partner);
+              LOG.log(
+                  System.Logger.Level.INFO,
+                  "relay.not_connected",
+                  "entry",
+                  partner.name(),
+                  "error",
+                  String.valueOf(e.getMessage()));
+            });
   }
 
   private static HttpServerOptions options() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -72,11 +72,16 @@
   private boolean streaming;
   private boolean done;
   private OptionalLong lastEventId;
+  private Optional<EndpointError> endpointError = Optional.empty();
   private String servedBy = "none";
   private long firstByteMillis = -1;
   private long dueTimer;
   private long silenceTimer;
 
+  /** An endpoint's own server error, which is the answer unless another endpoint has a better. */
+  private record EndpointError(
+      UpstreamAttempt attempt, int status, List<Map.Entry<String, String>> headers, Buffer body) {}
+
   ForwardCall(
       ForwardContext context, ForwardRequest request, CallerAnswer answer, boolean relayed) {
     this.context = context;
@@ -199,7 +204,7 @@
     List<EntryInfo> partners = RelayPartners.of(entries, context.node().name());
     int turn = Math.floorMod(request.id().hashCode() + targets, partners.size());
     EntryInfo entry = partners.get(turn);
-    context.node().regionLoads().sent(elsewhere.region(), wanted);
+    context.node().relayed(elsewhere.region(), wanted);
     logPlaced(entry.name(), elsewhere.expectedMillis());
     send(UpstreamTarget.entry(entry), elsewhere.expectedMillis());
   }
@@ -412,6 +417,7 @@
       count();
       boolean serverError = status >= 500;
       if (serverError && mayRunAfter(this) && resend()) {
+        endpointError = Optional.of(new EndpointError(upstream, status, headers, whole));
         passedOver.add(upstream.target().name());
         place();
       } else if (streaming) {
@@ -419,12 +425,7 @@
       } else if (PROMISES.contains(status)) {
         finish(BAD_GATEWAY, "the endpoint answered " + status + " after it ran", Optional.empty());
       } else {
-        served(upstream);
-        if (context.node().isStopping()) {
-          answer.closeAfterwards();
-        }
-        answer.whole(status, headers, whole);
-        finished(ForwardContext.SERVED, status);
+        answerWhole(upstream, status, headers, whole);
       }
     }
 
@@ -441,6 +442,16 @@
     }
   }
 
+  private void answerWhole(
+      UpstreamAttempt attempt, int status, List<Map.Entry<String, String>> headers, Buffer body) {
+    served(attempt);
+    if (context.node().isStopping()) {
+      answer.closeAfterwards();
+    }
+    answer.whole(status, headers, body);
+    finished(ForwardContext.SERVED, status);
+  }
+
   private void served(UpstreamAttempt attempt) {
     servedBy = attempt.target().name();
   }
@@ -451,12 +462,6 @@
     attempt.target().endpoint().ifPresent(e -> e.refusedConnection(context.now()));
     attempt.target().entry().ifPresent(context.node()::entryUnreachable);
     passOver(attempt);
-    // A region that only refused this request still serves others; one out of reach does not.
-    attempt
-        .target()
-        .entry()
-        .filter(this::isLastOfRegion)
-        .ifPresent(e -> context.node().regionLoads().failed(e.region(), context.now()));
     tryElsewhere(detail, true);
   }
 
@@ -562,6 +567,11 @@
       return;
     }
     current.ifPresent(a -> a.cancel(Outcome.CANCELLED));
+    if (endpointError.isPresent() && !streaming) {
+      EndpointError error = endpointError.get();
+      answerWhole(error.attempt(), error.status(), error.headers(), error.body());
+      return;
+    }
     boolean notRun = !mayHaveRun && PROMISES.contains(status);
     answer.own(status, reason, notRun, retryAfter);
     finished(reason, status);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -24,8 +24,6 @@
  * <p>Owned by the event loop.
  */
 final class UpstreamConnections {
-  private static final System.Logger LOG = System.getLogger(UpstreamConnections.class.getName());
-
   /** Idle time after which a connection is not reused if the other side states no timeout. */
   private static final Duration DEFAULT_KEEP = Duration.ofSeconds(4);
 
@@ -120,21 +118,16 @@
     return connect(address);
   }
 
-  /** Opens a connection to an entry of another region unless one is idle already. */
-  void warm(String address) {
-    if (idle.getOrDefault(address, new ArrayDeque<>()).isEmpty()) {
-      connect(address)
-          .onSuccess(lease -> lease.release(Optional.of(RELAY_KEEP)))
-          .onFailure(
-              e ->
-                  LOG.log(
-                      System.Logger.Level.INFO,
-                      "relay.not_connected",
-                      "address",
-                      address,
-                      "error",
-                      String.valueOf(e.getMessage())));
+  /**
+   * Opens a connection to keep unless one is idle already.
+   *
+   * @return fails if it cannot be had
+   */
+  Future<Void> warm(String address, Duration keep) {
+    if (!idle.getOrDefault(address, new ArrayDeque<>()).isEmpty()) {
+      return Future.succeededFuture();
     }
+    return connect(address).onSuccess(lease -> lease.release(Optional.of(keep))).mapEmpty();
   }
 
   private Future<Lease> connect(String address) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UnreachableEntries.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UnreachableEntries.java
@@ -27,10 +27,16 @@
 
   /** Returns the entries that did not fail lately, or all of them if each one did. */
   public List<EntryInfo> prefer(List<EntryInfo> entries, Instant now) {
-    List<EntryInfo> sound =
-        entries.stream()
-            .filter(e -> !failedAt.getOrDefault(e.name(), Instant.EPOCH).plus(AVOIDED).isAfter(now))
-            .toList();
+    List<EntryInfo> sound = entries.stream().filter(e -> !failedLately(e, now)).toList();
     return sound.isEmpty() ? entries : sound;
   }
+
+  /** Returns whether each of these entries failed lately. */
+  public boolean allFailed(List<EntryInfo> entries, Instant now) {
+    return entries.stream().allMatch(e -> failedLately(e, now));
+  }
+
+  private boolean failedLately(EntryInfo entry, Instant now) {
+    return failedAt.getOrDefault(entry.name(), Instant.EPOCH).plus(AVOIDED).isAfter(now);
+  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
@@ -15,8 +15,11 @@
  * <p>Not thread-safe: owned by the entry's event loop.
  */
 public final class RegionLoads {
-  /** A region not heard of for this long is taken to be out of reach. */
-  private static final Duration VALID = Duration.ofMillis(2_500);
+  /**
+   * A region not heard of for this long is taken to be out of reach: it tells its load twice a
+   * second, and a request relayed into a cut waits for its whole silence.
+   */
+  private static final Duration VALID = Duration.ofMillis(1_300);
 
   /** After a relay failed to reach a region, how long no other is tried there. */
   private static final Duration FAILED_PAUSE = Duration.ofMillis(1_500);
@@ -47,9 +50,16 @@
     sentTokens.remove(key);
   }
 
-  /** Notes a request relayed to a region. */
-  public void sent(String region, PlacementRequest request) {
-    sentTokens.merge(new Key(region, request.service()), request.promptTokens(), Long::sum);
+  /**
+   * Notes a request relayed to a region. All entries of this region decide by the same news, and
+   * what one of them sends, the others send about as often: counting its own only, each of four
+   * fills the whole room that is told of.
+   *
+   * @param senders how many entries this region has
+   */
+  public void sent(String region, PlacementRequest request, int senders) {
+    long tokens = request.promptTokens() * Math.max(1, senders);
+    sentTokens.merge(new Key(region, request.service()), tokens, Long::sum);
   }
 
   /** Notes that a region could not be reached. */
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/UnreachableEntriesTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/UnreachableEntriesTest.java
@@ -39,4 +39,24 @@
             .toList();
     assertThat(String.join(" ", preferred), equalTo(expected));
   }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'', 0, false",
+    "a, 0, false",
+    "'a b', 0, false",
+    "'a b c', 0, true",
+    "'a b c', 2000, false"
+  })
+  void saysWhetherAllFailed(String failed, long laterMillis, boolean expected) {
+    UnreachableEntries unreachable = new UnreachableEntries();
+    for (String name : failed.split(" ")) {
+      unreachable.failed(entry(name), START);
+    }
+    boolean all =
+        unreachable.allFailed(
+            Stream.of("a", "b", "c").map(UnreachableEntriesTest::entry).toList(),
+            START.plusMillis(laterMillis));
+    assertThat(all, equalTo(expected));
+  }
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/RegionLoadsTest.java
@@ -0,0 +1,86 @@
+package org.lacewingcroft.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
+
+/** When another region is offered, and for what wait, by what it told and what was sent since. */
+class RegionLoadsTest {
+  private static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
+  private static final String NONE = "none";
+
+  /**
+   * A row.
+   *
+   * @param farWait the wait that the region "far" told at the start, in ms
+   * @param nearWait the same of "near"
+   * @param sentToNear requests of 6,000 tokens relayed to "near" since
+   * @param senders entries of this region
+   * @param failed a region that could not be reached at the start
+   * @param laterMillis the time of the question
+   * @param offered the region and the wait expected
+   */
+  record Row(
+      String name,
+      long farWait,
+      long nearWait,
+      int sentToNear,
+      int senders,
+      String failed,
+      long laterMillis,
+      String offered) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Row> rows() {
+    return Stream.of(
+        new Row("the least wait", 300, 100, 0, 1, NONE, 500, "near 100"),
+        new Row("own relays add up", 300, 100, 1, 1, NONE, 500, "near 150"),
+        new Row("and those of the region's other entries", 300, 100, 1, 4, NONE, 500, "far 300"),
+        new Row("a region out of reach", 300, 100, 0, 1, "near", 500, "far 300"),
+        new Row("still out of reach", 300, 100, 0, 1, "near", 1_250, "far 300"),
+        new Row("two reports missed", 300, 100, 0, 1, NONE, 1_300, NONE));
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void offersTheRegionWithTheLeastWait(Row row) {
+    RegionLoads loads = new RegionLoads();
+    loads.heard("far", load(row.farWait()), START);
+    loads.heard("near", load(row.nearWait()), START);
+    PlacementRequest request =
+        new PlacementRequest(
+            "s", 0, 6_000, List.of(), Duration.ofSeconds(1), Duration.ofSeconds(9), Set.of());
+    for (int i = 0; i < row.sentToNear(); i++) {
+      loads.sent("near", request, row.senders());
+    }
+    if (!row.failed().equals(NONE)) {
+      loads.failed(row.failed(), START);
+    }
+    String offered =
+        loads
+            .best(request, Set.of(), Set.of(), START.plusMillis(row.laterMillis()))
+            .map(o -> o.region() + " " + Math.round(o.waitMillis()))
+            .orElse(NONE);
+    assertThat(offered, equalTo(row.offered()));
+  }
+
+  /** Two endpoints that read 60 tokens a millisecond each. */
+  private static ServiceLoad load(long waitMillis) {
+    long[] waits = new long[EndpointTracker.PRIORITIES];
+    Arrays.fill(waits, waitMillis);
+    return new ServiceLoad("s", 2, waits);
+  }
+}
