Connections that an endpoint drops early are not reused for long

Cause: endpoints may forget connections that rested for 300 ms without notice; what is written to one is reset, and a request that may run only once is lost. After a reset of a rested connection before any answer, ConnectionKeeping shortens the time for that endpoint, after two for all, for 20 s.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -105,10 +105,7 @@
     request.headers().forEach(h -> upstream.headers().add(h.getKey(), h.getValue()));
     extraHeaders.forEach(h -> upstream.headers().set(h.getKey(), h.getValue()));
     upstream.exceptionHandler(e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
-    upstream
-        .response()
-        .onSuccess(this::answered)
-        .onFailure(e -> fail(true, Outcome.FAILED, "no answer: " + e.getMessage()));
+    upstream.response().onSuccess(this::answered).onFailure(e -> unanswered(e.getMessage()));
     written = true;
     if (request.body().length() > 0) {
       upstream.end(request.body());
@@ -117,6 +114,13 @@
     }
   }
 
+  private void unanswered(String detail) {
+    if (!over) {
+      lease.ifPresent(UpstreamConnections.Lease::resetUnanswered);
+    }
+    fail(true, Outcome.FAILED, "no answer: " + detail);
+  }
+
   private void answered(HttpClientResponse answer) {
     if (over) {
       return;
@@ -155,7 +159,7 @@
     if (!framed || "close".equalsIgnoreCase(connection)) {
       l.discard();
     } else if (target.entry().isPresent()) {
-      l.release(Optional.of(UpstreamConnections.RELAY_KEEP));
+      l.keepFor(UpstreamConnections.RELAY_KEEP);
     } else {
       l.release(keepAlive(answer.getHeader("Keep-Alive")));
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -13,8 +13,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lacewingcroft.placement.ConnectionKeeping;
 
 /**
  * Connections to endpoints and other entries, one request at a time on each, kept for reuse while
@@ -24,20 +26,12 @@
  * <p>Owned by the event loop.
  */
 final class UpstreamConnections {
-  /** Idle time after which a connection is not reused if the other side states no timeout. */
-  private static final Duration DEFAULT_KEEP = Duration.ofSeconds(4);
-
-  /** Kept free below the timeout that the other side states in whole seconds. */
-  private static final Duration KEEP_MARGIN = Duration.ofSeconds(1);
-
   /**
    * Idle time for which a connection to another entry is kept: below the 75 s after which that one
    * drops it, and short enough that one gone silent is not kept for long.
    */
   static final Duration RELAY_KEEP = Duration.ofSeconds(20);
 
-  private static final Duration SHORTEST_KEEP = Duration.ofMillis(400);
-
   /** Several round trips between regions; within one a connection takes a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 900;
 
@@ -46,6 +40,7 @@
 
   private final HttpClientAgent client;
   private final InstantSource clock;
+  private final ConnectionKeeping keeping = new ConnectionKeeping();
   private final Map<String, Deque<Lease>> idle = new HashMap<>();
 
   UpstreamConnections(Vertx vertx, InstantSource clock) {
@@ -68,7 +63,10 @@
   final class Lease {
     private final String address;
     private final HttpClientConnection connection;
-    private Instant idleUntil = Instant.MAX;
+    private Optional<Duration> stated = Optional.empty();
+    private Optional<Duration> chosenKeep = Optional.empty();
+    private Optional<Instant> restsSince = Optional.empty();
+    private Optional<Duration> restedFor = Optional.empty();
     private boolean closed;
 
     private Lease(String address, HttpClientConnection connection) {
@@ -86,17 +84,41 @@
       return connection;
     }
 
-    /** Gives it back after a whole answer. */
-    void release(Optional<Duration> keepAlive) {
+    /**
+     * Gives it back after an endpoint's whole answer.
+     *
+     * @param stated how long the endpoint says that it keeps unused connections
+     */
+    void release(Optional<Duration> stated) {
+      this.stated = stated;
+      rest(Optional.empty());
+    }
+
+    /** Gives it back to be kept for a time that this side chooses. */
+    void keepFor(Duration keep) {
+      rest(Optional.of(keep));
+    }
+
+    private void rest(Optional<Duration> keep) {
       if (closed) {
         return;
       }
-      Duration keep = keepAlive.map(k -> k.minus(KEEP_MARGIN)).orElse(DEFAULT_KEEP);
-      Duration kept = keep.compareTo(SHORTEST_KEEP) < 0 ? SHORTEST_KEEP : keep;
-      idleUntil = clock.instant().plus(kept);
+      chosenKeep = keep;
+      restsSince = Optional.of(clock.instant());
       idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addFirst(this);
     }
 
+    private boolean usable(Instant now) {
+      Duration keep = chosenKeep.orElseGet(() -> keeping.keep(address, stated, now));
+      return !closed && restsSince.filter(since -> since.plus(keep).isAfter(now)).isPresent();
+    }
+
+    /** Notes that it was reset before any byte of an answer. */
+    void resetUnanswered() {
+      Instant now = clock.instant();
+      restedFor.ifPresent(rested -> keeping.reset(address, rested, now));
+    }
+
     /** Closes it, which also cancels the request on it. */
     void discard() {
       closed = true;
@@ -110,7 +132,8 @@
     Instant now = clock.instant();
     while (!waiting.isEmpty()) {
       Lease lease = waiting.removeFirst();
-      if (!lease.closed && lease.idleUntil.isAfter(now)) {
+      if (lease.usable(now)) {
+        lease.restedFor = lease.restsSince.map(since -> Duration.between(since, now));
         return Future.succeededFuture(lease);
       }
       lease.discard();
@@ -127,7 +150,7 @@
     if (!idle.getOrDefault(address, new ArrayDeque<>()).isEmpty()) {
       return Future.succeededFuture();
     }
-    return connect(address).onSuccess(lease -> lease.release(Optional.of(keep))).mapEmpty();
+    return connect(address).onSuccess(lease -> lease.keepFor(keep)).mapEmpty();
   }
 
   private Future<Lease> connect(String address) {
@@ -153,9 +176,9 @@
 
   private void sweep() {
     Instant now = clock.instant();
-    for (Deque<Lease> waiting : java.util.List.copyOf(idle.values())) {
-      for (Lease lease : java.util.List.copyOf(waiting)) {
-        if (!lease.idleUntil.isAfter(now)) {
+    for (Deque<Lease> waiting : List.copyOf(idle.values())) {
+      for (Lease lease : List.copyOf(waiting)) {
+        if (!lease.usable(now)) {
           lease.discard();
           forget(lease);
         }
