A late copy of an evacuation order has no effect

Cause: an order to evacuate waited in a connection to the leader that a cut held up, was delivered nine seconds later, after the evacuation had been ended and acknowledged, and began it anew. Every such order now names the routing revision known where the operator gave it and has no effect if the domain's evacuation was changed since; an order without its effect is not acknowledged. Ruled out: an age by the clock (it steps, and stands still in a freeze), tickets of the leader (one more trip for each order). The log's format on disk changes with it.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -54,16 +54,27 @@
     static final Outcome UNKNOWN = new Outcome(false, 0, "");
   }
 
-  private record Order(ControlOrder kind, long version, String text, long deadlineNanos) {
+  private record Order(
+      ControlOrder kind, long version, String text, long basisRevision, long deadlineNanos) {
     Command command() {
       return switch (kind) {
         case ROUTE -> new Command.RoutingChange(version, text);
-        case EVACUATE -> new Command.EvacuationChange(text, true);
-        case RETURN -> new Command.EvacuationChange(text, false);
+        case EVACUATE -> new Command.EvacuationChange(text, true, basisRevision);
+        case RETURN -> new Command.EvacuationChange(text, false, basisRevision);
         case READ -> new Command.Noop();
       };
     }
 
+    /** Whether it has the effect it was given for; an evacuation's may have been overtaken. */
+    boolean inForce(RoutingState state) {
+      return switch (kind) {
+        case ROUTE -> state.version() >= version;
+        case EVACUATE -> state.evacuatedDomains().contains(text);
+        case RETURN -> !state.evacuatedDomains().contains(text);
+        case READ -> true;
+      };
+    }
+
     long leftMillis() {
       return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
     }
@@ -102,7 +113,8 @@
     Promise<Outcome> result = Promise.promise();
     long beganNanos = System.nanoTime();
     long deadline = beganNanos + PATIENCE.toNanos();
-    attempt(new Order(kind, version, text, deadline), result);
+    long basis = control.get().view().routing().revision();
+    attempt(new Order(kind, version, text, basis, deadline), result);
     return result
         .future()
         .onSuccess(
@@ -141,7 +153,7 @@
     if (leader.isEmpty()) {
       tried = Future.succeededFuture(Outcome.UNKNOWN);
     } else if (leader.get().equals(self)) {
-      tried = submitHere(order.kind(), order.command(), order.leftMillis());
+      tried = submitHere(order, order.leftMillis());
     } else {
       tried = callLeader(leader.get(), order);
     }
@@ -155,21 +167,21 @@
         });
   }
 
-  private Future<Outcome> submitHere(ControlOrder kind, Command command, long patienceMillis) {
+  private Future<Outcome> submitHere(Order order, long patienceMillis) {
     Promise<Outcome> promise = Promise.promise();
     control
         .get()
-        .submit(command, Duration.ofMillis(Math.max(1, patienceMillis)))
-        .onSuccess(result -> context.runOnContext(v -> promise.complete(outcome(kind, result))));
+        .submit(order.command(), Duration.ofMillis(Math.max(1, patienceMillis)))
+        .onSuccess(result -> context.runOnContext(v -> promise.complete(outcome(order, result))));
     return promise.future();
   }
 
-  private Outcome outcome(ControlOrder kind, ChangeResult result) {
-    if (!(result instanceof ChangeResult.Accepted)) {
+  private Outcome outcome(Order order, ChangeResult result) {
+    RoutingState state = control.get().view().routing();
+    if (!(result instanceof ChangeResult.Accepted) || !order.inForce(state)) {
       return Outcome.UNKNOWN;
     }
-    RoutingState state = control.get().view().routing();
-    boolean read = kind == ControlOrder.READ;
+    boolean read = order.kind() == ControlOrder.READ;
     return new Outcome(true, state.version(), read ? state.document() : "");
   }
 
@@ -179,7 +191,8 @@
     calls.put(callId, promise);
     transport.send(
         leader,
-        new FleetMessage.ControlCall(self, callId, order.kind(), order.version(), order.text()));
+        new FleetMessage.ControlCall(
+            self, callId, order.kind(), order.version(), order.text(), order.basisRevision()));
     vertx.setTimer(
         Math.max(1, Math.min(order.leftMillis(), TRY_PATIENCE.toMillis())),
         id -> {
@@ -192,8 +205,8 @@
 
   /** Serves an order that another instance passed on. */
   void called(FleetMessage.ControlCall call) {
-    Order order = new Order(call.order(), call.version(), call.text(), 0);
-    submitHere(call.order(), order.command(), TRY_PATIENCE.toMillis())
+    Order order = new Order(call.order(), call.version(), call.text(), call.basisRevision(), 0);
+    submitHere(order, TRY_PATIENCE.toMillis())
         .onSuccess(
             o ->
                 transport.send(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Command.java
@@ -68,8 +68,11 @@
    *
    * @param failureDomain the failure domain
    * @param active whether its endpoints shall get no work
+   * @param basisRevision the revision known where the operator gave the order; the command has no
+   *     effect if the domain's evacuation was changed since
    */
-  record EvacuationChange(String failureDomain, boolean active) implements Command {}
+  record EvacuationChange(String failureDomain, boolean active, long basisRevision)
+      implements Command {}
 
   /**
    * Replaces the members of the control group; in force at each member as soon as it holds the
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConfigState.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConfigState.java
@@ -70,7 +70,8 @@
       return withRouting(routing.offered(change.version(), change.document()));
     }
     if (entry.command() instanceof Command.EvacuationChange change) {
-      return withRouting(routing.evacuated(change.failureDomain(), change.active()));
+      return withRouting(
+          routing.evacuated(change.failureDomain(), change.active(), change.basisRevision()));
     }
     if (entry.command() instanceof Command.GroupChange change) {
       return withMembers(change.members());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -45,7 +45,8 @@
     } else if (e.command() instanceof Command.RoutingChange c) {
       p.packInt(ROUTING_CHANGE).packLong(c.version()).packString(c.document());
     } else if (e.command() instanceof Command.EvacuationChange c) {
-      p.packInt(EVACUATION_CHANGE).packString(c.failureDomain()).packBoolean(c.active());
+      p.packInt(EVACUATION_CHANGE).packString(c.failureDomain());
+      p.packBoolean(c.active()).packLong(c.basisRevision());
     } else if (e.command() instanceof Command.GroupChange c) {
       p.packInt(GROUP_CHANGE);
       packNames(p, c.members());
@@ -54,6 +55,21 @@
     }
   }
 
+  private static void packNumbers(MessagePacker p, Map<String, Long> numbers) throws IOException {
+    p.packMapHeader(numbers.size());
+    for (Map.Entry<String, Long> entry : numbers.entrySet()) {
+      p.packString(entry.getKey()).packLong(entry.getValue());
+    }
+  }
+
+  private static Map<String, Long> unpackNumbers(MessageUnpacker u) throws IOException {
+    Map<String, Long> numbers = new LinkedHashMap<>();
+    for (int left = u.unpackMapHeader(); left > 0; left--) {
+      numbers.put(u.unpackString(), u.unpackLong());
+    }
+    return numbers;
+  }
+
   private static void packNames(MessagePacker p, Set<String> names) throws IOException {
     p.packArrayHeader(names.size());
     for (String name : names) {
@@ -86,7 +102,8 @@
       case STORAGE_REGISTRATION ->
           new Command.StorageRegistration(u.unpackString(), u.unpackString());
       case ROUTING_CHANGE -> new Command.RoutingChange(u.unpackLong(), u.unpackString());
-      case EVACUATION_CHANGE -> new Command.EvacuationChange(u.unpackString(), u.unpackBoolean());
+      case EVACUATION_CHANGE ->
+          new Command.EvacuationChange(u.unpackString(), u.unpackBoolean(), u.unpackLong());
       case GROUP_CHANGE -> new Command.GroupChange(unpackNames(u));
       default -> throw new IOException("unknown command type " + type);
     };
@@ -96,10 +113,7 @@
   public static void packSnapshot(MessagePacker p, Snapshot s) throws IOException {
     p.packLong(s.lastIndex()).packLong(s.lastTerm());
     p.packLong(s.state().version()).packString(s.state().document().text());
-    p.packMapHeader(s.state().versionByChangeId().size());
-    for (Map.Entry<String, Long> e : s.state().versionByChangeId().entrySet()) {
-      p.packString(e.getKey()).packLong(e.getValue());
-    }
+    packNumbers(p, s.state().versionByChangeId());
     p.packMapHeader(s.state().storageIdByMember().size());
     for (Map.Entry<String, String> e : s.state().storageIdByMember().entrySet()) {
       p.packString(e.getKey()).packString(e.getValue());
@@ -107,6 +121,7 @@
     RoutingState routing = s.state().routing();
     p.packLong(routing.revision()).packLong(routing.version()).packString(routing.document());
     packNames(p, routing.evacuatedDomains());
+    packNumbers(p, routing.evacuationChangedAt());
     packNames(p, s.state().members());
   }
 
@@ -116,16 +131,14 @@
     final long lastTerm = u.unpackLong();
     final long version = u.unpackLong();
     final String document = u.unpackString();
-    Map<String, Long> changeIds = new LinkedHashMap<>();
-    for (int n = u.unpackMapHeader(); n > 0; n--) {
-      changeIds.put(u.unpackString(), u.unpackLong());
-    }
+    final Map<String, Long> changeIds = unpackNumbers(u);
     Map<String, String> storages = new LinkedHashMap<>();
     for (int n = u.unpackMapHeader(); n > 0; n--) {
       storages.put(u.unpackString(), u.unpackString());
     }
     RoutingState routing =
-        new RoutingState(u.unpackLong(), u.unpackLong(), u.unpackString(), unpackNames(u));
+        new RoutingState(
+            u.unpackLong(), u.unpackLong(), u.unpackString(), unpackNames(u), unpackNumbers(u));
     return new Snapshot(
         lastIndex,
         lastTerm,
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -136,9 +136,11 @@
    * @param order the order
    * @param version the document's version, for {@link ControlOrder#ROUTE}
    * @param text the document or the failure domain
+   * @param basisRevision the routing revision known to that instance when the operator called it
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record ControlCall(String from, long callId, ControlOrder order, long version, String text)
+  record ControlCall(
+      String from, long callId, ControlOrder order, long version, String text, long basisRevision)
       implements FleetMessage {}
 
   /**
