--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CallerFramingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CallerFramingTest.java
@@ -15,8 +15,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -29,7 +27,6 @@
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceShare;
 import org.lacewingcroft.route.ServiceSpec;
 
 /** What an entry does with requests that are framed badly, too large or too slow, byte by byte. */
@@ -120,20 +117,8 @@
   @BeforeAll
   static void start() throws Exception {
     Route route =
-        new Route(
-            "s",
-            "127.0.0.1",
-            "/s/",
-            RouteKind.AT_MOST_ONCE,
-            Duration.ofMillis(2_000),
-            Duration.ofMillis(800),
-            0,
-            List.of(new ServiceShare("s", 1)),
-            1,
-            false,
-            Optional.empty(),
-            Set.of());
-    ServiceSpec service = new ServiceSpec("s", 100, Duration.ZERO, 0, Optional.empty());
+        FleetHarness.routeTo("s", RouteKind.AT_MOST_ONCE, false, 1, Duration.ofSeconds(2));
+    ServiceSpec service = FleetHarness.serviceNamed("s");
     RouteTable table = new RouteTable(1, List.of(route), List.of(service), LIMITS);
     fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
     entry = fleet.startEntry("entry", "north");
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -26,7 +26,11 @@
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.SteadyInstantSource;
+import org.lacewingcroft.route.Route;
+import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceShare;
+import org.lacewingcroft.route.ServiceSpec;
 
 /** A control instance and some entries of one region or more, in this process on loopback. */
 final class FleetHarness implements AutoCloseable {
@@ -145,6 +149,40 @@
     return new Entry(node, publicPort, settings.relayPort());
   }
 
+  /** A route at the path of its name to a service of its name, without homes. */
+  static Route routeTo(
+      String service, RouteKind kind, boolean resumable, int attempts, Duration timeout) {
+    return routeTo(service, kind, resumable, attempts, timeout, Set.of());
+  }
+
+  /** A route at the path of its name to a service of its name. */
+  static Route routeTo(
+      String service,
+      RouteKind kind,
+      boolean resumable,
+      int attempts,
+      Duration timeout,
+      Set<String> homes) {
+    return new Route(
+        service,
+        "127.0.0.1",
+        "/" + service + "/",
+        kind,
+        timeout,
+        Duration.ofMillis(800),
+        0,
+        List.of(new ServiceShare(service, 1)),
+        attempts,
+        resumable,
+        Optional.empty(),
+        homes);
+  }
+
+  /** A service that is never cold. */
+  static ServiceSpec serviceNamed(String name) {
+    return new ServiceSpec(name, 100, Duration.ZERO, 0, Optional.empty());
+  }
+
   /** Puts a table in force and waits for its acknowledgement. */
   void route(long version) throws Exception {
     for (int i = 0; i < 20; i++) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
@@ -14,8 +14,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -27,13 +25,13 @@
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceShare;
 import org.lacewingcroft.route.ServiceSpec;
 
 /** What a caller gets, and how often a request runs, when endpoints fail in one way or another. */
 class ForwardingTest {
   private static final String EVENTS = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n";
   private static final int CUT = 0;
+  private static final Duration TIMEOUT = Duration.ofSeconds(8);
 
   @TempDir private static Path folder;
   private static FleetHarness fleet;
@@ -92,8 +90,10 @@
     rows()
         .forEach(
             row -> {
-              routes.add(route(row));
-              services.add(new ServiceSpec(row.name(), 100, Duration.ZERO, 0, Optional.empty()));
+              routes.add(
+                  FleetHarness.routeTo(
+                      row.name(), row.kind(), row.resumable(), row.attempts(), TIMEOUT));
+              services.add(FleetHarness.serviceNamed(row.name()));
             });
     RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
     fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
@@ -102,22 +102,6 @@
     fleet.awaitReady(entry);
   }
 
-  private static Route route(Row row) {
-    return new Route(
-        row.name(),
-        "127.0.0.1",
-        "/" + row.name() + "/",
-        row.kind(),
-        Duration.ofSeconds(8),
-        Duration.ofMillis(800),
-        0,
-        List.of(new ServiceShare(row.name(), 1)),
-        row.attempts(),
-        row.resumable(),
-        Optional.empty(),
-        Set.of());
-  }
-
   @AfterAll
   static void stop() throws Exception {
     fleet.close();
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
@@ -19,7 +19,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -34,7 +33,6 @@
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceShare;
 import org.lacewingcroft.route.ServiceSpec;
 
 /** Requests whose only endpoint is in another region: one hop, the same promises, the same end. */
@@ -81,21 +79,11 @@
     rows()
         .forEach(
             row -> {
+              Set<String> homes = row.home().isEmpty() ? Set.of() : Set.of(row.home());
               routes.add(
-                  new Route(
-                      row.name(),
-                      "127.0.0.1",
-                      "/" + row.name() + "/",
-                      row.kind(),
-                      Duration.ofSeconds(6),
-                      Duration.ofMillis(800),
-                      0,
-                      List.of(new ServiceShare(row.name(), 1)),
-                      1,
-                      false,
-                      Optional.empty(),
-                      row.home().isEmpty() ? Set.of() : Set.of(row.home())));
-              services.add(new ServiceSpec(row.name(), 100, Duration.ZERO, 0, Optional.empty()));
+                  FleetHarness.routeTo(
+                      row.name(), row.kind(), false, 1, Duration.ofSeconds(6), homes));
+              services.add(FleetHarness.serviceNamed(row.name()));
             });
     RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
     fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
