An endpoint's unproven 503 is not kept as the answer of a request that has run

Cause: the answer kept for a second try that finds nobody could be an endpoint's 503 without the header that says it has not run; passed on, it would promise what is not so. Row 503-then-full of ForwardingTest fails before (503) and passes after (502).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -45,7 +45,7 @@
 
   /**
    * Such reports that an entry sends in a second at most; it takes as many. At 20 neighbours that
-   * is one every 330 ms to each, a tenth of what an entry with a third of a core can bear.
+   * is one every 330 ms to each, where one every {@link #LOAD_MILLIS} would be 167 out and 167 in.
    */
   private static final int LOADS_PER_SECOND = 60;
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -417,7 +417,7 @@
       count();
       boolean serverError = status >= 500;
       if (serverError && mayRunAfter(this) && resend()) {
-        endpointError = Optional.of(new EndpointError(upstream, status, headers, whole));
+        keepError();
         passedOver.add(upstream.target().name());
         place();
       } else if (streaming) {
@@ -429,6 +429,13 @@
       }
     }
 
+    /** A status that promises "not run" is no answer for a request that has run. */
+    private void keepError() {
+      if (!PROMISES.contains(status)) {
+        endpointError = Optional.of(new EndpointError(upstream, status, headers, whole));
+      }
+    }
+
     @Override
     public void failed(boolean sent, String detail) {
       if (done) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
@@ -63,6 +63,7 @@
         new Row("error-again", safe, false, 2, List.of(Act.ERROR), 200, "done", 2),
         new Row("errors", safe, false, 2, List.of(Act.ERROR, Act.ERROR), 500, "done", 2),
         new Row("error-then-full", safe, false, 2, List.of(Act.ERROR, Act.FULL), 500, "done", 2),
+        new Row("503-then-full", safe, false, 2, List.of(Act.PLAIN_503, Act.FULL), 502, "", 2),
         new Row("full-once", once, false, 1, List.of(Act.FULL), 200, "done", 2),
         new Row("incarnation", once, false, 1, List.of(Act.OTHER_INSTANCE), 200, "done", 2),
         new Row("plain-503", once, false, 2, List.of(Act.PLAIN_503), 502, "", 1),
