--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
@@ -7,6 +7,7 @@
 @Command(
     name = "lacewingcroft",
     mixinStandardHelpOptions = true,
+    scope = CommandLine.ScopeType.INHERIT,
     version = "lacewingcroft 0.1.0",
     description = "Operate and call a lacewingcroft gateway.",
     subcommands = {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -100,6 +100,14 @@
                 ErrorKind.PAYLOAD_TOO_LARGE,
                 "the body exceeds " + settings.maxBodyBytes() + " bytes",
                 Optional.empty()));
+    router.errorHandler(
+        404,
+        ctx ->
+            ErrorReply.send(
+                ctx.response(),
+                ErrorKind.UNKNOWN_PATH,
+                "nothing is served at " + ctx.request().method() + " " + ctx.request().path(),
+                Optional.empty()));
     router.route().handler(this::refuseWhileStarting);
     router.get("/metrics").handler(this::metricsPage);
     router.get("/readyz").handler(this::readyPage);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/DirectoryApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/DirectoryApi.java
@@ -23,7 +23,8 @@
 
 /**
  * Who is where: {@code GET /v1/entries} tells callers which entries to use, {@code POST
- * /v1/endpoints/announce} takes endpoints' announcements and {@code GET /v1/endpoints} lists them.
+ * /v1/endpoints/announce} takes endpoints' announcements and {@code GET /v1/endpoints} lists them;
+ * {@code GET /v1/models} lists what they serve, as OpenAI clients expect it.
  */
 final class DirectoryApi {
   private final Membership membership;
@@ -57,6 +58,7 @@
   void mountEndpoints(Router router) {
     router.post("/v1/endpoints/announce").handler(this::announce);
     router.get("/v1/endpoints").handler(this::endpointsPage);
+    router.get("/v1/models").handler(this::modelsPage);
   }
 
   private void entriesPage(RoutingContext ctx) {
@@ -106,6 +108,17 @@
     JsonReply.send(ctx, list);
   }
 
+  private void modelsPage(RoutingContext ctx) {
+    ObjectNode reply = JsonReply.JSON.createObjectNode().put("object", "list");
+    ArrayNode list = reply.putArray("data");
+    endpoints.snapshot().all().stream()
+        .flatMap(e -> e.models().stream())
+        .distinct()
+        .sorted()
+        .forEach(m -> list.addObject().put("id", m).put("object", "model"));
+    JsonReply.send(ctx, reply);
+  }
+
   private static void describe(Endpoint e, ObjectNode n) {
     n.put("id", e.id());
     n.put("url", e.baseUrl());
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/DaemonApiTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/DaemonApiTest.java
@@ -11,11 +11,13 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Contract of the caller, announce and configuration APIs: each bad input gets a typed error that
@@ -67,6 +69,7 @@
         row("unknown region", chat, unknownRegion, CHAT, 400, "unknown_region"),
         row("non-idempotent without key", chat, noKey, CHAT, 400, "malformed_request"),
         row("oversized body", chat, CALLER, "x".repeat(8_192), 413, "payload_too_large"),
+        row("unknown path", "/v2/chat", CALLER, CHAT, 404, "unknown_path"),
         row("unknown service", "/v1/services/none/x", CALLER, "{}", 404, "unknown_model"));
   }
 
@@ -89,6 +92,22 @@
     assertThat(send(entry, "POST", "/v1/chat/completions", CALLER, CHAT).status(), is(200));
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"X-Organisation", "x-organisation", "OpenAI-Organization"})
+  void takesTheOrganisationAsClientsNameIt(String header) throws Exception {
+    Map<String, String> caller = Map.of(header, "puhdas-seina");
+    assertThat(send(entry, "POST", "/v1/chat/completions", caller, CHAT).status(), is(200));
+  }
+
+  @Test
+  void listsTheModelsServed() throws Exception {
+    TestCluster.Reply reply = send(entry, "GET", "/v1/models", Map.of(), "");
+    assertThat(reply.status(), is(200));
+    assertThat(
+        reply.body().toString(),
+        is("{\"object\":\"list\",\"data\":[{\"id\":\"writer\",\"object\":\"model\"}]}"));
+  }
+
   static Stream<Arguments> badAnnouncements() {
     String good = String.format(ANNOUNCEMENT, 1);
     return Stream.of(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
@@ -13,6 +13,8 @@
   MALFORMED_REQUEST(400, "malformed_request", "send a JSON body that matches the documented shape"),
   /** The request names a model that no selector or endpoint serves. */
   UNKNOWN_MODEL(404, "unknown_model", "use a model listed by 'lacewingcroft endpoints'"),
+  /** The daemon serves nothing at the path. */
+  UNKNOWN_PATH(404, "unknown_path", "use a path of docs/OPERATIONS.md, such as GET /v1/models"),
   /** The residency names no region known to this deployment. */
   UNKNOWN_REGION(400, "unknown_region", "name regions listed by GET /v1/entries"),
   /** The request body is larger than the configured bound. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.routing.RouteRequest;
@@ -54,6 +55,9 @@
   /** Header naming the caller's organisation. */
   public static final String ORGANISATION_HEADER = "X-Organisation";
 
+  /** The header in which stock OpenAI clients name it; used if the other one is missing. */
+  public static final String OPENAI_ORGANISATION_HEADER = "OpenAI-Organization";
+
   /** Header listing allowed regions. */
   public static final String RESIDENCY_HEADER = "X-Residency";
 
@@ -97,7 +101,7 @@
    */
   public static CallerRequest parse(
       Function<String, String> headers, byte[] body, Supplier<Set<String>> knownRegions) {
-    requireOrganisation(headers);
+    organisationOf(headers);
     JsonNode root;
     try {
       root = JSON.readTree(body);
@@ -146,18 +150,25 @@
       String path,
       byte[] body,
       Supplier<Set<String>> knownRegions) {
-    requireOrganisation(headers);
+    organisationOf(headers);
     if (service == null || service.isBlank() || !path.startsWith("/")) {
       throw malformed("the path must be /v1/services/<service>/<path>");
     }
     return build(headers, service, false, "", body, path, knownRegions);
   }
 
-  private static void requireOrganisation(Function<String, String> headers) {
-    String organisation = headers.apply(ORGANISATION_HEADER);
-    if (organisation == null || organisation.isBlank()) {
-      throw malformed("header " + ORGANISATION_HEADER + " is missing");
-    }
+  private static String organisationOf(Function<String, String> headers) {
+    return Stream.of(ORGANISATION_HEADER, OPENAI_ORGANISATION_HEADER)
+        .map(headers)
+        .filter(name -> name != null && !name.isBlank())
+        .findFirst()
+        .orElseThrow(
+            () ->
+                malformed(
+                    "the organisation is missing; send the header "
+                        + ORGANISATION_HEADER
+                        + " or "
+                        + OPENAI_ORGANISATION_HEADER));
   }
 
   private static CallerRequest build(
@@ -177,7 +188,7 @@
     }
     String priority = Optional.ofNullable(headers.apply(PRIORITY_HEADER)).orElse("normal");
     return new CallerRequest(
-        headers.apply(ORGANISATION_HEADER),
+        organisationOf(headers),
         model,
         stream,
         priority,
