Load told among entries and regions in a class of its own; two entries speak for a region

Behaviour changes in one place: the first two entries by name tell the other regions, since a region is believed for 1.3 s after its last word and a lost first entry leaves the list only after 1.7 s.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,18 +39,6 @@
   /** How often an entry reports to the control instances. */
   private static final long REPORT_MILLIS = 500;
 
-  /** How often entries of a region tell each other their work: about one short prompt's reading. */
-  private static final long LOAD_MILLIS = 120;
-
-  /**
-   * Such reports that an entry sends in a second at most; it takes as many. At 20 neighbours that
-   * is one every 330 ms to each, where one every {@link #LOAD_MILLIS} would be 167 out and 167 in.
-   */
-  private static final int LOADS_PER_SECOND = 60;
-
-  /** A prompt told of at once: reading it takes about half the pause between two reports. */
-  private static final long LONG_PROMPT_TOKENS = 5_000;
-
   /** Without any word of a control instance for this long, the seeds are tried again. */
   private static final Duration CONTROL_SILENCE = Duration.ofSeconds(2);
 
@@ -81,6 +68,7 @@
   private final Map<String, Instant> knownSince = new HashMap<>();
   private final RegionLoads regionLoads = new RegionLoads();
   private final UnreachableEntries unreachable = new UnreachableEntries();
+  private final LoadExchange loads;
   private final ExtraSendBudget extraSends;
   private final Map<String, Instant> controlsHeard = new HashMap<>();
   private final Instant startedAt;
@@ -92,7 +80,6 @@
   private boolean rosterKnown;
   private boolean reachedControl;
   private boolean stopping;
-  private boolean toldLoad;
   private boolean toldReady;
 
   /** Creates the entry; {@link #start} begins to report. */
@@ -110,6 +97,9 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.loads =
+        new LoadExchange(
+            vertx, settings, self, transport, clock, trackers::values, () -> this.entries);
     FleetBounds bounds = settings.bounds();
     this.extraSends =
         new ExtraSendBudget(
@@ -119,7 +109,7 @@
   /** Listens to peers and begins to report. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_MILLIS, id -> report());
-    tellLoad();
+    loads.start();
     return transport
         .listen(this::receive, (from, message) -> {})
         .onSuccess(port -> report())
@@ -229,17 +219,10 @@
     return trackers.values().stream()
         .filter(t -> t.record().service().equals(service))
         .filter(t -> !evacuated.contains(t.record().failureDomain()))
-        .filter(this::inRegion)
+        .filter(t -> settings.inOwnRegion(t.record().failureDomain()))
         .toList();
   }
 
-  private boolean inRegion(EndpointTracker tracker) {
-    return settings
-        .regionOf(tracker.record().failureDomain())
-        .filter(settings.region()::equals)
-        .isPresent();
-  }
-
   private List<String> regionEntryNames() {
     Set<String> names = new TreeSet<>();
     names.add(self.name());
@@ -338,7 +321,7 @@
     } else if (message instanceof FleetMessage.StateOffer offer) {
       stateOffered(offer);
     } else if (message instanceof FleetMessage.LoadReport load) {
-      loadReported(load);
+      loads.heard(load);
     } else if (message instanceof FleetMessage.RegionLoad load) {
       Instant now = clock.instant();
       load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
@@ -475,96 +458,15 @@
     }
   }
 
-  private void tellLoad() {
-    vertx.setTimer(loadPauseMillis(), id -> tellLoad());
-    Instant now = clock.instant();
-    List<FleetMessage.EndpointLoad> loads =
-        trackers.values().stream().filter(t -> t.running() > 0).map(t -> loadAt(t, now)).toList();
-    boolean news = !loads.isEmpty() || toldLoad;
-    toldLoad = !loads.isEmpty();
-    if (news) {
-      tellNeighbours(new FleetMessage.LoadReport(self.name(), true, loads));
-    }
-  }
-
-  /** Keeps what an entry sends and takes of these reports at some {@link #LOADS_PER_SECOND}. */
-  private long loadPauseMillis() {
-    int others = entriesOf(settings.region()).size() - 1;
-    return Math.max(LOAD_MILLIS, others * 1_000L / LOADS_PER_SECOND);
-  }
-
-  private static FleetMessage.EndpointLoad loadAt(EndpointTracker tracker, Instant now) {
-    return new FleetMessage.EndpointLoad(
-        tracker.record().id(), tracker.running(), tracker.unreadPrompts(now));
-  }
-
-  /**
-   * Notes that a request has been sent to an endpoint of this region. The others hear at once of a
-   * prompt that keeps the endpoint busy for longer than the pause between two reports would hide.
-   */
+  /** Notes that a request has been sent to an endpoint of this region. */
   public void begun(EndpointTracker tracker, long uncachedTokens) {
-    if (uncachedTokens >= LONG_PROMPT_TOKENS) {
-      FleetMessage.EndpointLoad load = loadAt(tracker, clock.instant());
-      tellNeighbours(new FleetMessage.LoadReport(self.name(), false, List.of(load)));
-    }
-  }
-
-  private void tellNeighbours(FleetMessage report) {
-    entriesOf(settings.region()).stream()
-        .filter(e -> !e.name().equals(self.name()))
-        .forEach(e -> transport.send(e.peerAddress(), report));
-  }
-
-  private void loadReported(FleetMessage.LoadReport report) {
-    Instant now = clock.instant();
-    Map<String, FleetMessage.EndpointLoad> byId = new HashMap<>();
-    report.loads().forEach(l -> byId.put(l.endpoint(), l));
-    for (EndpointTracker tracker : trackers.values()) {
-      FleetMessage.EndpointLoad load = byId.get(tracker.record().id());
-      if (load != null) {
-        tracker.peerWork(report.from(), load.running(), load.unread(), now);
-      } else if (report.whole()) {
-        tracker.peerWork(report.from(), 0, List.of(), now);
-      }
-    }
+    loads.begun(tracker, uncachedTokens);
   }
 
-  /** One entry of a region, the first by name, tells the other regions how loaded it is. */
   private void tellRegions() {
-    List<String> near = regionEntryNames();
-    if (stopping || !near.get(0).equals(self.name()) || !ready()) {
-      return;
-    }
-    Instant now = clock.instant();
-    Map<String, List<EndpointTracker>> byService = new TreeMap<>();
-    for (EndpointTracker tracker : trackers.values()) {
-      boolean open =
-          inRegion(tracker)
-              && tracker.takesWork(now)
-              && !tracker.cold(now)
-              && !routing.evacuatedDomains().contains(tracker.record().failureDomain());
-      if (open) {
-        byService.computeIfAbsent(tracker.record().service(), s -> new ArrayList<>()).add(tracker);
-      }
-    }
-    List<FleetMessage.ServiceLoad> services = new ArrayList<>();
-    byService.forEach((service, list) -> services.add(serviceLoad(service, list, now)));
-    FleetMessage load = new FleetMessage.RegionLoad(settings.region(), services);
-    entries.stream()
-        .filter(e -> !e.region().equals(settings.region()))
-        .forEach(e -> transport.send(e.peerAddress(), load));
-  }
-
-  private static FleetMessage.ServiceLoad serviceLoad(
-      String service, List<EndpointTracker> list, Instant now) {
-    long[] waits = new long[EndpointTracker.PRIORITIES];
-    for (int p = 0; p < waits.length; p++) {
-      int priority = p;
-      waits[p] =
-          Math.round(
-              list.stream().mapToDouble(t -> t.waitMillis(priority, now)).average().orElse(0));
+    if (ready()) {
+      loads.tellRegions(regionEntryNames(), routing.evacuatedDomains());
     }
-    return new FleetMessage.ServiceLoad(service, list.size(), waits);
   }
 
   @Override
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -57,6 +57,11 @@
     return ip + ":" + relayPort;
   }
 
+  /** Returns whether a failure domain belongs to this instance's region. */
+  public boolean inOwnRegion(String domain) {
+    return regionOf(domain).filter(region::equals).isPresent();
+  }
+
   /** Returns the region of a failure domain, if the deployment names it. */
   public Optional<String> regionOf(String domain) {
     return Optional.ofNullable(regionByDomain.get(domain));
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -0,0 +1,172 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.Vertx;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.lacewingcroft.placement.EndpointTracker;
+
+/**
+ * What an entry tells others of load, and takes from them: the entries of its region tell each
+ * other their work at each endpoint, so that none of them fills one that another is filling; two of
+ * them tell the other regions how long the waits are.
+ *
+ * <p>Owned by the event loop.
+ */
+final class LoadExchange {
+  /** How often entries of a region tell each other their work: about one short prompt's reading. */
+  private static final long REPORT_MILLIS = 120;
+
+  /**
+   * Such reports that an entry sends in a second at most; it takes as many. At 20 neighbours that
+   * is one every 330 ms to each, where one every {@link #REPORT_MILLIS} would be 167 out and 167
+   * in.
+   */
+  private static final int REPORTS_PER_SECOND = 60;
+
+  /** A prompt told of at once: reading it takes about half the pause between two reports. */
+  private static final long LONG_PROMPT_TOKENS = 5_000;
+
+  /**
+   * Entries that tell the other regions, the first by name: with one, its loss would leave the
+   * region unheard of until the list of entries drops it, longer than its last word is believed.
+   */
+  private static final int REGION_SPEAKERS = 2;
+
+  private final Vertx vertx;
+  private final FleetSettings settings;
+  private final EntryInfo self;
+  private final FleetTransport transport;
+  private final InstantSource clock;
+  private final Supplier<Collection<EndpointTracker>> trackers;
+  private final Supplier<List<EntryInfo>> entries;
+  private boolean toldWork;
+
+  LoadExchange(
+      Vertx vertx,
+      FleetSettings settings,
+      EntryInfo self,
+      FleetTransport transport,
+      InstantSource clock,
+      Supplier<Collection<EndpointTracker>> trackers,
+      Supplier<List<EntryInfo>> entries) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.self = self;
+    this.transport = transport;
+    this.clock = clock;
+    this.trackers = trackers;
+    this.entries = entries;
+  }
+
+  /** Begins to report to the region's other entries. */
+  void start() {
+    report();
+  }
+
+  private void report() {
+    vertx.setTimer(pauseMillis(), id -> report());
+    Instant now = clock.instant();
+    List<FleetMessage.EndpointLoad> work =
+        trackers.get().stream().filter(t -> t.running() > 0).map(t -> workAt(t, now)).toList();
+    boolean news = !work.isEmpty() || toldWork;
+    toldWork = !work.isEmpty();
+    if (news) {
+      tellNeighbours(new FleetMessage.LoadReport(self.name(), true, work));
+    }
+  }
+
+  private long pauseMillis() {
+    return Math.max(REPORT_MILLIS, neighbours().size() * 1_000L / REPORTS_PER_SECOND);
+  }
+
+  private static FleetMessage.EndpointLoad workAt(EndpointTracker tracker, Instant now) {
+    return new FleetMessage.EndpointLoad(
+        tracker.record().id(), tracker.running(), tracker.unreadPrompts(now));
+  }
+
+  /**
+   * Notes that a request has been sent to an endpoint. The others hear at once of a prompt that
+   * keeps the endpoint busy for longer than the pause between two reports would hide.
+   */
+  void begun(EndpointTracker tracker, long uncachedTokens) {
+    if (uncachedTokens >= LONG_PROMPT_TOKENS) {
+      FleetMessage.EndpointLoad work = workAt(tracker, clock.instant());
+      tellNeighbours(new FleetMessage.LoadReport(self.name(), false, List.of(work)));
+    }
+  }
+
+  private List<EntryInfo> neighbours() {
+    return entries.get().stream()
+        .filter(e -> e.region().equals(settings.region()) && !e.name().equals(self.name()))
+        .toList();
+  }
+
+  private void tellNeighbours(FleetMessage report) {
+    neighbours().forEach(e -> transport.send(e.peerAddress(), report));
+  }
+
+  /** Takes another entry's report. */
+  void heard(FleetMessage.LoadReport report) {
+    Instant now = clock.instant();
+    Map<String, FleetMessage.EndpointLoad> byId = new HashMap<>();
+    report.loads().forEach(l -> byId.put(l.endpoint(), l));
+    for (EndpointTracker tracker : trackers.get()) {
+      FleetMessage.EndpointLoad load = byId.get(tracker.record().id());
+      if (load != null) {
+        tracker.peerWork(report.from(), load.running(), load.unread(), now);
+      } else if (report.whole()) {
+        tracker.peerWork(report.from(), 0, List.of(), now);
+      }
+    }
+  }
+
+  /**
+   * Tells the other regions how loaded this one is, if this entry is to speak for it.
+   *
+   * @param regionEntries the names of the region's entries in order, this one included
+   * @param evacuatedDomains failure domains whose endpoints get no work
+   */
+  void tellRegions(List<String> regionEntries, Set<String> evacuatedDomains) {
+    if (regionEntries.indexOf(self.name()) >= REGION_SPEAKERS) {
+      return;
+    }
+    Instant now = clock.instant();
+    Map<String, List<EndpointTracker>> byService = new TreeMap<>();
+    for (EndpointTracker tracker : trackers.get()) {
+      boolean open =
+          settings.inOwnRegion(tracker.record().failureDomain())
+              && tracker.takesWork(now)
+              && !tracker.cold(now)
+              && !evacuatedDomains.contains(tracker.record().failureDomain());
+      if (open) {
+        byService.computeIfAbsent(tracker.record().service(), s -> new ArrayList<>()).add(tracker);
+      }
+    }
+    List<FleetMessage.ServiceLoad> services = new ArrayList<>();
+    byService.forEach((service, open) -> services.add(serviceLoad(service, open, now)));
+    FleetMessage load = new FleetMessage.RegionLoad(settings.region(), services);
+    entries.get().stream()
+        .filter(e -> !e.region().equals(settings.region()))
+        .forEach(e -> transport.send(e.peerAddress(), load));
+  }
+
+  private static FleetMessage.ServiceLoad serviceLoad(
+      String service, List<EndpointTracker> open, Instant now) {
+    long[] waits = new long[EndpointTracker.PRIORITIES];
+    for (int p = 0; p < waits.length; p++) {
+      int priority = p;
+      waits[p] =
+          Math.round(
+              open.stream().mapToDouble(t -> t.waitMillis(priority, now)).average().orElse(0));
+    }
+    return new FleetMessage.ServiceLoad(service, open.size(), waits);
+  }
+}
