A region without entries sends its callers to a home of what they ask for

Both entries of one region were stopping, two seconds apart, and the directory named all entries of all other regions, one of which is no home of the route. It now prefers regions that all routes of the host allow. Ruled out: naming entries that stop, a shorter linger.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -18,6 +18,8 @@
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.route.RouteDocumentParser;
+import org.lacewingcroft.route.RouteTable;
 
 /**
  * A control instance of a fleet: keeps the roster of endpoints from their announcements, knows the
@@ -59,6 +61,8 @@
   private final Vertx vertx;
   private final Context context;
   private final GatewayMetrics metrics;
+  private final RouteDocumentParser parser;
+  private RouteTable routes = RouteTable.EMPTY;
   private final FleetTransport transport;
   private volatile RoutingControl control;
   private final OrderRelay orders;
@@ -84,9 +88,14 @@
    * @throws IOException if the data folder cannot be used
    */
   public ControlNode(
-      Context context, FleetSettings settings, InstantSource clock, GatewayMetrics metrics)
+      Context context,
+      FleetSettings settings,
+      RouteDocumentParser parser,
+      InstantSource clock,
+      GatewayMetrics metrics)
       throws IOException {
     this.metrics = metrics;
+    this.parser = parser;
     this.context = context;
     this.vertx = context.owner();
     this.settings = settings;
@@ -206,12 +215,24 @@
     return leaving.confirm(record, control.view().members());
   }
 
-  /** Returns the public addresses of entries for a caller, those of its region if there are any. */
-  public List<String> entriesFor(String region, int most) {
-    List<EntryInfo> ready = readyEntries();
-    List<EntryInfo> near = ready.stream().filter(e -> e.region().equals(region)).toList();
-    return (near.isEmpty() ? ready : near)
-        .stream().map(EntryInfo::publicAddress).limit(most).toList();
+  /**
+   * Returns the public addresses of entries for a caller.
+   *
+   * @param host the host that it wants to call
+   * @param region its region
+   * @param most how many addresses it takes
+   */
+  public List<String> entriesFor(String host, String region, int most) {
+    return DirectoryChoice.of(readyEntries(), region, routes().homesOf(host), most);
+  }
+
+  /** Returns the routes in force, read anew only when their version has changed. */
+  private RouteTable routes() {
+    RoutingState state = control.view().routing();
+    if (state.version() != routes.version()) {
+      routes = parser.parse(state.document());
+    }
+    return routes;
   }
 
   private List<EntryInfo> readyEntries() {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -85,7 +85,12 @@
     onContext(
         () -> {
           ControlNode node =
-              new ControlNode(context, founding, new SteadyInstantSource(), new GatewayMetrics());
+              new ControlNode(
+                  context,
+                  founding,
+                  document -> tables.get(Long.parseLong(document)),
+                  new SteadyInstantSource(),
+                  new GatewayMetrics());
           made.complete(node);
           return node.start();
         });
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -95,6 +95,26 @@
     return queuePriorities.of(route, service);
   }
 
+  /**
+   * Returns the regions that may run every request to a host: those that all of its routes with
+   * homes have in common. Empty if none of its routes has homes, or none is common.
+   */
+  public Set<String> homesOf(String hostHeader) {
+    Set<String> common = new HashSet<>();
+    routesOf(hostHeader).stream()
+        .map(Route::homeRegions)
+        .filter(homes -> !homes.isEmpty())
+        .reduce(RouteTable::inBoth)
+        .ifPresent(common::addAll);
+    return common;
+  }
+
+  private static Set<String> inBoth(Set<String> some, Set<String> others) {
+    Set<String> both = new HashSet<>(some);
+    both.retainAll(others);
+    return both;
+  }
+
   /**
    * Returns the route with the longest prefix that begins a path.
    *
@@ -102,10 +122,12 @@
    * @param path the path without query
    */
   public Optional<Route> match(String hostHeader, String path) {
+    return routesOf(hostHeader).stream().filter(r -> path.startsWith(r.pathPrefix())).findFirst();
+  }
+
+  private List<Route> routesOf(String hostHeader) {
     int colon = hostHeader.indexOf(':');
     String host = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
-    return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
-        .filter(r -> path.startsWith(r.pathPrefix()))
-        .findFirst();
+    return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
   }
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/DirectoryChoiceTest.java
@@ -0,0 +1,67 @@
+package org.lacewingcroft.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Whom a caller of the region "north" is told of. */
+class DirectoryChoiceTest {
+  /** A row: the regions of the ready entries, the homes of the host, and the entries told. */
+  record Row(String name, List<String> ready, Set<String> homes, int most, List<String> told) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Row> rows() {
+    Set<String> any = Set.of();
+    return Stream.of(
+        new Row("the own region", List.of("south", "north"), any, 9, List.of("north-1")),
+        new Row(
+            "the own region, home or not",
+            List.of("south", "north"),
+            Set.of("south"),
+            9,
+            List.of("north-1")),
+        new Row(
+            "any if the own has none",
+            List.of("south", "east"),
+            any,
+            9,
+            List.of("south-0", "east-1")),
+        new Row(
+            "a home if the own has none",
+            List.of("south", "east"),
+            Set.of("north", "east"),
+            9,
+            List.of("east-1")),
+        new Row(
+            "any if no home has one either",
+            List.of("south", "east"),
+            Set.of("north"),
+            9,
+            List.of("south-0", "east-1")),
+        new Row("so many at most", List.of("north", "north"), any, 1, List.of("north-0")),
+        new Row("nobody", List.of(), any, 9, List.of()));
+  }
+
+  @ParameterizedTest
+  @MethodSource("rows")
+  void keepsCallersWhereTheirDataMayBe(Row row) {
+    List<EntryInfo> ready =
+        Stream.iterate(0, i -> i < row.ready().size(), i -> i + 1)
+            .map(i -> entry(row.ready().get(i), i))
+            .toList();
+    assertThat(DirectoryChoice.of(ready, "north", row.homes(), row.most()), equalTo(row.told()));
+  }
+
+  private static EntryInfo entry(String region, int number) {
+    return new EntryInfo("e" + number, region, "d", region + "-" + number, "p", "r");
+  }
+}
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -53,6 +54,37 @@
     assertThat(table.match(host, path).map(Route::name).orElse("none"), equalTo(expected));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "'', '', ''",
+    "'north east', '', 'east north'",
+    "'north east', 'north south', 'north'",
+    "'north', 'south', ''"
+  })
+  void aHostsHomesAreCommonToItsRoutes(String some, String others, String expected) {
+    RouteTable table = table(withHomes("r", "/a/", some), withHomes("q", "/b/", others));
+    assertThat(
+        String.join(" ", new TreeSet<>(table.homesOf("HOST.example:80"))), equalTo(expected));
+    assertThat(table.homesOf("other.example"), equalTo(Set.of()));
+  }
+
+  private static Route withHomes(String name, String prefix, String homes) {
+    Route plain = route(name, prefix, 1, new ServiceShare("s", 1));
+    return new Route(
+        plain.name(),
+        plain.host(),
+        plain.pathPrefix(),
+        plain.kind(),
+        plain.timeout(),
+        plain.latencyObjective(),
+        plain.priority(),
+        plain.shares(),
+        plain.maxAttempts(),
+        plain.resumable(),
+        plain.pauseObjective(),
+        homes.isEmpty() ? Set.of() : Set.of(homes.split(" ")));
+  }
+
   /** A row: routes that must not be put in force, and what the error says. */
   record Bad(List<Route> routes, String says) {}
 
