--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
@@ -61,7 +61,7 @@
     "'north east', 'north south', 'north'",
     "'north', 'south', ''"
   })
-  void aHostsHomesAreCommonToItsRoutes(String some, String others, String expected) {
+  void homesOfHostAreCommonToItsRoutes(String some, String others, String expected) {
     RouteTable table = table(withHomes("r", "/a/", some), withHomes("q", "/b/", others));
     assertThat(
         String.join(" ", new TreeSet<>(table.homesOf("HOST.example:80"))), equalTo(expected));
