Clean-up: dead methods, a prompt's unread tokens counted once, one validity for reports of other entries

Found in the last reading: CallerConnections.open, EndpointRoster.left and PrefixMemory.clear had no caller; sendHere counted the tokens that begin had just counted, on the path of each request; the validity of other entries' reports stood in EndpointTracker and in ReadingQueue. Behaviour as before.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -126,10 +126,9 @@
 
   private void sendHere(Placement.Here here, PlacementRequest wanted) {
     EndpointTracker endpoint = here.endpoint();
-    long uncached = endpoint.uncachedTokens(wanted);
     EndpointTracker.Ticket ticket =
         endpoint.begin(wanted, context.kvCapacity(wanted.service()), context.now());
-    context.node().begun(endpoint, uncached);
+    context.node().begun(endpoint, ticket.uncachedTokens());
     send(UpstreamTarget.endpoint(endpoint, ticket), here.expectedMillis());
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/CallerConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/CallerConnections.java
@@ -64,11 +64,6 @@
     use.idleSince = clock.instant();
   }
 
-  /** Returns how many connections are open. */
-  public int open() {
-    return uses.size();
-  }
-
   private void closeIdle() {
     Duration most = idleTimeout.get();
     Instant horizon = clock.instant().minus(most);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
@@ -113,11 +113,6 @@
     return changed ? Optional.of(record) : Optional.empty();
   }
 
-  /** Marks an endpoint as gone; returns its record if it was known and had not left before. */
-  public Optional<EndpointRecord> left(String id, Instant now) {
-    return find(id).flatMap(r -> merge(r.inState(EndpointState.GONE), now));
-  }
-
   /** Marks endpoints that were not heard of for a lease as lost and returns them. */
   public List<EndpointRecord> expire(Instant now, Duration lease) {
     List<EndpointRecord> lost = new ArrayList<>();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -39,9 +39,6 @@
   /** Weight of a new sample in the running averages: about the last ten count. */
   private static final double SAMPLE_WEIGHT = 0.1;
 
-  /** After this long another entry's count says nothing about the present any more. */
-  private static final Duration PEER_REPORT_VALID = Duration.ofMillis(1_500);
-
   /**
    * Silence of an endpoint that owes an answer after which new work avoids it: engines yield a byte
    * of some stream many times a second, and callers give up after two seconds.
@@ -100,6 +97,11 @@
       this.sentAt = prompt.sentAt();
     }
 
+    /** Returns how many tokens of its prompt the endpoint had to read when it was sent. */
+    public long uncachedTokens() {
+      return prompt.tokens();
+    }
+
     /** Notes bytes of the answer; the first ones end the reading of the prompt. */
     public void bytes(Instant now) {
       lastByteAt = now;
@@ -301,7 +303,7 @@
   public int allRunning(Instant now) {
     int all = running;
     for (PeerWork peer : peers.values()) {
-      if (peer.at.plus(PEER_REPORT_VALID).isAfter(now)) {
+      if (peer.at.plus(ReadingQueue.PEER_REPORT_VALID).isAfter(now)) {
         all += peer.running;
       }
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefixMemory.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefixMemory.java
@@ -44,9 +44,4 @@
       oldest.remove();
     }
   }
-
-  void clear() {
-    tokensByPrefix.clear();
-    heldTokens = 0;
-  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
@@ -23,7 +23,7 @@
  */
 final class ReadingQueue {
   /** After this long another entry's report says nothing about the present any more. */
-  private static final Duration PEER_REPORT_VALID = Duration.ofMillis(1_500);
+  static final Duration PEER_REPORT_VALID = Duration.ofMillis(1_500);
 
   /** Share of a prompt that counts as unread until its first byte, however long ago it began. */
   private static final double LEAST_REST = 0.1;
