--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -192,14 +192,20 @@
     return confirmLeaving(record, changed.isPresent());
   }
 
-  /** Takes an endpoint's word that it leaves now. */
-  public Future<Boolean> left(String id) {
-    Optional<EndpointRecord> known = roster.find(id);
+  /**
+   * Takes an endpoint's word that it leaves now.
+   *
+   * @param id its id
+   * @param startedAtMillis when the incarnation started that leaves; 0 if it does not say, which
+   *     stands for the one known
+   */
+  public Future<Boolean> left(String id, long startedAtMillis) {
     EndpointRecord gone =
-        known
+        roster
+            .find(id)
+            .filter(r -> startedAtMillis == 0 || startedAtMillis == r.startedAtMillis())
             .map(r -> r.inState(EndpointState.GONE))
-            .orElseGet(
-                () -> new EndpointRecord(id, "", "", "", 0, EndpointState.GONE, Long.MAX_VALUE, 0));
+            .orElseGet(() -> unknownGone(id, startedAtMillis));
     boolean changed = roster.announced(gone, clock.instant()).isPresent();
     if (changed) {
       RosterLog.changed(gone, "left");
@@ -207,6 +213,22 @@
     return confirmLeaving(gone, changed);
   }
 
+  private static EndpointRecord unknownGone(String id, long startedAtMillis) {
+    return new EndpointRecord(
+        id, startedAtMillis, "", "", "", 0, EndpointState.GONE, Long.MAX_VALUE, 0);
+  }
+
+  /**
+   * Returns whether announcements of a service are taken: it stands in the routing document, or
+   * none is in force yet, or the endpoint was taken before its service was dropped.
+   */
+  public boolean takesAnnouncementsOf(String service, String endpointId) {
+    RouteTable table = routes();
+    return table.version() == 0
+        || table.service(service).isPresent()
+        || roster.find(endpointId).filter(r -> r.service().equals(service)).isPresent();
+  }
+
   private Future<Boolean> confirmLeaving(EndpointRecord record, boolean changed) {
     outbox.put(record.id(), record);
     if (changed) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -420,11 +420,15 @@
     roster.renewAll(now);
   }
 
+  /**
+   * Takes a record. A later incarnation gets a tracker of its own: it holds no prompts and nothing
+   * in flight of the one before, whose requests end on the old tracker.
+   */
   private void take(EndpointRecord record, String from, Instant now) {
     Optional<EndpointRecord> changed = roster.merge(record, now);
     EndpointRecord known = roster.find(record.id()).orElse(record);
     EndpointTracker tracker = trackers.get(record.id());
-    if (tracker == null) {
+    if (tracker == null || known.startedAfter(tracker.record())) {
       trackers.put(record.id(), new EndpointTracker(known, now));
       knownSince.put(record.id(), now);
     } else if (known.equals(record)) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LeavingConfirmations.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LeavingConfirmations.java
@@ -47,7 +47,7 @@
 
   /** Tells the members; the future tells whether a majority of them has confirmed it in time. */
   Future<Boolean> confirm(EndpointRecord record, Set<String> members) {
-    String key = record.id() + record.state();
+    String key = record.id() + '/' + record.startedAtMillis() + '/' + record.state();
     int needed = MajorityCount.othersNeeded(members, self);
     if (confirmed.contains(key) || needed == 0) {
       return Future.succeededFuture(true);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RosterLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RosterLog.java
@@ -9,7 +9,7 @@
   /**
    * Writes the line.
    *
-   * @param record what is believed now; its sequence number says how new the evidence is
+   * @param record what is believed now; its start and sequence number say how new the evidence is
    * @param cause the instance that told of it, or what was observed here
    */
   static void changed(EndpointRecord record, String cause) {
@@ -18,6 +18,8 @@
         "endpoint.changed",
         "endpoint",
         record.id(),
+        "startedAtMillis",
+        record.startedAtMillis(),
         "state",
         record.state(),
         "sequence",
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -207,7 +207,7 @@
   private static EndpointRecord record(
       String id, String service, String region, int port, long sequence) {
     return new EndpointRecord(
-        id, service, "127.0.0.1:" + port, region + "-a", 8, EndpointState.READY, sequence, 0);
+        id, 0, service, "127.0.0.1:" + port, region + "-a", 8, EndpointState.READY, sequence, 0);
   }
 
   /** Announces an endpoint again and again, as a live one does. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
@@ -5,7 +5,9 @@
 /**
  * An endpoint as it announced itself last, or as the control instances judge it.
  *
- * @param id the id of this incarnation; a restart brings a new one
+ * @param id its id; an endpoint may start again under the id that it had
+ * @param startedAtMillis when this incarnation started, in Unix milliseconds by its own clock; 0 if
+ *     it does not say
  * @param service the service it belongs to
  * @param address where it listens, {@code ip:port}
  * @param failureDomain its failure domain
@@ -17,6 +19,7 @@
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EndpointRecord(
     String id,
+    long startedAtMillis,
     String service,
     String address,
     String failureDomain,
@@ -28,16 +31,28 @@
   /** Returns this record in another state. */
   public EndpointRecord inState(EndpointState next) {
     return new EndpointRecord(
-        id, service, address, failureDomain, slots, next, sequence, coldMillis);
+        id, startedAtMillis, service, address, failureDomain, slots, next, sequence, coldMillis);
   }
 
   /** Returns this record with another remaining cold time. */
   public EndpointRecord coldFor(long millis) {
-    return new EndpointRecord(id, service, address, failureDomain, slots, state, sequence, millis);
+    return new EndpointRecord(
+        id, startedAtMillis, service, address, failureDomain, slots, state, sequence, millis);
+  }
+
+  /** Returns whether this record is of an incarnation under the same id that started later. */
+  public boolean startedAfter(EndpointRecord other) {
+    return startedAtMillis > other.startedAtMillis;
   }
 
-  /** Returns whether this record says something newer of the same incarnation. */
+  /**
+   * Returns whether this record says something newer of the same id: of a later incarnation, whose
+   * sequence numbers start anew, or later words of the same one.
+   */
   public boolean supersedes(EndpointRecord older) {
+    if (startedAtMillis != older.startedAtMillis) {
+      return startedAfter(older);
+    }
     if (older.state == EndpointState.GONE) {
       return false;
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
@@ -4,9 +4,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -17,7 +17,8 @@
  *
  * <p>Addresses are used again. A new incarnation takes an address over from the one before, whose
  * announcements may still arrive late: it gets the address back only if it goes on announcing
- * itself while the other one is silent.
+ * itself while the other one is silent. An endpoint may also start again under the id that it had:
+ * then the later start wins, whatever the earlier incarnation still says.
  *
  * <p>Not thread-safe: owned by the instance's event loop.
  */
@@ -39,6 +40,13 @@
       take(record, now);
     }
 
+    /** An incarnation first heard of after the one that took its address over. */
+    private static Known late(EndpointRecord record, Instant now) {
+      Known known = new Known(record.inState(EndpointState.LOST), now);
+      known.replaced = true;
+      return known;
+    }
+
     private void take(EndpointRecord newer, Instant now) {
       record = newer;
       heardAt = now;
@@ -65,13 +73,31 @@
       return merge(record, now);
     }
     Known known = byId.get(record.id());
-    if (known != null && known.replaced && !reclaims(known, record)) {
+    if (known == null && laterStartAt(record)) {
+      byId.put(record.id(), Known.late(record, now));
+      return Optional.empty();
+    }
+    if (known != null && known.record.startedAfter(record)) {
+      return Optional.empty();
+    }
+    boolean sameIncarnation = known != null && !record.startedAfter(known.record);
+    if (sameIncarnation && known.replaced && !reclaims(known, record)) {
       return Optional.empty();
     }
     replaceOthersAt(record);
     return merge(record, now);
   }
 
+  /** Whether an incarnation that started later is in service at the record's address. */
+  private boolean laterStartAt(EndpointRecord record) {
+    return record.startedAtMillis() > 0
+        && byId.values().stream()
+            .map(k -> k.record)
+            .filter(other -> other.address().equals(record.address()))
+            .filter(other -> other.state() == EndpointState.READY)
+            .anyMatch(other -> other.startedAfter(record));
+  }
+
   private boolean reclaims(Known known, EndpointRecord record) {
     if (record.sequence() <= known.record.sequence()) {
       return false;
@@ -106,7 +132,8 @@
       return Optional.empty();
     }
     boolean changed =
-        record.state() != known.record.state()
+        record.startedAfter(known.record)
+            || record.state() != known.record.state()
             || record.coldMillis() > 0 && !known.coldUntil.isAfter(now);
     known.replaced = false;
     known.take(record, now);
@@ -151,16 +178,13 @@
 
   /** Returns a number that differs, almost surely, between rosters that say different things. */
   public int digest() {
-    Map<String, EndpointState> states = new HashMap<>();
+    int digest = 0;
     for (Known known : byId.values()) {
-      if (known.record.state() != EndpointState.GONE) {
-        states.put(known.record.id(), known.record.state());
+      EndpointRecord record = known.record;
+      if (record.state() != EndpointState.GONE) {
+        digest += Objects.hash(record.id(), record.startedAtMillis(), record.state().name());
       }
     }
-    int digest = 0;
-    for (Map.Entry<String, EndpointState> e : states.entrySet()) {
-      digest += (e.getKey() + e.getValue()).hashCode();
-    }
     return digest;
   }
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointRosterTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointRosterTest.java
@@ -88,7 +88,7 @@
 
   private static EndpointRecord record(
       String id, EndpointState state, long sequence, long coldMillis) {
-    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", 4, state, sequence, coldMillis);
+    return new EndpointRecord(id, 0, "s", "10.0.0.1:80", "a", 4, state, sequence, coldMillis);
   }
 
   @Test
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -116,7 +116,7 @@
     for (int i = 0; i < engineCount; i++) {
       EndpointRecord record =
           new EndpointRecord(
-              "engine-" + i, SERVICE, "10.0.0." + i + ":1", "a", 32, EndpointState.READY, 1, 0);
+              "engine-" + i, 0, SERVICE, "10.0.0." + i + ":1", "a", 32, EndpointState.READY, 1, 0);
       engines.add(
           new Engine(
               IntStream.range(0, entryCount)
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -55,7 +55,7 @@
 
   private static EndpointTracker tracker(String id, EndpointState state, long coldMillis) {
     EndpointRecord record =
-        new EndpointRecord(id, "s", "10.0.0.1:1", "a", 32, state, 1, coldMillis);
+        new EndpointRecord(id, 0, "s", "10.0.0.1:1", "a", 32, state, 1, coldMillis);
     return new EndpointTracker(record, NOW);
   }
 
