Placement by the pace of tokens, memory of silence, prefixes listed at a start

Endpoints gone dark looked idle as soon as the last request to them had ended, to their own region and to others, and got the next ones. After all entries were killed 30 of 35 long prompts were placed as reads of what the endpoints still held, and 41 requests were turned away.

Endpoints that fell silent are avoided and asked on a new connection, and are not told of as room. Entries that start ask their region's endpoints for their prefixes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.fleet;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -19,8 +20,10 @@
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
+import org.lacewingcroft.placement.PlacementMechanism;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.Placer;
+import org.lacewingcroft.placement.PromptPart;
 import org.lacewingcroft.placement.RegionLoads;
 import org.lacewingcroft.route.InvalidRouteTableException;
 import org.lacewingcroft.route.RouteDocumentParser;
@@ -63,6 +66,8 @@
   private final Vertx vertx;
   private final FleetTransport transport;
   private final RouteDocumentParser parser;
+  private final PrefixListing listing;
+  private final Set<String> listed = new HashSet<>();
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, EndpointTracker> trackers = new TreeMap<>();
   private final Map<String, Instant> knownSince = new HashMap<>();
@@ -88,11 +93,13 @@
       FleetSettings settings,
       EntryInfo self,
       RouteDocumentParser parser,
+      PrefixListing listing,
       InstantSource clock) {
     this.vertx = context.owner();
     this.settings = settings;
     this.self = self;
     this.parser = parser;
+    this.listing = listing;
     this.clock = clock;
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
@@ -213,7 +220,8 @@
             passedOverRegions,
             settings.region(),
             prefixHolders(all, allowedRegions),
-            spec.flatMap(ServiceSpec::engine)),
+            spec.flatMap(ServiceSpec::engine),
+            settings.mechanismsOff()),
         clock.instant());
   }
 
@@ -347,6 +355,55 @@
       load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
     }
     reportReady();
+    if (learning()) {
+      askForPrefixes();
+    }
+  }
+
+  /**
+   * Asks the region's endpoints what they hold. After all entries were killed at once the endpoints
+   * still hold every prefix, and entries that do not know it take each request for a long read: of
+   * 35 long prompts in the first two seconds 30 were placed so, and 41 requests turned away.
+   */
+  private void askForPrefixes() {
+    if (settings.mechanismsOff().contains(PlacementMechanism.PREFIX_LISTING)) {
+      return;
+    }
+    for (EndpointTracker tracker : trackers.values()) {
+      EndpointRecord record = tracker.record();
+      boolean asks =
+          fetches(record.service())
+              && settings.inOwnRegion(record.failureDomain())
+              && record.state() == EndpointState.READY
+              && listed.add(record.id());
+      if (asks) {
+        listing
+            .heldAt(record.address())
+            .onSuccess(parts -> tracker.prefixRead(parts, kvCapacityOf(record.id())))
+            .onComplete(answer -> logListed(record, answer));
+      }
+    }
+  }
+
+  private static void logListed(EndpointRecord record, AsyncResult<List<PromptPart>> answer) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "prefixes.listed",
+        "endpoint",
+        record.id(),
+        "parts",
+        answer.succeeded() ? answer.result().size() : 0,
+        "outcome",
+        answer.succeeded() ? "answered" : String.valueOf(answer.cause().getMessage()));
+  }
+
+  private boolean fetches(String service) {
+    return routing
+        .table()
+        .service(service)
+        .flatMap(ServiceSpec::engine)
+        .filter(ServiceSpec.Engine::fetches)
+        .isPresent();
   }
 
   private void pulse(FleetMessage.ControlPulse pulse) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.lacewingcroft.placement.PlacementMechanism;
 
 /**
  * The settings of one instance of a fleet, of either role.
@@ -22,6 +24,7 @@
  * @param toleratedLosses how many control instances may be lost at once
  * @param endpointHeartbeat how often endpoints announce themselves
  * @param bounds what the deployment promises
+ * @param mechanismsOff parts of the placement that are switched off
  * @param secret the shared secret of the peer transport
  */
 public record FleetSettings(
@@ -38,12 +41,14 @@
     int toleratedLosses,
     Duration endpointHeartbeat,
     FleetBounds bounds,
+    Set<PlacementMechanism> mechanismsOff,
     byte[] secret) {
 
   /** Copies the collections so the settings are immutable. */
   public FleetSettings {
     regionByDomain = Map.copyOf(regionByDomain);
     seedPeers = List.copyOf(seedPeers);
+    mechanismsOff = Set.copyOf(mechanismsOff);
     secret = secret.clone();
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -192,6 +192,7 @@
           settings.inOwnRegion(tracker.record().failureDomain())
               && tracker.takesWork(now)
               && !tracker.cold(now)
+              && !tracker.suspect(now)
               && !evacuatedDomains.contains(tracker.record().failureDomain());
       if (open) {
         byService.computeIfAbsent(tracker.record().service(), s -> new ArrayList<>()).add(tracker);
@@ -214,6 +215,7 @@
           Math.round(
               open.stream().mapToDouble(t -> t.waitMillis(priority, now)).average().orElse(0));
     }
-    return new FleetMessage.ServiceLoad(service, open.size(), waits);
+    double tokenMillis = open.stream().mapToDouble(t -> t.tokenMillis(now)).average().orElse(0);
+    return new FleetMessage.ServiceLoad(service, open.size(), waits, tokenMillis);
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -111,7 +111,6 @@
         context.node().place(wanted, !relayed, request.handling().regions(), passedOverRegions);
     context.metrics().placements.labelValues(placement.where()).inc();
     if (placement instanceof Placement.Here here) {
-      logPlaced(here.endpoint().record().id(), here.expectedMillis(), here.fetch());
       sendHere(here, wanted);
     } else if (placement instanceof Placement.Elsewhere elsewhere) {
       relay(elsewhere, wanted);
@@ -132,7 +131,8 @@
             here.fetch().map(Placement.PrefixFetch::tokens).orElse(0L),
             context.kvCapacity(wanted.service()),
             context.now());
-    context.node().begun(endpoint, ticket.uncachedTokens());
+    context.node().begun(endpoint, ticket.unreadTokens());
+    logPlaced(endpoint.record().id(), here.expectedMillis(), ticket.unreadTokens(), here.fetch());
     send(UpstreamTarget.endpoint(here, ticket), here.expectedMillis());
   }
 
@@ -176,7 +176,10 @@
   }
 
   private void logPlaced(
-      String target, double expectedMillis, Optional<Placement.PrefixFetch> fetch) {
+      String target,
+      double expectedMillis,
+      long readTokens,
+      Optional<Placement.PrefixFetch> fetch) {
     LOG.log(
         System.Logger.Level.INFO,
         "request.placed",
@@ -190,6 +193,8 @@
         target,
         "expectedMillis",
         Math.round(expectedMillis),
+        "readTokens",
+        readTokens,
         "fetchFrom",
         fetch.map(f -> f.source().record().id()).orElse("none"),
         "fetchTokens",
@@ -213,7 +218,7 @@
     int turn = Math.floorMod(request.id().hashCode() + targets, partners.size());
     EntryInfo entry = partners.get(turn);
     context.node().relayed(elsewhere.region(), wanted);
-    logPlaced(entry.name(), elsewhere.expectedMillis(), Optional.empty());
+    logPlaced(entry.name(), elsewhere.expectedMillis(), 0, Optional.empty());
     send(UpstreamTarget.entry(entry), elsewhere.expectedMillis());
   }
 
@@ -394,8 +399,10 @@
         whole.appendBuffer(piece);
         return;
       }
+      long before = lastEventId.orElse(0);
       byte[] ready = events.get().take(piece.getBytes());
       lastEventId = events.get().lastId();
+      noteEvents(lastEventId.orElse(0) - before);
       if (ready.length > 0) {
         answer.write(ready);
         watchSilence(this, 0);
@@ -406,6 +413,13 @@
       }
     }
 
+    private void noteEvents(long count) {
+      if (count > 0) {
+        long tokens = count * context.eventTokens(request.handling().service());
+        upstream.target().ticket().ifPresent(t -> t.events(tokens, context.now()));
+      }
+    }
+
     @Override
     public void complete() {
       if (done) {
@@ -628,6 +642,12 @@
         mayHaveRun,
         "promptTokens",
         request.promptTokens(),
+        "outputTokens",
+        request.outputTokens(),
+        "lengthHint",
+        request.lengthHint(),
+        "lastEvent",
+        orNone(lastEventId),
         "firstByteMillis",
         firstByteMillis,
         "millis",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -75,6 +75,15 @@
         .orElse(0L);
   }
 
+  int eventTokens(String service) {
+    return node.routing()
+        .table()
+        .service(service)
+        .flatMap(ServiceSpec::engine)
+        .map(ServiceSpec.Engine::eventTokens)
+        .orElse(1);
+  }
+
   Duration shortRetryAfter(ForwardRequest request) {
     Duration most =
         Duration.between(now(), request.callerDeadline()).dividedBy(RETRY_AFTER_DIVISOR);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
@@ -28,6 +28,8 @@
  * @param callerDeadline when the caller stops waiting
  * @param lastEventId the last event the caller has, if it resumes a stream
  * @param promptTokens the length of its prompt, 0 if it states none
+ * @param outputTokens the most tokens of its answer, 0 if it states none
+ * @param lengthHint the caller's estimate of the same, often far off, 0 if it states none
  * @param parts the prompt's parts
  */
 record ForwardRequest(
@@ -41,7 +43,15 @@
     Instant callerDeadline,
     OptionalLong lastEventId,
     long promptTokens,
+    long outputTokens,
+    long lengthHint,
     List<PromptPart> parts) {
+  /** The mean of an answer's length against its estimate, whose errors are log-normal. */
+  private static final double HINT_FACTOR = 1.2;
+
+  /** Share of the tokens allowed that an answer without an estimate is taken to use. */
+  private static final int UNHINTED_DIVISOR = 4;
+
   private static final Set<String> CONNECTION_HEADERS =
       Set.of(
           "connection",
@@ -62,12 +72,25 @@
     return timeout.isBefore(callerDeadline) ? timeout : callerDeadline;
   }
 
+  /**
+   * The tokens that the answer is expected to have. Callers' estimates are right in the median and
+   * often too low, the most that they allow is rarely used.
+   */
+  private long answerTokens() {
+    if (lengthHint == 0) {
+      return outputTokens / UNHINTED_DIVISOR;
+    }
+    long expected = Math.round(HINT_FACTOR * lengthHint);
+    return outputTokens == 0 ? expected : Math.min(outputTokens, expected);
+  }
+
   /** Returns what placement needs to know of it now. */
   PlacementRequest placement(Instant now, Set<String> passedOver) {
     return new PlacementRequest(
         handling.service(),
         handling.priority(),
         promptTokens,
+        answerTokens(),
         parts,
         handling.objective(),
         Duration.between(now, answerDue()),
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -12,6 +12,7 @@
  * @param notRun an endpoint's word that it did not run the request
  * @param promptParts the prompt's parts, {@code id:tokens} separated by commas
  * @param tokenUsage prompt tokens and most output tokens, separated by a comma
+ * @param lengthHint the caller's estimate of the answer's tokens
  * @param priority rank of the request at the endpoint, 0 the most urgent
  * @param prefixSource address of an endpoint from which the prompt's beginning is fetched
  * @param lastEventId the last event that the sender of the request has
@@ -25,6 +26,7 @@
     String notRun,
     String promptParts,
     String tokenUsage,
+    String lengthHint,
     String priority,
     String prefixSource,
     String lastEventId,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -47,6 +47,8 @@
         arrivedAt.plus(patience),
         lastEvent.isEmpty() ? OptionalLong.empty() : OptionalLong.of(lastEvent.get(0)),
         usage.isEmpty() ? 0 : usage.get(0),
+        usage.size() < 2 ? 0 : usage.get(1),
+        numbers(headers.get(names.lengthHint())).stream().findFirst().orElse(0L),
         parts(headers.get(names.promptParts())));
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.forward;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 
 /**
@@ -70,9 +72,12 @@
       UpstreamConnections connections,
       ForwardRequest request,
       List<Map.Entry<String, String>> extraHeaders) {
-    connections
-        .acquire(target.address())
-        .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
+    boolean unproven = target.endpoint().filter(EndpointTracker::unproven).isPresent();
+    Future<UpstreamConnections.Lease> lent =
+        unproven
+            ? connections.acquireFresh(target.address())
+            : connections.acquire(target.address());
+    lent.onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
         .onSuccess(
             acquired -> {
               if (over) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -126,6 +126,16 @@
     }
   }
 
+  /**
+   * Returns a new connection and closes those kept. To an endpoint that fell silent a new one is
+   * the only safe way to ask: if it cannot be had, the request has not run.
+   */
+  Future<Lease> acquireFresh(String address) {
+    List.copyOf(idle.getOrDefault(address, new ArrayDeque<>())).forEach(Lease::discard);
+    idle.remove(address);
+    return connect(address);
+  }
+
   /** Returns an idle connection or a new one. */
   Future<Lease> acquire(String address) {
     Deque<Lease> waiting = idle.getOrDefault(address, new ArrayDeque<>());
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -43,6 +43,7 @@
           "X-Not-Run",
           "X-Parts",
           "X-Tokens",
+          "X-Length-Hint",
           "X-Priority",
           "X-Prefix-Source",
           "Last-Event-Id",
@@ -81,6 +82,7 @@
             0,
             HEARTBEAT,
             BOUNDS,
+            Set.of(),
             SECRET);
     CompletableFuture<ControlNode> made = new CompletableFuture<>();
     onContext(
@@ -118,6 +120,7 @@
         0,
         HEARTBEAT,
         BOUNDS,
+        Set.of(),
         SECRET);
   }
 
@@ -142,7 +145,12 @@
     SteadyInstantSource clock = new SteadyInstantSource();
     EntryNode node =
         new EntryNode(
-            context, settings, self, document -> tables.get(Long.parseLong(document)), clock);
+            context,
+            settings,
+            self,
+            document -> tables.get(Long.parseLong(document)),
+            address -> Future.succeededFuture(List.of()),
+            clock);
     EntryServer server = new EntryServer(vertx, settings, node, NAMES, new GatewayMetrics(), clock);
     onContext(
         () ->
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -220,7 +220,8 @@
    * @param service the service
    * @param endpoints endpoints that take work
    * @param waitMillis the wait expected there, by priority from 0
+   * @param tokenMillis how long each token of an answer takes there
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record ServiceLoad(String service, int endpoints, long[] waitMillis) {}
+  record ServiceLoad(String service, int endpoints, long[] waitMillis, double tokenMillis) {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.FleetMessage;
@@ -65,6 +66,7 @@
   private final List<Ticket> open = new ArrayList<>();
   private final PrefixMemory prefixes = new PrefixMemory();
   private final PrefixMemory readPrefixes = new PrefixMemory();
+  private final TokenPace pace = new TokenPace();
 
   /**
    * Reading speed by priority. It is measured apart, because more urgent requests that arrive later
@@ -81,6 +83,8 @@
   private int refusals;
   private Instant coldSentAt = Instant.EPOCH;
   private Instant busyUntil = Instant.EPOCH;
+  private Instant silentUntil = Instant.EPOCH;
+  private int silences;
 
   private record PeerWork(int running, Instant at) {}
 
@@ -89,6 +93,7 @@
     private final ReadingQueue.Unread prompt;
     private final double aheadTokens;
     private final Instant sentAt;
+    private Optional<Instant> lastEventAt = Optional.empty();
     private boolean begun;
     private boolean ended;
 
@@ -99,13 +104,15 @@
     }
 
     /** Returns how many tokens of its prompt the endpoint had to read when it was sent. */
-    public long uncachedTokens() {
+    public long unreadTokens() {
       return prompt.tokens();
     }
 
     /** Notes bytes of the answer; the first ones end the reading of the prompt. */
     public void bytes(Instant now) {
       lastByteAt = now;
+      silences = 0;
+      silentUntil = Instant.EPOCH;
       if (!begun) {
         begun = true;
         reading.read(prompt, now);
@@ -113,6 +120,16 @@
       }
     }
 
+    /**
+     * Notes events of the answer.
+     *
+     * @param newTokens the tokens in them
+     */
+    public void events(long newTokens, Instant now) {
+      lastEventAt.ifPresent(at -> pace.sample(Duration.between(at, now), newTokens, now));
+      lastEventAt = Optional.of(now);
+    }
+
     private void measureSpeed(Instant now) {
       double tokens = aheadTokens + prompt.tokens();
       long millis = Duration.between(sentAt, now).toMillis();
@@ -130,6 +147,7 @@
         return;
       }
       ended = true;
+      boolean silent = owesAnswers(now);
       open.remove(this);
       running--;
       if (!begun) {
@@ -142,6 +160,9 @@
       } else if (outcome == Outcome.FAILED) {
         failed(1, now);
       }
+      if (silent && (outcome == Outcome.FAILED || outcome == Outcome.CANCELLED)) {
+        fellSilent(now);
+      }
     }
   }
 
@@ -245,8 +266,29 @@
   /** Notes that a connection could not be had. */
   public void refusedConnection(Instant now) {
     refusals++;
-    long pause = REFUSED_PAUSE_MILLIS << Math.min(8, refusals - 1);
-    refusedUntil = now.plusMillis(Math.min(MAX_REFUSED_PAUSE_MILLIS, pause));
+    refusedUntil = now.plusMillis(pauseMillis(refusals));
+  }
+
+  /**
+   * Notes that a request ended while the endpoint owed answers and said nothing. Without this the
+   * endpoint would look idle once the last such request has ended, and get all the work again.
+   */
+  private void fellSilent(Instant now) {
+    silences++;
+    silentUntil = now.plusMillis(pauseMillis(silences));
+  }
+
+  private static long pauseMillis(int times) {
+    long pause = REFUSED_PAUSE_MILLIS << Math.min(8, times - 1);
+    return Math.min(MAX_REFUSED_PAUSE_MILLIS, pause);
+  }
+
+  /**
+   * Returns whether the endpoint has not answered since it fell silent: connections to it from
+   * before may lead nowhere, and what is written to them may or may not run.
+   */
+  public boolean unproven() {
+    return silences > 0;
   }
 
   /** Notes that another incarnation answers at the address. */
@@ -284,8 +326,13 @@
     return !coldSentAt.plus(COLD_PAUSE).isAfter(now);
   }
 
-  /** Returns whether the endpoint owes answers and has been silent for too long. */
+  /** Returns whether the endpoint owes answers and is or was a moment ago silent for too long. */
   public boolean suspect(Instant now) {
+    return owesAnswers(now) || silentUntil.isAfter(now);
+  }
+
+  /** Returns whether the endpoint owes answers and has been silent for too long. */
+  public boolean owesAnswers(Instant now) {
     return !open.isEmpty()
         && open.get(0).sentAt.plus(SUSPICIOUS_SILENCE).isBefore(now)
         && lastByteAt.plus(SUSPICIOUS_SILENCE).isBefore(now);
@@ -341,6 +388,11 @@
     return tokensAhead(priority, now) / tokensPerMilli(priority) + slotWait;
   }
 
+  /** Returns how long each token of an answer takes there, in ms. */
+  public double tokenMillis(Instant now) {
+    return pace.millisPerToken(now);
+  }
+
   /** Returns the time from sending a request to the first byte of its answer, in ms. */
   public double firstByteMillis(PlacementRequest request, Instant now) {
     return waitMillis(request.priority(), now) + readMillis(request, uncachedTokens(request));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PlacementRequest.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PlacementRequest.java
@@ -10,6 +10,7 @@
  * @param service the service that shall run it
  * @param priority its rank, 0 the most urgent
  * @param promptTokens the length of its prompt; 0 for a plain service
+ * @param answerTokens how many tokens its answer is expected to have; 0 for a plain service
  * @param parts the prompt's parts, as far as the caller named them
  * @param objective the time to the first byte of the answer that the caller wants
  * @param remaining what is left of its deadline
@@ -19,6 +20,7 @@
     String service,
     int priority,
     long promptTokens,
+    long answerTokens,
     List<PromptPart> parts,
     Duration objective,
     Duration remaining,
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -83,6 +83,9 @@
   /** Share of a shared prefix that another region is taken to hold: its own callers use it too. */
   private static final double SHARED_HELD_ELSEWHERE = 0.5;
 
+  /** The same where engines fetch from each other what they lack. */
+  private static final double SHARED_FETCHED_ELSEWHERE = 0.95;
+
   /** The least pause told to a refused caller. */
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -102,6 +105,7 @@
    * @param region this region
    * @param prefixHolders the service's endpoints anywhere from which KV cache may be fetched
    * @param engine the service's engine; empty for a plain service
+   * @param switchedOff mechanisms that are not used
    */
   public record Surroundings(
       Collection<EndpointTracker> endpoints,
@@ -113,7 +117,12 @@
       Set<String> passedOverRegions,
       String region,
       Collection<EndpointTracker> prefixHolders,
-      Optional<ServiceSpec.Engine> engine) {}
+      Optional<ServiceSpec.Engine> engine,
+      Set<PlacementMechanism> switchedOff) {
+    private boolean uses(PlacementMechanism mechanism) {
+      return !switchedOff.contains(mechanism);
+    }
+  }
 
   private record Scored(
       EndpointTracker endpoint,
@@ -136,13 +145,18 @@
     boolean goodHere = here.isPresent() && waitHere(here.get(), request, now) <= patience;
     boolean goodElsewhere =
         elsewhere.isPresent() && elsewhere.get().waitMillis() + REGION_MILLIS <= patience;
-    if (goodHere && !(goodElsewhere && clearlySooner(here.get(), elsewhere.get(), request))) {
+    boolean betterElsewhere =
+        goodElsewhere
+            && goodHere
+            && (silent(here.get().endpoint(), around, now)
+                || clearlySooner(here.get(), elsewhere.get(), request, around));
+    if (goodHere && !betterElsewhere) {
       return new Placement.Here(
           here.get().endpoint(), here.get().firstByteMillis(), here.get().fetch());
     }
     if (goodElsewhere) {
       return new Placement.Elsewhere(
-          elsewhere.get().region(), firstByteElsewhere(elsewhere.get(), request));
+          elsewhere.get().region(), firstByteElsewhere(elsewhere.get(), request, around));
     }
     return refuse(request, here, elsewhere, patience, now);
   }
@@ -150,11 +164,19 @@
   /**
    * The expected first byte of a request sent elsewhere, which reads all that it does not share.
    */
-  private static double firstByteElsewhere(RegionLoads.Offer offer, PlacementRequest request) {
-    double tokens = request.promptTokens() - SHARED_HELD_ELSEWHERE * request.sharedTokens();
+  private static double firstByteElsewhere(
+      RegionLoads.Offer offer, PlacementRequest request, Surroundings around) {
+    double held = fetches(around) ? SHARED_FETCHED_ELSEWHERE : SHARED_HELD_ELSEWHERE;
+    double tokens = request.promptTokens() - held * request.sharedTokens();
     return offer.waitMillis() + REGION_MILLIS + tokens / RegionLoads.ASSUMED_TOKENS_PER_MILLI;
   }
 
+  private static double answeredElsewhere(
+      RegionLoads.Offer offer, PlacementRequest request, Surroundings around) {
+    double pace = around.uses(PlacementMechanism.TOKEN_PACE) ? offer.tokenMillis() : 0;
+    return firstByteElsewhere(offer, request, around) + request.answerTokens() * pace;
+  }
+
   private static double waitHere(Scored here, PlacementRequest request, Instant now) {
     return here.endpoint().waitMillis(request.priority(), now);
   }
@@ -175,9 +197,16 @@
     return Math.min(remaining / 2, Math.max(LEAST_PATIENCE * objective, inTime));
   }
 
+  private static boolean silent(EndpointTracker endpoint, Surroundings around, Instant now) {
+    return around.uses(PlacementMechanism.SILENCE_MEMORY)
+        ? endpoint.suspect(now)
+        : endpoint.owesAnswers(now);
+  }
+
   private boolean clearlySooner(
-      Scored here, RegionLoads.Offer elsewhere, PlacementRequest request) {
-    double gain = here.score() - firstByteElsewhere(elsewhere, request) - REGION_MARGIN_MILLIS;
+      Scored here, RegionLoads.Offer elsewhere, PlacementRequest request, Surroundings around) {
+    double gain =
+        here.score() - answeredElsewhere(elsewhere, request, around) - REGION_MARGIN_MILLIS;
     return gain > 0 && random.nextDouble() < OVERFLOW_SHARE;
   }
 
@@ -223,7 +252,7 @@
     List<EndpointTracker> usable =
         around.endpoints().stream().filter(e -> usable(e, request, around, now)).toList();
     List<EndpointTracker> sound =
-        usable.stream().filter(e -> !e.suspect(now) && !e.saidFull(now)).toList();
+        usable.stream().filter(e -> !silent(e, around, now) && !e.saidFull(now)).toList();
     List<EndpointTracker> candidates = sound.isEmpty() ? usable : sound;
     Optional<EndpointTracker> first =
         Rendezvous.owner(candidates, e -> e.record().id(), request.sharedKey());
@@ -248,8 +277,10 @@
     double readMillis = e.readMillis(request, uncached - fetched);
     double fetchMillis = around.engine().map(engine -> engine.transferMillis(fetched)).orElse(0.0);
     double millis = e.waitMillis(request.priority(), now) + readMillis + fetchMillis;
+    double pace = around.uses(PlacementMechanism.TOKEN_PACE) ? e.tokenMillis(now) : 0;
     double score =
         millis
+            + request.answerTokens() * pace
             + READ_AGAIN_FACTOR * e.readMillis(request, readAgain)
             + FETCH_FACTOR * e.readMillis(request, fetched)
             + LATENESS_FACTOR * Math.max(0, millis - SAFE_SHARE * request.objective().toMillis())
@@ -261,8 +292,7 @@
   /** The endpoint with the longest beginning of the prompt beyond what the target holds itself. */
   private static Optional<Placement.PrefixFetch> fetch(
       EndpointTracker target, long sharedUncached, PlacementRequest request, Surroundings around) {
-    if (sharedUncached < LEAST_FETCH_TOKENS
-        || around.engine().filter(ServiceSpec.Engine::fetches).isEmpty()) {
+    if (sharedUncached < LEAST_FETCH_TOKENS || !fetches(around)) {
       return Optional.empty();
     }
     long held = request.sharedTokens() - sharedUncached;
@@ -277,6 +307,11 @@
                 .thenComparing(fetch -> -fetch.source().running()));
   }
 
+  private static boolean fetches(Surroundings around) {
+    return around.uses(PlacementMechanism.PREFIX_FETCH)
+        && around.engine().filter(ServiceSpec.Engine::fetches).isPresent();
+  }
+
   private static boolean worthFetching(
       long tokens, EndpointTracker target, PlacementRequest request, Surroundings around) {
     double transferMillis = around.engine().orElseThrow().transferMillis(tokens);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefixMemory.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefixMemory.java
@@ -6,23 +6,22 @@
 import java.util.Map;
 
 /**
- * Which prompt prefixes an endpoint is believed to hold in its KV cache, from what this instance
- * sent there: the least recently used yield once they exceed the capacity.
+ * Which parts of prompts an endpoint is believed to hold in its KV cache, from what was sent there:
+ * a part counts if all parts before it are held too, and the least recently used yield once they
+ * exceed the capacity.
  */
 final class PrefixMemory {
   /** Share of the KV cache counted on for prefixes: running requests need the rest. */
   private static final double USABLE_SHARE = 0.6;
 
-  private final Map<String, Long> tokensByPrefix = new LinkedHashMap<>(64, 0.75f, true);
+  private final Map<String, Long> tokensByPart = new LinkedHashMap<>(64, 0.75f, true);
   private long heldTokens;
 
   /** Returns how many of the prompt's leading tokens are believed to be held. */
   long heldTokensOf(List<PromptPart> parts) {
-    StringBuilder prefix = new StringBuilder();
     long held = 0;
     for (PromptPart part : parts) {
-      prefix.append(part.id()).append('/');
-      if (!tokensByPrefix.containsKey(prefix.toString())) {
+      if (!tokensByPart.containsKey(part.id())) {
         break;
       }
       held += part.tokens();
@@ -32,13 +31,11 @@
 
   /** Notes that a prompt was read there. */
   void read(List<PromptPart> parts, long capacityTokens) {
-    StringBuilder prefix = new StringBuilder();
     for (PromptPart part : parts) {
-      prefix.append(part.id()).append('/');
-      Long before = tokensByPrefix.put(prefix.toString(), part.tokens());
+      Long before = tokensByPart.put(part.id(), part.tokens());
       heldTokens += part.tokens() - (before == null ? 0 : before);
     }
-    Iterator<Long> oldest = tokensByPrefix.values().iterator();
+    Iterator<Long> oldest = tokensByPart.values().iterator();
     while (heldTokens > capacityTokens * USABLE_SHARE && oldest.hasNext()) {
       heldTokens -= oldest.next();
       oldest.remove();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
@@ -40,8 +40,13 @@
    *
    * @param region the region
    * @param waitMillis the wait expected there
+   * @param tokenMillis how long each token of an answer takes there
    */
-  public record Offer(String region, double waitMillis) {}
+  public record Offer(String region, double waitMillis, double tokenMillis) {
+    private double answeredMillis(PlacementRequest request) {
+      return waitMillis + request.answerTokens() * tokenMillis;
+    }
+  }
 
   /** Takes a region's report. */
   public void heard(String region, ServiceLoad load, Instant now) {
@@ -73,7 +78,7 @@
     return h != null && h.load.endpoints() > 0 && h.at.plus(VALID).isAfter(now);
   }
 
-  /** Returns the allowed region with the least wait, if any can be reached. */
+  /** Returns the allowed region with the soonest answer, if any can be reached. */
   public Optional<Offer> best(
       PlacementRequest request, Set<String> allowed, Set<String> excluded, Instant now) {
     Optional<Offer> best = Optional.empty();
@@ -86,9 +91,11 @@
               && serves(region, request.service(), now)
               && !failedAt.getOrDefault(region, Instant.EPOCH).plus(FAILED_PAUSE).isAfter(now);
       if (usable) {
-        double wait = waitMillis(e.getKey(), e.getValue().load, request.priority());
-        if (best.isEmpty() || wait < best.get().waitMillis()) {
-          best = Optional.of(new Offer(region, wait));
+        ServiceLoad load = e.getValue().load;
+        double wait = waitMillis(e.getKey(), load, request.priority());
+        Offer offer = new Offer(region, wait, load.tokenMillis());
+        if (best.isEmpty() || offer.answeredMillis(request) < best.get().answeredMillis(request)) {
+          best = Optional.of(offer);
         }
       }
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/ServiceSpec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/ServiceSpec.java
@@ -25,10 +25,12 @@
    * @param slots requests that run at once
    * @param kvCapacityTokens tokens that its KV cache holds
    * @param tokenKvBytes what one token takes in the KV cache
+   * @param eventTokens the tokens that one event of an answer holds
    * @param linkMbps the speed at which engines send KV cache to each other, in Mbit/s; 0 if they
    *     cannot
    */
-  public record Engine(int slots, long kvCapacityTokens, double tokenKvBytes, double linkMbps) {
+  public record Engine(
+      int slots, long kvCapacityTokens, int eventTokens, double tokenKvBytes, double linkMbps) {
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MILLI_AT_ONE_MBPS = 1_000;
 
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -183,6 +183,7 @@
             SERVICE,
             kind.priority(),
             kind.sharedTokens() + own,
+            0,
             parts,
             kind.objective(),
             kind.deadline(),
@@ -203,6 +204,7 @@
             before.service(),
             before.priority(),
             before.promptTokens(),
+            before.answerTokens(),
             before.parts(),
             before.objective(),
             r.kind().deadline().minus(Duration.between(r.firstAt(), now)),
@@ -226,7 +228,8 @@
             Set.of(),
             "here",
             List.of(),
-            Optional.empty());
+            Optional.empty(),
+            Set.of());
     Placement placement = placer.place(arrival.request(), around, now);
     if (placement instanceof Placement.Refused refused) {
       return Optional.of(refused.retryAfter());
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -61,7 +61,14 @@
 
   private static PlacementRequest request(long promptTokens) {
     return new PlacementRequest(
-        "s", 1, promptTokens, List.of(), Duration.ofMillis(300), Duration.ofSeconds(5), Set.of());
+        "s",
+        1,
+        promptTokens,
+        0,
+        List.of(),
+        Duration.ofMillis(300),
+        Duration.ofSeconds(5),
+        Set.of());
   }
 
   private static String where(Placement placement) {
@@ -82,7 +89,8 @@
         Set.of(),
         "here",
         List.of(),
-        Optional.empty());
+        Optional.empty(),
+        Set.of());
   }
 
   @ParameterizedTest
@@ -95,7 +103,7 @@
     RegionLoads loads = new RegionLoads();
     if (row.elsewhereMillis() >= 0) {
       long[] waits = {row.elsewhereMillis(), row.elsewhereMillis()};
-      loads.heard("there", new ServiceLoad("s", 2, waits), NOW);
+      loads.heard("there", new ServiceLoad("s", 2, waits, 10), NOW);
     }
     Placement placement =
         new Placer(3, new Random(1))
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/RegionLoadsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/RegionLoadsTest.java
@@ -62,7 +62,7 @@
     loads.heard("near", load(row.nearWait()), START);
     PlacementRequest request =
         new PlacementRequest(
-            "s", 0, 6_000, List.of(), Duration.ofSeconds(1), Duration.ofSeconds(9), Set.of());
+            "s", 0, 6_000, 0, List.of(), Duration.ofSeconds(1), Duration.ofSeconds(9), Set.of());
     for (int i = 0; i < row.sentToNear(); i++) {
       loads.sent("near", request, row.senders());
     }
@@ -81,6 +81,6 @@
   private static ServiceLoad load(long waitMillis) {
     long[] waits = new long[EndpointTracker.PRIORITIES];
     Arrays.fill(waits, waitMillis);
-    return new ServiceLoad("s", 2, waits);
+    return new ServiceLoad("s", 2, waits, 10);
   }
 }
