--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -44,22 +44,7 @@
    * Silence of an endpoint that owes an answer after which new work avoids it: engines yield a byte
    * of some stream many times a second, and callers give up after two seconds.
    */
-  private static final long SUSPICIOUS_SILENCE_MILLIS = 800;
-
-  /**
-   * The same for an endpoint that feeds several streams, which it gives a token each at every step:
-   * so many times the usual pause between any two of their events, but not less than a long chunk
-   * of a prompt takes. All that is sent until an endpoint gone dark is suspected is lost.
-   */
-  private static final double SUSPICIOUS_PAUSES = 10;
-
-  private static final long LEAST_SUSPICIOUS_MILLIS = 300;
-
-  /** Streams that must be fed for that. */
-  private static final int TELLING_STREAMS = 2;
-
-  /** Weight of a new pause between two events: about the last twenty count. */
-  private static final double PAUSE_WEIGHT = 0.05;
+  private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(800);
 
   /** How long an endpoint that refused a connection is left alone at first, doubling up to 2 s. */
   private static final long REFUSED_PAUSE_MILLIS = 250;
@@ -100,8 +85,6 @@
   private Instant busyUntil = Instant.EPOCH;
   private Instant silentUntil = Instant.EPOCH;
   private int silences;
-  private int fedStreams;
-  private double meanPauseMillis = SUSPICIOUS_SILENCE_MILLIS;
 
   private record PeerWork(int running, Instant at) {}
 
@@ -127,13 +110,11 @@
 
     /** Notes bytes of the answer; the first ones end the reading of the prompt. */
     public void bytes(Instant now) {
-      notePause(now);
       lastByteAt = now;
       silences = 0;
       silentUntil = Instant.EPOCH;
       if (!begun) {
         begun = true;
-        fedStreams++;
         reading.read(prompt, now);
         measureSpeed(now);
       }
@@ -169,9 +150,7 @@
       boolean silent = owesAnswers(now);
       open.remove(this);
       running--;
-      if (begun) {
-        fedStreams--;
-      } else {
+      if (!begun) {
         reading.drop(prompt);
       }
       if (outcome == Outcome.ANSWERED) {
@@ -354,27 +333,10 @@
 
   /** Returns whether the endpoint owes answers and has been silent for too long. */
   public boolean owesAnswers(Instant now) {
-    Instant limit = now.minusMillis(suspiciousMillis());
+    Instant limit = now.minus(SUSPICIOUS_SILENCE);
     return !open.isEmpty() && open.get(0).sentAt.isBefore(limit) && lastByteAt.isBefore(limit);
   }
 
-  private long suspiciousMillis() {
-    if (fedStreams < TELLING_STREAMS) {
-      return SUSPICIOUS_SILENCE_MILLIS;
-    }
-    long usual = Math.round(SUSPICIOUS_PAUSES * meanPauseMillis);
-    return Math.max(LEAST_SUSPICIOUS_MILLIS, Math.min(SUSPICIOUS_SILENCE_MILLIS, usual));
-  }
-
-  private void notePause(Instant now) {
-    double pause = Math.min(SUSPICIOUS_SILENCE_MILLIS, millisSince(lastByteAt, now));
-    meanPauseMillis += PAUSE_WEIGHT * (pause - meanPauseMillis);
-  }
-
-  private static double millisSince(Instant then, Instant now) {
-    return Duration.between(then, now).toMillis();
-  }
-
   /** Returns whether the endpoint said a moment ago that it is full. */
   public boolean saidFull(Instant now) {
     return busyUntil.isAfter(now);
