Log lines of a request and news of prefixes in classes of their own

ForwardCall held the varargs of five log lines between its decisions, LoadExchange and EntryNode the telling and asking of prefixes beside that of load. RequestLog and PrefixExchange take them over; behaviour as before, but that the line of a placement names the pace of tokens at its target.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -1,6 +1,5 @@
 package org.lacewingcroft.fleet;
 
-import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -20,10 +19,8 @@
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
-import org.lacewingcroft.placement.PlacementMechanism;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.Placer;
-import org.lacewingcroft.placement.PromptPart;
 import org.lacewingcroft.placement.RegionLoads;
 import org.lacewingcroft.route.InvalidRouteTableException;
 import org.lacewingcroft.route.RouteDocumentParser;
@@ -66,14 +63,13 @@
   private final Vertx vertx;
   private final FleetTransport transport;
   private final RouteDocumentParser parser;
-  private final PrefixListing listing;
-  private final Set<String> listed = new HashSet<>();
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, EndpointTracker> trackers = new TreeMap<>();
   private final Map<String, Instant> knownSince = new HashMap<>();
   private final RegionLoads regionLoads = new RegionLoads();
   private final UnreachableEntries unreachable = new UnreachableEntries();
   private final LoadExchange loads;
+  private final PrefixExchange prefixes;
   private final ExtraSendBudget extraSends;
   private final Map<String, Instant> controlsHeard = new HashMap<>();
   private final Instant startedAt;
@@ -99,7 +95,6 @@
     this.settings = settings;
     this.self = self;
     this.parser = parser;
-    this.listing = listing;
     this.clock = clock;
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
@@ -107,6 +102,15 @@
     this.loads =
         new LoadExchange(
             vertx, settings, self, transport, clock, trackers::values, () -> this.entries);
+    this.prefixes =
+        new PrefixExchange(
+            settings,
+            transport,
+            listing,
+            clock,
+            trackers::values,
+            () -> this.entries,
+            this::engineOf);
     FleetBounds bounds = settings.bounds();
     this.extraSends =
         new ExtraSendBudget(
@@ -349,63 +353,17 @@
     } else if (message instanceof FleetMessage.LoadReport load) {
       loads.heard(load);
     } else if (message instanceof FleetMessage.PrefixRead read) {
-      loads.heard(read, trackers.get(read.endpoint()), kvCapacityOf(read.endpoint()));
+      prefixes.heard(read);
     } else if (message instanceof FleetMessage.RegionLoad load) {
       Instant now = clock.instant();
       load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
     }
     reportReady();
     if (learning()) {
-      askForPrefixes();
+      prefixes.askEndpoints();
     }
   }
 
-  /**
-   * Asks the region's endpoints what they hold. After all entries were killed at once the endpoints
-   * still hold every prefix, and entries that do not know it take each request for a long read: of
-   * 35 long prompts in the first two seconds 30 were placed so, and 41 requests turned away.
-   */
-  private void askForPrefixes() {
-    if (settings.mechanismsOff().contains(PlacementMechanism.PREFIX_LISTING)) {
-      return;
-    }
-    for (EndpointTracker tracker : trackers.values()) {
-      EndpointRecord record = tracker.record();
-      boolean asks =
-          fetches(record.service())
-              && settings.inOwnRegion(record.failureDomain())
-              && record.state() == EndpointState.READY
-              && listed.add(record.id());
-      if (asks) {
-        listing
-            .heldAt(record.address())
-            .onSuccess(parts -> tracker.prefixRead(parts, kvCapacityOf(record.id())))
-            .onComplete(answer -> logListed(record, answer));
-      }
-    }
-  }
-
-  private static void logListed(EndpointRecord record, AsyncResult<List<PromptPart>> answer) {
-    LOG.log(
-        System.Logger.Level.INFO,
-        "prefixes.listed",
-        "endpoint",
-        record.id(),
-        "parts",
-        answer.succeeded() ? answer.result().size() : 0,
-        "outcome",
-        answer.succeeded() ? "answered" : String.valueOf(answer.cause().getMessage()));
-  }
-
-  private boolean fetches(String service) {
-    return routing
-        .table()
-        .service(service)
-        .flatMap(ServiceSpec::engine)
-        .filter(ServiceSpec.Engine::fetches)
-        .isPresent();
-  }
-
   private void pulse(FleetMessage.ControlPulse pulse) {
     Instant now = clock.instant();
     if (!reachedControl) {
@@ -546,15 +504,11 @@
 
   /** Notes that an endpoint has read a prompt, and tells the other entries what others share. */
   public void prefixRead(EndpointTracker tracker, PlacementRequest request) {
-    loads.prefixRead(tracker, request, kvCapacityOf(tracker.record().id()));
+    prefixes.read(tracker, request);
   }
 
-  private long kvCapacityOf(String endpoint) {
-    return Optional.ofNullable(trackers.get(endpoint))
-        .flatMap(t -> routing.table().service(t.record().service()))
-        .flatMap(ServiceSpec::engine)
-        .map(ServiceSpec.Engine::kvCapacityTokens)
-        .orElse(0L);
+  private Optional<ServiceSpec.Engine> engineOf(String service) {
+    return routing.table().service(service).flatMap(ServiceSpec::engine);
   }
 
   private void tellRegions() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -1,7 +1,6 @@
 package org.lacewingcroft.fleet;
 
 import io.vertx.core.Vertx;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -13,8 +12,6 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.lacewingcroft.placement.EndpointTracker;
-import org.lacewingcroft.placement.PlacementRequest;
-import org.lacewingcroft.placement.PromptPart;
 
 /**
  * What an entry tells others of load, and takes from them: the entries of its region tell each
@@ -37,12 +34,6 @@
   /** A prompt told of at once: reading it takes about half the pause between two reports. */
   private static final long LONG_PROMPT_TOKENS = 5_000;
 
-  /** A shared beginning of a prompt that entries tell each other of: shorter ones are read anew. */
-  private static final long TOLD_PREFIX_TOKENS = 400;
-
-  /** Pause in which a prefix at one endpoint is told of once: it shows that it is still in use. */
-  private static final Duration PREFIX_PAUSE = Duration.ofSeconds(3);
-
   /**
    * Entries that tell the other regions, the first by name: with one, its loss would leave the
    * region unheard of until the list of entries drops it, longer than its last word is believed.
@@ -57,7 +48,6 @@
   private final Supplier<Collection<EndpointTracker>> trackers;
   private final Supplier<List<EntryInfo>> entries;
   private boolean toldWork;
-  private final Map<String, Instant> prefixToldAt = new HashMap<>();
 
   LoadExchange(
       Vertx vertx,
@@ -113,43 +103,6 @@
     }
   }
 
-  /**
-   * Notes that an endpoint has read a prompt. All entries hear of a long beginning that others
-   * share, unless one of them has told of it a moment ago.
-   */
-  void prefixRead(EndpointTracker tracker, PlacementRequest request, long kvCapacityTokens) {
-    if (request.sharedTokens() < TOLD_PREFIX_TOKENS) {
-      return;
-    }
-    tracker.prefixRead(request.sharedParts(), kvCapacityTokens);
-    if (due(tracker.record().id(), request.sharedKey())) {
-      List<FleetMessage.ReadPart> parts =
-          request.sharedParts().stream()
-              .map(p -> new FleetMessage.ReadPart(p.id(), p.tokens()))
-              .toList();
-      FleetMessage told = new FleetMessage.PrefixRead(tracker.record().id(), parts);
-      entries.get().stream()
-          .filter(e -> !e.name().equals(self.name()))
-          .forEach(e -> transport.send(e.peerAddress(), told));
-    }
-  }
-
-  /** Takes another entry's word of a prompt that was read. */
-  void heard(FleetMessage.PrefixRead read, EndpointTracker tracker, long kvCapacityTokens) {
-    if (tracker != null) {
-      List<PromptPart> parts =
-          read.parts().stream().map(p -> new PromptPart(p.id(), p.tokens())).toList();
-      tracker.prefixRead(parts, kvCapacityTokens);
-      due(read.endpoint(), PlacementRequest.keyOf(parts));
-    }
-  }
-
-  private boolean due(String endpoint, String prefix) {
-    Instant now = clock.instant();
-    prefixToldAt.values().removeIf(at -> !at.plus(PREFIX_PAUSE).isAfter(now));
-    return prefixToldAt.putIfAbsent(endpoint + '|' + prefix, now) == null;
-  }
-
   private List<EntryInfo> neighbours() {
     return entries.get().stream()
         .filter(e -> e.region().equals(settings.region()) && !e.name().equals(self.name()))
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
@@ -0,0 +1,147 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.AsyncResult;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.PlacementMechanism;
+import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.placement.PromptPart;
+import org.lacewingcroft.route.ServiceSpec;
+
+/**
+ * Which beginnings of prompts the endpoints hold: entries tell each other, in all regions, what an
+ * endpoint has read, and an entry that has just started asks the endpoints themselves. From this
+ * follows where a prompt is placed and from where its beginning is fetched.
+ *
+ * <p>Owned by the event loop.
+ */
+final class PrefixExchange {
+  private static final System.Logger LOG = System.getLogger(PrefixExchange.class.getName());
+
+  /** A shared beginning that entries tell each other of: shorter ones are read as fast as told. */
+  private static final long TOLD_PREFIX_TOKENS = 400;
+
+  /** Pause in which a prefix at one endpoint is told of once: it shows that it is still in use. */
+  private static final Duration PREFIX_PAUSE = Duration.ofSeconds(3);
+
+  private final FleetSettings settings;
+  private final FleetTransport transport;
+  private final PrefixListing listing;
+  private final InstantSource clock;
+  private final Supplier<Collection<EndpointTracker>> trackers;
+  private final Supplier<List<EntryInfo>> entries;
+  private final Function<String, Optional<ServiceSpec.Engine>> engineOfService;
+  private final Map<String, Instant> toldAt = new HashMap<>();
+  private final Set<String> asked = new HashSet<>();
+
+  PrefixExchange(
+      FleetSettings settings,
+      FleetTransport transport,
+      PrefixListing listing,
+      InstantSource clock,
+      Supplier<Collection<EndpointTracker>> trackers,
+      Supplier<List<EntryInfo>> entries,
+      Function<String, Optional<ServiceSpec.Engine>> engineOfService) {
+    this.settings = settings;
+    this.transport = transport;
+    this.listing = listing;
+    this.clock = clock;
+    this.trackers = trackers;
+    this.entries = entries;
+    this.engineOfService = engineOfService;
+  }
+
+  /**
+   * Notes that an endpoint has read a prompt. All entries hear of a long beginning that others
+   * share, unless one of them has told of it a moment ago.
+   */
+  void read(EndpointTracker tracker, PlacementRequest request) {
+    if (request.sharedTokens() < TOLD_PREFIX_TOKENS) {
+      return;
+    }
+    tracker.prefixRead(request.sharedParts(), kvCapacityOf(tracker));
+    if (due(tracker.record().id(), request.sharedKey())) {
+      List<FleetMessage.ReadPart> parts =
+          request.sharedParts().stream()
+              .map(p -> new FleetMessage.ReadPart(p.id(), p.tokens()))
+              .toList();
+      FleetMessage told = new FleetMessage.PrefixRead(tracker.record().id(), parts);
+      entries.get().stream()
+          .filter(e -> !e.name().equals(settings.nodeName()))
+          .forEach(e -> transport.send(e.peerAddress(), told));
+    }
+  }
+
+  /** Takes another entry's word of a prompt that was read. */
+  void heard(FleetMessage.PrefixRead read) {
+    List<PromptPart> parts =
+        read.parts().stream().map(p -> new PromptPart(p.id(), p.tokens())).toList();
+    trackers.get().stream()
+        .filter(t -> t.record().id().equals(read.endpoint()))
+        .forEach(t -> t.prefixRead(parts, kvCapacityOf(t)));
+    due(read.endpoint(), PlacementRequest.keyOf(parts));
+  }
+
+  private boolean due(String endpoint, String prefix) {
+    Instant now = clock.instant();
+    toldAt.values().removeIf(at -> !at.plus(PREFIX_PAUSE).isAfter(now));
+    return toldAt.putIfAbsent(endpoint + '|' + prefix, now) == null;
+  }
+
+  /**
+   * Asks the region's endpoints what they hold, each once. After all entries were killed at once
+   * the endpoints still hold every prefix, and entries that do not know it take each request for a
+   * long read: of 35 long prompts in the first two seconds 30 were placed so, and 41 requests
+   * turned away.
+   */
+  void askEndpoints() {
+    if (!settings.mechanismsOff().contains(PlacementMechanism.PREFIX_LISTING)) {
+      trackers.get().stream().filter(this::asks).forEach(this::ask);
+    }
+  }
+
+  private boolean asks(EndpointTracker tracker) {
+    EndpointRecord record = tracker.record();
+    return settings.inOwnRegion(record.failureDomain())
+        && record.state() == EndpointState.READY
+        && engineOfService.apply(record.service()).filter(ServiceSpec.Engine::fetches).isPresent()
+        && asked.add(record.id());
+  }
+
+  private void ask(EndpointTracker tracker) {
+    listing
+        .heldAt(tracker.record().address())
+        .onSuccess(parts -> tracker.prefixRead(parts, kvCapacityOf(tracker)))
+        .onComplete(answer -> logListed(tracker.record(), answer));
+  }
+
+  private long kvCapacityOf(EndpointTracker tracker) {
+    return engineOfService
+        .apply(tracker.record().service())
+        .map(ServiceSpec.Engine::kvCapacityTokens)
+        .orElse(0L);
+  }
+
+  private static void logListed(EndpointRecord record, AsyncResult<List<PromptPart>> answer) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "prefixes.listed",
+        "endpoint",
+        record.id(),
+        "parts",
+        answer.succeeded() ? answer.result().size() : 0,
+        "outcome",
+        answer.succeeded() ? "answered" : String.valueOf(answer.cause().getMessage()));
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -32,8 +32,6 @@
  * <p>Owned by the event loop.
  */
 final class ForwardCall {
-  private static final System.Logger LOG = System.getLogger(ForwardCall.class.getName());
-
   /** How often a request that waits for the first endpoints looks for them. */
   private static final long LEARNING_POLL_MILLIS = 50;
 
@@ -63,6 +61,7 @@
   private final ForwardRequest request;
   private final CallerAnswer answer;
   private final boolean relayed;
+  private final RequestLog log;
   private final Set<String> passedOver = new HashSet<>();
   private final Set<String> passedOverRegions = new HashSet<>();
   private Optional<UpstreamAttempt> current = Optional.empty();
@@ -88,6 +87,7 @@
     this.request = request;
     this.answer = answer;
     this.relayed = relayed;
+    this.log = new RequestLog(request);
     this.lastEventId = request.lastEventId();
   }
 
@@ -132,41 +132,10 @@
             context.kvCapacity(wanted.service()),
             context.now());
     context.node().begun(endpoint, ticket.unreadTokens());
-    logPlaced(endpoint.record().id(), here.expectedMillis(), ticket.unreadTokens(), here.fetch());
+    log.placed(here, ticket.unreadTokens(), targets + 1, context.node().routing().revision());
     send(UpstreamTarget.endpoint(here, ticket), here.expectedMillis());
   }
 
-  private void logRefused(Placement.Refused refused) {
-    Placement.Evidence evidence = refused.evidence();
-    LOG.log(
-        System.Logger.Level.INFO,
-        "request.refused",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
-        "service",
-        request.handling().service(),
-        "reason",
-        refused.reason(),
-        "waitHereMillis",
-        orNone(evidence.waitHereMillis()),
-        "waitElsewhereMillis",
-        orNone(evidence.waitElsewhereMillis()),
-        "patienceMillis",
-        evidence.patienceMillis(),
-        "retryAfterMillis",
-        refused.retryAfter().toMillis(),
-        "passedOver",
-        passedOver,
-        "revision",
-        context.node().routing().revision());
-  }
-
-  private static Object orNone(OptionalLong number) {
-    return number.isPresent() ? number.getAsLong() : "none";
-  }
-
   /** A request that finds an entry just started waits for its endpoints within its objective. */
   private boolean worthWaiting() {
     Duration waited = Duration.between(request.arrivedAt(), context.now());
@@ -175,36 +144,6 @@
         && waited.compareTo(request.handling().objective()) < 0;
   }
 
-  private void logPlaced(
-      String target,
-      double expectedMillis,
-      long readTokens,
-      Optional<Placement.PrefixFetch> fetch) {
-    LOG.log(
-        System.Logger.Level.INFO,
-        "request.placed",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
-        "service",
-        request.handling().service(),
-        "target",
-        target,
-        "expectedMillis",
-        Math.round(expectedMillis),
-        "readTokens",
-        readTokens,
-        "fetchFrom",
-        fetch.map(f -> f.source().record().id()).orElse("none"),
-        "fetchTokens",
-        fetch.map(Placement.PrefixFetch::tokens).orElse(0L),
-        "try",
-        targets + 1,
-        "revision",
-        context.node().routing().revision());
-  }
-
   private void relay(Placement.Elsewhere elsewhere, PlacementRequest wanted) {
     List<EntryInfo> entries =
         context.node().relayEntriesOf(elsewhere.region()).stream()
@@ -218,7 +157,7 @@
     int turn = Math.floorMod(request.id().hashCode() + targets, partners.size());
     EntryInfo entry = partners.get(turn);
     context.node().relayed(elsewhere.region(), wanted);
-    logPlaced(entry.name(), elsewhere.expectedMillis(), 0, Optional.empty());
+    log.relayed(entry, elsewhere, targets + 1, context.node().routing().revision());
     send(UpstreamTarget.entry(entry), elsewhere.expectedMillis());
   }
 
@@ -233,7 +172,7 @@
   }
 
   private void refuse(Placement.Refused refused) {
-    logRefused(refused);
+    log.refused(refused, passedOver, context.node().routing().revision());
     boolean overloaded = refused.reason() == Placement.Reason.OVERLOADED;
     String reason =
         overloaded
@@ -496,7 +435,7 @@
 
   /** The target could not be connected to. */
   private void unreachable(UpstreamAttempt attempt, String detail) {
-    logTry(attempt, "unreachable", detail);
+    tryFailed(attempt, "unreachable", detail);
     attempt.target().endpoint().ifPresent(e -> e.refusedConnection(context.now()));
     attempt.target().entry().ifPresent(context.node()::entryUnreachable);
     passOver(attempt);
@@ -505,7 +444,7 @@
 
   /** The target said that it did not run the request. */
   private void refusedBy(UpstreamAttempt attempt, int status, String who) {
-    logTry(attempt, "refused", who + " answered " + status);
+    tryFailed(attempt, "refused", who + " answered " + status);
     attempt
         .target()
         .endpoint()
@@ -554,7 +493,7 @@
   /** The target may have run the request and did not answer it in full. */
   private void broken(Attempt attempt, String detail) {
     attempt.count();
-    logTry(attempt.upstream, "broken", detail);
+    tryFailed(attempt.upstream, "broken", detail);
     passOver(attempt.upstream);
     if (mayRunAfter(attempt) && targets < MAX_TARGETS && resend()) {
       place();
@@ -563,21 +502,9 @@
     }
   }
 
-  private void logTry(UpstreamAttempt attempt, String what, String detail) {
+  private void tryFailed(UpstreamAttempt attempt, String what, String detail) {
     context.metrics().triesFailed.labelValues(what).inc();
-    LOG.log(
-        System.Logger.Level.INFO,
-        "request.try_failed",
-        "request",
-        request.id(),
-        "target",
-        attempt.target().name(),
-        "what",
-        what,
-        "detail",
-        detail,
-        "lastEvent",
-        orNone(lastEventId));
+    log.tryFailed(attempt.target().name(), what, detail, lastEventId);
   }
 
   private void due() {
@@ -623,34 +550,8 @@
     vertx.cancelTimer(silenceTimer);
     long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
     context.count(status, outcome, millis, firstByteMillis);
-    LOG.log(
-        System.Logger.Level.INFO,
-        "request.finished",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
-        "outcome",
-        outcome,
-        "status",
-        status,
-        "endpoint",
-        servedBy,
-        "targets",
-        targets,
-        "mayHaveRun",
-        mayHaveRun,
-        "promptTokens",
-        request.promptTokens(),
-        "outputTokens",
-        request.outputTokens(),
-        "lengthHint",
-        request.lengthHint(),
-        "lastEvent",
-        orNone(lastEventId),
-        "firstByteMillis",
-        firstByteMillis,
-        "millis",
-        millis);
+    log.finished(
+        new RequestLog.End(
+            outcome, status, servedBy, targets, mayHaveRun, lastEventId, firstByteMillis, millis));
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.lacewingcroft.fleet.EntryNode;
@@ -67,21 +68,15 @@
   }
 
   long kvCapacity(String service) {
-    return node.routing()
-        .table()
-        .service(service)
-        .flatMap(ServiceSpec::engine)
-        .map(ServiceSpec.Engine::kvCapacityTokens)
-        .orElse(0L);
+    return engine(service).map(ServiceSpec.Engine::kvCapacityTokens).orElse(0L);
   }
 
   int eventTokens(String service) {
-    return node.routing()
-        .table()
-        .service(service)
-        .flatMap(ServiceSpec::engine)
-        .map(ServiceSpec.Engine::eventTokens)
-        .orElse(1);
+    return engine(service).map(ServiceSpec.Engine::eventTokens).orElse(1);
+  }
+
+  private Optional<ServiceSpec.Engine> engine(String service) {
+    return node.routing().table().service(service).flatMap(ServiceSpec::engine);
   }
 
   Duration shortRetryAfter(ForwardRequest request) {
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -0,0 +1,176 @@
+package org.lacewingcroft.forward;
+
+import java.util.OptionalLong;
+import java.util.Set;
+import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.placement.Placement;
+
+/**
+ * The log lines of one request: one for each decision about it, with what decided it. On-call
+ * engineers follow a request from its id by them.
+ */
+final class RequestLog {
+  private static final System.Logger LOG = System.getLogger(RequestLog.class.getName());
+
+  private final ForwardRequest request;
+
+  /**
+   * How a request ended.
+   *
+   * @param outcome in words
+   * @param status the status answered, 0 if the caller had left
+   * @param servedBy the endpoint or entry whose answer it got
+   * @param targets how many targets it was sent to
+   * @param mayHaveRun whether an endpoint may have run it
+   * @param lastEvent the last event passed on, of a stream
+   * @param firstByteMillis until the answer's head was here, -1 if it never was
+   * @param millis in all
+   */
+  record End(
+      String outcome,
+      int status,
+      String servedBy,
+      int targets,
+      boolean mayHaveRun,
+      OptionalLong lastEvent,
+      long firstByteMillis,
+      long millis) {}
+
+  RequestLog(ForwardRequest request) {
+    this.request = request;
+  }
+
+  /** It goes to an endpoint of this region. */
+  void placed(Placement.Here here, long readTokens, int attempt, long revision) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.placed",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "service",
+        request.handling().service(),
+        "target",
+        here.endpoint().record().id(),
+        "expectedMillis",
+        Math.round(here.expectedMillis()),
+        "tokenMillis",
+        Math.round(here.tokenMillis()),
+        "readTokens",
+        readTokens,
+        "fetchFrom",
+        here.fetch().map(f -> f.source().record().id()).orElse("none"),
+        "fetchTokens",
+        here.fetch().map(Placement.PrefixFetch::tokens).orElse(0L),
+        "try",
+        attempt,
+        "revision",
+        revision);
+  }
+
+  /** It goes to an entry of another region. */
+  void relayed(EntryInfo entry, Placement.Elsewhere elsewhere, int attempt, long revision) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.placed",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "service",
+        request.handling().service(),
+        "target",
+        entry.name(),
+        "region",
+        elsewhere.region(),
+        "expectedMillis",
+        Math.round(elsewhere.expectedMillis()),
+        "try",
+        attempt,
+        "revision",
+        revision);
+  }
+
+  /** It is turned away. */
+  void refused(Placement.Refused refused, Set<String> passedOver, long revision) {
+    Placement.Evidence evidence = refused.evidence();
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.refused",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "service",
+        request.handling().service(),
+        "reason",
+        refused.reason(),
+        "waitHereMillis",
+        orNone(evidence.waitHereMillis()),
+        "waitElsewhereMillis",
+        orNone(evidence.waitElsewhereMillis()),
+        "patienceMillis",
+        evidence.patienceMillis(),
+        "retryAfterMillis",
+        refused.retryAfter().toMillis(),
+        "passedOver",
+        passedOver,
+        "revision",
+        revision);
+  }
+
+  /** A target did not answer it in full. */
+  void tryFailed(String target, String what, String detail, OptionalLong lastEvent) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.try_failed",
+        "request",
+        request.id(),
+        "target",
+        target,
+        "what",
+        what,
+        "detail",
+        detail,
+        "lastEvent",
+        orNone(lastEvent));
+  }
+
+  /** It has its final answer, or its caller has left. */
+  void finished(End end) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "request.finished",
+        "request",
+        request.id(),
+        "route",
+        request.handling().route(),
+        "outcome",
+        end.outcome(),
+        "status",
+        end.status(),
+        "endpoint",
+        end.servedBy(),
+        "targets",
+        end.targets(),
+        "mayHaveRun",
+        end.mayHaveRun(),
+        "promptTokens",
+        request.promptTokens(),
+        "outputTokens",
+        request.outputTokens(),
+        "lengthHint",
+        request.lengthHint(),
+        "lastEvent",
+        orNone(end.lastEvent()),
+        "firstByteMillis",
+        end.firstByteMillis(),
+        "millis",
+        end.millis());
+  }
+
+  private static Object orNone(OptionalLong number) {
+    return number.isPresent() ? number.getAsLong() : "none";
+  }
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -147,7 +147,7 @@
         return;
       }
       ended = true;
-      boolean silent = owesAnswers(now);
+      final boolean silent = owesAnswers(now);
       open.remove(this);
       running--;
       if (!begun) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -20,9 +20,14 @@
    *
    * @param endpoint the endpoint
    * @param expectedMillis the expected time to the first byte of its answer
+   * @param tokenMillis how long each token after it takes there
    * @param fetch the part of the prompt that it shall fetch instead of reading it
    */
-  record Here(EndpointTracker endpoint, double expectedMillis, Optional<PrefixFetch> fetch)
+  record Here(
+      EndpointTracker endpoint,
+      double expectedMillis,
+      double tokenMillis,
+      Optional<PrefixFetch> fetch)
       implements Placement {}
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -151,8 +151,9 @@
             && (silent(here.get().endpoint(), around, now)
                 || clearlySooner(here.get(), elsewhere.get(), request, around));
     if (goodHere && !betterElsewhere) {
-      return new Placement.Here(
-          here.get().endpoint(), here.get().firstByteMillis(), here.get().fetch());
+      Scored best = here.get();
+      double tokenMillis = best.endpoint().tokenMillis(now);
+      return new Placement.Here(best.endpoint(), best.firstByteMillis(), tokenMillis, best.fetch());
     }
     if (goodElsewhere) {
       return new Placement.Elsewhere(
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -113,6 +113,16 @@
     this(engineCount, 1, seed);
   }
 
+  /** Spreads the callers over so many entries, which tell each other their work now and then. */
+  LoadReplay(int engineCount, int entryCount, long seed) {
+    this.entryCount = entryCount;
+    random = new Random(seed);
+    placer = new Placer(3, new Random(seed + 1));
+    for (int i = 0; i < engineCount; i++) {
+      engines.add(newEngine("engine-" + i));
+    }
+  }
+
   /** Lets engines fetch prefixes from each other. */
   LoadReplay withFetches() {
     engine = Optional.of(new ServiceSpec.Engine(32, KV_TOKENS, 9, 327_680, 1_500_000));
@@ -136,16 +146,6 @@
     return this;
   }
 
-  /** Spreads the callers over so many entries, which tell each other their work now and then. */
-  LoadReplay(int engineCount, int entryCount, long seed) {
-    this.entryCount = entryCount;
-    random = new Random(seed);
-    placer = new Placer(3, new Random(seed + 1));
-    for (int i = 0; i < engineCount; i++) {
-      engines.add(newEngine("engine-" + i));
-    }
-  }
-
   private Engine newEngine(String id) {
     EndpointRecord record =
         new EndpointRecord(id, 0, SERVICE, "10.0.0.1:1", "a", 32, EndpointState.READY, 1, 0);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerLoadTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerLoadTest.java
@@ -87,7 +87,7 @@
    */
   @ParameterizedTest
   @MethodSource("neighbourRows")
-  void whatANeighbourHoldsIsNotReadAgain(NeighbourRow row) {
+  void whatNeighboursHoldIsNotReadAgain(NeighbourRow row) {
     LoadReplay.Kind schedules = schedules(row.factor());
     LoadReplay without = new LoadReplay(3, 3, 11).withNeighbours(schedules, 2);
     LoadReplay with = new LoadReplay(3, 3, 11).withNeighbours(schedules, 2).withFetches();
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
@@ -114,8 +114,8 @@
   }
 
   private void arrive(int tokens, long ms) {
-    Instant now = start.plusMillis(ms);
-    boolean counts = ms < lengthMillis - DEADLINE.toMillis();
+    final Instant now = start.plusMillis(ms);
+    final boolean counts = ms < lengthMillis - DEADLINE.toMillis();
     asked += counts ? 1 : 0;
     long hint = Math.round(tokens * Math.exp(HINT_ERROR * random.nextGaussian()));
     PlacementRequest request =
@@ -151,7 +151,7 @@
 
   /** One step: a chunk of prompts, then a token for each stream. */
   private void step(Engine engine, long ms) {
-    Instant now = start.plusMillis(ms);
+    final Instant now = start.plusMillis(ms);
     double room = CHUNK_TOKENS;
     double foreign = Math.min(room, engine.foreignLeft);
     engine.foreignLeft -= foreign;
