--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -43,7 +43,7 @@
           "X-Not-Run",
           "X-Parts",
           "X-Tokens",
-          "X-Length-Hint",
+          "X-Hint",
           "X-Priority",
           "X-Prefix-Source",
           "Last-Event-Id",
