Test ports lie below those of outgoing connections

The test asked for port 0, released it and bound it later; the neighbouring port (the relay's) was never looked at. Both lie in the range from which the kernel gives ports to outgoing connections, of which the control instance made some before the entry's listeners bound.

Ruled out: a listener left by another test (one JVM a module, each closes its own); the fixed ports of the soak (other addresses).

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -6,7 +6,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -26,6 +25,7 @@
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.SteadyInstantSource;
+import org.lacewingcroft.peer.LoopbackPorts;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
@@ -112,8 +112,8 @@
         region,
         region + "-a",
         Map.of("north-a", "north", "south-a", "south"),
-        freePort(),
-        freePort(),
+        LoopbackPorts.free(),
+        LoopbackPorts.free(),
         seeds,
         dataDir,
         true,
@@ -124,16 +124,10 @@
         SECRET);
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   Entry startEntry(String name, String region) throws Exception {
     FleetSettings settings =
         settings(name, region, List.of(controlSettings.peerAddress()), Optional.empty());
-    int publicPort = freePort();
+    int publicPort = LoopbackPorts.free();
     EntryInfo self =
         new EntryInfo(
             name,
