Commands that tell one request's story and what callers lost, with a plot

`report` joins the entries' lines into one outcome a request and counts them by route, entry, last target, cause and second, weighed by route, and draws the seconds (JFreeChart). Tests read logs as instances write them; the end of a relayed request counts once.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
@@ -16,6 +16,7 @@
       GetCommand.class,
       EndpointsCommand.class,
       TimelineCommand.class,
+      ReportCommand.class,
       DemoCommand.class,
       BenchCommand.class
     })
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ReportCommand.java
@@ -0,0 +1,47 @@
+package org.lacewingcroft.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.lacewingcroft.logs.LogFiles;
+import org.lacewingcroft.logs.ReportPlot;
+import org.lacewingcroft.logs.RequestOutcomes;
+import org.lacewingcroft.logs.ServiceReport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Tells from the entries' logs what callers got, what they lost, and why. */
+@Command(
+    name = "report",
+    description = "Tables of requests served and lost by route, entry, cause, target and second.")
+final class ReportCommand implements Callable<Integer> {
+  @Spec CommandSpec spec;
+
+  @Parameters(arity = "1..*", description = "log files of the entries, or folders of them")
+  List<Path> files;
+
+  @Option(
+      names = "--weight",
+      description = "what a request of a route is worth, as ROUTE=NUMBER; 1 if not given")
+  Map<String, Double> weightByRoute = Map.of();
+
+  @Option(names = "--plot", description = "also draw the seconds into this PNG file")
+  Path plot;
+
+  @Override
+  public Integer call() throws IOException {
+    ServiceReport report =
+        new ServiceReport(RequestOutcomes.of(LogFiles.merge(files)), weightByRoute);
+    spec.commandLine().getOut().print(report.text());
+    spec.commandLine().getOut().flush();
+    if (plot != null) {
+      ReportPlot.write(report, plot);
+    }
+    return 0;
+  }
+}
--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/TimelineCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/TimelineCommand.java
@@ -1,65 +1,70 @@
 package org.lacewingcroft.cli;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.lacewingcroft.logs.LogFiles;
+import org.lacewingcroft.logs.LogLine;
+import org.lacewingcroft.logs.TimelineFilter;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /**
  * Merges the JSON-line logs of many processes into one time line ordered by hybrid logical clock
- * stamp, then node id. Lines that are not JSON log lines (such as a JVM's own messages) are
- * skipped.
+ * stamp, then node id.
  */
 @Command(name = "timeline", description = "Merge JSON-line logs into one ordered time line.")
 final class TimelineCommand implements Callable<Integer> {
-  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int NOTHING_FOUND = 1;
 
-  @Parameters(arity = "1..*", description = "log files")
+  @Spec CommandSpec spec;
+
+  @Parameters(arity = "1..*", description = "log files, or folders of them")
   List<Path> files;
 
+  @ArgGroup Story story;
+
   @Option(names = "--grep", description = "only lines containing this text")
   String grep;
 
+  /** Whose story is told; one at most. */
+  static final class Story {
+    @Option(names = "--request", description = "the story of one request, by its id")
+    String request;
+
+    @Option(names = "--endpoint", description = "what was said of one endpoint, by its id")
+    String endpoint;
+
+    @Option(names = "--config-version", description = "the way of one configuration version")
+    String version;
+  }
+
   @Override
   public Integer call() throws IOException {
-    for (JsonNode line : merge(files)) {
+    List<LogLine> lines = told(LogFiles.merge(files));
+    for (LogLine line : lines) {
       String text = line.toString();
       if (grep == null || text.contains(grep)) {
-        System.out.println(text);
+        spec.commandLine().getOut().println(text);
       }
     }
-    return 0;
+    return story != null && lines.isEmpty() ? NOTHING_FOUND : 0;
   }
 
-  /** Returns the log lines of all files in time-line order. */
-  static List<JsonNode> merge(List<Path> files) throws IOException {
-    List<JsonNode> lines = new ArrayList<>();
-    for (Path file : files) {
-      for (String raw : Files.readAllLines(file)) {
-        if (!raw.startsWith("{")) {
-          continue;
-        }
-        try {
-          JsonNode n = JSON.readTree(raw);
-          if (n.hasNonNull("hlc")) {
-            lines.add(n);
-          }
-        } catch (IOException e) {
-          // A torn last line of a killed process is not part of the time line.
-        }
-      }
+  private List<LogLine> told(List<LogLine> lines) {
+    TimelineFilter filter = new TimelineFilter(lines);
+    if (story == null) {
+      return lines;
+    } else if (story.request != null) {
+      return filter.ofRequest(story.request);
+    } else if (story.endpoint != null) {
+      return filter.ofEndpoint(story.endpoint);
     }
-    lines.sort(
-        Comparator.comparing((JsonNode n) -> n.get("hlc").asText())
-            .thenComparing(n -> n.path("node").asText()));
-    return lines;
+    return filter.ofVersion(story.version);
   }
 }
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/ServiceReport.java
@@ -0,0 +1,109 @@
+package org.lacewingcroft.logs;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.lacewingcroft.logs.RequestOutcome.Result;
+
+/**
+ * What callers got and what they lost, by route, entry, last target, cause and second of arrival.
+ */
+public final class ServiceReport {
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final String HEAD =
+      "%-58s %8s %8s %8s %8s %8s %9s %9s %9s %9s%n"
+          .formatted(
+              "",
+              "all",
+              "served",
+              "refused",
+              "failed",
+              "left",
+              "lost",
+              "head p50",
+              "head p99",
+              "end p99");
+
+  private final List<RequestOutcome> outcomes;
+  private final Map<String, Double> weightByRoute;
+  private final long startMillis;
+
+  /**
+   * Takes what became of the requests.
+   *
+   * @param outcomes of all requests
+   * @param weightByRoute what a request of a route is worth, in any unit; 1 for routes not named
+   */
+  public ServiceReport(List<RequestOutcome> outcomes, Map<String, Double> weightByRoute) {
+    this.outcomes = List.copyOf(outcomes);
+    this.weightByRoute = Map.copyOf(weightByRoute);
+    this.startMillis = outcomes.stream().mapToLong(RequestOutcome::arrivedMillis).min().orElse(0);
+  }
+
+  /**
+   * Returns the counts by second of arrival since the first request; seconds without are left out.
+   */
+  public Map<Long, OutcomeCounts> bySecond() {
+    return by(o -> (o.arrivedMillis() - startMillis) / MILLIS_PER_SECOND);
+  }
+
+  /** Returns the counts by what the function tells of a request. */
+  public <K extends Comparable<K>> Map<K, OutcomeCounts> by(Function<RequestOutcome, K> group) {
+    Map<K, OutcomeCounts> counts = new TreeMap<>();
+    for (RequestOutcome outcome : outcomes) {
+      counts
+          .computeIfAbsent(group.apply(outcome), k -> new OutcomeCounts())
+          .add(outcome, weightByRoute.getOrDefault(outcome.route(), 1.0));
+    }
+    return counts;
+  }
+
+  /** Returns the report as text: a table each, those that lost most first. */
+  public String text() {
+    List<RequestOutcome> lost = outcomes.stream().filter(o -> o.result() != Result.SERVED).toList();
+    ServiceReport ofLost = new ServiceReport(lost, weightByRoute);
+    List<Row> seconds = new ArrayList<>();
+    bySecond().forEach((second, counts) -> seconds.add(new Row(second.toString(), counts)));
+    return table("route", worstFirst(RequestOutcome::route))
+        + table("entry", worstFirst(RequestOutcome::node))
+        + table("route and cause", ofLost.worstFirst(o -> o.route() + ": " + o.cause()))
+        + table("last target", worstFirst(o -> o.target().isEmpty() ? "none" : o.target()))
+        + table("second of arrival", seconds);
+  }
+
+  /** One line of a table. */
+  private record Row(String name, OutcomeCounts counts) {}
+
+  private List<Row> worstFirst(Function<RequestOutcome, String> group) {
+    return by(group).entrySet().stream()
+        .map(e -> new Row(e.getKey(), e.getValue()))
+        .sorted(Comparator.comparingDouble(row -> -row.counts().lostWeight()))
+        .toList();
+  }
+
+  private static String table(String name, List<Row> rows) {
+    StringBuilder text = new StringBuilder("by " + name + "\n").append(HEAD);
+    for (Row row : rows) {
+      OutcomeCounts c = row.counts();
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "%-58s %8d %8d %8d %8d %8d %9.1f %9d %9d %9d%n",
+              row.name(),
+              c.total(),
+              c.count(Result.SERVED),
+              c.count(Result.REFUSED),
+              c.count(Result.FAILED),
+              c.count(Result.LEFT),
+              c.lostWeight(),
+              c.firstByteMillis(50),
+              c.firstByteMillis(99),
+              c.millis(99)));
+    }
+    return text.append('\n').toString();
+  }
+}
