--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.security.NoSuchProviderException;
 import java.util.Arrays;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -24,6 +25,7 @@
 
   private static final int TAG_BYTES = 32;
   private static final String ALGORITHM = "HmacSHA256";
+  private static final String PROVIDER = "SunJCE";
   private final SecretKeySpec key;
 
   /**
@@ -101,9 +103,21 @@
     return new Frame(new String(stamp, StandardCharsets.UTF_8), MessageCodec.decode(message));
   }
 
+  /**
+   * Asks the usual provider by name: a search through all of them loads and verifies four others
+   * before the first frame of a process that has just started.
+   */
+  private static Mac newMac() throws GeneralSecurityException {
+    try {
+      return Mac.getInstance(ALGORITHM, PROVIDER);
+    } catch (NoSuchProviderException e) {
+      return Mac.getInstance(ALGORITHM);
+    }
+  }
+
   private byte[] tag(byte[] payload) {
     try {
-      Mac mac = Mac.getInstance(ALGORITHM);
+      Mac mac = newMac();
       mac.init(key);
       return mac.doFinal(payload);
     } catch (GeneralSecurityException e) {
