One place for a request's line head and for a service's engine

RequestLog's five lines begin alike (id, route) in one method, and request.try_failed now names the route too. RouteTable tells a service's engine, which EntryNode and ForwardContext each looked up. A declaration in PrefixFetchTest stands beside its use (linter).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -110,7 +110,7 @@
             clock,
             trackers::values,
             () -> this.entries,
-            this::engineOf);
+            service -> this.routing.table().engine(service));
     FleetBounds bounds = settings.bounds();
     this.extraSends =
         new ExtraSendBudget(
@@ -507,10 +507,6 @@
     prefixes.read(tracker, request);
   }
 
-  private Optional<ServiceSpec.Engine> engineOf(String service) {
-    return routing.table().service(service).flatMap(ServiceSpec::engine);
-  }
-
   private void tellRegions() {
     if (ready()) {
       loads.tellRegions(regionEntryNames(), routing.evacuatedDomains());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -76,7 +76,7 @@
   }
 
   private Optional<ServiceSpec.Engine> engine(String service) {
-    return node.routing().table().service(service).flatMap(ServiceSpec::engine);
+    return node.routing().table().engine(service);
   }
 
   Duration shortRetryAfter(ForwardRequest request) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.forward;
 
+import java.util.Arrays;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
@@ -42,13 +43,8 @@
 
   /** It goes to an endpoint of this region. */
   void placed(Placement.Here here, long readTokens, int attempt, long revision) {
-    LOG.log(
-        System.Logger.Level.INFO,
+    write(
         "request.placed",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
         "service",
         request.handling().service(),
         "target",
@@ -71,13 +67,8 @@
 
   /** It goes to an entry of another region. */
   void relayed(EntryInfo entry, Placement.Elsewhere elsewhere, int attempt, long revision) {
-    LOG.log(
-        System.Logger.Level.INFO,
+    write(
         "request.placed",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
         "service",
         request.handling().service(),
         "target",
@@ -95,13 +86,8 @@
   /** It is turned away. */
   void refused(Placement.Refused refused, Set<String> passedOver, long revision) {
     Placement.Evidence evidence = refused.evidence();
-    LOG.log(
-        System.Logger.Level.INFO,
+    write(
         "request.refused",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
         "service",
         request.handling().service(),
         "reason",
@@ -122,11 +108,8 @@
 
   /** A target did not answer it in full. */
   void tryFailed(String target, String what, String detail, OptionalLong lastEvent) {
-    LOG.log(
-        System.Logger.Level.INFO,
+    write(
         "request.try_failed",
-        "request",
-        request.id(),
         "target",
         target,
         "what",
@@ -139,13 +122,8 @@
 
   /** It has its final answer, or its caller has left. */
   void finished(End end) {
-    LOG.log(
-        System.Logger.Level.INFO,
+    write(
         "request.finished",
-        "request",
-        request.id(),
-        "route",
-        request.handling().route(),
         "outcome",
         end.outcome(),
         "status",
@@ -170,6 +148,14 @@
         end.millis());
   }
 
+  /** Writes a line that begins with the request's id and route. */
+  private void write(String event, Object... namesAndValues) {
+    Object[] head = {"request", request.id(), "route", request.handling().route()};
+    Object[] line = Arrays.copyOf(head, head.length + namesAndValues.length);
+    System.arraycopy(namesAndValues, 0, line, head.length, namesAndValues.length);
+    LOG.log(System.Logger.Level.INFO, event, line);
+  }
+
   private static Object orNone(OptionalLong number) {
     return number.isPresent() ? number.getAsLong() : "none";
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -90,6 +90,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns the engine of a service; empty for a plain service or one that is not known. */
+  public Optional<ServiceSpec.Engine> engine(String service) {
+    return service(service).flatMap(ServiceSpec::engine);
+  }
+
   /** Returns how urgent a route's requests are in a service's queues, 0 the most urgent. */
   public int queuePriority(Route route, String service) {
     return queuePriorities.of(route, service);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
@@ -196,7 +196,6 @@
   @Test
   void promptsOfCrashedEngineAreKnownToBeReadInFull() {
     EndpointTracker crashed = tracker("crashed", "a");
-    List<EndpointTracker> left = List.of(tracker("left-1", "a"), tracker("left-2", "a"));
     long[] contractTokens = {10_000, 17_000, 23_000};
     List<PlacementRequest> prompts = new ArrayList<>();
     for (long tokens : contractTokens) {
@@ -208,6 +207,7 @@
       crashed.prefixRead(prompt.sharedParts(), KV_TOKENS);
     }
     open.forEach(ticket -> ticket.end(EndpointTracker.Outcome.FAILED, NOW));
+    List<EndpointTracker> left = List.of(tracker("left-1", "a"), tracker("left-2", "a"));
     List<EndpointTracker> holders =
         Stream.concat(left.stream(), Stream.of(crashed))
             .filter(e -> e.yieldsPrefixes(NOW))
