--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/RequestOutcomes.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/RequestOutcomes.java
@@ -11,6 +11,9 @@
 
 /** Finds out from the entries' lines how each request ended, and why. */
 public final class RequestOutcomes {
+  private static final String PLACED = "request.placed";
+  private static final String TRY_FAILED = "request.try_failed";
+  private static final String FINISHED = "request.finished";
   private static final String SERVED = "served";
   private static final int SERVER_ERROR = 500;
 
@@ -41,17 +44,14 @@
   private void read(LogLine line) {
     Handling handling = new Handling(line.text("request"), line.node());
     switch (line.event()) {
-      case "request.placed" -> {
+      case PLACED, TRY_FAILED -> {
         tries.computeIfAbsent(handling, h -> new ArrayList<>()).add(line);
         if (line.fields().has("region")) {
           relayed.add(new Handling(line.text("request"), line.text("target")));
         }
       }
-      case "request.try_failed" ->
-          tries.computeIfAbsent(handling, h -> new ArrayList<>()).add(line);
-      case "request.finished" -> {
-        List<LogLine> before = tries.getOrDefault(handling, List.of());
-        tries.remove(handling);
+      case FINISHED -> {
+        List<LogLine> before = Optional.ofNullable(tries.remove(handling)).orElse(List.of());
         if (!relayed.remove(handling)) {
           outcomes.add(outcome(line, before));
         }
@@ -68,7 +68,7 @@
         end.node(),
         result,
         result == Result.SERVED ? "" : cause(end, tries),
-        last(tries, "request.placed").map(t -> t.text("target")).orElse(""),
+        last(tries, PLACED).map(t -> t.text("target")).orElse(""),
         end.millis() - end.number("millis", 0),
         end.number("firstByteMillis", -1),
         end.number("millis", 0));
@@ -92,7 +92,7 @@
         end.text("outcome").equals(SERVED) ? "answered " + end.text("status") : end.text("outcome");
     boolean streamed = end.number("lastEvent", -1) >= 0;
     String phase = streamed ? ", in the middle of its answer" : "";
-    return last(tries, "request.try_failed")
+    return last(tries, TRY_FAILED)
         .map(t -> words + phase + ", after a try: " + t.text("what"))
         .orElse(words + phase);
   }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -121,6 +121,11 @@
     return members.containsKey(id);
   }
 
+  /** Returns whether some member that runs leads. */
+  boolean hasLeader() {
+    return members.values().stream().anyMatch(m -> m.role() == ConsensusMember.Role.LEADER);
+  }
+
   void lossy(double share, int delayMillis) {
     dropShare = share;
     maxDelayMillis = delayMillis;
