Entries of large fleets tell their news through a control instance

Change: beyond eight entries a region, an entry tells one control instance (AggregatorChoice), which tells all entries of the region what it heard since, every 120 ms (NewsBuffer), and the other regions' control instances what concerns them (RemoteNewsBuffer). Without one in reach, entries tell each other as before. One encoding for all receivers. Small fleets are as before.

--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
@@ -0,0 +1,97 @@
+package org.lacewingcroft.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.lacewingcroft.fleet.FleetMessage.LoadReport;
+import org.lacewingcroft.fleet.FleetMessage.News;
+
+/**
+ * An entry tells its news to the aggregator of its region, which tells all entries: one message out
+ * and one in for each interval, however many entries there are.
+ *
+ * <p>Owned by the event loop.
+ */
+final class AggregatedNews implements NewsChannel {
+  private static final long REPORT_MILLIS = 120;
+
+  /** Pause after which unchanged work is told again: others believe a report for 1.5 s. */
+  private static final Duration REPEAT = Duration.ofSeconds(1);
+
+  private final FleetSettings settings;
+  private final FleetTransport transport;
+  private final Supplier<Optional<String>> aggregator;
+  private final InstantSource clock;
+  private final List<FleetMessage.PrefixRead> prefixes = new ArrayList<>();
+  private List<Told> told = List.of();
+  private Instant toldAt = Instant.EPOCH;
+
+  /** What others were told of the work at an endpoint, but for the age of its prompts. */
+  private record Told(String endpoint, int running, int unreadPrompts, long unreadTokens) {
+    private static Told of(FleetMessage.EndpointLoad load) {
+      long tokens = load.unread().stream().mapToLong(FleetMessage.UnreadPrompt::tokens).sum();
+      return new Told(load.endpoint(), load.running(), load.unread().size(), tokens);
+    }
+  }
+
+  AggregatedNews(
+      FleetSettings settings,
+      FleetTransport transport,
+      Supplier<Optional<String>> aggregator,
+      InstantSource clock) {
+    this.settings = settings;
+    this.transport = transport;
+    this.aggregator = aggregator;
+    this.clock = clock;
+  }
+
+  @Override
+  public long pauseMillis() {
+    return REPORT_MILLIS;
+  }
+
+  @Override
+  public void work(LoadReport report, boolean urgent) {
+    if (urgent) {
+      tell(new News(List.of(report), List.of(), List.of()), true);
+      return;
+    }
+    List<LoadReport> changed = changed(report) ? List.of(report) : List.of();
+    News news = new News(changed, List.copyOf(prefixes), List.of());
+    prefixes.clear();
+    if (!news.isEmpty()) {
+      tell(news, false);
+    }
+  }
+
+  private boolean changed(LoadReport report) {
+    Instant now = clock.instant();
+    List<Told> telling = report.loads().stream().map(Told::of).toList();
+    if (telling.equals(told) && toldAt.plus(REPEAT).isAfter(now)) {
+      return false;
+    }
+    told = telling;
+    toldAt = now;
+    return true;
+  }
+
+  @Override
+  public void prefixRead(FleetMessage.PrefixRead read) {
+    prefixes.add(read);
+  }
+
+  @Override
+  public void regionLoad(FleetMessage.RegionLoad load) {
+    tell(new News(List.of(), List.of(), List.of(load)), false);
+  }
+
+  private void tell(News news, boolean urgent) {
+    FleetMessage message =
+        new FleetMessage.EntryNews(settings.nodeName(), settings.region(), urgent, news);
+    aggregator.get().ifPresent(a -> transport.send(a, message));
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -71,6 +71,7 @@
   private final Map<String, Instant> controls = new HashMap<>();
   private final Map<String, EndpointRecord> outbox = new TreeMap<>();
   private final LeavingConfirmations leaving;
+  private final NewsAggregator aggregator;
   private final Instant startedAt;
   private volatile List<String> seeds;
   private boolean hadMajority;
@@ -104,6 +105,9 @@
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
     this.leaving = new LeavingConfirmations(vertx, settings.peerAddress(), transport);
+    this.aggregator =
+        new NewsAggregator(
+            transport, clock, settings.peerAddress(), this::peersOfRegion, this::otherControls);
     boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
     this.control = openControl(founder ? Set.copyOf(seeds) : Set.of());
     this.orders =
@@ -143,6 +147,7 @@
   public Future<Void> start() {
     vertx.setPeriodic(FLUSH_MILLIS, id -> flush());
     vertx.setPeriodic(HELLO_MILLIS, id -> hello());
+    aggregator.start(vertx);
     return transport
         .listen(this::receive, (from, message) -> control.receive(from, message))
         .onSuccess(port -> hello())
@@ -265,9 +270,25 @@
         .toList();
   }
 
+  private List<String> peersOfRegion(String region) {
+    Instant horizon = clock.instant().minus(ENTRY_VALID);
+    return entries.values().stream()
+        .filter(e -> e.at.isAfter(horizon) && e.info.region().equals(region))
+        .map(e -> e.info.peerAddress())
+        .toList();
+  }
+
+  private List<String> otherControls() {
+    return knownControls().stream().filter(c -> !c.equals(settings.peerAddress())).toList();
+  }
+
   private void receive(FleetMessage message) {
     if (message instanceof FleetMessage.EntryReport report) {
       reported(report);
+    } else if (message instanceof FleetMessage.EntryNews news) {
+      aggregator.heard(news);
+    } else if (message instanceof FleetMessage.RemoteNews news) {
+      aggregator.heard(news);
     } else if (message instanceof FleetMessage.ControlHello hello) {
       greeted(hello);
     } else if (message instanceof FleetMessage.RosterUpdate update) {
@@ -327,6 +348,7 @@
   private FleetMessage.ControlPulse pulse() {
     return new FleetMessage.ControlPulse(
         settings.peerAddress(),
+        settings.region(),
         control.view().inMajority(),
         settled(clock.instant()),
         control.view().routing().revision(),
@@ -391,7 +413,11 @@
 
   private void pushToEntries(List<EndpointRecord> records) {
     FleetMessage update = new FleetMessage.RosterUpdate(settings.peerAddress(), 0, false, records);
-    entries.values().forEach(e -> transport.send(e.info.peerAddress(), update));
+    transport.sendAll(entryPeers(), update);
+  }
+
+  private List<String> entryPeers() {
+    return entries.values().stream().map(e -> e.info.peerAddress()).toList();
   }
 
   private void flush() {
@@ -402,11 +428,7 @@
         new FleetMessage.RosterUpdate(
             settings.peerAddress(), 0, false, List.copyOf(outbox.values()));
     outbox.clear();
-    for (String other : knownControls()) {
-      if (!other.equals(settings.peerAddress())) {
-        transport.send(other, update);
-      }
-    }
+    transport.sendAll(otherControls(), update);
   }
 
   private void announceState(RoutingState state) {
@@ -419,8 +441,7 @@
         state.version(),
         "evacuated",
         state.evacuatedDomains());
-    FleetMessage pulse = pulse();
-    entries.values().forEach(e -> transport.send(e.info.peerAddress(), pulse));
+    transport.sendAll(entryPeers(), pulse());
   }
 
   private void offerState(String peer) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -68,6 +70,9 @@
   private final Map<String, Instant> knownSince = new HashMap<>();
   private final RegionLoads regionLoads = new RegionLoads();
   private final UnreachableEntries unreachable = new UnreachableEntries();
+  private final AggregatorChoice aggregators;
+  private final NewsChannel direct;
+  private final NewsChannel aggregated;
   private final LoadExchange loads;
   private final PrefixExchange prefixes;
   private final ExtraSendBudget extraSends;
@@ -99,17 +104,21 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.aggregators = new AggregatorChoice(settings.region());
+    this.direct = new DirectNews(settings, transport, () -> this.entries);
+    this.aggregated =
+        new AggregatedNews(
+            settings, transport, () -> aggregators.current(clock.instant()), clock);
     this.loads =
-        new LoadExchange(
-            vertx, settings, self, transport, clock, trackers::values, () -> this.entries);
+        new LoadExchange(vertx, settings, self, clock, trackers::values, this::newsChannel);
     this.prefixes =
         new PrefixExchange(
             settings,
-            transport,
             listing,
             clock,
             trackers::values,
-            () -> this.entries,
+            id -> Optional.ofNullable(trackers.get(id)),
+            this::newsChannel,
             service -> this.routing.table().engine(service));
     FleetBounds bounds = settings.bounds();
     this.extraSends =
@@ -355,8 +364,9 @@
     } else if (message instanceof FleetMessage.PrefixRead read) {
       prefixes.heard(read);
     } else if (message instanceof FleetMessage.RegionLoad load) {
-      Instant now = clock.instant();
-      load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
+      regionHeard(load);
+    } else if (message instanceof FleetMessage.NewsDigest digest) {
+      digestHeard(digest);
     }
     reportReady();
     if (learning()) {
@@ -364,8 +374,39 @@
     }
   }
 
+  private void regionHeard(FleetMessage.RegionLoad load) {
+    Instant now = clock.instant();
+    load.services().forEach(s -> regionLoads.heard(load.region(), s, now));
+  }
+
+  private void digestHeard(FleetMessage.NewsDigest digest) {
+    aggregators.digest(digest.from(), clock.instant());
+    digest.news().loads().forEach(loads::heard);
+    digest.news().prefixes().forEach(prefixes::heard);
+    digest.news().regionLoads().forEach(this::regionHeard);
+  }
+
+  /** Entries of large fleets tell each other through an aggregator while one is in reach. */
+  private NewsChannel newsChannel() {
+    boolean direct =
+        largestRegion() <= DirectNews.MOST_ENTRIES
+            || aggregators.current(clock.instant()).isEmpty();
+    return direct ? this.direct : aggregated;
+  }
+
+  /** All entries know about the same ones, so that they agree on the way of their news. */
+  private long largestRegion() {
+    return entries.stream()
+        .collect(Collectors.groupingBy(EntryInfo::region, Collectors.counting()))
+        .values()
+        .stream()
+        .max(Comparator.naturalOrder())
+        .orElse(0L);
+  }
+
   private void pulse(FleetMessage.ControlPulse pulse) {
     Instant now = clock.instant();
+    aggregators.pulse(pulse.from(), pulse.region(), now);
     if (!reachedControl) {
       reachedControl = true;
       LOG.log(System.Logger.Level.INFO, "control.reached", "control", pulse.from());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetTransport.java
@@ -2,15 +2,25 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import java.util.Collection;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.peer.FrameCodec;
 import org.lacewingcroft.peer.PeerMessage;
+import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.peer.PeerTransport;
 
 /** The peer transport as the instances of a fleet use it; handlers run on the given context. */
 final class FleetTransport implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(FleetTransport.class.getName());
+
+  /** Pause between two accounts of the traffic in the log. */
+  private static final long ACCOUNT_MILLIS = 15_000;
+
+  private static final long NANOS_PER_MICRO = 1_000;
+
   private final PeerTransport transport;
   private final FleetSettings settings;
   private final Context context;
@@ -23,6 +33,7 @@
 
   Future<Integer> listen(
       Consumer<FleetMessage> onFleet, BiConsumer<String, ConsensusMessage> onConsensus) {
+    context.owner().setPeriodic(ACCOUNT_MILLIS, id -> logTraffic());
     return transport.listen(
         settings.ip(),
         settings.peerPort(),
@@ -30,16 +41,56 @@
           if (message instanceof PeerMessage.Consensus consensus) {
             onConsensus.accept(consensus.from(), consensus.message());
           } else if (message instanceof PeerMessage.Fleet fleet) {
-            context.runOnContext(v -> onFleet.accept(fleet.message()));
+            context.runOnContext(v -> handle(fleet, onFleet));
           }
         });
   }
 
+  private void handle(PeerMessage.Fleet fleet, Consumer<FleetMessage> onFleet) {
+    long begunNanos = System.nanoTime();
+    onFleet.accept(fleet.message());
+    transport.traffic().handled(fleet, System.nanoTime() - begunNanos);
+  }
+
+  /** Returns what the messages cost by kind. */
+  PeerTraffic traffic() {
+    return transport.traffic();
+  }
+
+  /** Logs what the messages have cost since the start, from time to time. */
+  private void logTraffic() {
+    traffic()
+        .totals()
+        .forEach(
+            (kind, totals) ->
+                LOG.log(
+                    System.Logger.Level.INFO,
+                    "peer.traffic",
+                    "kind",
+                    kind,
+                    "sent",
+                    totals.sent(),
+                    "sentBytes",
+                    totals.sentBytes(),
+                    "received",
+                    totals.received(),
+                    "receivedBytes",
+                    totals.receivedBytes(),
+                    "workMicros",
+                    totals.workNanos() / NANOS_PER_MICRO));
+  }
+
   /** Sends a message; may be called from any thread. */
   void send(String peerAddress, FleetMessage message) {
     sendOnContext(peerAddress, new PeerMessage.Fleet(message));
   }
 
+  /** Sends a message to several peers, encoded once; may be called from any thread. */
+  void sendAll(Collection<String> peerAddresses, FleetMessage message) {
+    List<String> receivers = List.copyOf(peerAddresses);
+    context.runOnContext(v -> transport.sendAll(receivers, new PeerMessage.Fleet(message)));
+  }
+
   /** Sends a message of the control group. */
   void send(String peerAddress, ConsensusMessage message) {
     sendOnContext(peerAddress, new PeerMessage.Consensus(settings.peerAddress(), message));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -21,16 +21,6 @@
  * <p>Owned by the event loop.
  */
 final class LoadExchange {
-  /** How often entries of a region tell each other their work: about one short prompt's reading. */
-  private static final long REPORT_MILLIS = 120;
-
-  /**
-   * Such reports that an entry sends in a second at most; it takes as many. At 20 neighbours that
-   * is one every 330 ms to each, where one every {@link #REPORT_MILLIS} would be 167 out and 167
-   * in.
-   */
-  private static final int REPORTS_PER_SECOND = 60;
-
   /** A prompt told of at once: reading it takes about half the pause between two reports. */
   private static final long LONG_PROMPT_TOKENS = 5_000;
 
@@ -43,27 +33,24 @@
   private final Vertx vertx;
   private final FleetSettings settings;
   private final EntryInfo self;
-  private final FleetTransport transport;
   private final InstantSource clock;
   private final Supplier<Collection<EndpointTracker>> trackers;
-  private final Supplier<List<EntryInfo>> entries;
+  private final Supplier<NewsChannel> channel;
   private boolean toldWork;
 
   LoadExchange(
       Vertx vertx,
       FleetSettings settings,
       EntryInfo self,
-      FleetTransport transport,
       InstantSource clock,
       Supplier<Collection<EndpointTracker>> trackers,
-      Supplier<List<EntryInfo>> entries) {
+      Supplier<NewsChannel> channel) {
     this.vertx = vertx;
     this.settings = settings;
     this.self = self;
-    this.transport = transport;
     this.clock = clock;
     this.trackers = trackers;
-    this.entries = entries;
+    this.channel = channel;
   }
 
   /** Begins to report to the region's other entries. */
@@ -72,21 +59,17 @@
   }
 
   private void report() {
-    vertx.setTimer(pauseMillis(), id -> report());
+    vertx.setTimer(channel.get().pauseMillis(), id -> report());
     Instant now = clock.instant();
     List<FleetMessage.EndpointLoad> work =
         trackers.get().stream().filter(t -> t.running() > 0).map(t -> workAt(t, now)).toList();
     boolean news = !work.isEmpty() || toldWork;
     toldWork = !work.isEmpty();
     if (news) {
-      tellNeighbours(new FleetMessage.LoadReport(self.name(), true, work));
+      channel.get().work(new FleetMessage.LoadReport(self.name(), true, work), false);
     }
   }
 
-  private long pauseMillis() {
-    return Math.max(REPORT_MILLIS, neighbours().size() * 1_000L / REPORTS_PER_SECOND);
-  }
-
   private static FleetMessage.EndpointLoad workAt(EndpointTracker tracker, Instant now) {
     return new FleetMessage.EndpointLoad(
         tracker.record().id(), tracker.running(), tracker.unreadPrompts(now));
@@ -99,22 +82,15 @@
   void begun(EndpointTracker tracker, long uncachedTokens) {
     if (uncachedTokens >= LONG_PROMPT_TOKENS) {
       FleetMessage.EndpointLoad work = workAt(tracker, clock.instant());
-      tellNeighbours(new FleetMessage.LoadReport(self.name(), false, List.of(work)));
+      channel.get().work(new FleetMessage.LoadReport(self.name(), false, List.of(work)), true);
     }
   }
 
-  private List<EntryInfo> neighbours() {
-    return entries.get().stream()
-        .filter(e -> e.region().equals(settings.region()) && !e.name().equals(self.name()))
-        .toList();
-  }
-
-  private void tellNeighbours(FleetMessage report) {
-    neighbours().forEach(e -> transport.send(e.peerAddress(), report));
-  }
-
   /** Takes another entry's report. */
   void heard(FleetMessage.LoadReport report) {
+    if (report.from().equals(self.name())) {
+      return;
+    }
     Instant now = clock.instant();
     Map<String, FleetMessage.EndpointLoad> byId = new HashMap<>();
     report.loads().forEach(l -> byId.put(l.endpoint(), l));
@@ -153,10 +129,7 @@
     }
     List<FleetMessage.ServiceLoad> services = new ArrayList<>();
     byService.forEach((service, open) -> services.add(serviceLoad(service, open, now)));
-    FleetMessage load = new FleetMessage.RegionLoad(settings.region(), services);
-    entries.get().stream()
-        .filter(e -> !e.region().equals(settings.region()))
-        .forEach(e -> transport.send(e.peerAddress(), load));
+    channel.get().regionLoad(new FleetMessage.RegionLoad(settings.region(), services));
   }
 
   private static FleetMessage.ServiceLoad serviceLoad(
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/NewsAggregator.java
@@ -0,0 +1,113 @@
+package org.lacewingcroft.fleet;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.lacewingcroft.fleet.FleetMessage.News;
+
+/**
+ * The part of a control instance that gathers the news of a region's entries and tells each of them
+ * what the others told, and the aggregators of other regions what concerns theirs. It holds nothing
+ * that cannot be lost: entries tell their work anew within a second.
+ *
+ * <p>Owned by the event loop.
+ */
+final class NewsAggregator {
+  /** How often it is checked what is due. */
+  private static final long TICK_MILLIS = 40;
+
+  /** Silence of a region's entries after which they get no digests any more. */
+  private static final Duration SERVED = Duration.ofSeconds(2);
+
+  private final FleetTransport transport;
+  private final InstantSource clock;
+  private final String self;
+  private final Function<String, Collection<String>> entriesOfRegion;
+  private final Supplier<Collection<String>> otherControls;
+  private final Map<String, Served> regions = new TreeMap<>();
+
+  /** A region whose entries have chosen this aggregator. */
+  private static final class Served {
+    private final NewsBuffer digest = new NewsBuffer();
+    private final RemoteNewsBuffer remote = new RemoteNewsBuffer();
+    private Instant heardAt;
+  }
+
+  /**
+   * Creates the aggregator; {@link #start} begins to tell.
+   *
+   * @param self this instance's peer address
+   * @param entriesOfRegion the peer addresses of a region's live entries
+   * @param otherControls the peer addresses of the other control instances
+   */
+  NewsAggregator(
+      FleetTransport transport,
+      InstantSource clock,
+      String self,
+      Function<String, Collection<String>> entriesOfRegion,
+      Supplier<Collection<String>> otherControls) {
+    this.transport = transport;
+    this.clock = clock;
+    this.self = self;
+    this.entriesOfRegion = entriesOfRegion;
+    this.otherControls = otherControls;
+  }
+
+  void start(Vertx vertx) {
+    vertx.setPeriodic(TICK_MILLIS, id -> tick());
+  }
+
+  /** Takes an entry's news. */
+  void heard(FleetMessage.EntryNews told) {
+    Instant now = clock.instant();
+    Served own = regions.computeIfAbsent(told.region(), r -> new Served());
+    own.heardAt = now;
+    own.digest.add(told.news(), told.urgent());
+    own.remote.add(told.news(), now);
+    News abroad = new News(List.of(), told.news().prefixes(), told.news().regionLoads());
+    addToOthers(told.region(), abroad);
+  }
+
+  /** Takes what the aggregator of another region tells. */
+  void heard(FleetMessage.RemoteNews told) {
+    addToOthers(told.region(), told.news());
+  }
+
+  private void addToOthers(String origin, News news) {
+    regions.forEach(
+        (region, served) -> {
+          if (!region.equals(origin)) {
+            served.digest.add(news, false);
+          }
+        });
+  }
+
+  private void tick() {
+    Instant now = clock.instant();
+    regions.values().removeIf(s -> s.heardAt.plus(SERVED).isBefore(now));
+    regions.forEach((region, served) -> tell(region, served, now));
+  }
+
+  private void tell(String region, Served served, Instant now) {
+    served
+        .digest
+        .take(now)
+        .ifPresent(
+            news ->
+                transport.sendAll(
+                    entriesOfRegion.apply(region), new FleetMessage.NewsDigest(self, news)));
+    served
+        .remote
+        .take(now)
+        .ifPresent(
+            news ->
+                transport.sendAll(otherControls.get(), new FleetMessage.RemoteNews(region, news)));
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
@@ -5,8 +5,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,29 +37,29 @@
   private static final Duration PREFIX_PAUSE = Duration.ofSeconds(3);
 
   private final FleetSettings settings;
-  private final FleetTransport transport;
   private final PrefixListing listing;
   private final InstantSource clock;
   private final Supplier<Collection<EndpointTracker>> trackers;
-  private final Supplier<List<EntryInfo>> entries;
+  private final Function<String, Optional<EndpointTracker>> trackerOf;
+  private final Supplier<NewsChannel> channel;
   private final Function<String, Optional<ServiceSpec.Engine>> engineOfService;
-  private final Map<String, Instant> toldAt = new HashMap<>();
+  private final Map<String, Instant> toldAt = new LinkedHashMap<>();
   private final Set<String> asked = new HashSet<>();
 
   PrefixExchange(
       FleetSettings settings,
-      FleetTransport transport,
       PrefixListing listing,
       InstantSource clock,
       Supplier<Collection<EndpointTracker>> trackers,
-      Supplier<List<EntryInfo>> entries,
+      Function<String, Optional<EndpointTracker>> trackerOf,
+      Supplier<NewsChannel> channel,
       Function<String, Optional<ServiceSpec.Engine>> engineOfService) {
     this.settings = settings;
-    this.transport = transport;
     this.listing = listing;
     this.clock = clock;
     this.trackers = trackers;
-    this.entries = entries;
+    this.trackerOf = trackerOf;
+    this.channel = channel;
     this.engineOfService = engineOfService;
   }
 
@@ -76,10 +77,7 @@
           request.sharedParts().stream()
               .map(p -> new FleetMessage.ReadPart(p.id(), p.tokens()))
               .toList();
-      FleetMessage told = new FleetMessage.PrefixRead(tracker.record().id(), parts);
-      entries.get().stream()
-          .filter(e -> !e.name().equals(settings.nodeName()))
-          .forEach(e -> transport.send(e.peerAddress(), told));
+      channel.get().prefixRead(new FleetMessage.PrefixRead(tracker.record().id(), parts));
     }
   }
 
@@ -87,18 +85,24 @@
   void heard(FleetMessage.PrefixRead read) {
     List<PromptPart> parts =
         read.parts().stream().map(p -> new PromptPart(p.id(), p.tokens())).toList();
-    trackers.get().stream()
-        .filter(t -> t.record().id().equals(read.endpoint()))
-        .forEach(t -> t.prefixRead(parts, kvCapacityOf(t)));
+    trackerOf.apply(read.endpoint()).ifPresent(t -> t.prefixRead(parts, kvCapacityOf(t)));
     due(read.endpoint(), PlacementRequest.keyOf(parts));
   }
 
   private boolean due(String endpoint, String prefix) {
     Instant now = clock.instant();
-    toldAt.values().removeIf(at -> !at.plus(PREFIX_PAUSE).isAfter(now));
+    forgetOld(now);
     return toldAt.putIfAbsent(endpoint + '|' + prefix, now) == null;
   }
 
+  /** Drops what was told long ago; the oldest come first, since none is put in again before. */
+  private void forgetOld(Instant now) {
+    Iterator<Instant> oldest = toldAt.values().iterator();
+    while (oldest.hasNext() && !oldest.next().plus(PREFIX_PAUSE).isAfter(now)) {
+      oldest.remove();
+    }
+  }
+
   /**
    * Asks the region's endpoints what they hold, each once. After all entries were killed at once
    * the endpoints still hold every prefix, and entries that do not know it take each request for a
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -9,6 +9,8 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +47,7 @@
   private final AtomicLong framesRejected = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
+  private final PeerTraffic traffic = new PeerTraffic();
   private volatile LinkFaults faults = LinkFaults.NONE;
   private NetServer server;
 
@@ -85,6 +88,11 @@
     return framesRejected.get();
   }
 
+  /** Returns what the messages cost by kind. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   /** Returns the bytes sent, frames included. */
   public long bytesSent() {
     return bytesSent.get();
@@ -97,10 +105,24 @@
 
   /** Sends a message to a peer address {@code host:port}; failures are logged, not thrown. */
   public void send(String address, PeerMessage message) {
-    if (faults.cutsPeer(address)) {
+    sendAll(List.of(address), message);
+  }
+
+  /** Sends a message to several peer addresses; it is encoded and authenticated once. */
+  public void sendAll(Collection<String> addresses, PeerMessage message) {
+    if (addresses.isEmpty()) {
       return;
     }
+    long begunNanos = System.nanoTime();
     byte[] frame = codec.encode(LogContext.clock().tick(), message);
+    traffic.sent(message, addresses.size(), frame.length, System.nanoTime() - begunNanos);
+    addresses.forEach(address -> sendFrame(address, frame));
+  }
+
+  private void sendFrame(String address, byte[] frame) {
+    if (faults.cutsPeer(address)) {
+      return;
+    }
     long delayMillis = faults.delayMillis(address);
     if (delayMillis > 0) {
       vertx.setTimer(delayMillis, id -> write(address, frame));
@@ -208,7 +230,10 @@
             }
             expectLength[0] = true;
             parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
+            long begunNanos = System.nanoTime();
             FrameCodec.Frame frame = codec.decode(buffer.getBytes());
+            traffic.received(
+                frame.message(), buffer.length(), System.nanoTime() - begunNanos);
             LogContext.clock().receive(frame.stamp());
             if (frame.message() instanceof PeerMessage.Ping) {
               socket.write(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.fleet;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -25,7 +26,10 @@
   @JsonSubTypes.Type(value = FleetMessage.ControlReply.class, name = "cr"),
   @JsonSubTypes.Type(value = FleetMessage.LoadReport.class, name = "lr"),
   @JsonSubTypes.Type(value = FleetMessage.RegionLoad.class, name = "rl"),
-  @JsonSubTypes.Type(value = FleetMessage.PrefixRead.class, name = "pr")
+  @JsonSubTypes.Type(value = FleetMessage.PrefixRead.class, name = "pr"),
+  @JsonSubTypes.Type(value = FleetMessage.EntryNews.class, name = "en"),
+  @JsonSubTypes.Type(value = FleetMessage.NewsDigest.class, name = "nd"),
+  @JsonSubTypes.Type(value = FleetMessage.RemoteNews.class, name = "rn")
 })
 public sealed interface FleetMessage {
 
@@ -47,6 +51,7 @@
    * A control instance's answer to a report.
    *
    * @param from the control instance
+   * @param region its region
    * @param inMajority whether it is in touch with a majority of its group
    * @param settled whether it has run long enough to know all endpoints that announce themselves
    * @param revision the revision of its committed routing state
@@ -54,7 +59,12 @@
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record ControlPulse(
-      String from, boolean inMajority, boolean settled, long revision, List<String> controls)
+      String from,
+      String region,
+      boolean inMajority,
+      boolean settled,
+      long revision,
+      List<String> controls)
       implements FleetMessage {}
 
   /**
@@ -224,4 +234,53 @@
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record ServiceLoad(String service, int endpoints, long[] waitMillis, double tokenMillis) {}
+
+  /**
+   * What entries tell each other, gathered from one entry or from many.
+   *
+   * @param loads entries' work at endpoints, the later report of an entry behind the earlier
+   * @param prefixes beginnings of prompts that endpoints have read
+   * @param regionLoads how loaded whole regions are
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record News(List<LoadReport> loads, List<PrefixRead> prefixes, List<RegionLoad> regionLoads) {
+    /** Nothing. */
+    public static final News NONE = new News(List.of(), List.of(), List.of());
+
+    /** Returns whether there is none. */
+    @JsonIgnore
+    public boolean isEmpty() {
+      return loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty();
+    }
+  }
+
+  /**
+   * An entry tells the aggregator of its region its news.
+   *
+   * @param from the entry's name
+   * @param region its region
+   * @param urgent whether the others need it sooner than the next regular digest
+   * @param news its news
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record EntryNews(String from, String region, boolean urgent, News news) implements FleetMessage {}
+
+  /**
+   * An aggregator tells the entries of a region what it has heard since its last digest. An empty
+   * one is its sign of life.
+   *
+   * @param from the aggregator
+   * @param news the news, the receiver's own included
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record NewsDigest(String from, News news) implements FleetMessage {}
+
+  /**
+   * An aggregator tells the aggregators of other regions what concerns their entries.
+   *
+   * @param region the region that the news is of
+   * @param news prefixes and the region's load
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record RemoteNews(String region, News news) implements FleetMessage {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
@@ -26,7 +26,7 @@
   private static final int TAG_BYTES = 32;
   private static final String ALGORITHM = "HmacSHA256";
   private static final String PROVIDER = "SunJCE";
-  private final SecretKeySpec key;
+  private final ThreadLocal<Mac> macs;
 
   /**
    * A decoded frame.
@@ -45,7 +45,8 @@
     if (secret.length < 16) {
       throw new IllegalArgumentException("the shared secret must have at least 16 bytes");
     }
-    this.key = new SecretKeySpec(secret.clone(), ALGORITHM);
+    SecretKeySpec key = new SecretKeySpec(secret.clone(), ALGORITHM);
+    this.macs = ThreadLocal.withInitial(() -> newMac(key));
   }
 
   /** Returns the whole frame, length prefix included. */
@@ -104,10 +105,21 @@
   }
 
   /**
-   * Asks the usual provider by name: a search through all of them loads and verifies four others
-   * before the first frame of a process that has just started.
+   * Makes a thread's own authenticator, used again for each frame. It asks the usual provider by
+   * name: a search through all of them loads and verifies four others before the first frame of a
+   * process that has just started.
    */
-  private static Mac newMac() throws GeneralSecurityException {
+  private static Mac newMac(SecretKeySpec key) {
+    try {
+      Mac mac = usualMac();
+      mac.init(key);
+      return mac;
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("HmacSHA256 is not available", e);
+    }
+  }
+
+  private static Mac usualMac() throws GeneralSecurityException {
     try {
       return Mac.getInstance(ALGORITHM, PROVIDER);
     } catch (NoSuchProviderException e) {
@@ -116,12 +128,6 @@
   }
 
   private byte[] tag(byte[] payload) {
-    try {
-      Mac mac = newMac();
-      mac.init(key);
-      return mac.doFinal(payload);
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("HmacSHA256 is not available", e);
-    }
+    return macs.get().doFinal(payload);
   }
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/AggregatorChoiceTest.java
@@ -0,0 +1,76 @@
+package org.lacewingcroft.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Which control instance an entry of the region "north" tells its news to. */
+class AggregatorChoiceTest {
+  private static final Instant START = Instant.EPOCH.plusSeconds(100);
+  private static final Duration STEP = Duration.ofMillis(100);
+
+  /**
+   * What a control instance does, in steps of 100 ms.
+   *
+   * @param pulsesUntil the step from which its pulses are missing
+   * @param digestsUntil the step from which its digests are missing
+   */
+  private record Control(String address, String region, int pulsesUntil, int digestsUntil) {
+    private static Control sound(String address, String region) {
+      return new Control(address, region, 100, 100);
+    }
+  }
+
+  static Stream<Arguments> cases() {
+    Control near = Control.sound("10.0.0.1:7", "north");
+    Control alsoNear = Control.sound("10.0.0.2:7", "north");
+    Control far = Control.sound("10.0.0.0:7", "south");
+    Control dies = new Control("10.0.0.1:7", "north", 10, 10);
+    Control neverTells = new Control("10.0.0.1:7", "north", 100, 0);
+    Control stopsTelling = new Control("10.0.0.1:7", "north", 100, 20);
+    return Stream.of(
+        Arguments.of("none is known", List.of(), 5, Optional.empty()),
+        Arguments.of("one of the own region", List.of(far, near), 5, name(near)),
+        Arguments.of("the first by address of two", List.of(alsoNear, near), 5, name(near)),
+        Arguments.of("another region's if there is no other", List.of(far), 5, name(far)),
+        Arguments.of("the next when it dies", List.of(dies, alsoNear, far), 30, name(alsoNear)),
+        Arguments.of("another region's when it dies", List.of(dies, far), 30, name(far)),
+        Arguments.of("none when the last dies", List.of(dies), 30, Optional.empty()),
+        Arguments.of("not one that never tells", List.of(neverTells, far), 20, name(far)),
+        Arguments.of("not one that stops telling", List.of(stopsTelling, far), 35, name(far)),
+        Arguments.of("tried again later", List.of(neverTells, far), 41, name(neverTells)));
+  }
+
+  private static Optional<String> name(Control control) {
+    return Optional.of(control.address());
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("cases")
+  void choosesTheBestThatTells(
+      String name, List<Control> controls, int steps, Optional<String> expected) {
+    AggregatorChoice choice = new AggregatorChoice("north");
+    Optional<String> chosen = Optional.empty();
+    for (int step = 0; step <= steps; step++) {
+      Instant now = START.plus(STEP.multipliedBy(step));
+      for (Control control : controls) {
+        if (step < control.pulsesUntil()) {
+          choice.pulse(control.address(), control.region(), now);
+        }
+        if (step < control.digestsUntil()) {
+          choice.digest(control.address(), now);
+        }
+      }
+      chosen = choice.current(now);
+    }
+    assertThat(chosen, is(expected));
+  }
+}
