Entries of large fleets go by their own region's control instances; account of peer messages

Cause: five control instances told every entry the same lists, pulses and changes. Change: an entry wants lists of its own region's control instances while one of them is in touch with a majority, of all otherwise (ControlContacts); the others hear of it every 1.5 s. That an endpoint leaves is still told to every entry by the instance that acknowledges it. PeerTraffic counts messages, bytes and work by kind, for the metrics address and the log. LargeRegionTest: twelve entries hear of work and prefixes through the control instance, and directly once it is gone.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
@@ -5,8 +5,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.function.Supplier;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
 import org.lacewingcroft.fleet.FleetMessage.News;
 
@@ -24,7 +22,7 @@
 
   private final FleetSettings settings;
   private final FleetTransport transport;
-  private final Supplier<Optional<String>> aggregator;
+  private final AggregatorChoice aggregators;
   private final InstantSource clock;
   private final List<FleetMessage.PrefixRead> prefixes = new ArrayList<>();
   private List<Told> told = List.of();
@@ -41,11 +39,11 @@
   AggregatedNews(
       FleetSettings settings,
       FleetTransport transport,
-      Supplier<Optional<String>> aggregator,
+      AggregatorChoice aggregators,
       InstantSource clock) {
     this.settings = settings;
     this.transport = transport;
-    this.aggregator = aggregator;
+    this.aggregators = aggregators;
     this.clock = clock;
   }
 
@@ -92,6 +90,13 @@
   private void tell(News news, boolean urgent) {
     FleetMessage message =
         new FleetMessage.EntryNews(settings.nodeName(), settings.region(), urgent, news);
-    aggregator.get().ifPresent(a -> transport.send(a, message));
+    Instant now = clock.instant();
+    aggregators
+        .current(now)
+        .ifPresent(
+            aggregator -> {
+              aggregators.told(now);
+              transport.send(aggregator, message);
+            });
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -44,6 +45,9 @@
   /** An entry that has not reported for this long is not named to callers. */
   private static final Duration ENTRY_VALID = Duration.ofMillis(1_700);
 
+  /** The same for one that goes by other control instances and so reports less often. */
+  private static final Duration DISTANT_ENTRY_VALID = Duration.ofSeconds(5);
+
   /** A control instance that has not greeted for this long is not named to others. */
   private static final Duration CONTROL_VALID = Duration.ofSeconds(10);
 
@@ -79,8 +83,14 @@
   private static final class SeenEntry {
     private EntryInfo info;
     private boolean ready;
+    private boolean wantsLists;
     private Instant at;
     private Instant wholeSentAt = Instant.EPOCH;
+
+    private boolean live(Instant now) {
+      Duration valid = wantsLists ? ENTRY_VALID : DISTANT_ENTRY_VALID;
+      return at.plus(valid).isAfter(now);
+    }
   }
 
   /**
@@ -104,6 +114,7 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    metrics.expose(transport.traffic());
     this.leaving = new LeavingConfirmations(vertx, settings.peerAddress(), transport);
     this.aggregator =
         new NewsAggregator(
@@ -191,7 +202,7 @@
     changed.ifPresent(c -> RosterLog.changed(c, "announcement"));
     if (record.state() == EndpointState.READY) {
       outbox.put(record.id(), record);
-      changed.ifPresent(c -> pushToEntries(List.of(c)));
+      changed.ifPresent(c -> pushToReliant(List.of(c)));
       return Future.succeededFuture(control.view().inMajority());
     }
     return confirmLeaving(record, changed.isPresent());
@@ -237,7 +248,7 @@
   private Future<Boolean> confirmLeaving(EndpointRecord record, boolean changed) {
     outbox.put(record.id(), record);
     if (changed) {
-      pushToEntries(List.of(record));
+      transport.sendAll(peers(e -> true), rosterUpdate(List.of(record)));
     }
     return leaving.confirm(record, control.view().members());
   }
@@ -263,19 +274,16 @@
   }
 
   private List<EntryInfo> readyEntries() {
-    Instant horizon = clock.instant().minus(ENTRY_VALID);
+    Instant now = clock.instant();
     return entries.values().stream()
-        .filter(e -> e.ready && e.at.isAfter(horizon))
+        .filter(e -> e.ready && e.live(now))
         .map(e -> e.info)
         .toList();
   }
 
   private List<String> peersOfRegion(String region) {
-    Instant horizon = clock.instant().minus(ENTRY_VALID);
-    return entries.values().stream()
-        .filter(e -> e.at.isAfter(horizon) && e.info.region().equals(region))
-        .map(e -> e.info.peerAddress())
-        .toList();
+    Instant now = clock.instant();
+    return peers(e -> e.live(now) && e.info.region().equals(region));
   }
 
   private List<String> otherControls() {
@@ -319,8 +327,17 @@
     seen.info = report.entry();
     seen.ready = report.ready();
     seen.at = now;
+    seen.wantsLists = report.wantsLists();
     String peer = report.entry().peerAddress();
     transport.send(peer, pulse());
+    if (report.wantsLists()) {
+      sendDifferences(seen, report, now);
+    }
+  }
+
+  /** Sends the roster and the list of entries if the reporting entry knows others. */
+  private void sendDifferences(SeenEntry seen, FleetMessage.EntryReport report, Instant now) {
+    String peer = report.entry().peerAddress();
     boolean settled = settled(now);
     if (report.rosterDigest() != roster.digest()
         && seen.wholeSentAt.plus(WHOLE_PAUSE).isBefore(now)) {
@@ -385,7 +402,7 @@
       List<EndpointRecord> lost = roster.expire(now, lease);
       lost.forEach(r -> RosterLog.changed(r, "lease over"));
       if (!lost.isEmpty()) {
-        pushToEntries(lost);
+        pushToReliant(lost);
       }
     }
   }
@@ -403,7 +420,7 @@
     }
     if (!changed.isEmpty()) {
       changed.forEach(c -> RosterLog.changed(c, update.from()));
-      pushToEntries(changed);
+      pushToReliant(changed);
     }
     if (update.callId() != 0) {
       transport.send(
@@ -411,24 +428,28 @@
     }
   }
 
-  private void pushToEntries(List<EndpointRecord> records) {
-    FleetMessage update = new FleetMessage.RosterUpdate(settings.peerAddress(), 0, false, records);
-    transport.sendAll(entryPeers(), update);
+  /**
+   * Tells the entries that go by this instance of changed records. Each control instance does so
+   * once it has heard of them.
+   */
+  private void pushToReliant(List<EndpointRecord> records) {
+    transport.sendAll(peers(e -> e.wantsLists), rosterUpdate(records));
+  }
+
+  private FleetMessage rosterUpdate(List<EndpointRecord> records) {
+    return new FleetMessage.RosterUpdate(settings.peerAddress(), 0, false, records);
   }
 
-  private List<String> entryPeers() {
-    return entries.values().stream().map(e -> e.info.peerAddress()).toList();
+  private List<String> peers(Predicate<SeenEntry> which) {
+    return entries.values().stream().filter(which).map(e -> e.info.peerAddress()).toList();
   }
 
   private void flush() {
     if (outbox.isEmpty()) {
       return;
     }
-    FleetMessage update =
-        new FleetMessage.RosterUpdate(
-            settings.peerAddress(), 0, false, List.copyOf(outbox.values()));
+    transport.sendAll(otherControls(), rosterUpdate(List.copyOf(outbox.values())));
     outbox.clear();
-    transport.sendAll(otherControls(), update);
   }
 
   private void announceState(RoutingState state) {
@@ -441,7 +462,7 @@
         state.version(),
         "evacuated",
         state.evacuatedDomains());
-    transport.sendAll(entryPeers(), pulse());
+    transport.sendAll(peers(e -> e.wantsLists), pulse());
   }
 
   private void offerState(String peer) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -18,6 +18,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
+import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -41,6 +42,9 @@
   /** How often an entry reports to the control instances. */
   private static final long REPORT_MILLIS = 500;
 
+  /** Of so many reports to the control instances gone by, one goes to the others as well. */
+  private static final int REPORTS_BETWEEN = 3;
+
   /** Without any word of a control instance for this long, the seeds are tried again. */
   private static final Duration CONTROL_SILENCE = Duration.ofSeconds(2);
 
@@ -76,7 +80,7 @@
   private final LoadExchange loads;
   private final PrefixExchange prefixes;
   private final ExtraSendBudget extraSends;
-  private final Map<String, Instant> controlsHeard = new HashMap<>();
+  private final ControlContacts contacts;
   private final Instant startedAt;
   private volatile List<String> seeds;
   private List<String> controls = List.of();
@@ -85,6 +89,7 @@
   private Instant requestedAt = Instant.EPOCH;
   private boolean rosterKnown;
   private boolean reachedControl;
+  private long reports;
   private boolean stopping;
   private boolean toldReady;
 
@@ -104,11 +109,12 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.contacts = new ControlContacts(settings.region());
     this.aggregators = new AggregatorChoice(settings.region());
     this.direct = new DirectNews(settings, transport, () -> this.entries);
     this.aggregated =
         new AggregatedNews(
-            settings, transport, () -> aggregators.current(clock.instant()), clock);
+            settings, transport, aggregators, clock);
     this.loads =
         new LoadExchange(vertx, settings, self, clock, trackers::values, this::newsChannel);
     this.prefixes =
@@ -190,6 +196,11 @@
     return trackers.values();
   }
 
+  /** Returns what the messages to and from other instances cost, for metrics. */
+  public PeerTraffic traffic() {
+    return transport.traffic();
+  }
+
   /** Returns the other regions' loads. */
   public RegionLoads regionLoads() {
     return regionLoads;
@@ -333,8 +344,7 @@
 
   private void report() {
     Instant now = clock.instant();
-    boolean silent =
-        controlsHeard.values().stream().noneMatch(at -> at.plus(CONTROL_SILENCE).isAfter(now));
+    boolean silent = contacts.allSilentFor(CONTROL_SILENCE, now);
     if (silent && reachedControl) {
       reachedControl = false;
       LOG.log(System.Logger.Level.WARNING, "control.lost", "known", controls);
@@ -343,13 +353,26 @@
     if (silent || controls.isEmpty()) {
       targets.addAll(seeds);
     }
-    FleetMessage report =
-        new FleetMessage.EntryReport(
-            self, ready(), routing.revision(), roster.digest(), entriesDigest(entries));
-    targets.forEach(t -> transport.send(t, report));
+    Set<String> relied = largeFleet() && !silent ? contacts.relied(controls, now) : targets;
+    transport.sendAll(relied, entryReport(true));
+    reports++;
+    if (reports % REPORTS_BETWEEN == 0 || stopping) {
+      targets.removeAll(relied);
+      transport.sendAll(targets, entryReport(false));
+    }
     tellRegions();
   }
 
+  private FleetMessage entryReport(boolean wantsLists) {
+    return new FleetMessage.EntryReport(
+        self,
+        ready(),
+        wantsLists,
+        routing.revision(),
+        roster.digest(),
+        entriesDigest(entries));
+  }
+
   private void receive(FleetMessage message) {
     if (message instanceof FleetMessage.ControlPulse pulse) {
       pulse(pulse);
@@ -380,7 +403,7 @@
   }
 
   private void digestHeard(FleetMessage.NewsDigest digest) {
-    aggregators.digest(digest.from(), clock.instant());
+    aggregators.digest(digest.from());
     digest.news().loads().forEach(loads::heard);
     digest.news().prefixes().forEach(prefixes::heard);
     digest.news().regionLoads().forEach(this::regionHeard);
@@ -388,20 +411,22 @@
 
   /** Entries of large fleets tell each other through an aggregator while one is in reach. */
   private NewsChannel newsChannel() {
-    boolean direct =
-        largestRegion() <= DirectNews.MOST_ENTRIES
-            || aggregators.current(clock.instant()).isEmpty();
-    return direct ? this.direct : aggregated;
+    boolean reached = largeFleet() && aggregators.current(clock.instant()).isPresent();
+    return reached ? aggregated : direct;
   }
 
-  /** All entries know about the same ones, so that they agree on the way of their news. */
-  private long largestRegion() {
-    return entries.stream()
+  /**
+   * Returns whether a region has so many entries that each telling each other is too dear. All
+   * entries know about the same ones, so that they agree on it.
+   */
+  private boolean largeFleet() {
+    long largestRegion = entries.stream()
         .collect(Collectors.groupingBy(EntryInfo::region, Collectors.counting()))
         .values()
         .stream()
         .max(Comparator.naturalOrder())
         .orElse(0L);
+    return largestRegion > DirectNews.MOST_ENTRIES;
   }
 
   private void pulse(FleetMessage.ControlPulse pulse) {
@@ -411,10 +436,10 @@
       reachedControl = true;
       LOG.log(System.Logger.Level.INFO, "control.reached", "control", pulse.from());
     }
-    controlsHeard.put(pulse.from(), now);
+    contacts.pulse(pulse, now);
     if (pulse.inMajority() || controls.isEmpty()) {
       controls = pulse.controls();
-      controlsHeard.keySet().retainAll(controls);
+      contacts.retain(controls);
     }
     boolean mayAsk = requestedAt.plus(REQUEST_PAUSE).isBefore(now);
     if (pulse.revision() > routing.revision() && mayAsk) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -8,9 +9,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.lacewingcroft.peer.PeerTraffic;
 
 /** The daemon's Prometheus metrics, exposed as text on {@code /metrics}. */
 public final class GatewayMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
 
   /** Caller requests by outcome: served, not_run, outcome_unknown, forwarded, bad_request. */
@@ -120,6 +124,50 @@
           .help("Seconds from an operator's order to its answer")
           .register(registry);
 
+  /** Exposes what the messages between instances cost, by kind. */
+  public void expose(PeerTraffic traffic) {
+    CounterWithCallback.builder()
+        .name("lwc_peer_messages_total")
+        .help("Messages between instances by kind and direction")
+        .labelNames("kind", "direction")
+        .callback(
+            counter ->
+                traffic
+                    .totals()
+                    .forEach(
+                        (kind, totals) -> {
+                          counter.call(totals.sent(), kind, "sent");
+                          counter.call(totals.received(), kind, "received");
+                        }))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("lwc_peer_bytes_total")
+        .help("Bytes of messages between instances by kind and direction")
+        .labelNames("kind", "direction")
+        .callback(
+            counter ->
+                traffic
+                    .totals()
+                    .forEach(
+                        (kind, totals) -> {
+                          counter.call(totals.sentBytes(), kind, "sent");
+                          counter.call(totals.receivedBytes(), kind, "received");
+                        }))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("lwc_peer_work_seconds_total")
+        .help("Time spent on encoding, decoding and handling messages between instances")
+        .labelNames("kind")
+        .callback(
+            counter ->
+                traffic
+                    .totals()
+                    .forEach(
+                        (kind, totals) ->
+                            counter.call(totals.workNanos() / NANOS_PER_SECOND, kind)))
+        .register(registry);
+  }
+
   /** Returns the text exposition of every metric. */
   public String scrape() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LargeRegionTest.java
@@ -0,0 +1,182 @@
+package org.lacewingcroft.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.vertx.core.Future;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingcroft.peer.PeerTraffic;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.placement.PromptPart;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.RouteKind;
+import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceSpec;
+
+/** Entries of a region with many of them tell each other their news through a control instance. */
+class LargeRegionTest {
+  private static final String SERVICE = "model";
+  private static final int LARGE_REGION = 12;
+  private static final long KV_TOKENS = 100_000;
+  private static final Duration PATIENCE = Duration.ofSeconds(6);
+
+  @TempDir private Path dataDir;
+
+  /** A fleet with entries in the north, one in the south, and one endpoint in the north. */
+  private final class Fleet implements AutoCloseable {
+    private final FleetHarness harness;
+    private final List<FleetHarness.Entry> north = new ArrayList<>();
+    private final FleetHarness.Entry south;
+
+    private Fleet(int northern) throws Exception {
+      ServiceSpec.Engine engine = new ServiceSpec.Engine(8, KV_TOKENS, 1, 1_000, 1_000);
+      ServiceSpec service =
+          new ServiceSpec(SERVICE, 100, Duration.ZERO, 0, Optional.of(engine));
+      RouteTable table =
+          new RouteTable(
+              1,
+              List.of(
+                  FleetHarness.routeTo(
+                      SERVICE, RouteKind.STREAM, false, 1, Duration.ofSeconds(5))),
+              List.of(service),
+              RequestLimits.DEFAULT);
+      harness = new FleetHarness(dataDir, Map.of(1L, table));
+      harness.route(1);
+      for (int i = 0; i < northern; i++) {
+        north.add(harness.startEntry("north-" + i, "north"));
+      }
+      south = harness.startEntry("south-0", "south");
+      harness.keepAnnouncing("e1", SERVICE, "north", 1);
+      for (FleetHarness.Entry entry : all()) {
+        harness.awaitReady(entry);
+        harness.awaitEndpoints(entry, SERVICE, 1);
+        await(entry, e -> e.node().entries().size() == northern + 1);
+      }
+    }
+
+    private List<FleetHarness.Entry> all() {
+      List<FleetHarness.Entry> all = new ArrayList<>(north);
+      all.add(south);
+      return all;
+    }
+
+    private void await(FleetHarness.Entry entry, Predicate<FleetHarness.Entry> condition)
+        throws Exception {
+      Instant end = Instant.now().plus(PATIENCE);
+      while (!harness.onContext(() -> Future.succeededFuture(condition.test(entry)))) {
+        if (Instant.now().isAfter(end)) {
+          throw new AssertionError(entry.node().name() + " did not hear of it");
+        }
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+    }
+
+    private EndpointTracker endpoint(FleetHarness.Entry entry) {
+      return entry.node().endpoints().iterator().next();
+    }
+
+    /** An entry sends a prompt to the endpoint, which has read it at once. */
+    private void serve(FleetHarness.Entry entry, PlacementRequest request) throws Exception {
+      harness.onContext(
+          () -> {
+            EndpointTracker tracker = endpoint(entry);
+            tracker.begin(request, 0, KV_TOKENS, Instant.now());
+            entry.node().begun(tracker, request.promptTokens());
+            entry.node().prefixRead(tracker, request);
+            return Future.succeededFuture();
+          });
+    }
+
+    private long messages(FleetHarness.Entry entry) {
+      return entry.node().traffic().totals().values().stream()
+          .mapToLong(t -> t.sent() + t.received())
+          .sum();
+    }
+
+    private long kind(FleetHarness.Entry entry, String kind) {
+      PeerTraffic.Totals totals = entry.node().traffic().totals().get(kind);
+      return totals == null ? 0 : totals.sent() + totals.received();
+    }
+
+    @Override
+    public void close() throws Exception {
+      harness.close();
+    }
+  }
+
+  private static PlacementRequest prompt(String shared) {
+    return new PlacementRequest(
+        SERVICE,
+        0,
+        6_000,
+        10,
+        List.of(new PromptPart(shared, 5_000), new PromptPart("own", 1_000)),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(10),
+        Set.of());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, LARGE_REGION})
+  void allHearOfWorkAndPrefixes(int entries) throws Exception {
+    try (Fleet fleet = new Fleet(entries)) {
+      PlacementRequest request = prompt("contract");
+      fleet.serve(fleet.north.get(1), request);
+      for (FleetHarness.Entry entry : fleet.all()) {
+        fleet.await(
+            entry, e -> fleet.endpoint(e).fetchableTokens(request) == request.sharedTokens());
+      }
+      for (FleetHarness.Entry entry : fleet.north) {
+        fleet.await(entry, e -> fleet.endpoint(e).allRunning(Instant.now()) == 1);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {LARGE_REGION})
+  void largeRegionDoesNotTellDirectly(int entries) throws Exception {
+    try (Fleet fleet = new Fleet(entries)) {
+      TimeUnit.MILLISECONDS.sleep(700);
+      final long directBefore = fleet.kind(fleet.north.get(0), "LoadReport");
+      final long before = fleet.messages(fleet.north.get(0));
+      for (int i = 0; i < 20; i++) {
+        for (FleetHarness.Entry entry : fleet.north) {
+          fleet.serve(entry, prompt("p" + i));
+        }
+        TimeUnit.MILLISECONDS.sleep(50);
+      }
+      long direct = fleet.kind(fleet.north.get(0), "LoadReport") - directBefore;
+      assertThat(direct, is(0L));
+      long all = fleet.messages(fleet.north.get(0)) - before;
+      // 20 prompts told at once, a digest each 40 ms at most, reports and pulses
+      assertThat(all, lessThan(120L));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {LARGE_REGION})
+  void goOnDirectlyWithoutControl(int entries) throws Exception {
+    try (Fleet fleet = new Fleet(entries)) {
+      fleet.harness.control().close();
+      TimeUnit.MILLISECONDS.sleep(1_500);
+      fleet.serve(fleet.north.get(0), prompt("contract"));
+      for (FleetHarness.Entry entry : fleet.north) {
+        fleet.await(entry, e -> fleet.endpoint(e).allRunning(Instant.now()) == 1);
+      }
+    }
+  }
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/AggregatorChoice.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/AggregatorChoice.java
@@ -23,8 +23,8 @@
   private static final Duration PULSE_VALID = Duration.ofMillis(1_200);
 
   /**
-   * Time without a digest after which the chosen one is given up: digests come every 480 ms at
-   * least, and the first may take a round trip between regions.
+   * Time without a digest since news was told after which the chosen one is given up: digests come
+   * every 480 ms at least, and the first may take a round trip between regions.
    */
   private static final Duration DIGEST_OVERDUE = Duration.ofMillis(800);
 
@@ -34,7 +34,7 @@
   private final String region;
   private final Map<String, Candidate> candidates = new HashMap<>();
   private Optional<String> chosen = Optional.empty();
-  private Instant waitingSince = Instant.EPOCH;
+  private Optional<Instant> unansweredSince = Optional.empty();
 
   private static final class Candidate {
     private String region;
@@ -63,16 +63,20 @@
   }
 
   /** Notes a digest. */
-  public void digest(String address, Instant now) {
+  public void digest(String address) {
     if (chosen.filter(address::equals).isPresent()) {
-      waitingSince = now;
+      unansweredSince = Optional.empty();
     }
   }
 
-  /**
-   * Returns the peer address of the aggregator to tell news to; empty if none is in reach. Calling
-   * this counts as telling it something: it is given up if no digest follows.
-   */
+  /** Notes that news was told to the chosen one, which is given up if no digest follows. */
+  public void told(Instant now) {
+    if (unansweredSince.isEmpty()) {
+      unansweredSince = Optional.of(now);
+    }
+  }
+
+  /** Returns the peer address of the aggregator to tell news to; empty if none is in reach. */
   public Optional<String> current(Instant now) {
     chosen.ifPresent(c -> giveUpIfSilent(c, now));
     Optional<String> best =
@@ -85,13 +89,15 @@
             .map(Map.Entry::getKey);
     if (!best.equals(chosen)) {
       chosen = best;
-      waitingSince = now;
+      unansweredSince = Optional.empty();
     }
     return chosen;
   }
 
   private void giveUpIfSilent(String address, Instant now) {
-    if (!waitingSince.plus(DIGEST_OVERDUE).isAfter(now)) {
+    boolean overdue =
+        unansweredSince.filter(since -> !since.plus(DIGEST_OVERDUE).isAfter(now)).isPresent();
+    if (overdue) {
       candidates.get(address).passedOverUntil = now.plus(PASSED_OVER);
     }
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -34,17 +34,24 @@
 public sealed interface FleetMessage {
 
   /**
-   * An entry's periodic report to every control instance.
+   * An entry's periodic report to a control instance.
    *
    * @param entry the entry
    * @param ready whether it takes callers
+   * @param wantsLists whether the entry goes by this instance's roster and list of entries, and
+   *     wants to be told of changes; an instance that it does not go by hears it less often
    * @param revision the revision of its routing state
    * @param rosterDigest the digest of its roster
    * @param entriesDigest the digest of the entries it knows
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record EntryReport(
-      EntryInfo entry, boolean ready, long revision, int rosterDigest, int entriesDigest)
+      EntryInfo entry,
+      boolean ready,
+      boolean wantsLists,
+      long revision,
+      int rosterDigest,
+      int entriesDigest)
       implements FleetMessage {}
 
   /**
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/AggregatorChoiceTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/AggregatorChoiceTest.java
@@ -66,10 +66,11 @@
           choice.pulse(control.address(), control.region(), now);
         }
         if (step < control.digestsUntil()) {
-          choice.digest(control.address(), now);
+          choice.digest(control.address());
         }
       }
       chosen = choice.current(now);
+      choice.told(now);
     }
     assertThat(chosen, is(expected));
   }
