--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -275,10 +275,7 @@
 
   private List<EntryInfo> readyEntries() {
     Instant now = clock.instant();
-    return entries.values().stream()
-        .filter(e -> e.ready && e.live(now))
-        .map(e -> e.info)
-        .toList();
+    return entries.values().stream().filter(e -> e.ready && e.live(now)).map(e -> e.info).toList();
   }
 
   private List<String> peersOfRegion(String region) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectNews.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectNews.java
@@ -27,8 +27,7 @@
   private final FleetTransport transport;
   private final Supplier<List<EntryInfo>> entries;
 
-  DirectNews(
-      FleetSettings settings, FleetTransport transport, Supplier<List<EntryInfo>> entries) {
+  DirectNews(FleetSettings settings, FleetTransport transport, Supplier<List<EntryInfo>> entries) {
     this.settings = settings;
     this.transport = transport;
     this.entries = entries;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -112,9 +112,7 @@
     this.contacts = new ControlContacts(settings.region());
     this.aggregators = new AggregatorChoice(settings.region());
     this.direct = new DirectNews(settings, transport, () -> this.entries);
-    this.aggregated =
-        new AggregatedNews(
-            settings, transport, aggregators, clock);
+    this.aggregated = new AggregatedNews(settings, transport, aggregators, clock);
     this.loads =
         new LoadExchange(vertx, settings, self, clock, trackers::values, this::newsChannel);
     this.prefixes =
@@ -365,12 +363,7 @@
 
   private FleetMessage entryReport(boolean wantsLists) {
     return new FleetMessage.EntryReport(
-        self,
-        ready(),
-        wantsLists,
-        routing.revision(),
-        roster.digest(),
-        entriesDigest(entries));
+        self, ready(), wantsLists, routing.revision(), roster.digest(), entriesDigest(entries));
   }
 
   private void receive(FleetMessage message) {
@@ -420,12 +413,13 @@
    * entries know about the same ones, so that they agree on it.
    */
   private boolean largeFleet() {
-    long largestRegion = entries.stream()
-        .collect(Collectors.groupingBy(EntryInfo::region, Collectors.counting()))
-        .values()
-        .stream()
-        .max(Comparator.naturalOrder())
-        .orElse(0L);
+    long largestRegion =
+        entries.stream()
+            .collect(Collectors.groupingBy(EntryInfo::region, Collectors.counting()))
+            .values()
+            .stream()
+            .max(Comparator.naturalOrder())
+            .orElse(0L);
     return largestRegion > DirectNews.MOST_ENTRIES;
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -232,8 +232,7 @@
             parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
             long begunNanos = System.nanoTime();
             FrameCodec.Frame frame = codec.decode(buffer.getBytes());
-            traffic.received(
-                frame.message(), buffer.length(), System.nanoTime() - begunNanos);
+            traffic.received(frame.message(), buffer.length(), System.nanoTime() - begunNanos);
             LogContext.clock().receive(frame.stamp());
             if (frame.message() instanceof PeerMessage.Ping) {
               socket.write(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LargeRegionTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LargeRegionTest.java
@@ -44,14 +44,12 @@
 
     private Fleet(int northern) throws Exception {
       ServiceSpec.Engine engine = new ServiceSpec.Engine(8, KV_TOKENS, 1, 1_000, 1_000);
-      ServiceSpec service =
-          new ServiceSpec(SERVICE, 100, Duration.ZERO, 0, Optional.of(engine));
+      ServiceSpec service = new ServiceSpec(SERVICE, 100, Duration.ZERO, 0, Optional.of(engine));
       RouteTable table =
           new RouteTable(
               1,
               List.of(
-                  FleetHarness.routeTo(
-                      SERVICE, RouteKind.STREAM, false, 1, Duration.ofSeconds(5))),
+                  FleetHarness.routeTo(SERVICE, RouteKind.STREAM, false, 1, Duration.ofSeconds(5))),
               List.of(service),
               RequestLimits.DEFAULT);
       harness = new FleetHarness(dataDir, Map.of(1L, table));
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/NewsBufferTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/NewsBufferTest.java
@@ -48,8 +48,7 @@
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("digestTimes")
-  void digestsAreDue(
-      String name, News news, boolean urgent, long notYetMillis, long dueMillis) {
+  void digestsAreDue(String name, News news, boolean urgent, long notYetMillis, long dueMillis) {
     NewsBuffer buffer = new NewsBuffer();
     buffer.take(START);
     buffer.add(news, urgent);
@@ -69,8 +68,7 @@
     buffer.add(load("south"), false);
     News news = buffer.take(START).orElseThrow();
     assertThat(
-        news.loads(),
-        contains(report("b", true, 2), report("a", true, 3), report("a", false, 4)));
+        news.loads(), contains(report("b", true, 2), report("a", true, 3), report("a", false, 4)));
     assertThat(news.regionLoads().size(), is(1));
   }
 
