--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -89,6 +89,7 @@
   private Instant requestedAt = Instant.EPOCH;
   private boolean rosterKnown;
   private boolean reachedControl;
+  private Optional<String> newsThrough = Optional.empty();
   private long reports;
   private boolean stopping;
   private boolean toldReady;
@@ -227,6 +228,7 @@
       Set<String> allowedRegions,
       Set<String> passedOverRegions) {
     Optional<ServiceSpec> spec = routing.table().service(request.service());
+    Optional<ServiceSpec.Engine> engine = spec.flatMap(ServiceSpec::engine);
     List<String> near = regionEntryNames();
     Placer placer = new Placer(coldOwners(spec), ThreadLocalRandom.current());
     List<EndpointTracker> all = endpointsOf(request.service());
@@ -241,8 +243,8 @@
             allowedRegions,
             passedOverRegions,
             settings.region(),
-            prefixHolders(all, allowedRegions),
-            spec.flatMap(ServiceSpec::engine),
+            engine.isPresent() ? prefixHolders(all, allowedRegions) : List.of(),
+            engine,
             settings.mechanismsOff()),
         clock.instant());
   }
@@ -404,8 +406,17 @@
 
   /** Entries of large fleets tell each other through an aggregator while one is in reach. */
   private NewsChannel newsChannel() {
-    boolean reached = largeFleet() && aggregators.current(clock.instant()).isPresent();
-    return reached ? aggregated : direct;
+    Optional<String> aggregator =
+        largeFleet() ? aggregators.current(clock.instant()) : Optional.empty();
+    if (!aggregator.equals(newsThrough)) {
+      newsThrough = aggregator;
+      LOG.log(
+          System.Logger.Level.INFO,
+          "news.channel_changed",
+          "aggregator",
+          aggregator.orElse("none, entries tell each other"));
+    }
+    return aggregator.isPresent() ? aggregated : direct;
   }
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -124,6 +124,9 @@
     }
   }
 
+  /** An endpoint and how many leading tokens of the prompt others may fetch from it. */
+  private record Holder(EndpointTracker endpoint, long tokens) {}
+
   private record Scored(
       EndpointTracker endpoint,
       double readMillis,
@@ -257,8 +260,9 @@
     List<EndpointTracker> candidates = sound.isEmpty() ? usable : sound;
     Optional<EndpointTracker> first =
         Rendezvous.owner(candidates, e -> e.record().id(), request.sharedKey());
+    List<Holder> holders = holders(request, around);
     return candidates.stream()
-        .map(e -> scored(e, e == first.orElse(null), request, around, now))
+        .map(e -> scored(e, e == first.orElse(null), holders, request, around, now))
         .min(
             Comparator.comparingDouble(Scored::score)
                 .thenComparing(s -> s.endpoint().record().id()));
@@ -267,12 +271,13 @@
   private static Scored scored(
       EndpointTracker e,
       boolean firstInRank,
+      List<Holder> holders,
       PlacementRequest request,
       Surroundings around,
       Instant now) {
     long uncached = e.uncachedTokens(request);
     long sharedUncached = Math.max(0, uncached - (request.promptTokens() - request.sharedTokens()));
-    Optional<Placement.PrefixFetch> fetch = fetch(e, sharedUncached, request, around);
+    Optional<Placement.PrefixFetch> fetch = fetch(e, sharedUncached, holders, request, around);
     long fetched = fetch.map(Placement.PrefixFetch::tokens).orElse(0L);
     long readAgain = firstInRank && fetch.isEmpty() ? 0 : sharedUncached - fetched;
     double readMillis = e.readMillis(request, uncached - fetched);
@@ -290,17 +295,32 @@
     return new Scored(e, readMillis, millis, score, fetch);
   }
 
+  /** The endpoints that hold a beginning of the prompt worth a fetch, asked once a request. */
+  private static List<Holder> holders(PlacementRequest request, Surroundings around) {
+    if (request.sharedTokens() < LEAST_FETCH_TOKENS || !fetches(around)) {
+      return List.of();
+    }
+    return around.prefixHolders().stream()
+        .filter(source -> !request.passedOver().contains(source.record().id()))
+        .map(source -> new Holder(source, source.fetchableTokens(request)))
+        .filter(holder -> holder.tokens() >= LEAST_FETCH_TOKENS)
+        .toList();
+  }
+
   /** The endpoint with the longest beginning of the prompt beyond what the target holds itself. */
   private static Optional<Placement.PrefixFetch> fetch(
-      EndpointTracker target, long sharedUncached, PlacementRequest request, Surroundings around) {
-    if (sharedUncached < LEAST_FETCH_TOKENS || !fetches(around)) {
+      EndpointTracker target,
+      long sharedUncached,
+      List<Holder> holders,
+      PlacementRequest request,
+      Surroundings around) {
+    if (sharedUncached < LEAST_FETCH_TOKENS) {
       return Optional.empty();
     }
     long held = request.sharedTokens() - sharedUncached;
-    return around.prefixHolders().stream()
-        .filter(source -> source != target)
-        .filter(source -> !request.passedOver().contains(source.record().id()))
-        .map(source -> new Placement.PrefixFetch(source, source.fetchableTokens(request) - held))
+    return holders.stream()
+        .filter(holder -> holder.endpoint() != target)
+        .map(holder -> new Placement.PrefixFetch(holder.endpoint(), holder.tokens() - held))
         .filter(fetch -> fetch.tokens() >= LEAST_FETCH_TOKENS)
         .filter(fetch -> worthFetching(fetch.tokens(), target, request, around))
         .max(
