--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -48,6 +48,13 @@
   /** The same for one that goes by other control instances and so reports less often. */
   private static final Duration DISTANT_ENTRY_VALID = Duration.ofSeconds(5);
 
+  /**
+   * Time since an entry was first heard, at the start or after a cut, in which its neighbours are
+   * heard as well. A list made before names few of them, and each entry that gets such a list takes
+   * itself for one of the few that may send to a cold endpoint.
+   */
+  private static final Duration ENTRIES_HEARD = Duration.ofMillis(1_600);
+
   /** A control instance that has not greeted for this long is not named to others. */
   private static final Duration CONTROL_VALID = Duration.ofSeconds(10);
 
@@ -84,6 +91,7 @@
     private EntryInfo info;
     private boolean ready;
     private boolean wantsLists;
+    private Instant heardSince;
     private Instant at;
     private Instant wholeSentAt = Instant.EPOCH;
 
@@ -91,6 +99,16 @@
       Duration valid = wantsLists ? ENTRY_VALID : DISTANT_ENTRY_VALID;
       return at.plus(valid).isAfter(now);
     }
+
+    private void heard(FleetMessage.EntryReport report, Instant now) {
+      if (at == null || !live(now)) {
+        heardSince = now;
+      }
+      info = report.entry();
+      ready = report.ready();
+      wantsLists = report.wantsLists();
+      at = now;
+    }
   }
 
   /**
@@ -321,10 +339,7 @@
           report.ready());
     }
     Instant now = clock.instant();
-    seen.info = report.entry();
-    seen.ready = report.ready();
-    seen.at = now;
-    seen.wantsLists = report.wantsLists();
+    seen.heard(report, now);
     String peer = report.entry().peerAddress();
     transport.send(peer, pulse());
     if (report.wantsLists()) {
@@ -349,7 +364,8 @@
     }
     List<EntryInfo> ready = readyEntries();
     boolean knowsNone = report.entriesDigest() == EntryNode.entriesDigest(List.of());
-    if ((settled || knowsNone) && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
+    boolean heardAll = settled && seen.heardSince.plus(ENTRIES_HEARD).isBefore(now);
+    if ((heardAll || knowsNone) && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
       transport.send(peer, new FleetMessage.EntryList(settings.peerAddress(), ready));
     }
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -115,14 +115,21 @@
     this.direct = new DirectNews(settings, transport, () -> this.entries);
     this.aggregated = new AggregatedNews(settings, transport, aggregators, clock);
     this.loads =
-        new LoadExchange(vertx, settings, self, clock, trackers::values, this::newsChannel);
+        new LoadExchange(
+            vertx,
+            settings,
+            self,
+            clock,
+            trackers::values,
+            this::tracker,
+            this::newsChannel);
     this.prefixes =
         new PrefixExchange(
             settings,
             listing,
             clock,
             trackers::values,
-            id -> Optional.ofNullable(trackers.get(id)),
+            this::tracker,
             this::newsChannel,
             service -> this.routing.table().engine(service));
     FleetBounds bounds = settings.bounds();
@@ -265,6 +272,10 @@
         .toList();
   }
 
+  private Optional<EndpointTracker> tracker(String endpointId) {
+    return Optional.ofNullable(trackers.get(endpointId));
+  }
+
   private List<EndpointTracker> endpointsOf(String service) {
     Set<String> evacuated = routing.evacuatedDomains();
     return trackers.values().stream()
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -6,10 +6,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lacewingcroft.placement.EndpointTracker;
 
@@ -35,7 +38,12 @@
   private final EntryInfo self;
   private final InstantSource clock;
   private final Supplier<Collection<EndpointTracker>> trackers;
+  private final Function<String, Optional<EndpointTracker>> trackerOf;
   private final Supplier<NewsChannel> channel;
+
+  /** The endpoints at which each other entry has said that it has work. */
+  private final Map<String, Set<String>> namedBy = new HashMap<>();
+
   private boolean toldWork;
 
   LoadExchange(
@@ -44,12 +52,14 @@
       EntryInfo self,
       InstantSource clock,
       Supplier<Collection<EndpointTracker>> trackers,
+      Function<String, Optional<EndpointTracker>> trackerOf,
       Supplier<NewsChannel> channel) {
     this.vertx = vertx;
     this.settings = settings;
     this.self = self;
     this.clock = clock;
     this.trackers = trackers;
+    this.trackerOf = trackerOf;
     this.channel = channel;
   }
 
@@ -92,18 +102,26 @@
       return;
     }
     Instant now = clock.instant();
-    Map<String, FleetMessage.EndpointLoad> byId = new HashMap<>();
-    report.loads().forEach(l -> byId.put(l.endpoint(), l));
-    for (EndpointTracker tracker : trackers.get()) {
-      FleetMessage.EndpointLoad load = byId.get(tracker.record().id());
-      if (load != null) {
-        tracker.peerWork(report.from(), load.running(), load.unread(), now);
-      } else if (report.whole()) {
-        tracker.peerWork(report.from(), 0, List.of(), now);
+    Set<String> named = namedBy.computeIfAbsent(report.from(), from -> new HashSet<>());
+    Set<String> notNamedAgain = report.whole() ? Set.copyOf(named) : Set.of();
+    for (FleetMessage.EndpointLoad load : report.loads()) {
+      named.add(load.endpoint());
+      peerWork(report.from(), load, now);
+    }
+    for (String endpoint : notNamedAgain) {
+      if (report.loads().stream().noneMatch(l -> l.endpoint().equals(endpoint))) {
+        named.remove(endpoint);
+        peerWork(report.from(), new FleetMessage.EndpointLoad(endpoint, 0, List.of()), now);
       }
     }
   }
 
+  private void peerWork(String from, FleetMessage.EndpointLoad load, Instant now) {
+    trackerOf
+        .apply(load.endpoint())
+        .ifPresent(t -> t.peerWork(from, load.running(), load.unread(), now));
+  }
+
   /**
    * Tells the other regions how loaded this one is, if this entry is to speak for it.
    *
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/misc/Rendezvous.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/misc/Rendezvous.java
@@ -52,9 +52,21 @@
 
   /** Returns the winning member for the key, or empty if there are no members. */
   public static <T> Optional<T> owner(List<T> members, Function<T, String> id, String key) {
-    List<T> ranked = rank(members, id, key);
-    return ranked.isEmpty() ? Optional.empty() : Optional.of(ranked.get(0));
+    int seed = keySeed(key);
+    Optional<Weighted<T>> best = Optional.empty();
+    for (T member : members) {
+      String memberId = id.apply(member);
+      Weighted<T> candidate = new Weighted<>(member, memberId, weight(memberId, seed));
+      if (best.isEmpty() || candidate.before(best.get())) {
+        best = Optional.of(candidate);
+      }
+    }
+    return best.map(Weighted::member);
   }
 
-  private record Weighted<T>(T member, String id, long weight) {}
+  private record Weighted<T>(T member, String id, long weight) {
+    private boolean before(Weighted<T> other) {
+      return weight != other.weight ? weight > other.weight : id.compareTo(other.id) < 0;
+    }
+  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -228,7 +228,11 @@
   /** Takes another entry's report of its work there. */
   public void peerWork(
       String entry, int peerRunning, List<FleetMessage.UnreadPrompt> prompts, Instant now) {
-    peers.put(entry, new PeerWork(peerRunning, now));
+    if (peerRunning == 0) {
+      peers.remove(entry);
+    } else {
+      peers.put(entry, new PeerWork(peerRunning, now));
+    }
     reading.heard(
         entry,
         prompts.stream()
@@ -310,6 +314,9 @@
   }
 
   private double failureScore(Instant now) {
+    if (failureScore == 0) {
+      return 0;
+    }
     double millis = Duration.between(failureAt, now).toMillis();
     return failureScore * Math.pow(0.5, Math.min(100, millis / FAILURE_HALF_LIFE_MILLIS));
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
@@ -67,7 +67,11 @@
 
   /** Takes another entry's report in place of its last one. */
   void heard(String entry, List<Unread> prompts, Instant now) {
-    peers.put(entry, new PeerPrompts(List.copyOf(prompts), now));
+    if (prompts.isEmpty()) {
+      peers.remove(entry);
+    } else {
+      peers.put(entry, new PeerPrompts(List.copyOf(prompts), now));
+    }
   }
 
   /**
