--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -7,7 +7,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,7 +16,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.stream.Collectors;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
@@ -85,6 +83,7 @@
   private volatile List<String> seeds;
   private List<String> controls = List.of();
   private List<EntryInfo> entries = List.of();
+  private boolean largeFleet;
   private volatile RoutingView routing = RoutingView.NONE;
   private Instant requestedAt = Instant.EPOCH;
   private boolean rosterKnown;
@@ -116,13 +115,7 @@
     this.aggregated = new AggregatedNews(settings, transport, aggregators, clock);
     this.loads =
         new LoadExchange(
-            vertx,
-            settings,
-            self,
-            clock,
-            trackers::values,
-            this::tracker,
-            this::newsChannel);
+            vertx, settings, self, clock, trackers::values, this::tracker, this::newsChannel);
     this.prefixes =
         new PrefixExchange(
             settings,
@@ -364,12 +357,13 @@
     if (silent || controls.isEmpty()) {
       targets.addAll(seeds);
     }
-    Set<String> relied = largeFleet() && !silent ? contacts.relied(controls, now) : targets;
+    Set<String> relied = largeFleet && !silent ? contacts.relied(controls, now) : targets;
     transport.sendAll(relied, entryReport(true));
     reports++;
     if (reports % REPORTS_BETWEEN == 0 || stopping) {
-      targets.removeAll(relied);
-      transport.sendAll(targets, entryReport(false));
+      Set<String> others = new TreeSet<>(targets);
+      others.removeAll(relied);
+      transport.sendAll(others, entryReport(false));
     }
     tellRegions();
   }
@@ -418,7 +412,7 @@
   /** Entries of large fleets tell each other through an aggregator while one is in reach. */
   private NewsChannel newsChannel() {
     Optional<String> aggregator =
-        largeFleet() ? aggregators.current(clock.instant()) : Optional.empty();
+        largeFleet ? aggregators.current(clock.instant()) : Optional.empty();
     if (!aggregator.equals(newsThrough)) {
       newsThrough = aggregator;
       LOG.log(
@@ -434,15 +428,10 @@
    * Returns whether a region has so many entries that each telling each other is too dear. All
    * entries know about the same ones, so that they agree on it.
    */
-  private boolean largeFleet() {
-    long largestRegion =
-        entries.stream()
-            .collect(Collectors.groupingBy(EntryInfo::region, Collectors.counting()))
-            .values()
-            .stream()
-            .max(Comparator.naturalOrder())
-            .orElse(0L);
-    return largestRegion > DirectNews.MOST_ENTRIES;
+  private static boolean isLarge(List<EntryInfo> entries) {
+    Map<String, Integer> sizes = new HashMap<>();
+    entries.forEach(e -> sizes.merge(e.region(), 1, Integer::sum));
+    return sizes.values().stream().anyMatch(size -> size > DirectNews.MOST_ENTRIES);
   }
 
   private void pulse(FleetMessage.ControlPulse pulse) {
@@ -560,6 +549,7 @@
   private void entriesChanged(FleetMessage.EntryList list) {
     if (entriesDigest(list.entries()) != entriesDigest(entries)) {
       entries = List.copyOf(list.entries());
+      largeFleet = isLarge(entries);
       LOG.log(
           System.Logger.Level.INFO,
           "entries.changed",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetTransport.java
@@ -85,17 +85,17 @@
     sendOnContext(peerAddress, new PeerMessage.Fleet(message));
   }
 
+  /** Sends a message of the control group. */
+  void send(String peerAddress, ConsensusMessage message) {
+    sendOnContext(peerAddress, new PeerMessage.Consensus(settings.peerAddress(), message));
+  }
+
   /** Sends a message to several peers, encoded once; may be called from any thread. */
   void sendAll(Collection<String> peerAddresses, FleetMessage message) {
     List<String> receivers = List.copyOf(peerAddresses);
     context.runOnContext(v -> transport.sendAll(receivers, new PeerMessage.Fleet(message)));
   }
 
-  /** Sends a message of the control group. */
-  void send(String peerAddress, ConsensusMessage message) {
-    sendOnContext(peerAddress, new PeerMessage.Consensus(settings.peerAddress(), message));
-  }
-
   private void sendOnContext(String peerAddress, PeerMessage message) {
     context.runOnContext(v -> transport.send(peerAddress, message));
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.ToLongFunction;
 import org.lacewingcroft.peer.PeerTraffic;
 
 /** The daemon's Prometheus metrics, exposed as text on {@code /metrics}. */
@@ -126,23 +127,39 @@
 
   /** Exposes what the messages between instances cost, by kind. */
   public void expose(PeerTraffic traffic) {
+    exposeByDirection(
+        "lwc_peer_messages_total",
+        "Messages between instances by kind and direction",
+        traffic,
+        PeerTraffic.Totals::sent,
+        PeerTraffic.Totals::received);
+    exposeByDirection(
+        "lwc_peer_bytes_total",
+        "Bytes of messages between instances by kind and direction",
+        traffic,
+        PeerTraffic.Totals::sentBytes,
+        PeerTraffic.Totals::receivedBytes);
     CounterWithCallback.builder()
-        .name("lwc_peer_messages_total")
-        .help("Messages between instances by kind and direction")
-        .labelNames("kind", "direction")
+        .name("lwc_peer_work_seconds_total")
+        .help("Time spent on encoding, decoding and handling messages between instances")
+        .labelNames("kind")
         .callback(
             counter ->
                 traffic
                     .totals()
-                    .forEach(
-                        (kind, totals) -> {
-                          counter.call(totals.sent(), kind, "sent");
-                          counter.call(totals.received(), kind, "received");
-                        }))
+                    .forEach((kind, t) -> counter.call(t.workNanos() / NANOS_PER_SECOND, kind)))
         .register(registry);
+  }
+
+  private void exposeByDirection(
+      String name,
+      String help,
+      PeerTraffic traffic,
+      ToLongFunction<PeerTraffic.Totals> sent,
+      ToLongFunction<PeerTraffic.Totals> received) {
     CounterWithCallback.builder()
-        .name("lwc_peer_bytes_total")
-        .help("Bytes of messages between instances by kind and direction")
+        .name(name)
+        .help(help)
         .labelNames("kind", "direction")
         .callback(
             counter ->
@@ -150,22 +167,10 @@
                     .totals()
                     .forEach(
                         (kind, totals) -> {
-                          counter.call(totals.sentBytes(), kind, "sent");
-                          counter.call(totals.receivedBytes(), kind, "received");
+                          counter.call(sent.applyAsLong(totals), kind, "sent");
+                          counter.call(received.applyAsLong(totals), kind, "received");
                         }))
         .register(registry);
-    CounterWithCallback.builder()
-        .name("lwc_peer_work_seconds_total")
-        .help("Time spent on encoding, decoding and handling messages between instances")
-        .labelNames("kind")
-        .callback(
-            counter ->
-                traffic
-                    .totals()
-                    .forEach(
-                        (kind, totals) ->
-                            counter.call(totals.workNanos() / NANOS_PER_SECOND, kind)))
-        .register(registry);
   }
 
   /** Returns the text exposition of every metric. */
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -53,7 +53,7 @@
       new FleetBounds(
           Duration.ofSeconds(8), Duration.ofSeconds(5), 1, 100, Duration.ofSeconds(10), 1.5, 3);
   private static final Duration HEARTBEAT = Duration.ofMillis(300);
-  private static final byte[] SECRET = "a secret of the test fleet".getBytes();
+  static final byte[] SECRET = "a secret of the test fleet".getBytes();
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final Context context = vertx.getOrCreateContext();
@@ -240,6 +240,11 @@
     throw new AssertionError("the endpoints of " + service + " did not reach the entry");
   }
 
+  /** Returns the control instance's address on the peer transport. */
+  String controlAddress() {
+    return controlSettings.peerAddress();
+  }
+
   ControlNode control() {
     return control;
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/NewsBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/NewsBuffer.java
@@ -53,7 +53,7 @@
     if (takenAt.plus(pause()).isAfter(now)) {
       return Optional.empty();
     }
-    News news = new News(List.copyOf(loads), List.copyOf(prefixes), List.copyOf(regionLoads));
+    final News news = new News(List.copyOf(loads), List.copyOf(prefixes), List.copyOf(regionLoads));
     loads.clear();
     prefixes.clear();
     regionLoads.clear();
