The report tells what messages between instances cost, by kind

Cause: which kind of message fills an instance's processor or link was in the log line by line only. Change: `lacewingcroft report` sums the accounts of all instances, restarts included (TrafficReport, TrafficReportTest). Conclusion: command line only.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ReportCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ReportCommand.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import org.lacewingcroft.logs.LogFiles;
+import org.lacewingcroft.logs.LogLine;
 import org.lacewingcroft.logs.ReportPlot;
 import org.lacewingcroft.logs.RequestOutcomes;
 import org.lacewingcroft.logs.ServiceReport;
+import org.lacewingcroft.logs.TrafficReport;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -18,7 +20,9 @@
 /** Tells from the entries' logs what callers got, what they lost, and why. */
 @Command(
     name = "report",
-    description = "Tables of requests served and lost by route, entry, cause, target and second.")
+    description =
+        "Tables of requests served and lost by route, entry, cause, target and second,"
+            + " and of messages between instances by kind.")
 final class ReportCommand implements Callable<Integer> {
   @Spec CommandSpec spec;
 
@@ -35,9 +39,10 @@
 
   @Override
   public Integer call() throws IOException {
-    ServiceReport report =
-        new ServiceReport(RequestOutcomes.of(LogFiles.merge(files)), weightByRoute);
+    List<LogLine> lines = LogFiles.merge(files);
+    ServiceReport report = new ServiceReport(RequestOutcomes.of(lines), weightByRoute);
     spec.commandLine().getOut().print(report.text());
+    spec.commandLine().getOut().print(new TrafficReport(lines).text());
     spec.commandLine().getOut().flush();
     if (plot != null) {
       ReportPlot.write(report, plot);
--- /dev/null
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/TrafficReport.java
@@ -0,0 +1,115 @@
+package org.lacewingcroft.logs;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What the messages between instances cost, by kind, from the accounts that each instance logs from
+ * time to time. An account counts from the instance's start, so of each start the last one stands.
+ */
+public final class TrafficReport {
+  private static final String TRAFFIC = "peer.traffic";
+  private static final int MICROS_PER_MILLI = 1_000;
+
+  private final Map<String, Totals> byKind = new TreeMap<>();
+  private final Map<Instance, Totals> lastOf = new HashMap<>();
+
+  private record Instance(String node, String kind) {}
+
+  /**
+   * Totals of one kind of message.
+   *
+   * @param sent messages sent
+   * @param sentBytes their bytes
+   * @param received messages received
+   * @param receivedBytes their bytes
+   * @param workMicros time spent on them
+   */
+  public record Totals(
+      long sent, long sentBytes, long received, long receivedBytes, long workMicros) {
+    private static final Totals NONE = new Totals(0, 0, 0, 0, 0);
+
+    private static Totals of(LogLine line) {
+      return new Totals(
+          line.number("sent", 0),
+          line.number("sentBytes", 0),
+          line.number("received", 0),
+          line.number("receivedBytes", 0),
+          line.number("workMicros", 0));
+    }
+
+    private Totals plus(Totals other) {
+      return new Totals(
+          sent + other.sent,
+          sentBytes + other.sentBytes,
+          received + other.received,
+          receivedBytes + other.receivedBytes,
+          workMicros + other.workMicros);
+    }
+
+    private Totals minus(Totals other) {
+      return new Totals(
+          sent - other.sent,
+          sentBytes - other.sentBytes,
+          received - other.received,
+          receivedBytes - other.receivedBytes,
+          workMicros - other.workMicros);
+    }
+
+    /** Returns whether this account cannot continue an earlier one: the instance was restarted. */
+    private boolean startsAnew(Totals earlier) {
+      return sent < earlier.sent || received < earlier.received;
+    }
+  }
+
+  /**
+   * Reads the accounts.
+   *
+   * @param lines of all instances, in causal order
+   */
+  public TrafficReport(List<LogLine> lines) {
+    lines.stream().filter(line -> line.event().equals(TRAFFIC)).forEach(this::read);
+  }
+
+  private void read(LogLine line) {
+    Instance instance = new Instance(line.node(), line.text("kind"));
+    Totals account = Totals.of(line);
+    Totals earlier = lastOf.getOrDefault(instance, Totals.NONE);
+    Totals added = account.startsAnew(earlier) ? account : account.minus(earlier);
+    byKind.merge(instance.kind(), added, Totals::plus);
+    lastOf.put(instance, account);
+  }
+
+  /** Returns the totals of all instances by kind of message. */
+  public Map<String, Totals> byKind() {
+    return Map.copyOf(byKind);
+  }
+
+  /** Returns the report as text, empty if no instance logged an account. */
+  public String text() {
+    if (byKind.isEmpty()) {
+      return "";
+    }
+    StringBuilder text = new StringBuilder("messages between instances by kind\n");
+    text.append(
+        String.format(
+            "%-30s %10s %12s %10s %12s %10s%n",
+            "", "sent", "sent B", "received", "received B", "work ms"));
+    byKind.forEach(
+        (kind, t) ->
+            text.append(
+                String.format(
+                    Locale.ROOT,
+                    "%-30s %10d %12d %10d %12d %10d%n",
+                    kind,
+                    t.sent(),
+                    t.sentBytes(),
+                    t.received(),
+                    t.receivedBytes(),
+                    t.workMicros() / MICROS_PER_MILLI)));
+    return text.append('\n').toString();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/TrafficReportTest.java
@@ -0,0 +1,70 @@
+package org.lacewingcroft.logs;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class TrafficReportTest {
+  /** An instance's account of the digests that it received, 100 bytes and 2 ms each. */
+  private record Account(String node, long received) {}
+
+  static Stream<Arguments> logs() {
+    return Stream.of(
+        Arguments.of("none", List.of(), Map.of()),
+        Arguments.of("the last of one start", accounts("a 3 a 5"), digests(5)),
+        Arguments.of("several instances", accounts("a 3 b 4 a 5"), digests(9)),
+        Arguments.of("a restart", accounts("a 5 a 2 a 4"), digests(9)));
+  }
+
+  private static List<Account> accounts(String text) {
+    String[] words = text.split(" ");
+    List<Account> accounts = new ArrayList<>();
+    for (int i = 0; i < words.length; i += 2) {
+      accounts.add(new Account(words[i], Long.parseLong(words[i + 1])));
+    }
+    return accounts;
+  }
+
+  private static Map<String, TrafficReport.Totals> digests(long received) {
+    return Map.of(
+        "NewsDigest", new TrafficReport.Totals(0, 0, received, 100 * received, 2_000 * received));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("logs")
+  void sumsTheLastAccountOfEachStart(
+      String name, List<Account> accounts, Map<String, TrafficReport.Totals> expected) {
+    List<LogLine> lines = new ArrayList<>();
+    for (Account account : accounts) {
+      String text =
+          SampleLog.line(
+              lines.size(),
+              account.node(),
+              "peer.traffic",
+              "kind",
+              "NewsDigest",
+              "sent",
+              0,
+              "sentBytes",
+              0,
+              "received",
+              account.received(),
+              "receivedBytes",
+              100 * account.received(),
+              "workMicros",
+              2_000 * account.received());
+      lines.add(LogFiles.parse(text).orElseThrow());
+    }
+    TrafficReport report = new TrafficReport(lines);
+    assertThat(report.byKind(), is(expected));
+    assertThat(report.text(), containsString(expected.isEmpty() ? "" : "NewsDigest"));
+  }
+}
