Log lines tell requests by their content; report of what endpoints broke off under

Callers saw: engines ended one after the other, and no line told whether the requests that were under way there had anything in common: an id is new each time. Cause of the blind spot: a request was logged by its id only; how long it had run, how many others ran there and whether the endpoint was cold were not logged when it failed. Change: RequestFingerprint names what a request asks for (method, host, target, body). request.placed and request.try_failed carry it, with the sender, the time since the send, the requests running and whether the endpoint was cold; `report` lists the contents under which endpoints broke off. Conclusion: no change of behaviour; a content that recurs will stand at the top of that list.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ReportCommand.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/ReportCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import org.lacewingcroft.logs.BreakReport;
 import org.lacewingcroft.logs.LogFiles;
 import org.lacewingcroft.logs.LogLine;
 import org.lacewingcroft.logs.ReportPlot;
@@ -22,6 +23,7 @@
     name = "report",
     description =
         "Tables of requests served and lost by route, entry, cause, target and second,"
+            + " of what was under way at endpoints that broke off,"
             + " and of messages between instances by kind.")
 final class ReportCommand implements Callable<Integer> {
   @Spec CommandSpec spec;
@@ -42,6 +44,7 @@
     List<LogLine> lines = LogFiles.merge(files);
     ServiceReport report = new ServiceReport(RequestOutcomes.of(lines), weightByRoute);
     spec.commandLine().getOut().print(report.text());
+    spec.commandLine().getOut().print(new BreakReport(lines).text());
     spec.commandLine().getOut().print(new TrafficReport(lines).text());
     spec.commandLine().getOut().flush();
     if (plot != null) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -504,7 +504,7 @@
 
   private void tryFailed(UpstreamAttempt attempt, String what, String detail) {
     context.metrics().triesFailed.labelValues(what).inc();
-    log.tryFailed(attempt.target().name(), what, detail, lastEventId);
+    log.tryFailed(attempt.target(), what, detail, lastEventId, context.now());
   }
 
   private void due() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
@@ -14,11 +14,14 @@
 import java.util.Set;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.PromptPart;
+import org.lacewingcroft.request.RequestFingerprint;
 
 /**
  * A caller's request, read in full.
  *
  * @param id its id
+ * @param fingerprint names what it asks for, the same whenever it is sent again
+ * @param sender the address that it came from: its caller's or, if relayed, an entry's
  * @param method its method
  * @param uri path and query, unchanged
  * @param headers the headers to pass on
@@ -34,6 +37,8 @@
  */
 record ForwardRequest(
     String id,
+    RequestFingerprint fingerprint,
+    String sender,
     HttpMethod method,
     String uri,
     List<Map.Entry<String, String>> headers,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -1,9 +1,13 @@
 package org.lacewingcroft.forward;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.Placement;
 
 /**
@@ -45,6 +49,10 @@
   void placed(Placement.Here here, long readTokens, int attempt, long revision) {
     write(
         "request.placed",
+        "fingerprint",
+        request.fingerprint(),
+        "sender",
+        request.sender(),
         "service",
         request.handling().service(),
         "target",
@@ -69,6 +77,10 @@
   void relayed(EntryInfo entry, Placement.Elsewhere elsewhere, int attempt, long revision) {
     write(
         "request.placed",
+        "fingerprint",
+        request.fingerprint(),
+        "sender",
+        request.sender(),
         "service",
         request.handling().service(),
         "target",
@@ -106,18 +118,36 @@
         revision);
   }
 
-  /** A target did not answer it in full. */
-  void tryFailed(String target, String what, String detail, OptionalLong lastEvent) {
+  /**
+   * A target did not answer it in full.
+   *
+   * @param target the target
+   * @param what in a word
+   * @param detail what was observed
+   * @param lastEvent the last event passed on, of a stream
+   * @param now the time, by which the target's state is told
+   */
+  void tryFailed(
+      UpstreamTarget target, String what, String detail, OptionalLong lastEvent, Instant now) {
+    Optional<EndpointTracker> endpoint = target.endpoint();
     write(
         "request.try_failed",
+        "fingerprint",
+        request.fingerprint(),
         "target",
-        target,
+        target.name(),
         "what",
         what,
         "detail",
         detail,
         "lastEvent",
-        orNone(lastEvent));
+        orNone(lastEvent),
+        "sentMillisAgo",
+        target.ticket().map(t -> Duration.between(t.sentAt(), now).toMillis()).orElse(-1L),
+        "running",
+        endpoint.map(e -> e.allRunning(now)).orElse(-1),
+        "cold",
+        endpoint.map(e -> e.cold(now)).orElse(false));
   }
 
   /** It has its final answer, or its caller has left. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -2,15 +2,18 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.placement.PromptPart;
+import org.lacewingcroft.request.RequestFingerprint;
 
 /** Turns a received HTTP request into a {@link ForwardRequest}. */
 final class RequestReader {
@@ -38,6 +41,8 @@
     List<Long> lastEvent = numbers(headers.get(names.lastEventId()));
     return new ForwardRequest(
         headers.get(names.requestId()),
+        fingerprint(request, body),
+        request.remoteAddress().hostAddress(),
         request.method(),
         request.uri(),
         ForwardRequest.endToEnd(headers, dropped),
@@ -52,6 +57,11 @@
         parts(headers.get(names.promptParts())));
   }
 
+  private static RequestFingerprint fingerprint(HttpServerRequest request, Buffer body) {
+    String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
+    return RequestFingerprint.of(request.method().name(), host, request.uri(), body.getBytes());
+  }
+
   /** Reads comma-separated whole numbers; what is not one ends the list. */
   private static List<Long> numbers(String text) {
     List<Long> numbers = new ArrayList<>();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -106,6 +106,11 @@
       this.sentAt = prompt.sentAt();
     }
 
+    /** Returns when the request was sent. */
+    public Instant sentAt() {
+      return sentAt;
+    }
+
     /** Returns how many tokens of its prompt the endpoint had to read when it was sent. */
     public long unreadTokens() {
       return prompt.tokens();
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/RequestFingerprint.java
@@ -0,0 +1,50 @@
+package org.lacewingcroft.request;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Locale;
+
+/**
+ * Names what a request asks for, whoever sends it and under which request id: the first 64 bits of
+ * SHA-256 over its method, host, target and body. Two requests with the same fingerprint are the
+ * same work for an endpoint.
+ *
+ * @param value the hash
+ */
+public record RequestFingerprint(long value) {
+  private static final String ALGORITHM = "SHA-256";
+
+  /** Ends each field of the head; none of them can contain it. */
+  private static final char END = '\n';
+
+  /**
+   * Returns the fingerprint of a request.
+   *
+   * @param method its method
+   * @param host the host that it is for, in any case
+   * @param target its path and query
+   * @param body its body
+   */
+  public static RequestFingerprint of(String method, String host, String target, byte[] body) {
+    String head = method + END + host.toLowerCase(Locale.ROOT) + END + target + END;
+    MessageDigest digest = newDigest();
+    digest.update(head.getBytes(StandardCharsets.UTF_8));
+    return new RequestFingerprint(ByteBuffer.wrap(digest.digest(body)).getLong());
+  }
+
+  private static MessageDigest newDigest() {
+    try {
+      return MessageDigest.getInstance(ALGORITHM);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+    }
+  }
+
+  /** Returns its 16 hexadecimal digits. */
+  @Override
+  public String toString() {
+    return String.format(Locale.ROOT, "%016x", value);
+  }
+}
