RelayTest: the endpoint of a row goes on announcing itself

What was seen: once in one run the first row was answered 503 instead of 200. Cause, from that run's log: the endpoint was announced once, at 53.02 s; its lease of 1.2 s was over at 54.24 s ("endpoint.changed" LOST, "lease over"), and the request was placed at 54.75 s, because the north had heard of the south's entry only 1.9 s after the start. Ruled out: a fault of the relay; the south refused truthfully, it knew no endpoint any more. Change: the endpoint announces itself each heartbeat, as a live one does. What the row checks is unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
@@ -137,7 +137,7 @@
   @MethodSource("rows")
   void keepsItsPromisesOverOneHop(Row row) throws Exception {
     try (ScriptedEndpoints endpoints = new ScriptedEndpoints(fleet.vertx(), 1, row.script())) {
-      fleet.announce(row.name() + 1, row.name(), "south", endpoints.ports().get(0), 1);
+      fleet.keepAnnouncing(row.name() + 1, row.name(), "south", endpoints.ports().get(0));
       awaitOfferedBySouth(row.name());
       if (row.status() == 0) {
         leavesAndIsCancelled(row, endpoints);
