The product's own interface runs lethal content again and again: failing test

Looked for the same cause elsewhere: the daemon's own interface knows a request no longer than one exchange either, and tries up to four endpoints for an idempotent one. Nobody has reported it. The test: two entries, ten endpoints that break off under one content, eleven calls of it, and another content of the same model. Bound: three endpoints, and three more sends.

--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CrashingContentTest.java
@@ -0,0 +1,103 @@
+package org.lacewingcroft.daemon;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.lacewingcroft.daemon.FakeEndpoint.Behaviour;
+
+/**
+ * The product's own interface has the fault that ended engines on the users' platform: the same
+ * content comes again and again, and each endpoint that is given it breaks off. An entry tries up
+ * to four endpoints for one idempotent request, so a single one reached more of them here than
+ * there.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class CrashingContentTest {
+  private static final String REGION = "uusimaa";
+  private static final String LETHAL = "lethal";
+  private static final int ENDPOINTS = 10;
+  private static final int CALLS = 12;
+
+  /** Endpoints that may end, and sends that may reach one after that. */
+  private static final int TOLERATED_RUNS = 3 + 3;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final List<Daemon> entries = new ArrayList<>();
+  private TestCluster cluster;
+
+  /** How the caller marks its requests. */
+  private enum Sent {
+    IDEMPOTENT,
+    KEYED
+  }
+
+  @BeforeAll
+  void start(@TempDir Path dir) throws Exception {
+    cluster = new TestCluster(dir.resolve("data"), "organisations: [{name: desk}]");
+    entries.add(cluster.startEntry("entry-1", REGION, Duration.ZERO));
+    entries.add(cluster.startEntry("entry-2", REGION, Duration.ZERO));
+  }
+
+  @AfterAll
+  void stop() throws Exception {
+    cluster.close();
+    vertx.close();
+  }
+
+  @ParameterizedTest
+  @EnumSource(Sent.class)
+  void contentThatEndsEndpointsIsNotRunAgainAndAgain(Sent sent) throws Exception {
+    String model = "model-" + sent;
+    List<FakeEndpoint> endpoints = new ArrayList<>();
+    for (int i = 0; i < ENDPOINTS; i++) {
+      FakeEndpoint endpoint = new FakeEndpoint(vertx, Behaviour.DIES_OF_LETHAL_CONTENT);
+      endpoints.add(endpoint);
+      cluster.announce(entries.get(0), model + "-" + i, REGION, model, endpoint.port(), false);
+    }
+    TestCluster.await(() -> chat(entries.get(1), model, "innocent", sent, 0).status() == 200);
+    TestCluster.Reply last = chat(entries.get(0), model, LETHAL, sent, 1);
+    for (int call = 2; call < CALLS; call++) {
+      last = chat(entries.get(call % entries.size()), model, LETHAL, sent, call);
+    }
+    int lethalRuns = endpoints.stream().mapToInt(FakeEndpoint::lethalRuns).sum();
+    assertThat(lethalRuns, greaterThanOrEqualTo(3));
+    assertThat(lethalRuns, lessThanOrEqualTo(TOLERATED_RUNS));
+    assertThat(last.code(), is("content_quarantined"));
+    assertThat(last.header("Retry-After").isPresent(), is(true));
+    for (Daemon entry : entries) {
+      TestCluster.await(() -> chat(entry, model, "innocent", sent, CALLS).status() == 200);
+    }
+    endpoints.forEach(FakeEndpoint::close);
+  }
+
+  private TestCluster.Reply chat(Daemon entry, String model, String text, Sent sent, int call)
+      throws Exception {
+    Map<String, String> headers = new HashMap<>(Map.of("X-Organisation", "desk"));
+    if (sent == Sent.KEYED) {
+      headers.put("Idempotency-Key", model + text + call + System.nanoTime());
+      headers.put("X-Idempotent", "false");
+    }
+    String body =
+        "{\"model\":\""
+            + model
+            + "\",\"messages\":[{\"role\":\"user\",\"content\":\""
+            + text
+            + "\"}]}";
+    return cluster.send(entry, "POST", "/v1/chat/completions", headers, body);
+  }
+}
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -20,6 +20,8 @@
     STREAMS,
     /** Reads the request and closes the connection. */
     DIES_AT_ONCE,
+    /** Closes the connection if the body speaks of lethal, else answers. */
+    DIES_OF_LETHAL_CONTENT,
     /** Sends an event of a stream and closes the connection. */
     DIES_IN_STREAM,
     /** Announces 100 bytes, sends 10 and closes the connection. */
@@ -35,6 +37,7 @@
   private final Behaviour behaviour;
   private final HttpServer server;
   private final AtomicInteger runs = new AtomicInteger();
+  private final AtomicInteger lethalRuns = new AtomicInteger();
   private final Set<String> keysRun = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> released = new CompletableFuture<>();
 
@@ -43,7 +46,8 @@
     this.server =
         vertx
             .createHttpServer()
-            .requestHandler(request -> request.body().onSuccess(body -> handle(request)))
+            .requestHandler(
+                request -> request.body().onSuccess(body -> handle(request, body.toString())))
             .listen(0, "127.0.0.1")
             .toCompletionStage()
             .toCompletableFuture()
@@ -58,6 +62,11 @@
     return runs.get();
   }
 
+  /** Returns how many requests with lethal content reached it. */
+  int lethalRuns() {
+    return lethalRuns.get();
+  }
+
   /** Returns the idempotency keys of the requests that reached it. */
   Set<String> keysRun() {
     return keysRun;
@@ -67,14 +76,25 @@
     released.complete(null);
   }
 
-  private void handle(HttpServerRequest request) {
+  private void handle(HttpServerRequest request, String body) {
     runs.incrementAndGet();
+    boolean lethal = body.contains("lethal");
+    if (lethal) {
+      lethalRuns.incrementAndGet();
+    }
     keysRun.add(String.valueOf(request.getHeader("Idempotency-Key")));
     HttpServerResponse response = request.response();
     String id = request.getHeader("X-Request-Id");
     response.exceptionHandler(e -> {});
     switch (behaviour) {
       case DIES_AT_ONCE -> request.connection().close();
+      case DIES_OF_LETHAL_CONTENT -> {
+        if (lethal) {
+          request.connection().close();
+        } else {
+          response.end("answer to " + id);
+        }
+      }
       case DIES_IN_STREAM ->
           stream(response).write("data: one\n\n").onComplete(sent -> request.connection().close());
       case DIES_IN_BODY ->
