A fleet that restarts as a whole runs lethal content again: failing test

Looked for further ways to lose what the fleet knows: entries and control instances give it back to each other, but if all of them end at once nobody is left. After a loss of power the content that was quarantined ends three more endpoints, just when everything comes back. Nobody has reported it. The test: quarantine, stop both entries, restart the control instance on its disk, start one entry.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -62,7 +62,7 @@
   private ControlNode control;
 
   /** One entry of the fleet. */
-  record Entry(EntryNode node, int publicPort, int relayPort) {}
+  record Entry(EntryNode node, EntryServer server, int publicPort, int relayPort) {}
 
   FleetHarness(Path dataDir, Map<Long, RouteTable> tables) throws Exception {
     this.tables = tables;
@@ -170,7 +170,16 @@
                         server.listen(
                             SocketAddress.inetSocketAddress(publicPort, "127.0.0.1"),
                             SocketAddress.inetSocketAddress(settings.relayPort(), "127.0.0.1"))));
-    return new Entry(node, publicPort, settings.relayPort());
+    return new Entry(node, server, publicPort, settings.relayPort());
+  }
+
+  /** Ends an entry with all that it knows. */
+  void stopEntry(Entry entry) throws Exception {
+    onContext(
+        () -> {
+          entry.node().close();
+          return entry.server().close();
+        });
   }
 
   /** A route at the path of its name to a service of its name, without homes. */
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
@@ -36,6 +36,10 @@
   private static final int LARGE_REGION = 12;
   private static final int ENDPOINTS = 4;
   private static final int ENDS_TO_QUARANTINE = 3;
+
+  /** Time for a control instance to write what it knows to its disk. */
+  private static final long WRITTEN_MILLIS = 1_000;
+
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
   private static final Duration PATIENCE = Duration.ofSeconds(15);
   private static final HttpClient CLIENT = HttpClient.newHttpClient();
@@ -110,6 +114,23 @@
     assertThat(fleet.control().quarantinedContents(), is(1));
   }
 
+  @Test
+  void fleetThatRestartsAsWholeRemembersIt() throws Exception {
+    quarantine();
+    for (FleetHarness.Entry entry : entries) {
+      awaitQuarantined(entry);
+      fleet.stopEntry(entry);
+    }
+    entries.clear();
+    TimeUnit.MILLISECONDS.sleep(WRITTEN_MILLIS);
+    fleet.restartControl();
+    startEntries(1);
+    int runs = endpoints.lethalRuns();
+    assertThat(send(last(entries), FragileEndpoints.LETHAL).statusCode(), is(503));
+    assertThat(endpoints.lethalRuns(), is(runs));
+    awaitServed("innocent");
+  }
+
   @Test
   void evidenceWaitsForTheControlInstance() throws Exception {
     fleet.stopControl();
