Control instances keep recurring contents on disk

Callers saw: nothing reported. After a loss of power everywhere a quarantined content ended three more endpoints. Cause: the evidence was kept in memory only, which is lost if all instances end at once. Change: a control instance writes the contents under which several endpoints broke off to a file of its data folder, off the event loop, when they change, and reads it at its start. A disk that fails costs a log line and nothing else. Why it holds: the file is replaced whole and synced; ages go by the time of day, so that nothing is kept longer for having been down; a torn or unreadable file counts as none. Weighed: the replicated log (needs a majority to protect anybody, and each content would make every entry fetch the document anew).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -16,7 +16,10 @@
  * of the payload and the payload. A whole file is replaced by writing a temporary one, syncing it,
  * renaming it and syncing the folder, so a crash leaves the old or the new content.
  */
-final class DurableFile {
+public final class DurableFile {
+  /** Syncs as the file system does. */
+  static final Sync TO_DISK = channel -> channel.force(true);
+
   private static final int HEADER_BYTES = 8;
 
   /** Forces what was written to disk; replaced by tests that crash in between. */
@@ -31,7 +34,7 @@
    * @param payloads the valid records, in order
    * @param validBytes the length up to the first record that is torn or corrupt
    */
-  record Contents(List<byte[]> payloads, long validBytes) {}
+  public record Contents(List<byte[]> payloads, long validBytes) {}
 
   private DurableFile() {}
 
@@ -45,7 +48,7 @@
   }
 
   /** Reads the valid records of a file from its start; an absent file has none. */
-  static Contents read(Path file) throws IOException {
+  public static Contents read(Path file) throws IOException {
     List<byte[]> payloads = new ArrayList<>();
     if (!Files.exists(file)) {
       return new Contents(payloads, 0);
@@ -70,6 +73,10 @@
   }
 
   /** Replaces a file by one with these records, durably. */
+  public static void replace(Path file, List<byte[]> payloads) throws IOException {
+    replace(file, payloads, TO_DISK);
+  }
+
   static void replace(Path file, List<byte[]> payloads, Sync sync) throws IOException {
     Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
     try (FileChannel channel =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -70,7 +70,7 @@
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog open(Path dataDir, boolean bootstrap) throws IOException {
-    return open(dataDir, bootstrap, c -> c.force(true));
+    return open(dataDir, bootstrap, DurableFile.TO_DISK);
   }
 
   static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -140,11 +140,13 @@
             transport, clock, settings.peerAddress(), this::peersOfRegion, this::otherControls);
     this.suspicions =
         new SuspicionExchange(
+            vertx,
             settings.peerAddress(),
             transport,
             clock,
             this::otherControls,
-            () -> peers(e -> e.wantsLists));
+            () -> peers(e -> e.wantsLists),
+            new SuspicionStore(settings.dataDir().orElseThrow(), InstantSource.system()));
     boolean founder = settings.firstStart() && seeds.contains(settings.peerAddress());
     this.control = openControl(founder ? Set.copyOf(seeds) : Set.of());
     this.orders =
@@ -417,7 +419,7 @@
     Set<String> targets = new TreeSet<>(knownControls());
     targets.addAll(seeds);
     targets.remove(settings.peerAddress());
-    suspicions.expire();
+    suspicions.maintain();
     FleetMessage hello =
         new FleetMessage.ControlHello(
             settings.peerAddress(), suspicions.recurringDigest(), knownControls());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.fleet;
 
+import io.vertx.core.Vertx;
+import java.io.IOException;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -17,30 +19,73 @@
  * <p>Owned by the event loop.
  */
 final class SuspicionExchange {
+  private static final System.Logger LOG = System.getLogger(SuspicionExchange.class.getName());
+
   private final String self;
   private final FleetTransport transport;
   private final InstantSource clock;
   private final Supplier<List<String>> otherControls;
   private final Supplier<List<String>> entries;
+  private final Vertx vertx;
+  private final SuspicionStore store;
   private final SuspicionLedger ledger = new SuspicionLedger();
+  private int savedDigest;
+  private boolean saving;
 
   /**
-   * Creates it knowing nothing.
+   * Creates it knowing what its disk has kept.
    *
    * @param otherControls the other control instances
    * @param entries the entries that go by this one
    */
   SuspicionExchange(
+      Vertx vertx,
       String self,
       FleetTransport transport,
       InstantSource clock,
       Supplier<List<String>> otherControls,
-      Supplier<List<String>> entries) {
+      Supplier<List<String>> entries,
+      SuspicionStore store) {
+    this.vertx = vertx;
+    this.store = store;
     this.self = self;
     this.transport = transport;
     this.clock = clock;
     this.otherControls = otherControls;
     this.entries = entries;
+    load();
+  }
+
+  /** What the disk has kept is a help, and no reason not to start. */
+  private void load() {
+    Instant now = clock.instant();
+    try {
+      store
+          .load()
+          .forEach(s -> ledger.add(s, now).ifPresent(k -> QuarantineLog.learned(k, "disk")));
+    } catch (IOException e) {
+      LOG.log(System.Logger.Level.WARNING, "quarantine.not_loaded", e);
+    }
+    savedDigest = ledger.recurringDigest();
+  }
+
+  /** Writes the recurring contents if they have changed; the disk may take its time. */
+  private void save() {
+    int digest = ledger.recurringDigest();
+    if (saving || digest == savedDigest) {
+      return;
+    }
+    saving = true;
+    List<Suspicion> recurring = ledger.atLeast(SuspicionLedger.RECURRING, clock.instant());
+    vertx
+        .<Void>executeBlocking(
+            () -> {
+              store.save(recurring);
+              return null;
+            })
+        .onSuccess(v -> savedDigest = digest)
+        .onFailure(e -> LOG.log(System.Logger.Level.WARNING, "quarantine.not_saved", e))
+        .onComplete(v -> saving = false);
   }
 
   /** Takes what an entry or another control instance tells. */
@@ -51,6 +96,7 @@
       ledger.add(suspicion, now).ifPresent(learned::add);
     }
     learned.forEach(known -> QuarantineLog.learned(known, update.from()));
+    save();
     tell(entries.get(), learned.stream().filter(SuspicionExchange::isQuarantined).toList());
     // What another control instance tells, it tells all of them.
     if (update.callId() != 0) {
@@ -85,9 +131,10 @@
     }
   }
 
-  /** Forgets what is too old. */
-  void expire() {
+  /** Forgets what is too old, and keeps the rest on disk. */
+  void maintain() {
     ledger.expire(clock.instant());
+    save();
   }
 
   int quarantineDigest() {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
@@ -114,6 +114,7 @@
     assertThat(fleet.control().quarantinedContents(), is(1));
   }
 
+  /** Entries and control instances tell each other; here nobody is left who could. */
   @Test
   void fleetThatRestartsAsWholeRemembersIt() throws Exception {
     quarantine();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/Suspicion.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/Suspicion.java
@@ -17,4 +17,9 @@
     endpoints = Set.copyOf(endpoints);
     age = age.isNegative() ? Duration.ZERO : age;
   }
+
+  /** Returns the same suspicion some time later. */
+  public Suspicion agedBy(Duration time) {
+    return new Suspicion(content, endpoints, age.plus(time));
+  }
 }
