TrackedEndpoints: what an entry knows of endpoints, out of EntryNode

Cause: EntryNode held what an entry knows of endpoints and of instances in one class, and its handling of rosters could not be tested without a fleet. Change: records, trackers and the merge of rosters are a class of the kernel, which tells EntryNode what changes. Moved as they were. Measured: the tests of forwarding, relays, lists and the quarantine pass. Conclusion: no change of behaviour.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import org.lacewingcroft.peer.PeerTraffic;
@@ -23,6 +22,7 @@
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.Placer;
 import org.lacewingcroft.placement.RegionLoads;
+import org.lacewingcroft.placement.TrackedEndpoints;
 import org.lacewingcroft.route.InvalidRouteTableException;
 import org.lacewingcroft.route.RouteDocumentParser;
 import org.lacewingcroft.route.ServiceSpec;
@@ -46,9 +46,6 @@
   /** Without any word of a control instance for this long, the seeds are tried again. */
   private static final Duration CONTROL_SILENCE = Duration.ofSeconds(2);
 
-  /** A record younger than this may be missing in another control instance's whole roster. */
-  private static final Duration ROSTER_SPREAD = Duration.ofSeconds(3);
-
   /** Pause before the routing state is asked for again. */
   private static final Duration REQUEST_PAUSE = Duration.ofMillis(400);
 
@@ -67,9 +64,7 @@
   private final Vertx vertx;
   private final FleetTransport transport;
   private final RouteDocumentParser parser;
-  private final EndpointRoster roster = new EndpointRoster();
-  private final Map<String, EndpointTracker> trackers = new TreeMap<>();
-  private final Map<String, Instant> knownSince = new HashMap<>();
+  private final TrackedEndpoints endpoints = new TrackedEndpoints(new EndpointChanges());
   private final RegionLoads regionLoads = new RegionLoads();
   private final UnreachableEntries unreachable = new UnreachableEntries();
   private final AggregatorChoice aggregators;
@@ -94,6 +89,19 @@
   private boolean stopping;
   private boolean toldReady;
 
+  /** What is done about changes of endpoints. */
+  private final class EndpointChanges implements TrackedEndpoints.Listener {
+    @Override
+    public void changed(EndpointRecord record, String cause) {
+      RosterLog.changed(record, cause);
+    }
+
+    @Override
+    public void ended(EndpointTracker endpoint) {
+      quarantine.ended(endpoint.record(), endpoint.lastByteAt());
+    }
+  }
+
   /** Creates the entry; {@link #start} begins to report. */
   public EntryNode(
       Context context,
@@ -116,14 +124,20 @@
     this.aggregated = new AggregatedNews(settings, transport, aggregators, clock);
     this.loads =
         new LoadExchange(
-            vertx, settings, self, clock, trackers::values, this::tracker, this::newsChannel);
+            vertx,
+            settings,
+            self,
+            clock,
+            endpoints::trackers,
+            endpoints::tracker,
+            this::newsChannel);
     this.prefixes =
         new PrefixExchange(
             settings,
             listing,
             clock,
-            trackers::values,
-            this::tracker,
+            endpoints::trackers,
+            endpoints::tracker,
             this::newsChannel,
             service -> this.routing.table().engine(service));
     this.quarantine =
@@ -157,7 +171,7 @@
 
   /** Returns whether callers may be sent here. */
   public boolean ready() {
-    return !stopping && routing.revision() > 0 && (rosterKnown || !trackers.isEmpty());
+    return !stopping && routing.revision() > 0 && (rosterKnown || !endpoints.trackers().isEmpty());
   }
 
   /**
@@ -195,7 +209,7 @@
 
   /** Returns the endpoints tracked, for metrics. */
   public Collection<EndpointTracker> endpoints() {
-    return trackers.values();
+    return endpoints.trackers();
   }
 
   /** Returns what the messages to and from other instances cost, for metrics. */
@@ -273,13 +287,9 @@
         .toList();
   }
 
-  private Optional<EndpointTracker> tracker(String endpointId) {
-    return Optional.ofNullable(trackers.get(endpointId));
-  }
-
   private List<EndpointTracker> endpointsOf(String service) {
     Set<String> evacuated = routing.evacuatedDomains();
-    return trackers.values().stream()
+    return endpoints.trackers().stream()
         .filter(t -> t.record().service().equals(service))
         .filter(t -> !evacuated.contains(t.record().failureDomain()))
         .toList();
@@ -395,7 +405,7 @@
         ready(),
         wantsLists,
         routing.revision(),
-        roster.digest(),
+        endpoints.digest(),
         entriesDigest(entries),
         quarantine.digest());
   }
@@ -523,7 +533,7 @@
     Set<String> back = new HashSet<>(evacuatedBefore);
     back.removeAll(routing.evacuatedDomains());
     Instant now = clock.instant();
-    for (EndpointTracker tracker : trackers.values()) {
+    for (EndpointTracker tracker : endpoints.trackers()) {
       if (back.contains(tracker.record().failureDomain())) {
         Duration warmup =
             routing
@@ -539,53 +549,8 @@
   }
 
   private void rosterUpdated(FleetMessage.RosterUpdate update) {
-    Instant now = clock.instant();
-    Set<String> named = new HashSet<>();
-    for (EndpointRecord record : update.records()) {
-      named.add(record.id());
-      take(record, update.from(), now);
-    }
-    if (update.whole()) {
-      for (EndpointRecord record : roster.records(now)) {
-        boolean old =
-            knownSince.getOrDefault(record.id(), Instant.EPOCH).plus(ROSTER_SPREAD).isBefore(now);
-        if (!named.contains(record.id()) && old && record.state() != EndpointState.GONE) {
-          take(record.inState(EndpointState.LOST), update.from(), now);
-        }
-      }
-      rosterKnown = true;
-    }
-    roster.renewAll(now);
-  }
-
-  /**
-   * Takes a record. A later incarnation gets a tracker of its own: it holds no prompts and nothing
-   * in flight of the one before, whose requests end on the old tracker.
-   */
-  private void take(EndpointRecord record, String from, Instant now) {
-    final Optional<EndpointRecord> changed = roster.merge(record, now);
-    EndpointRecord known = roster.find(record.id()).orElse(record);
-    EndpointTracker tracker = trackers.get(record.id());
-    if (tracker != null) {
-      noteEnd(tracker, known, changed.isPresent());
-    }
-    if (tracker == null || known.startedAfter(tracker.record())) {
-      trackers.put(record.id(), new EndpointTracker(known, now));
-      knownSince.put(record.id(), now);
-    } else if (known.equals(record)) {
-      tracker.update(record, now);
-    }
-    if (known.state() == EndpointState.GONE && trackers.get(record.id()).running() == 0) {
-      trackers.remove(record.id());
-    }
-    changed.ifPresent(c -> RosterLog.changed(c, from));
-  }
-
-  private void noteEnd(EndpointTracker tracker, EndpointRecord known, boolean changed) {
-    boolean lost = changed && known.state() == EndpointState.LOST;
-    if (lost || known.startedAfter(tracker.record())) {
-      quarantine.ended(tracker.record(), tracker.lastByteAt());
-    }
+    endpoints.update(update, clock.instant());
+    rosterKnown |= update.whole();
   }
 
   private void entriesChanged(FleetMessage.EntryList list) {
