Entries never forget endpoints: failing test

Callers saw: nothing yet; an entry's memory grows with each endpoint that is replaced. A control instance forgets an endpoint 90 s after its loss, so from then on the digests differ for good, and it sends each entry the whole roster every 0.9 s.

--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
@@ -0,0 +1,119 @@
+package org.lacewingcroft.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.fleet.EndpointRecord;
+import org.lacewingcroft.fleet.EndpointRoster;
+import org.lacewingcroft.fleet.EndpointState;
+import org.lacewingcroft.fleet.FleetMessage;
+
+/** What an entry knows of endpoints, from what a control instance tells it. */
+class TrackedEndpointsTest {
+  private static final Instant START = Instant.ofEpochSecond(1_000_000);
+  private static final Duration LEASE = Duration.ofSeconds(4);
+
+  private final List<String> changes = new ArrayList<>();
+  private final List<String> ended = new ArrayList<>();
+  private final TrackedEndpoints endpoints =
+      new TrackedEndpoints(
+          new TrackedEndpoints.Listener() {
+            @Override
+            public void changed(EndpointRecord record, String cause) {
+              changes.add(record.id() + " " + record.state());
+            }
+
+            @Override
+            public void ended(EndpointTracker endpoint) {
+              ended.add(endpoint.record().id() + "@" + endpoint.record().startedAtMillis());
+            }
+          });
+
+  private static EndpointRecord record(String id, long start, EndpointState state, long sequence) {
+    return new EndpointRecord(id, start, "model", id + ":80", "north-a", 8, state, sequence, 0);
+  }
+
+  private void tell(boolean whole, Instant now, EndpointRecord... records) {
+    endpoints.update(new FleetMessage.RosterUpdate("control", 0, whole, List.of(records)), now);
+  }
+
+  static Stream<Arguments> ends() {
+    return Stream.of(
+        Arguments.of(record("e", 1, EndpointState.LOST, 1), List.of("e@1")),
+        Arguments.of(record("e", 2, EndpointState.READY, 1), List.of("e@1")),
+        Arguments.of(record("e", 1, EndpointState.DRAINING, 2), List.of()),
+        Arguments.of(record("e", 1, EndpointState.GONE, 2), List.of()),
+        Arguments.of(record("e", 0, EndpointState.LOST, 9), List.of()),
+        Arguments.of(record("f", 1, EndpointState.LOST, 1), List.of()));
+  }
+
+  @ParameterizedTest
+  @MethodSource("ends")
+  void tellsOfEndpointsThatEnded(EndpointRecord next, List<String> expected) {
+    tell(false, START, record("e", 1, EndpointState.READY, 1));
+    tell(false, START, next, next);
+    assertThat(ended, is(expected));
+  }
+
+  @Test
+  void endpointMissingInWholeRosterIsLost() {
+    tell(false, START, record("e", 1, EndpointState.READY, 1));
+    tell(true, START.plusSeconds(1));
+    assertThat("too young", ended, hasSize(0));
+    tell(true, START.plusSeconds(4));
+    assertThat(ended, is(List.of("e@1")));
+    assertThat(changes, is(List.of("e READY", "e LOST")));
+  }
+
+  /**
+   * Endpoints come and go for ten minutes, each under a new id, and a control instance tells the
+   * entry of changes at once and of the whole roster whenever their digests differ, as it does.
+   */
+  @ParameterizedTest
+  @MethodSource("departures")
+  void forgetsEndpointsThatTheControlInstanceHasForgotten(EndpointState last) {
+    EndpointRoster control = new EndpointRoster();
+    int wholeRostersInTheEnd = 0;
+    for (int second = 0; second < 800; second++) {
+      Instant now = START.plusSeconds(second);
+      if (second < 600) {
+        pass(control, record("e" + second, 1, EndpointState.READY, 1), now);
+      }
+      if (last == EndpointState.GONE && second >= 10 && second < 610) {
+        pass(control, record("e" + (second - 10), 1, EndpointState.GONE, 2), now);
+      }
+      tell(false, now, control.expire(now, LEASE).toArray(EndpointRecord[]::new));
+      if (control.digest() != endpoints.digest()) {
+        wholeRostersInTheEnd += second < 760 ? 0 : 1;
+        tell(true, now, control.records(now).toArray(EndpointRecord[]::new));
+      }
+      if (second == 599) {
+        assertThat(endpoints.size(), lessThanOrEqualTo(2 * control.size()));
+        assertThat(endpoints.trackers().size(), lessThanOrEqualTo(2 * control.size()));
+      }
+    }
+    assertThat("whole rosters told once all is quiet", wholeRostersInTheEnd, is(0));
+    assertThat("records kept", endpoints.size(), is(control.size()));
+    assertThat("trackers kept", endpoints.trackers(), hasSize(0));
+  }
+
+  private void pass(EndpointRoster control, EndpointRecord record, Instant now) {
+    control.announced(record, now);
+    tell(false, now, record);
+  }
+
+  static Stream<EndpointState> departures() {
+    return Stream.of(EndpointState.LOST, EndpointState.GONE);
+  }
+}
