Entries forget endpoints that the control instances have forgotten

Callers saw: nothing yet. An entry kept a record and a tracker of each endpoint that ever was, and 90 s after the first loss of one every control instance sent it the whole roster every 0.9 s, for good. Cause: an endpoint that a whole roster does not name was marked as lost, never forgotten, and one that had left was kept as well; the digest counts lost ones. Change: a lost endpoint that a whole roster does not name is forgotten, one that left after 90 s. Why it holds: a late word of a forgotten endpoint makes it known again, and the next whole roster decides; requests under way keep their tracker. Measured: TrackedEndpointsTest: as many records as the control instance, no tracker and no whole roster once all is quiet (600 records before).

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRoster.java
@@ -156,6 +156,23 @@
     return lost;
   }
 
+  /** Forgets an endpoint. */
+  public void forget(String id) {
+    byId.remove(id);
+  }
+
+  /** Forgets the endpoints that left so long ago that no word of them is late any more. */
+  public List<String> forgetGone(Instant now) {
+    List<String> gone =
+        byId.values().stream()
+            .filter(k -> k.record.state() == EndpointState.GONE)
+            .filter(k -> k.heardAt.plus(TOMBSTONE).isBefore(now))
+            .map(k -> k.record.id())
+            .toList();
+    gone.forEach(this::forget);
+    return gone;
+  }
+
   /** Counts every endpoint as heard of now: after a break their silence proves nothing. */
   public void renewAll(Instant now) {
     byId.values().forEach(k -> k.heardAt = now);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
@@ -63,7 +63,7 @@
         }
       }
     }
-    roster.renewAll(now);
+    roster.forgetGone(now).forEach(this::forget);
   }
 
   private boolean isOld(EndpointRecord record, Instant now) {
@@ -71,13 +71,24 @@
     return since.plus(ROSTER_SPREAD).isBefore(now);
   }
 
-  /** A whole roster does not name an endpoint. */
+  /**
+   * A whole roster does not name an endpoint. One that was lost before is forgotten: as long as it
+   * is kept the digests differ, and the whole roster is told again and again.
+   */
   private void missing(EndpointRecord record, String from, Instant now) {
-    if (record.state() != EndpointState.GONE) {
-      take(record.inState(EndpointState.LOST), from, now);
+    switch (record.state()) {
+      case READY, DRAINING -> take(record.inState(EndpointState.LOST), from, now);
+      case LOST -> forget(record.id());
+      default -> {}
     }
   }
 
+  private void forget(String endpointId) {
+    roster.forget(endpointId);
+    trackers.remove(endpointId);
+    knownSince.remove(endpointId);
+  }
+
   /**
    * Takes a record. A later incarnation gets a tracker of its own: it holds no prompts and nothing
    * in flight of the one before, whose requests end on the old tracker.
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
@@ -78,7 +78,9 @@
 
   /**
    * Endpoints come and go for ten minutes, each under a new id, and a control instance tells the
-   * entry of changes at once and of the whole roster whenever their digests differ, as it does.
+   * entry of changes at once and of the whole roster whenever their digests differ, as it does. The
+   * control instance forgets an endpoint 90 s after its loss; an entry kept it, 600 records instead
+   * of 91, so that the digests differed for good and the whole roster was told again and again.
    */
   @ParameterizedTest
   @MethodSource("departures")
