--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/cli/Main.java
@@ -15,6 +15,7 @@
       ApplyCommand.class,
       GetCommand.class,
       EndpointsCommand.class,
+      QuarantineCommand.class,
       TimelineCommand.class,
       ReportCommand.class,
       DemoCommand.class,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -143,6 +143,7 @@
     } else {
       startGateway(router);
       directoryApi.mountEndpoints(router);
+      new QuarantineApi(gateway).mount(router);
     }
     if (settings.faultInjection()) {
       new FaultApi(membership, this::injectFaults).mount(router);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -231,7 +231,7 @@
   }
 
   private Future<Boolean> take(EndpointRecord record) {
-    Optional<EndpointRecord> changed = roster.announced(record, clock.instant());
+    Optional<EndpointRecord> changed = heard(record, clock.instant());
     changed.ifPresent(c -> RosterLog.changed(c, "announcement"));
     if (record.state() == EndpointState.READY) {
       outbox.put(record.id(), record);
@@ -241,6 +241,16 @@
     return confirmLeaving(record, changed.isPresent());
   }
 
+  private Optional<EndpointRecord> heard(EndpointRecord record, Instant now) {
+    Optional<EndpointRecord> before = roster.find(record.id());
+    Optional<EndpointRecord> changed = roster.announced(record, now);
+    boolean wasLost = before.filter(b -> b.state() == EndpointState.LOST).isPresent();
+    if (wasLost && record.state() == EndpointState.READY && !record.startedAfter(before.get())) {
+      changed.ifPresent(suspicions::returned);
+    }
+    return changed;
+  }
+
   /**
    * Takes an endpoint's word that it leaves now.
    *
@@ -453,7 +463,7 @@
     Instant now = clock.instant();
     List<EndpointRecord> changed = new ArrayList<>();
     for (EndpointRecord record : update.records()) {
-      roster.announced(record, now).ifPresent(changed::add);
+      heard(record, now).ifPresent(changed::add);
     }
     if (!changed.isEmpty()) {
       changed.forEach(c -> RosterLog.changed(c, update.from()));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -100,6 +100,11 @@
     public void ended(EndpointTracker endpoint) {
       quarantine.ended(endpoint.record(), endpoint.lastByteAt());
     }
+
+    @Override
+    public void returned(EndpointRecord record) {
+      quarantine.returned(record);
+    }
   }
 
   /** Creates the entry; {@link #start} begins to report. */
@@ -141,7 +146,14 @@
             this::newsChannel,
             service -> this.routing.table().engine(service));
     this.quarantine =
-        new RequestQuarantine(vertx, settings.peerAddress(), transport, clock, this::nearControls);
+        new RequestQuarantine(
+            vertx,
+            self.name(),
+            settings.peerAddress(),
+            transport,
+            clock,
+            this::nearControls,
+            this::entryNames);
     FleetBounds bounds = settings.bounds();
     this.extraSends =
         new ExtraSendBudget(
@@ -295,6 +307,10 @@
         .toList();
   }
 
+  private List<String> entryNames() {
+    return entries.stream().map(EntryInfo::name).toList();
+  }
+
   private List<String> regionEntryNames() {
     Set<String> names = new TreeSet<>();
     names.add(self.name());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/QuarantineLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/QuarantineLog.java
@@ -1,33 +1,51 @@
 package org.lacewingcroft.fleet;
 
 import org.lacewingcroft.quarantine.Suspicion;
-import org.lacewingcroft.quarantine.SuspicionLedger;
 
-/** The log line that every instance writes when it comes to quarantine a content. */
+/** The log lines that every instance writes about contents that are quarantined. */
 public final class QuarantineLog {
   private static final System.Logger LOG = System.getLogger(QuarantineLog.class.getName());
 
   private QuarantineLog() {}
 
   /**
-   * Writes the line if the content is quarantined by what was learned.
+   * Writes a line if the content is quarantined or cleared by what was learned.
    *
    * @param suspicion what is known of the content now
    * @param cause the instance that told of it, or what was observed here
    */
   public static void learned(Suspicion suspicion, String cause) {
-    if (suspicion.endpoints().size() >= SuspicionLedger.QUARANTINED) {
+    if (suspicion.isQuarantined()) {
       LOG.log(
           System.Logger.Level.WARNING,
           "content.quarantined",
           "fingerprint",
           suspicion.content(),
           "endpoints",
-          suspicion.endpoints(),
+          suspicion.incarnations(),
           "ageMillis",
           suspicion.age().toMillis(),
           "cause",
           cause);
+    } else if (suspicion.clearedAge().isPresent() && suspicion.ends().isEmpty()) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "content.cleared",
+          "fingerprint",
+          suspicion.content(),
+          "cause",
+          cause);
     }
   }
+
+  /** Writes that a quarantined content is run once more. */
+  public static void tried(Suspicion suspicion) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        "content.tried",
+        "fingerprint",
+        suspicion.content(),
+        "ageMillis",
+        suspicion.age().toMillis());
+  }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -1,6 +1,8 @@
 package org.lacewingcroft.fleet;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -11,6 +13,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.quarantine.QuarantineTrials;
 import org.lacewingcroft.quarantine.RecentCompletions;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.quarantine.SuspicionLedger;
@@ -33,13 +37,18 @@
   private static final int MOST_UNCONFIRMED = 64;
 
   private final Vertx vertx;
+  private final String name;
   private final String self;
   private final FleetTransport transport;
   private final InstantSource clock;
   private final Supplier<Set<String>> controls;
+  private final Supplier<List<String>> entries;
   private final SuspicionLedger ledger = new SuspicionLedger();
   private final RecentCompletions completions = new RecentCompletions();
   private final UnansweredRuns unanswered = new UnansweredRuns();
+  private final QuarantineTrials trials = new QuarantineTrials();
+  private final EndProbe probe;
+  private final PendingVerdicts pending = new PendingVerdicts();
   private final List<Suspicion> gathered = new ArrayList<>();
   private final Map<Long, List<Suspicion>> unconfirmed =
       new LinkedHashMap<>() {
@@ -53,71 +62,126 @@
   /**
    * Creates it with nothing quarantined.
    *
+   * @param name the entry's name
+   * @param self its address
    * @param controls the control instances that the entry goes by now
+   * @param entries the names of all entries
    */
   RequestQuarantine(
       Vertx vertx,
+      String name,
       String self,
       FleetTransport transport,
       InstantSource clock,
-      Supplier<Set<String>> controls) {
+      Supplier<Set<String>> controls,
+      Supplier<List<String>> entries) {
     this.vertx = vertx;
+    this.name = name;
     this.self = self;
     this.transport = transport;
     this.clock = clock;
     this.controls = controls;
+    this.entries = entries;
+    this.probe = new EndProbe(vertx);
   }
 
-  /** Returns how long a content is still quarantined, empty if it may run. */
+  /**
+   * Returns how long a content is still quarantined, empty if it may run. Once in a while a
+   * quarantined one may.
+   */
   public Optional<Duration> remaining(RequestFingerprint content) {
-    return ledger.quarantinedFor(content, clock.instant());
+    Instant now = clock.instant();
+    Optional<Suspicion> known = ledger.quarantined(content, now);
+    if (known.filter(k -> trials.tryNow(k, name, entries.get(), now)).isPresent()) {
+      QuarantineLog.tried(known.get());
+      return Optional.empty();
+    }
+    return ledger.quarantinedFor(content, now);
   }
 
   /** Returns how many contents are quarantined. */
   public int size() {
-    return ledger.atLeast(SuspicionLedger.QUARANTINED, clock.instant()).size();
+    return ledger.quarantined(clock.instant()).size();
   }
 
   /** Notes that an endpoint has answered a content in full. */
   public void completed(RequestFingerprint content) {
-    completions.completed(content, clock.instant());
+    Instant now = clock.instant();
+    completions.completed(content, now);
+    if (ledger.quarantined(content, now).isPresent()) {
+      learn(Suspicion.cleared(content));
+    }
+  }
+
+  /**
+   * Notes that an endpoint closed the connection on which it had a content to run. That speaks
+   * against the content once it turns out that the endpoint has ended.
+   */
+  public void brokeOff(EndpointTracker endpoint, RequestFingerprint content) {
+    unanswered(endpoint.record(), content, UnansweredRuns.Kind.BROKEN_OFF);
+    Future<Boolean> verdict =
+        probe
+            .hasEnded(addressOf(endpoint.record()))
+            .onSuccess(
+                hasEnded -> {
+                  if (hasEnded) {
+                    ended(endpoint.record(), endpoint.lastByteAt());
+                  }
+                });
+    pending.await(content, verdict);
+  }
+
+  /** Returns what a content has to wait for before it may be run. */
+  public Optional<Future<Boolean>> pending(RequestFingerprint content) {
+    return pending.of(content);
   }
 
-  /** Notes that an endpoint closed the connection on which it had a content to run. */
-  public void brokeOff(EndpointRecord endpoint, RequestFingerprint content) {
-    suspect(incarnation(endpoint), content);
+  private static SocketAddress addressOf(EndpointRecord endpoint) {
+    String address = endpoint.address();
+    int colon = address.lastIndexOf(':');
+    return SocketAddress.inetSocketAddress(
+        Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon));
   }
 
   /** Notes that this entry stopped waiting for an endpoint's answer to a content. */
   public void givenUp(EndpointRecord endpoint, RequestFingerprint content) {
-    if (unanswered.givenUp(incarnation(endpoint), content, clock.instant())) {
-      suspect(incarnation(endpoint), content);
-    }
+    unanswered(endpoint, content, UnansweredRuns.Kind.GIVEN_UP);
+  }
+
+  private void unanswered(
+      EndpointRecord endpoint, RequestFingerprint content, UnansweredRuns.Kind kind) {
+    unanswered
+        .unanswered(endpoint.incarnation(), content, kind, clock.instant())
+        .ifPresent(this::suspect);
   }
 
   /**
-   * Notes that an endpoint is lost: it was replaced, or does not announce itself any more.
+   * Notes that an endpoint has ended: it refuses connections, was replaced, or does not announce
+   * itself any more.
    *
    * @param lastByteAt when this entry last had a byte of it
    */
   void ended(EndpointRecord endpoint, Instant lastByteAt) {
-    String incarnation = incarnation(endpoint);
-    unanswered
-        .ended(incarnation, lastByteAt, clock.instant())
-        .forEach(content -> suspect(incarnation, content));
+    unanswered.ended(endpoint.incarnation(), lastByteAt, clock.instant()).forEach(this::suspect);
   }
 
-  private static String incarnation(EndpointRecord endpoint) {
-    return endpoint.id() + '@' + endpoint.startedAtMillis();
+  /** Notes that an endpoint that was taken for lost is back, as the same incarnation. */
+  void returned(EndpointRecord endpoint) {
+    unanswered.returned(endpoint.incarnation());
+    ledger.disprove(endpoint.incarnation(), clock.instant());
   }
 
-  private void suspect(String incarnation, RequestFingerprint content) {
-    Instant now = clock.instant();
-    if (completions.clears(content, now)) {
-      return;
+  private void suspect(Suspicion suspicion) {
+    if (!completions.clears(suspicion.content(), clock.instant())) {
+      learn(suspicion);
     }
-    Suspicion suspicion = new Suspicion(content, Set.of(incarnation), Duration.ZERO);
-    ledger.add(suspicion, now).ifPresent(known -> QuarantineLog.learned(known, "seen here"));
+  }
+
+  /** Takes what this entry has seen, and tells it. */
+  private void learn(Suspicion suspicion) {
+    ledger
+        .add(suspicion, clock.instant())
+        .ifPresent(known -> QuarantineLog.learned(known, "seen here"));
     if (gathered.isEmpty()) {
       vertx.setTimer(GATHER_MILLIS, id -> tell());
     }
@@ -144,11 +208,18 @@
     List.copyOf(unconfirmed.keySet()).forEach(this::send);
   }
 
-  /** Takes what a control instance tells. */
+  /**
+   * Takes what a control instance tells. What an endpoint has answered for this entry a moment ago
+   * does not end whatever runs it; those that suspect it cannot know.
+   */
   void heard(FleetMessage.SuspicionUpdate update) {
     Instant now = clock.instant();
     for (Suspicion suspicion : update.suspicions()) {
       ledger.add(suspicion, now).ifPresent(known -> QuarantineLog.learned(known, update.from()));
+      RequestFingerprint content = suspicion.content();
+      if (ledger.quarantined(content, now).isPresent() && completions.clears(content, now)) {
+        learn(Suspicion.cleared(content));
+      }
     }
   }
 
@@ -167,7 +238,7 @@
     if (pulse.quarantineDigest() == digest()) {
       return;
     }
-    List<Suspicion> known = ledger.atLeast(SuspicionLedger.QUARANTINED, clock.instant());
+    List<Suspicion> known = ledger.atLeast(Suspicion.QUARANTINED, clock.instant());
     if (!known.isEmpty()) {
       transport.send(pulse.from(), new FleetMessage.SuspicionUpdate(self, 0, known));
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
@@ -97,7 +97,7 @@
     }
     learned.forEach(known -> QuarantineLog.learned(known, update.from()));
     save();
-    tell(entries.get(), learned.stream().filter(SuspicionExchange::isQuarantined).toList());
+    tell(entries.get(), learned.stream().filter(SuspicionExchange::concernsEntries).toList());
     // What another control instance tells, it tells all of them.
     if (update.callId() != 0) {
       tell(otherControls.get(), learned);
@@ -105,8 +105,8 @@
     }
   }
 
-  private static boolean isQuarantined(Suspicion suspicion) {
-    return suspicion.endpoints().size() >= SuspicionLedger.QUARANTINED;
+  private static boolean concernsEntries(Suspicion suspicion) {
+    return suspicion.isQuarantined() || suspicion.clearedAge().isPresent();
   }
 
   private void tell(List<String> peers, List<Suspicion> suspicions) {
@@ -120,7 +120,7 @@
     if (report.quarantineDigest() != quarantineDigest()) {
       tell(
           List.of(report.entry().peerAddress()),
-          ledger.atLeast(SuspicionLedger.QUARANTINED, clock.instant()));
+          ledger.atLeast(Suspicion.QUARANTINED, clock.instant()));
     }
   }
 
@@ -131,6 +131,11 @@
     }
   }
 
+  /** Takes back what was held against contents because this endpoint had ended: it is back. */
+  void returned(EndpointRecord endpoint) {
+    ledger.disprove(endpoint.incarnation(), clock.instant());
+  }
+
   /** Forgets what is too old, and keeps the rest on disk. */
   void maintain() {
     ledger.expire(clock.instant());
@@ -147,6 +152,6 @@
 
   /** Returns how many contents are quarantined. */
   int size() {
-    return ledger.atLeast(SuspicionLedger.QUARANTINED, clock.instant()).size();
+    return ledger.quarantined(clock.instant()).size();
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionStore.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionStore.java
@@ -18,7 +18,7 @@
  * {@link FleetMessage.SuspicionUpdate}.
  */
 final class SuspicionStore {
-  private static final String FILE = "suspicions";
+  private static final String FILE = "quarantine";
   private static final int RECORDS = 2;
 
   private final Path file;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.forward;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -107,6 +108,11 @@
     if (done) {
       return;
     }
+    Optional<Future<Boolean>> pending = context.node().quarantine().pending(request.fingerprint());
+    if (pending.isPresent()) {
+      pending.get().onComplete(known -> place());
+      return;
+    }
     // Whatever runs a quarantined content ends, with all requests that run beside it.
     Optional<Duration> quarantined = context.node().quarantine().remaining(request.fingerprint());
     if (quarantined.isPresent()) {
@@ -439,7 +445,7 @@
     attempt
         .target()
         .endpoint()
-        .ifPresent(e -> context.node().quarantine().brokeOff(e.record(), request.fingerprint()));
+        .ifPresent(e -> context.node().quarantine().brokeOff(e, request.fingerprint()));
   }
 
   private void prefixRead(EndpointTracker endpoint) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ContentQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ContentQuarantine.java
@@ -1,16 +1,22 @@
 package org.lacewingcroft.gateway;
 
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
+import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import org.lacewingcroft.fleet.EndProbe;
 import org.lacewingcroft.fleet.FleetMessage;
+import org.lacewingcroft.fleet.PendingVerdicts;
 import org.lacewingcroft.fleet.QuarantineLog;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
+import org.lacewingcroft.quarantine.EndpointEnd;
 import org.lacewingcroft.quarantine.RecentCompletions;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.quarantine.SuspicionLedger;
@@ -24,12 +30,18 @@
  */
 final class ContentQuarantine {
   private final Membership membership;
+  private final EndpointRegistry endpoints;
+  private final EndProbe probe;
+  private final PendingVerdicts pending = new PendingVerdicts();
   private final InstantSource clock;
   private final SuspicionLedger ledger = new SuspicionLedger();
   private final RecentCompletions completions = new RecentCompletions();
 
-  ContentQuarantine(Membership membership, InstantSource clock) {
+  ContentQuarantine(
+      Vertx vertx, Membership membership, EndpointRegistry endpoints, InstantSource clock) {
     this.membership = membership;
+    this.endpoints = endpoints;
+    this.probe = new EndProbe(vertx);
     this.clock = clock;
   }
 
@@ -43,13 +55,44 @@
     completions.completed(content, clock.instant());
   }
 
-  /** Notes that an endpoint closed the connection on which it had a content to run. */
+  /**
+   * Notes that an endpoint closed the connection on which it had a content to run. That speaks
+   * against the content if the endpoint has ended.
+   */
   void brokeOff(String endpoint, RequestFingerprint content) {
-    Suspicion suspicion = new Suspicion(content, Set.of(endpoint), Duration.ZERO);
+    Instant brokeOffAt = clock.instant();
+    Future<Boolean> verdict =
+        addressOf(endpoint)
+            .map(probe::hasEnded)
+            .orElse(Future.succeededFuture(false))
+            .onSuccess(
+                hasEnded -> {
+                  if (hasEnded) {
+                    ended(endpoint, content, brokeOffAt);
+                  }
+                });
+    pending.await(content, verdict);
+  }
+
+  /** Returns what a content has to wait for before it may be run. */
+  Optional<Future<Boolean>> pending(RequestFingerprint content) {
+    return pending.of(content);
+  }
+
+  private Optional<SocketAddress> addressOf(String endpoint) {
+    return endpoints
+        .snapshot()
+        .get(endpoint)
+        .map(known -> URI.create(known.baseUrl()))
+        .filter(url -> url.getPort() > 0)
+        .map(url -> SocketAddress.inetSocketAddress(url.getPort(), url.getHost()));
+  }
+
+  private void ended(String endpoint, RequestFingerprint content, Instant brokeOffAt) {
+    Duration age = Duration.between(brokeOffAt, clock.instant());
+    Suspicion suspicion = Suspicion.of(content, new EndpointEnd(endpoint, age, false));
     if (suspect(suspicion)) {
-      PeerMessage update = update(List.of(suspicion));
-      membership.tellRegionsEntries(update);
-      membership.spread(update, /* acrossRegions= */ true);
+      tell(suspicion);
     }
   }
 
@@ -58,6 +101,36 @@
     return !completions.clears(suspicion.content(), now) && learn(suspicion, "seen here", now);
   }
 
+  private void tell(Suspicion suspicion) {
+    PeerMessage update = update(List.of(suspicion));
+    membership.tellRegionsEntries(update);
+    membership.spread(update, /* acrossRegions= */ true);
+  }
+
+  /** Returns the contents that are quarantined. */
+  synchronized List<Suspicion> quarantined() {
+    return ledger.quarantined(clock.instant());
+  }
+
+  /**
+   * Lets a content run again at all entries.
+   *
+   * @return whether it was quarantined
+   */
+  boolean lift(RequestFingerprint content) {
+    boolean lifted = clear(content, "lifted by an operator");
+    if (lifted) {
+      tell(Suspicion.cleared(content));
+    }
+    return lifted;
+  }
+
+  private synchronized boolean clear(RequestFingerprint content, String cause) {
+    Instant now = clock.instant();
+    return ledger.quarantined(content, now).isPresent()
+        && learn(Suspicion.cleared(content), cause, now);
+  }
+
   /** Takes what another entry has seen; what comes from another region is told in this one. */
   void heard(FleetMessage.SuspicionUpdate update) {
     List<Suspicion> learned = learn(update);
@@ -75,6 +148,15 @@
     Instant now = clock.instant();
     List<Suspicion> learned = new ArrayList<>(update.suspicions());
     learned.removeIf(s -> !learn(s, update.from(), now));
+    List<Suspicion> refuted =
+        learned.stream()
+            .map(Suspicion::content)
+            .filter(content -> completions.clears(content, now))
+            .filter(content -> clear(content, "answered here"))
+            .map(Suspicion::cleared)
+            .toList();
+    learned.addAll(refuted);
+    refuted.forEach(this::tell);
     return learned;
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.gateway;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -103,6 +104,11 @@
     if (exchange.refused() || exchange.answered() && exchange.claimedKey().isEmpty()) {
       return;
     }
+    Optional<Future<Boolean>> pending = quarantine.pending(exchange.content());
+    if (pending.isPresent()) {
+      pending.get().onComplete(known -> send(exchange));
+      return;
+    }
     Optional<Duration> quarantined = quarantine.remaining(exchange.content());
     if (quarantined.isPresent()) {
       if (!exchange.hasLiveAttempt()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -5,6 +5,7 @@
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -20,7 +21,9 @@
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.LinkFaults;
 import org.lacewingcroft.peer.Membership;
+import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.CallerRequest;
+import org.lacewingcroft.request.RequestFingerprint;
 import org.lacewingcroft.routing.Router;
 
 /**
@@ -108,7 +111,7 @@
     this.regions = new RegionView(region, endpoints, membership, inFlight, clock);
     this.keys = new KeyOwnership(vertx, membership, clock);
     this.reply = new CallerReply(metrics, keys);
-    this.quarantine = new ContentQuarantine(membership, clock);
+    this.quarantine = new ContentQuarantine(vertx, membership, endpoints, clock);
     this.dispatcher =
         new Dispatcher(
             vertx,
@@ -156,6 +159,20 @@
     return keys;
   }
 
+  /** Returns the contents that this entry refuses because endpoints ended under them. */
+  public List<Suspicion> quarantined() {
+    return quarantine.quarantined();
+  }
+
+  /**
+   * Lets a quarantined content run again at all entries.
+   *
+   * @return whether it was quarantined
+   */
+  public boolean liftQuarantine(RequestFingerprint content) {
+    return quarantine.lift(content);
+  }
+
   /** Takes another entry's word of contents under which endpoints broke off. */
   public void heard(FleetMessage.SuspicionUpdate update) {
     quarantine.heard(update);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CrashingContentTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CrashingContentTest.java
@@ -5,15 +5,19 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,12 +67,7 @@
   @EnumSource(Sent.class)
   void contentThatEndsEndpointsIsNotRunAgainAndAgain(Sent sent) throws Exception {
     String model = "model-" + sent;
-    List<FakeEndpoint> endpoints = new ArrayList<>();
-    for (int i = 0; i < ENDPOINTS; i++) {
-      FakeEndpoint endpoint = new FakeEndpoint(vertx, Behaviour.DIES_OF_POISON);
-      endpoints.add(endpoint);
-      cluster.announce(entries.get(0), model + "-" + i, REGION, model, endpoint.port(), false);
-    }
+    List<FakeEndpoint> endpoints = announceAll(model, Behaviour.DIES_OF_POISON);
     TestCluster.await(() -> chat(entries.get(1), model, "innocent", sent, 0).status() == 200);
     TestCluster.Reply last = chat(entries.get(0), model, POISON, sent, 1);
     for (int call = 2; call < CALLS; call++) {
@@ -85,17 +84,60 @@
     endpoints.forEach(FakeEndpoint::close);
   }
 
-  /** A connection that closes is no end of the endpoint behind it, however often it happens. */
-  @ParameterizedTest
-  @EnumSource(Sent.class)
-  void contentWhoseConnectionsCloseIsServedAfterwards(Sent sent) throws Exception {
-    String model = "open-" + sent;
+  @Test
+  void operatorListsAndLiftsQuarantinedContents() throws Exception {
+    String model = "lifted";
+    List<FakeEndpoint> endpoints = announceAll(model, Behaviour.DIES_OF_POISON);
+    Daemon entry = entries.get(1);
+    Set<String> before = quarantined(entry);
+    TestCluster.await(
+        () -> {
+          chat(entry, model, POISON, Sent.KEYED, 0);
+          return quarantined(entry).size() > before.size();
+        });
+    Set<String> added = quarantined(entry);
+    added.removeAll(before);
+    final String fingerprint = added.iterator().next();
+    TestCluster.Reply unknown = lift(entry, "0123456789abcdef");
+    assertThat(unknown.status(), is(404));
+    assertThat(unknown.code(), is("not_quarantined"));
+    assertThat(lift(entry, "no fingerprint").code(), is("not_quarantined"));
+    assertThat(lift(entry, fingerprint).status(), is(200));
+    for (Daemon other : entries) {
+      TestCluster.await(() -> !quarantined(other).contains(fingerprint));
+    }
+    endpoints.forEach(FakeEndpoint::close);
+  }
+
+  private List<FakeEndpoint> announceAll(String model, Behaviour behaviour) throws Exception {
     List<FakeEndpoint> endpoints = new ArrayList<>();
     for (int i = 0; i < ENDPOINTS; i++) {
-      FakeEndpoint endpoint = new FakeEndpoint(vertx, Behaviour.DROPS_POISON);
+      FakeEndpoint endpoint = new FakeEndpoint(vertx, behaviour);
       endpoints.add(endpoint);
       cluster.announce(entries.get(0), model + "-" + i, REGION, model, endpoint.port(), false);
     }
+    return endpoints;
+  }
+
+  private Set<String> quarantined(Daemon entry) throws Exception {
+    Set<String> fingerprints = new HashSet<>();
+    for (JsonNode content : cluster.send(entry, "GET", "/v1/quarantine", Map.of(), "").body()) {
+      fingerprints.add(content.path("fingerprint").asText());
+    }
+    return fingerprints;
+  }
+
+  private TestCluster.Reply lift(Daemon entry, String fingerprint) throws Exception {
+    String path = "/v1/quarantine/" + fingerprint.replace(" ", "%20");
+    return cluster.send(entry, "DELETE", path, Map.of(), "");
+  }
+
+  /** A connection that closes is no end of the endpoint behind it, however often it happens. */
+  @ParameterizedTest
+  @EnumSource(Sent.class)
+  void contentWhoseConnectionsCloseIsServedAfterwards(Sent sent) throws Exception {
+    String model = "open-" + sent;
+    List<FakeEndpoint> endpoints = announceAll(model, Behaviour.DROPS_POISON);
     TestCluster.await(() -> chat(entries.get(1), model, "innocent", sent, 0).status() == 200);
     for (int call = 1; call < CALLS; call++) {
       chat(entries.get(call % entries.size()), model, POISON, sent, call);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -69,8 +69,9 @@
   }
 
   /** Ends with all its connections; the next incarnation listens at the same port. */
-  private void die() {
+  private void die(HttpServerRequest request) {
     server.close();
+    request.connection().close();
     vertx.setTimer(DOWN_MILLIS, id -> listen(port));
   }
 
@@ -110,7 +111,7 @@
       case DIES_AT_ONCE -> request.connection().close();
       case DIES_OF_POISON -> {
         if (poison) {
-          die();
+          die(request);
         } else {
           response.end("answer to " + id);
         }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/error/ErrorKind.java
@@ -34,6 +34,11 @@
       503,
       "content_quarantined",
       "do not resend this content before the Retry-After delay; the request was not run"),
+  /** An operator named a content that is not quarantined. */
+  NOT_QUARANTINED(
+      404,
+      "not_quarantined",
+      "name a fingerprint listed by 'lacewingcroft quarantine --server URL'"),
   /** The organisation sent more requests than its admission limit allows; it was not run. */
   RATE_LIMITED(429, "rate_limited", "slow down and retry after the Retry-After delay"),
   /** A configuration change was based on an older version than the one in force. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
@@ -25,6 +25,11 @@
     long sequence,
     long coldMillis) {
 
+  /** Returns the name of this incarnation, as {@code id@start}. */
+  public String incarnation() {
+    return id + '@' + startedAtMillis;
+  }
+
   /** Returns this record in another state. */
   public EndpointRecord inState(EndpointState next) {
     return new EndpointRecord(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.lacewingcroft.fleet.FleetMessage.EndpointLoad;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
@@ -14,6 +15,7 @@
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.fleet.FleetMessage.UnreadPrompt;
+import org.lacewingcroft.quarantine.EndpointEnd;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
 import org.msgpack.core.MessagePacker;
@@ -104,14 +106,28 @@
   }
 
   static void packSuspicion(MessagePacker p, Suspicion s) throws IOException {
-    p.packLong(s.content().value()).packLong(s.age().toMillis());
-    packStrings(p, s.endpoints());
+    p.packLong(s.content().value());
+    packAll(p, s.ends(), FleetRecords::packEnd);
+    p.packBoolean(s.clearedAge().isPresent());
+    if (s.clearedAge().isPresent()) {
+      p.packLong(s.clearedAge().get().toMillis());
+    }
+  }
+
+  private static void packEnd(MessagePacker p, EndpointEnd e) throws IOException {
+    p.packString(e.incarnation()).packLong(e.age().toMillis()).packBoolean(e.silent());
+  }
+
+  private static EndpointEnd unpackEnd(MessageUnpacker u) throws IOException {
+    return new EndpointEnd(u.unpackString(), Duration.ofMillis(u.unpackLong()), u.unpackBoolean());
   }
 
   static Suspicion unpackSuspicion(MessageUnpacker u) throws IOException {
     RequestFingerprint content = new RequestFingerprint(u.unpackLong());
-    Duration age = Duration.ofMillis(u.unpackLong());
-    return new Suspicion(content, Set.copyOf(unpackStrings(u)), age);
+    Set<EndpointEnd> ends = Set.copyOf(unpackAll(u, FleetRecords::unpackEnd));
+    Optional<Duration> clearedAge =
+        u.unpackBoolean() ? Optional.of(Duration.ofMillis(u.unpackLong())) : Optional.empty();
+    return new Suspicion(content, ends, clearedAge);
   }
 
   static void packLoadReport(MessagePacker p, LoadReport r) throws IOException {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
@@ -42,6 +42,9 @@
 
     /** An endpoint is lost, or another incarnation is there under its id. */
     void ended(EndpointTracker endpoint);
+
+    /** An endpoint that was lost is back as the same incarnation. */
+    void returned(EndpointRecord record);
   }
 
   /** Creates it knowing no endpoint. */
@@ -99,6 +102,7 @@
     EndpointTracker tracker = trackers.get(record.id());
     if (tracker != null) {
       noteEnd(tracker, known, changed.isPresent());
+      noteReturn(tracker, known);
     }
     if (tracker == null || known.startedAfter(tracker.record())) {
       trackers.put(record.id(), new EndpointTracker(known, now));
@@ -119,6 +123,14 @@
     }
   }
 
+  private void noteReturn(EndpointTracker tracker, EndpointRecord known) {
+    boolean sameIncarnation = !known.startedAfter(tracker.record());
+    boolean lost = tracker.record().state() == EndpointState.LOST;
+    if (sameIncarnation && lost && known.state() == EndpointState.READY) {
+      listener.returned(known);
+    }
+  }
+
   /** Returns the tracker of an endpoint's newest incarnation. */
   public Optional<EndpointTracker> tracker(String endpointId) {
     return Optional.ofNullable(trackers.get(endpointId));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
@@ -3,62 +3,109 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.lacewingcroft.request.RequestFingerprint;
 
 /**
- * The contents under which endpoints broke off, by which endpoints. A content that several
- * incarnations broke off under is quarantined: it ends whatever runs it, and every endpoint that is
- * given it takes down the requests beside it.
+ * The contents under which endpoints ended, by which endpoints. A content under which several ended
+ * one after the other is quarantined: it ends whatever runs it, and every endpoint that is given it
+ * takes down the requests beside it.
  *
  * <p>Instances merge what they know. The result does not depend on the order in which they hear of
- * it, nor on how often: evidence is a set of endpoints, and only grows until it is forgotten.
+ * it, nor on how often: evidence is a set of ends, and only grows until the content is cleared or
+ * forgotten, or an endpoint turns out to be still there.
  *
  * <p>Not thread-safe.
  */
 public final class SuspicionLedger {
-  /**
-   * Incarnations that break off under a content until it is quarantined. One or two may have ended
-   * for reasons of their own; a content is rarely under way at three such by chance.
-   */
-  public static final int QUARANTINED = 3;
-
-  /** From so many on the instances make sure that they have heard of the same ones. */
-  public static final int RECURRING = QUARANTINED - 1;
+  /** From so many ends on the instances make sure that they have heard of the same ones. */
+  public static final int RECURRING = Suspicion.QUARANTINED - 1;
 
-  /** How long a content is remembered after an endpoint last broke off under it. */
+  /** How long a content is remembered after an endpoint last ended under it. */
   static final Duration MEMORY = Duration.ofHours(1);
 
   /** Contents remembered at most. */
   static final int MOST_CONTENTS = 2_048;
 
+  /** Ends remembered at most of a content. */
+  static final int MOST_ENDS = 16;
+
+  /** Endpoints remembered at most that were taken for ended and were still there. */
+  private static final int MOST_DISPROVED = 1_024;
+
   private final Map<RequestFingerprint, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Instant> disproved =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Instant> eldest) {
+          return size() > MOST_DISPROVED;
+        }
+      };
   private int recurringDigest;
   private int quarantinedDigest;
 
-  /** The endpoints that broke off under a content, and when the last one did. */
-  private record Entry(Set<String> endpoints, Instant at) {
+  private record End(Instant at, boolean silent) {
+    /** Of two reports of the same end the earlier is nearer to it, and the one of a broken run. */
+    private End mergedWith(End other) {
+      return new End(at.isBefore(other.at) ? at : other.at, silent && other.silent);
+    }
+  }
+
+  /** What is known of a content: the ends by incarnation, and when it was last cleared. */
+  private record Entry(Map<String, End> ends, Instant clearedAt, int independentEnds) {
+    private static Entry of(
+        RequestFingerprint content, Map<String, End> ends, Instant clearedAt, Instant now) {
+      Entry uncounted = new Entry(ends, clearedAt, 0);
+      return new Entry(ends, clearedAt, uncounted.suspicion(content, now).independentEnds());
+    }
+
     private Suspicion suspicion(RequestFingerprint content, Instant now) {
-      return new Suspicion(content, endpoints, Duration.between(at, now));
+      return new Suspicion(
+          content,
+          ends.entrySet().stream()
+              .map(e -> endAt(e.getKey(), e.getValue(), now))
+              .collect(Collectors.toUnmodifiableSet()),
+          wasCleared() ? Optional.of(Duration.between(clearedAt, now)) : Optional.empty());
+    }
+
+    private static EndpointEnd endAt(String incarnation, End end, Instant now) {
+      return new EndpointEnd(incarnation, Duration.between(end.at(), now), end.silent());
+    }
+
+    private boolean wasCleared() {
+      return clearedAt.isAfter(Instant.MIN);
+    }
+
+    private boolean isEmpty() {
+      return ends.isEmpty() && !wasCleared();
+    }
+
+    private Instant lastChange() {
+      return ends.values().stream()
+          .map(End::at)
+          .reduce(clearedAt, (one, other) -> one.isAfter(other) ? one : other);
     }
 
     private boolean isRemembered(Instant now) {
-      return at.plus(MEMORY).isAfter(now);
+      return lastChange().isAfter(now.minus(MEMORY));
     }
 
     /**
-     * Returns a hash of the content and the evidence. Which three of many endpoints an instance
-     * knows does not matter: the content is quarantined.
+     * Returns a hash of the content and the evidence. Which of many endpoints an instance knows
+     * does not matter once the content is quarantined or no more of them are remembered.
      */
     private int digest(RequestFingerprint content) {
-      int evidence = endpoints.size() < QUARANTINED ? endpoints.hashCode() : 0;
+      boolean many = independentEnds >= Suspicion.QUARANTINED || ends.size() >= MOST_ENDS;
+      int evidence = many ? 0 : ends.keySet().hashCode();
       byte[] bytes =
           ByteBuffer.allocate(Long.BYTES + Integer.BYTES)
               .putLong(content.value())
@@ -75,30 +122,60 @@
    */
   public Optional<Suspicion> add(Suspicion suspicion, Instant now) {
     RequestFingerprint content = suspicion.content();
-    Instant at = now.minus(suspicion.age());
-    Entry known = entries.get(content);
-    Set<String> endpoints = new TreeSet<>(known == null ? Set.of() : known.endpoints());
-    final int before = endpoints.size();
-    for (String endpoint : new TreeSet<>(suspicion.endpoints())) {
-      if (endpoints.size() < QUARANTINED) {
-        endpoints.add(endpoint);
-      }
+    Optional<Entry> known = Optional.ofNullable(entries.get(content));
+    Instant knownCleared = known.map(Entry::clearedAt).orElse(Instant.MIN);
+    Instant heardCleared = suspicion.clearedAge().map(now::minus).orElse(Instant.MIN);
+    Instant clearedAt = knownCleared.isAfter(heardCleared) ? knownCleared : heardCleared;
+    Map<String, End> ends = new TreeMap<>(known.map(Entry::ends).orElse(Map.of()));
+    for (EndpointEnd end : suspicion.ends()) {
+      ends.merge(end.incarnation(), new End(now.minus(end.age()), end.silent()), End::mergedWith);
     }
-    Entry merged = new Entry(endpoints, known != null && known.at().isAfter(at) ? known.at() : at);
-    if (endpoints.isEmpty() || !merged.isRemembered(now)) {
+    ends.entrySet().removeIf(e -> isRefuted(e.getKey(), e.getValue(), clearedAt));
+    keepLatest(ends);
+    Entry merged = Entry.of(content, ends, clearedAt, now);
+    if (merged.isEmpty() || !merged.isRemembered(now)) {
       return Optional.empty();
     }
-    remove(content);
-    put(content, merged);
+    boolean learned =
+        !known.map(e -> e.ends().keySet()).equals(Optional.of(ends.keySet()))
+            || heardCleared.isAfter(knownCleared);
+    replace(content, merged);
     makeRoom();
-    return endpoints.size() > before
-        ? Optional.of(merged.suspicion(content, now))
-        : Optional.empty();
+    return learned ? Optional.of(merged.suspicion(content, now)) : Optional.empty();
+  }
+
+  private boolean isRefuted(String incarnation, End end, Instant clearedAt) {
+    Instant seenLater = disproved.getOrDefault(incarnation, Instant.MIN);
+    return !end.at().isAfter(clearedAt) || !end.at().isAfter(seenLater);
+  }
+
+  private static void keepLatest(Map<String, End> ends) {
+    while (ends.size() > MOST_ENDS) {
+      ends.remove(
+          Collections.min(ends.entrySet(), Comparator.comparing(e -> e.getValue().at())).getKey());
+    }
   }
 
-  private void put(RequestFingerprint content, Entry entry) {
-    entries.put(content, entry);
-    countDigests(content, entry, 1);
+  /** Takes back that an incarnation ended, of all contents: it is still there. */
+  public void disprove(String incarnation, Instant now) {
+    disproved.remove(incarnation);
+    disproved.put(incarnation, now);
+    for (Map.Entry<RequestFingerprint, Entry> known : Map.copyOf(entries).entrySet()) {
+      Entry entry = known.getValue();
+      if (entry.ends().containsKey(incarnation)) {
+        Map<String, End> ends = new TreeMap<>(entry.ends());
+        ends.remove(incarnation);
+        replace(known.getKey(), Entry.of(known.getKey(), ends, entry.clearedAt(), now));
+      }
+    }
+  }
+
+  private void replace(RequestFingerprint content, Entry entry) {
+    remove(content);
+    if (!entry.isEmpty()) {
+      entries.put(content, entry);
+      countDigests(content, entry, 1);
+    }
   }
 
   private void remove(RequestFingerprint content) {
@@ -109,10 +186,10 @@
   }
 
   private void countDigests(RequestFingerprint content, Entry entry, int sign) {
-    if (entry.endpoints().size() >= RECURRING) {
+    if (entry.independentEnds() >= RECURRING) {
       recurringDigest += sign * entry.digest(content);
     }
-    if (entry.endpoints().size() >= QUARANTINED) {
+    if (entry.independentEnds() >= Suspicion.QUARANTINED) {
       quarantinedDigest += sign * entry.digest(content);
     }
   }
@@ -123,14 +200,14 @@
       return;
     }
     RequestFingerprint least = null;
-    int leastEndpoints = Integer.MAX_VALUE;
+    int leastEnds = Integer.MAX_VALUE;
     for (Map.Entry<RequestFingerprint, Entry> entry : entries.entrySet()) {
-      int count = entry.getValue().endpoints().size();
-      if (count < leastEndpoints) {
+      int count = entry.getValue().independentEnds();
+      if (count < leastEnds) {
         least = entry.getKey();
-        leastEndpoints = count;
+        leastEnds = count;
       }
-      if (leastEndpoints == 1) {
+      if (leastEnds <= 1) {
         break;
       }
     }
@@ -139,6 +216,7 @@
 
   /** Forgets what is too old. */
   public void expire(Instant now) {
+    disproved.values().removeIf(at -> !at.isAfter(now.minus(MEMORY)));
     Iterator<Map.Entry<RequestFingerprint, Entry>> all = entries.entrySet().iterator();
     while (all.hasNext()) {
       Map.Entry<RequestFingerprint, Entry> entry = all.next();
@@ -149,21 +227,39 @@
     }
   }
 
+  /** Returns what is known of a content that is quarantined, empty if it is not. */
+  public Optional<Suspicion> quarantined(RequestFingerprint content, Instant now) {
+    return Optional.ofNullable(entries.get(content))
+        .filter(e -> e.independentEnds() >= Suspicion.QUARANTINED && e.isRemembered(now))
+        .map(e -> e.suspicion(content, now));
+  }
+
   /** Returns how long a content is still quarantined, empty if it is not. */
   public Optional<Duration> quarantinedFor(RequestFingerprint content, Instant now) {
-    return Optional.ofNullable(entries.get(content))
-        .filter(e -> e.endpoints().size() >= QUARANTINED && e.isRemembered(now))
-        .map(e -> Duration.between(now, e.at().plus(MEMORY)));
+    return quarantined(content, now).map(s -> MEMORY.minus(s.age()));
+  }
+
+  /** Returns the contents that are quarantined. */
+  public List<Suspicion> quarantined(Instant now) {
+    return suspicions(Suspicion.QUARANTINED, now);
   }
 
   /**
-   * Returns the contents under which at least so many endpoints broke off.
+   * Returns what another instance that reports another digest may have missed: the contents under
+   * which at least so many endpoints ended, and those that were cleared.
    *
-   * @param endpoints {@link #RECURRING} or {@link #QUARANTINED}
+   * @param ends {@link #RECURRING} or {@link Suspicion#QUARANTINED}
    */
-  public List<Suspicion> atLeast(int endpoints, Instant now) {
+  public List<Suspicion> atLeast(int ends, Instant now) {
+    return entries.entrySet().stream()
+        .filter(e -> e.getValue().independentEnds() >= ends || e.getValue().wasCleared())
+        .map(e -> e.getValue().suspicion(e.getKey(), now))
+        .toList();
+  }
+
+  private List<Suspicion> suspicions(int ends, Instant now) {
     return entries.entrySet().stream()
-        .filter(e -> e.getValue().endpoints().size() >= endpoints)
+        .filter(e -> e.getValue().independentEnds() >= ends)
         .map(e -> e.getValue().suspicion(e.getKey(), now))
         .toList();
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/UnansweredRuns.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/UnansweredRuns.java
@@ -7,13 +7,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lacewingcroft.request.RequestFingerprint;
 
 /**
- * The contents that an entry gave up at endpoints before they were answered, because the caller
- * left or the time was over. Whether such an endpoint had ended is known only when it has missed
- * its announcements or another incarnation is there; what it was running when it said its last word
- * is as suspect then as if it had closed the connections.
+ * The runs that endpoints did not answer in full: the connection closed, or the entry gave up
+ * because the caller left or the time was over. A connection closes for many reasons, of which the
+ * end of the endpoint is only one. It is known when new connections are refused, announcements are
+ * missed or another incarnation is there; what the endpoint was running when it said its last word
+ * is suspect then.
  *
  * <p>Not thread-safe.
  */
@@ -41,48 +43,71 @@
         }
       };
 
+  /** What became of a run. */
+  public enum Kind {
+    /** Its connection closed, at the moment at which the endpoint ended if it did. */
+    BROKEN_OFF,
+    /** The entry gave up. */
+    GIVEN_UP
+  }
+
   private static final class Endpoint {
     private final List<Run> runs = new ArrayList<>();
     private Instant endedAt = Instant.MIN;
   }
 
-  private record Run(RequestFingerprint content, Instant at) {}
+  private record Run(RequestFingerprint content, Kind kind, Instant at) {
+    private Suspicion suspicion(String endpoint, Instant now) {
+      EndpointEnd end =
+          kind == Kind.BROKEN_OFF
+              ? new EndpointEnd(endpoint, Duration.between(at, now), false)
+              : new EndpointEnd(endpoint, Duration.ZERO, true);
+      return Suspicion.of(content, end);
+    }
+  }
 
   /**
-   * Notes that a run was given up.
+   * Notes that a run was not answered in full.
    *
-   * @return whether the endpoint is known to have ended, so that the content is suspect at once
+   * @return what speaks against its content if the endpoint is known to have ended
    */
-  public boolean givenUp(String endpoint, RequestFingerprint content, Instant now) {
+  public Optional<Suspicion> unanswered(
+      String endpoint, RequestFingerprint content, Kind kind, Instant now) {
     Endpoint known = endpoints.computeIfAbsent(endpoint, e -> new Endpoint());
+    Run run = new Run(content, kind, now);
     if (known.endedAt.isAfter(now.minus(VALID))) {
-      return true;
+      return Optional.of(run.suspicion(endpoint, now));
     }
     if (known.runs.size() >= MOST_RUNS) {
       known.runs.remove(0);
     }
-    known.runs.add(new Run(content, now));
-    return false;
+    known.runs.add(run);
+    return Optional.empty();
   }
 
   /**
    * Notes that an endpoint has ended.
    *
    * @param lastByteAt when it was last heard of by an answer
-   * @return the contents that were given up there and are suspect now
+   * @return what speaks against the contents that it was running then
    */
-  public List<RequestFingerprint> ended(String endpoint, Instant lastByteAt, Instant now) {
+  public List<Suspicion> ended(String endpoint, Instant lastByteAt, Instant now) {
     Endpoint known = endpoints.computeIfAbsent(endpoint, e -> new Endpoint());
     known.endedAt = now;
     Instant from = lastByteAt.minus(LAST_WORDS);
-    List<RequestFingerprint> suspects =
-        known.runs.stream()
-            .filter(r -> !r.at().isBefore(from) && r.at().plus(VALID).isAfter(now))
-            .map(Run::content)
-            .distinct()
-            .toList();
+    Map<RequestFingerprint, Suspicion> suspects = new LinkedHashMap<>();
+    for (Run run : known.runs) {
+      if (!run.at().isBefore(from) && run.at().plus(VALID).isAfter(now)) {
+        suspects.put(run.content(), run.suspicion(endpoint, now));
+      }
+    }
     known.runs.clear();
-    return suspects;
+    return List.copyOf(suspects.values());
+  }
+
+  /** Notes that an endpoint that was taken for ended is still there. */
+  public void returned(String endpoint) {
+    endpoints.remove(endpoint);
   }
 
   /** Forgets what is too old. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/RequestFingerprint.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/RequestFingerprint.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.Optional;
 import org.lacewingcroft.route.HostHeader;
 
 /**
@@ -17,6 +18,8 @@
 public record RequestFingerprint(long value) {
   private static final String ALGORITHM = "SHA-256";
 
+  private static final int DIGITS = 16;
+
   /** Ends each field of the head; none of them can contain it. */
   private static final char END = '\n';
 
@@ -44,6 +47,19 @@
     }
   }
 
+  /**
+   * Returns the fingerprint that reads so.
+   *
+   * @param digits 16 hexadecimal digits
+   * @return empty if they are not
+   */
+  public static Optional<RequestFingerprint> parse(String digits) {
+    if (digits.length() != DIGITS || !digits.chars().allMatch(HexFormat::isHexDigit)) {
+      return Optional.empty();
+    }
+    return Optional.of(new RequestFingerprint(HexFormat.fromHexDigitsToLong(digits)));
+  }
+
   /** Returns its 16 hexadecimal digits. */
   @Override
   public String toString() {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -25,6 +26,7 @@
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.fleet.FleetMessage.UnreadPrompt;
+import org.lacewingcroft.quarantine.EndpointEnd;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
 
@@ -46,7 +48,10 @@
   private static final RegionLoad REGION =
       new RegionLoad("north", List.of(new ServiceLoad("model", 9, new long[] {1, 250}, 8.25)));
   private static final Suspicion SUSPICION =
-      new Suspicion(new RequestFingerprint(-1), Set.of("i-1@0"), Duration.ofMillis(250));
+      new Suspicion(
+          new RequestFingerprint(-1),
+          Set.of(new EndpointEnd("i-1@0", Duration.ofMillis(250), true)),
+          Optional.of(Duration.ofSeconds(9)));
   private static final News NEWS = new News(List.of(LOAD), List.of(PREFIX), List.of(REGION));
 
   static Stream<FleetMessage> messages() {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
@@ -26,6 +26,7 @@
 
   private final List<String> changes = new ArrayList<>();
   private final List<String> ended = new ArrayList<>();
+  private final List<String> returned = new ArrayList<>();
   private final TrackedEndpoints endpoints =
       new TrackedEndpoints(
           new TrackedEndpoints.Listener() {
@@ -36,7 +37,12 @@
 
             @Override
             public void ended(EndpointTracker endpoint) {
-              ended.add(endpoint.record().id() + "@" + endpoint.record().startedAtMillis());
+              ended.add(endpoint.record().incarnation());
+            }
+
+            @Override
+            public void returned(EndpointRecord record) {
+              returned.add(record.incarnation());
             }
           });
 
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.quarantine;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -9,10 +10,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
@@ -22,20 +21,30 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.quarantine.UnansweredRuns.Kind;
 import org.lacewingcroft.request.RequestFingerprint;
 
 class SuspicionLedgerTest {
   private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
   private static final RequestFingerprint CONTENT = new RequestFingerprint(7);
 
+  private static final Duration APART = Duration.ofSeconds(3);
+
   private static Suspicion suspicion(RequestFingerprint content, String endpoint) {
-    return new Suspicion(content, Set.of(endpoint), Duration.ZERO);
+    return Suspicion.of(content, EndpointEnd.seen(endpoint));
   }
 
+  /** Endpoints that end one after the other, the last one now. */
   private static SuspicionLedger ledger(String... endpoints) {
+    return ledger(APART, false, endpoints);
+  }
+
+  private static SuspicionLedger ledger(Duration apart, boolean silent, String... endpoints) {
     SuspicionLedger ledger = new SuspicionLedger();
+    Duration age = apart.multipliedBy(Math.max(0, endpoints.length - 1));
     for (String endpoint : endpoints) {
-      ledger.add(suspicion(CONTENT, endpoint), NOW);
+      ledger.add(Suspicion.of(CONTENT, new EndpointEnd(endpoint, age, silent)), NOW);
+      age = age.minus(apart);
     }
     return ledger;
   }
@@ -57,7 +66,56 @@
     SuspicionLedger ledger = ledger(endpoints.toArray(String[]::new));
     assertThat(ledger.quarantinedFor(CONTENT, NOW).isPresent(), is(quarantined));
     assertThat(ledger.quarantinedFor(new RequestFingerprint(8), NOW).isPresent(), is(false));
-    assertThat(ledger.atLeast(SuspicionLedger.QUARANTINED, NOW), hasSize(quarantined ? 1 : 0));
+    assertThat(ledger.atLeast(Suspicion.QUARANTINED, NOW), hasSize(quarantined ? 1 : 0));
+    assertThat(ledger.quarantined(NOW), hasSize(quarantined ? 1 : 0));
+  }
+
+  /** Many endpoints that end at once have a cause in common, whatever they were running. */
+  static Stream<Arguments> moments() {
+    Duration noticed = Duration.ofMillis(100);
+    return Stream.of(
+        Arguments.of("at once", Duration.ZERO, false, 8, false),
+        Arguments.of("within the time that news take", noticed.dividedBy(8), false, 8, false),
+        Arguments.of("one after the other", noticed.plusMillis(1), false, 3, true),
+        Arguments.of("tried again at once", Duration.ofMillis(60), false, 3, true),
+        Arguments.of("silent within one lease", Duration.ofMillis(300), true, 8, false),
+        Arguments.of("silent one after the other", Duration.ofSeconds(3), true, 3, true));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("moments")
+  void endsOfOneMomentCountAsFew(
+      String name, Duration apart, boolean silent, int count, boolean quarantined) {
+    String[] endpoints =
+        IntStream.range(0, count).mapToObj(Integer::toString).toArray(String[]::new);
+    SuspicionLedger ledger = ledger(apart, silent, endpoints);
+    assertThat(ledger.quarantinedFor(CONTENT, NOW).isPresent(), is(quarantined));
+  }
+
+  @Test
+  void clearedContentRunsUntilEndpointsEndAnew() {
+    SuspicionLedger ledger = ledger("a", "b", "c");
+    Suspicion before = ledger.quarantined(NOW).get(0);
+    Instant cleared = NOW.plusSeconds(1);
+    ledger.add(Suspicion.cleared(CONTENT), cleared);
+    ledger.add(before.agedBy(Duration.ofSeconds(5)), NOW.plusSeconds(5));
+    assertThat(ledger.quarantinedFor(CONTENT, NOW.plusSeconds(5)).isPresent(), is(false));
+    for (String endpoint : List.of("d", "e", "f")) {
+      cleared = cleared.plus(APART);
+      ledger.add(suspicion(CONTENT, endpoint), cleared);
+    }
+    assertThat(ledger.quarantinedFor(CONTENT, cleared).isPresent(), is(true));
+  }
+
+  @Test
+  void endpointThatIsStillThereProvesNothing() {
+    SuspicionLedger ledger = ledger("a", "b", "c");
+    Suspicion before = ledger.quarantined(NOW).get(0);
+    ledger.disprove("b", NOW.plusSeconds(1));
+    ledger.add(before.agedBy(Duration.ofSeconds(2)), NOW.plusSeconds(2));
+    assertThat(ledger.quarantinedFor(CONTENT, NOW.plusSeconds(2)).isPresent(), is(false));
+    ledger.add(suspicion(CONTENT, "b"), NOW.plusSeconds(3));
+    assertThat(ledger.quarantinedFor(CONTENT, NOW.plusSeconds(3)).isPresent(), is(true));
   }
 
   @Test
@@ -73,7 +131,7 @@
 
   @Test
   void whatWasForgottenDoesNotComeBack() {
-    Suspicion old = new Suspicion(CONTENT, Set.of("a", "b", "c"), SuspicionLedger.MEMORY);
+    Suspicion old = ledger("a", "b", "c").quarantined(NOW).get(0).agedBy(SuspicionLedger.MEMORY);
     SuspicionLedger ledger = new SuspicionLedger();
     assertThat(ledger.add(old, NOW).isPresent(), is(false));
     assertThat(ledger.size(), is(0));
@@ -93,9 +151,13 @@
   void remembersNoMoreEndpointsThanItNeeds() {
     String[] many = IntStream.range(0, 1_000).mapToObj(Integer::toString).toArray(String[]::new);
     SuspicionLedger ledger = new SuspicionLedger();
-    ledger.add(new Suspicion(CONTENT, Set.copyOf(Arrays.asList(many)), Duration.ZERO), NOW);
-    Suspicion known = ledger.atLeast(SuspicionLedger.QUARANTINED, NOW).get(0);
-    assertThat(known.endpoints(), hasSize(SuspicionLedger.QUARANTINED));
+    for (String endpoint : many) {
+      ledger.add(suspicion(CONTENT, endpoint), NOW);
+    }
+    ledger.add(suspicion(CONTENT, "later"), NOW.plus(APART));
+    Suspicion known = ledger.quarantined(NOW.plus(APART)).get(0);
+    assertThat(known.ends(), hasSize(SuspicionLedger.MOST_ENDS));
+    assertThat(known.incarnations(), hasItem("later"));
   }
 
   static Stream<Arguments> digests() {
@@ -139,6 +201,11 @@
           ledger.add(suspicion, now);
         }
       }
+      if (random.nextInt(15) == 0) {
+        ledgers
+            .get(random.nextInt(n))
+            .add(Suspicion.cleared(new RequestFingerprint(random.nextInt(6))), now);
+      }
       if (random.nextInt(20) == 0) {
         ledgers.set(random.nextInt(n), new SuspicionLedger());
       }
@@ -211,32 +278,57 @@
   void runGivenUpIsSuspectIfItsEndpointSaidNothingMore(
       String name, Duration lastByteAfter, Duration endedAfter, boolean suspect) {
     UnansweredRuns runs = new UnansweredRuns();
-    assertThat(runs.givenUp("e", CONTENT, NOW), is(false));
-    List<RequestFingerprint> suspects =
-        runs.ended("e", NOW.plus(lastByteAfter), NOW.plus(endedAfter));
-    assertThat(suspects, is(suspect ? List.of(CONTENT) : List.of()));
+    assertThat(runs.unanswered("e", CONTENT, Kind.GIVEN_UP, NOW).isPresent(), is(false));
+    List<Suspicion> suspects = runs.ended("e", NOW.plus(lastByteAfter), NOW.plus(endedAfter));
+    List<RequestFingerprint> contents = suspects.stream().map(Suspicion::content).toList();
+    assertThat(contents, is(suspect ? List.of(CONTENT) : List.of()));
     assertThat(runs.ended("e", NOW, NOW), is(List.of()));
   }
 
+  @Test
+  void brokenRunEndedWithItsEndpointAndSilentOneAtAnUnknownMoment() {
+    UnansweredRuns runs = new UnansweredRuns();
+    RequestFingerprint other = new RequestFingerprint(8);
+    runs.unanswered("e", CONTENT, Kind.BROKEN_OFF, NOW);
+    runs.unanswered("e", other, Kind.GIVEN_UP, NOW);
+    Duration later = Duration.ofSeconds(2);
+    assertThat(
+        runs.ended("e", NOW, NOW.plus(later)),
+        is(
+            List.of(
+                Suspicion.of(CONTENT, new EndpointEnd("e", later, false)),
+                Suspicion.of(other, new EndpointEnd("e", Duration.ZERO, true)))));
+  }
+
+  @Test
+  void runsAtAnEndpointThatIsBackAreNotSuspect() {
+    UnansweredRuns runs = new UnansweredRuns();
+    runs.ended("e", NOW, NOW);
+    runs.returned("e");
+    assertThat(runs.unanswered("e", CONTENT, Kind.BROKEN_OFF, NOW).isPresent(), is(false));
+  }
+
   @Test
   void runGivenUpAfterItsEndpointEndedIsSuspectAtOnce() {
     UnansweredRuns runs = new UnansweredRuns();
     runs.ended("e", NOW, NOW);
-    assertThat(runs.givenUp("e", CONTENT, NOW.plusSeconds(1)), is(true));
-    assertThat(runs.givenUp("e", CONTENT, NOW.plus(UnansweredRuns.VALID)), is(false));
-    assertThat(runs.givenUp("f", CONTENT, NOW), is(false));
+    Instant late = NOW.plus(UnansweredRuns.VALID);
+    Kind kind = Kind.GIVEN_UP;
+    assertThat(runs.unanswered("e", CONTENT, kind, NOW.plusSeconds(1)).isPresent(), is(true));
+    assertThat(runs.unanswered("e", CONTENT, kind, late).isPresent(), is(false));
+    assertThat(runs.unanswered("f", CONTENT, kind, NOW).isPresent(), is(false));
   }
 
   @Test
   void unansweredRunsTakeBoundedRoomAndTime() {
     UnansweredRuns runs = new UnansweredRuns();
     for (int i = 0; i < 3 * UnansweredRuns.MOST_RUNS; i++) {
-      runs.givenUp("e", new RequestFingerprint(i), NOW);
+      runs.unanswered("e", new RequestFingerprint(i), Kind.GIVEN_UP, NOW);
     }
     assertThat(runs.ended("e", NOW, NOW), hasSize(UnansweredRuns.MOST_RUNS));
-    runs.givenUp("f", CONTENT, NOW);
+    runs.unanswered("f", CONTENT, Kind.GIVEN_UP, NOW);
     for (int i = 0; i < UnansweredRuns.MOST_ENDPOINTS; i++) {
-      runs.givenUp("g" + i, CONTENT, NOW);
+      runs.unanswered("g" + i, CONTENT, Kind.GIVEN_UP, NOW);
     }
     assertThat(runs.ended("f", NOW, NOW), is(List.of()));
     Instant later = NOW.plus(UnansweredRuns.VALID).plusMillis(1);
