Callers of organisations: keys, what endpoints are told, quotas

Cause: the routing document's organisations were not read; headers went through as they came. Change: the document names organisations with keys, rank, home regions and quota. An entry refuses unknown keys (401), sets the organisation's name for endpoints, whatever the caller sends, and drops the key. Where withdrawn keys must be refused everywhere, an entry accepts keys only while a control instance in a majority has confirmed its routing state within 0.6 of the time allowed, counted from its question; a suspended machine notices by the time of day. Quotas are token buckets at each entry, filled at the organisation's whole rate and drained by what all entries tell in the news that they exchange anyway; an entry that starts begins empty, one without news takes the others to go on as they did. What has not run is given back. Ruled out: a fixed share for each entry (refuses callers whose organisation is far below its quota: the smallest ask once a second at each of 88 entries); tokens granted by an owner (a round trip between regions a request). Why it holds: proofs are counted from the question, so an answer held up on the way proves nothing later; use that the others have not heard of yet is bounded by news of 0.4 s and is missing from the bucket afterwards.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
 import org.lacewingcroft.fleet.FleetMessage.News;
 
@@ -25,6 +27,7 @@
   private final AggregatorChoice aggregators;
   private final InstantSource clock;
   private final List<FleetMessage.PrefixRead> prefixes = new ArrayList<>();
+  private final Map<String, Long> quotaUses = new HashMap<>();
   private List<Told> told = List.of();
   private Instant toldAt = Instant.EPOCH;
 
@@ -59,8 +62,9 @@
       return;
     }
     List<LoadReport> changed = changed(report) ? List.of(report) : List.of();
-    News news = new News(changed, List.copyOf(prefixes), List.of());
+    News news = new News(changed, List.copyOf(prefixes), List.of(), Map.copyOf(quotaUses));
     prefixes.clear();
+    quotaUses.clear();
     if (!news.isEmpty()) {
       tell(news, false);
     }
@@ -77,6 +81,12 @@
     return true;
   }
 
+  /** They go with the report that follows. */
+  @Override
+  public void quotaUses(Map<String, Long> uses) {
+    uses.forEach((name, use) -> quotaUses.merge(name, use, Long::sum));
+  }
+
   @Override
   public void prefixRead(FleetMessage.PrefixRead read) {
     prefixes.add(read);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -370,7 +370,7 @@
     String peer = report.entry().peerAddress();
     // Before the pulse, by which an entry that has just started becomes ready for callers.
     suspicions.compare(report);
-    transport.send(peer, pulse());
+    transport.send(peer, pulse(report.questionId()));
     if (report.wantsLists()) {
       sendDifferences(seen, report, now);
     }
@@ -404,7 +404,7 @@
     return startedAt.plus(settings.endpointHeartbeat().multipliedBy(2)).isBefore(now);
   }
 
-  private FleetMessage.ControlPulse pulse() {
+  private FleetMessage.ControlPulse pulse(long questionId) {
     return new FleetMessage.ControlPulse(
         settings.peerAddress(),
         settings.region(),
@@ -412,7 +412,8 @@
         settled(clock.instant()),
         control.view().routing().revision(),
         suspicions.quarantineDigest(),
-        knownControls());
+        knownControls(),
+        questionId);
   }
 
   private List<String> knownControls() {
@@ -517,7 +518,7 @@
         state.version(),
         "evacuated",
         state.evacuatedDomains());
-    transport.sendAll(peers(e -> e.wantsLists), pulse());
+    transport.sendAll(peers(e -> e.wantsLists), pulse(0));
   }
 
   private void offerState(String peer) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectNews.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectNews.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.fleet;
 
 import java.util.List;
+import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -44,6 +45,15 @@
     tell(report, this::isNeighbour);
   }
 
+  @Override
+  public void quotaUses(Map<String, Long> uses) {
+    FleetMessage.News news =
+        new FleetMessage.News(List.of(), List.of(), List.of(), Map.copyOf(uses));
+    tell(
+        new FleetMessage.EntryNews(settings.nodeName(), settings.region(), false, news),
+        e -> !e.name().equals(settings.nodeName()));
+  }
+
   @Override
   public void prefixRead(FleetMessage.PrefixRead read) {
     tell(read, e -> !e.name().equals(settings.nodeName()));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
@@ -55,6 +56,9 @@
   /** Share of an endpoint's connections that all entries together use. */
   private static final double CONNECTION_SHARE = 0.8;
 
+  /** Share of the time in which a withdrawn key may be accepted that a proof of the state lasts. */
+  private static final double LEASE_SHARE = 0.6;
+
   /** Share of a cold endpoint's bound that entries use together. */
   private static final double COLD_SHARE = 0.5;
 
@@ -76,6 +80,9 @@
   private final ControlContacts contacts;
   private final RequestQuarantine quarantine;
   private final Instant startedAt;
+  private final StateLease lease;
+  private final FleetQuotas quotas;
+  private final InstantSource wallClock = InstantSource.system();
   private volatile List<String> seeds;
   private List<String> controls = List.of();
   private List<EntryInfo> entries = List.of();
@@ -123,6 +130,7 @@
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.quotas = new FleetQuotas(startedAt);
     this.contacts = new ControlContacts(settings.region());
     this.aggregators = new AggregatorChoice(settings.region());
     this.direct = new DirectNews(settings, transport, () -> this.entries);
@@ -135,7 +143,8 @@
             clock,
             endpoints::trackers,
             endpoints::tracker,
-            this::newsChannel);
+            this::newsChannel,
+            quotas);
     this.prefixes =
         new PrefixExchange(
             settings,
@@ -155,11 +164,18 @@
             this::nearControls,
             this::entryNames);
     FleetBounds bounds = settings.bounds();
+    this.lease = new StateLease(leaseOf(bounds));
     this.extraSends =
         new ExtraSendBudget(
             bounds.extraSendRatio(), bounds.extraSendSlack(), bounds.extraSendWindow());
   }
 
+  /** The rest of the time is for control instances to notice that they are cut off themselves. */
+  private static Duration leaseOf(FleetBounds bounds) {
+    long millis = bounds.revocation().map(Duration::toMillis).orElse(0L);
+    return Duration.ofMillis(Math.round(millis * LEASE_SHARE));
+  }
+
   /** Listens to peers and begins to report. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_MILLIS, id -> report());
@@ -234,6 +250,11 @@
     return quarantine;
   }
 
+  /** Returns the quotas of organisations. */
+  public FleetQuotas quotas() {
+    return quotas;
+  }
+
   /** Returns the other regions' loads. */
   public RegionLoads regionLoads() {
     return regionLoads;
@@ -389,12 +410,13 @@
     }
     Set<String> targets = knownControls(now);
     Set<String> relied = largeFleet && !silent ? contacts.relied(controls, now) : targets;
-    transport.sendAll(relied, entryReport(true));
+    long questionId = lease.ask(clocks());
+    transport.sendAll(relied, entryReport(true, questionId));
     reports++;
     if (reports % REPORTS_BETWEEN == 0 || stopping) {
       Set<String> others = new TreeSet<>(targets);
       others.removeAll(relied);
-      transport.sendAll(others, entryReport(false));
+      transport.sendAll(others, entryReport(false, questionId));
     }
     quarantine.repeat();
     tellRegions();
@@ -415,7 +437,19 @@
     return contacts.relied(knownControls(now), now);
   }
 
-  private FleetMessage entryReport(boolean wantsLists) {
+  private StateLease.Clocks clocks() {
+    return new StateLease.Clocks(clock.instant(), wallClock.instant());
+  }
+
+  /**
+   * Returns whether callers' keys may be accepted. An entry that no control instance reaches does
+   * not hear of keys that are withdrawn.
+   */
+  public boolean acceptsKeys() {
+    return settings.bounds().revocation().isEmpty() || lease.isValid(clocks());
+  }
+
+  private FleetMessage entryReport(boolean wantsLists, long questionId) {
     return new FleetMessage.EntryReport(
         self,
         ready(),
@@ -423,7 +457,8 @@
         routing.revision(),
         endpoints.digest(),
         entriesDigest(entries),
-        quarantine.digest());
+        quarantine.digest(),
+        questionId);
   }
 
   private void receive(FleetMessage message) {
@@ -441,6 +476,8 @@
       prefixes.heard(read);
     } else if (message instanceof FleetMessage.RegionLoad load) {
       regionHeard(load);
+    } else if (message instanceof FleetMessage.EntryNews news) {
+      quotas.heardOfOthers(news.news().quotaUses(), clock.instant());
     } else if (message instanceof FleetMessage.NewsDigest digest) {
       digestHeard(digest);
     } else if (message instanceof FleetMessage.SuspicionUpdate update) {
@@ -464,6 +501,7 @@
     digest.news().loads().forEach(loads::heard);
     digest.news().prefixes().forEach(prefixes::heard);
     digest.news().regionLoads().forEach(this::regionHeard);
+    quotas.heardOfAll(digest.news().quotaUses(), clock.instant());
   }
 
   /** Entries of large fleets tell each other through an aggregator while one is in reach. */
@@ -503,6 +541,9 @@
       controls = pulse.controls();
       contacts.retain(controls);
     }
+    if (pulse.inMajority() && pulse.revision() <= routing.revision()) {
+      lease.proved(pulse.questionId());
+    }
     boolean mayAsk = requestedAt.plus(REQUEST_PAUSE).isBefore(now);
     if (pulse.revision() > routing.revision() && mayAsk) {
       requestedAt = now;
@@ -529,6 +570,7 @@
                   : parser.parse(offer.document()),
               offer.evacuatedDomains());
       requestedAt = Instant.EPOCH;
+      quotas.configure(routing.table().organisations(), clock.instant());
       returned(before.evacuatedDomains());
       LOG.log(
           System.Logger.Level.INFO,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetBounds.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetBounds.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.fleet;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * What the deployment promises its users, as its settings state it.
@@ -12,6 +13,8 @@
  * @param extraSendWindow the span in which they are counted
  * @param coldOvershoot factor on a cold endpoint's rate that is tolerated
  * @param coldSlack requests a second that are tolerated besides
+ * @param revocation time after which a key that was withdrawn is accepted nowhere any more, not
+ *     even by entries that no control instance reaches; empty if those may go on
  */
 public record FleetBounds(
     Duration grace,
@@ -20,4 +23,5 @@
     double extraSendSlack,
     Duration extraSendWindow,
     double coldOvershoot,
-    double coldSlack) {}
+    double coldSlack,
+    Optional<Duration> revocation) {}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -14,12 +14,13 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.placement.EndpointTracker;
 
 /**
  * What an entry tells others of load, and takes from them: the entries of its region tell each
  * other their work at each endpoint, so that none of them fills one that another is filling; two of
- * them tell the other regions how long the waits are.
+ * them tell the other regions how long the waits are. What callers use of quotas goes along.
  *
  * <p>Owned by the event loop.
  */
@@ -40,6 +41,7 @@
   private final Supplier<Collection<EndpointTracker>> trackers;
   private final Function<String, Optional<EndpointTracker>> trackerOf;
   private final Supplier<NewsChannel> channel;
+  private final FleetQuotas quotas;
 
   /** The endpoints at which each other entry has said that it has work. */
   private final Map<String, Set<String>> namedBy = new HashMap<>();
@@ -53,7 +55,8 @@
       InstantSource clock,
       Supplier<Collection<EndpointTracker>> trackers,
       Function<String, Optional<EndpointTracker>> trackerOf,
-      Supplier<NewsChannel> channel) {
+      Supplier<NewsChannel> channel,
+      FleetQuotas quotas) {
     this.vertx = vertx;
     this.settings = settings;
     this.self = self;
@@ -61,6 +64,7 @@
     this.trackers = trackers;
     this.trackerOf = trackerOf;
     this.channel = channel;
+    this.quotas = quotas;
   }
 
   /** Begins to report to the region's other entries. */
@@ -73,7 +77,11 @@
     Instant now = clock.instant();
     List<FleetMessage.EndpointLoad> work =
         trackers.get().stream().filter(t -> t.running() > 0).map(t -> workAt(t, now)).toList();
-    boolean news = !work.isEmpty() || toldWork;
+    Map<String, Long> uses = quotas.takeUntold();
+    if (!uses.isEmpty()) {
+      channel.get().quotaUses(uses);
+    }
+    boolean news = !work.isEmpty() || toldWork || !uses.isEmpty();
     toldWork = !work.isEmpty();
     if (news) {
       channel.get().work(new FleetMessage.LoadReport(self.name(), true, work), false);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/NewsAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/NewsAggregator.java
@@ -71,7 +71,9 @@
     own.heardAt = now;
     own.digest.add(told.news(), told.urgent());
     own.remote.add(told.news(), now);
-    News forOtherRegions = new News(List.of(), told.news().prefixes(), told.news().regionLoads());
+    News forOtherRegions =
+        new News(
+            List.of(), told.news().prefixes(), told.news().regionLoads(), told.news().quotaUses());
     addToOthers(told.region(), forOtherRegions);
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/NewsChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/NewsChannel.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.fleet;
 
+import java.util.Map;
+
 /** The way by which an entry tells the others its news. */
 interface NewsChannel {
   /** Returns the pause between two regular reports of its work, in ms. */
@@ -12,6 +14,13 @@
    */
   void work(FleetMessage.LoadReport report, boolean urgent);
 
+  /**
+   * Tells the entries of all regions what callers have used of their organisations' quotas.
+   *
+   * @param uses by organisation, not empty
+   */
+  void quotaUses(Map<String, Long> uses);
+
   /** Tells the entries of all regions that an endpoint has read the beginning of a prompt. */
   void prefixRead(FleetMessage.PrefixRead read);
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -24,6 +25,7 @@
 import org.lacewingcroft.http.CallerConnections;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.route.Organisation;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 
@@ -46,6 +48,9 @@
   /** How often it is seen to that a connection to each relay partner is open. */
   private static final long WARM_MILLIS = 1_000;
 
+  /** When callers may come back whose keys cannot be checked: control instances answer by then. */
+  private static final Duration RECHECK = Duration.ofSeconds(1);
+
   private static final Duration START_RETRY_AFTER = Duration.ofMillis(500);
 
   private final Vertx vertx;
@@ -177,17 +182,65 @@
       answer.own(400, "the header " + names.requestId() + " is missing", true, Optional.empty());
       return;
     }
-    String service = route.get().pick(ThreadLocalRandom.current().nextDouble());
-    Handling handling =
-        Handling.of(
-            route.get(), service, node.routing().table().queuePriority(route.get(), service));
+    CallerAccess access =
+        CallerAccess.of(
+            node.routing().table(),
+            route.get(),
+            request.getHeader(HttpHeaders.AUTHORIZATION),
+            node.acceptsKeys(),
+            RECHECK);
+    if (access instanceof CallerAccess.Denied denied) {
+      logRejected(request, denied.reason());
+      answer.own(denied.status(), denied.reason(), true, denied.retryAfter());
+      return;
+    }
+    CallerAccess.Granted granted = (CallerAccess.Granted) access;
+    try {
+      Handling handling = handlingOf(route.get(), granted);
+      forward(request, answer, handling, arrivedAt, granted.organisation());
+    } catch (CallerAccess.NoRegionException e) {
+      logRejected(request, e.getMessage());
+      answer.own(503, e.getMessage(), true, Optional.empty());
+    }
+  }
+
+  private Handling handlingOf(Route route, CallerAccess.Granted access)
+      throws CallerAccess.NoRegionException {
+    String service = route.pick(ThreadLocalRandom.current().nextDouble());
+    return Handling.of(
+        route,
+        service,
+        access.priorityOr(node.routing().table().queuePriority(route, service)),
+        access.regionsOn(route),
+        access.organisation().map(Organisation::name));
+  }
+
+  /** Takes the body and sends the request on if the organisation's quota bears it. */
+  private void forward(
+      HttpServerRequest request,
+      CallerAnswer answer,
+      Handling handling,
+      Instant arrivedAt,
+      Optional<Organisation> organisation) {
+    boolean keysNeeded = node.routing().table().keysNeeded();
     readBody(
         request,
         answer,
         handling.timeout(),
-        body ->
-            new ForwardCall(context, reader.read(request, body, handling, arrivedAt), answer, false)
-                .start());
+        body -> {
+          ForwardRequest read = reader.read(request, body, handling, arrivedAt, keysNeeded);
+          QuotaCharge charge =
+              QuotaCharge.of(
+                  organisation, read.promptTokens() + read.outputTokens(), node.quotas());
+          Optional<Duration> usedUpFor = charge.take(clock.instant());
+          if (usedUpFor.isPresent()) {
+            logRejected(
+                request, "the quota of " + handling.organisation().orElse("") + " is used up");
+            answer.own(429, "the organisation's quota is used up", true, usedUpFor);
+          } else {
+            new ForwardCall(context, read, answer, false, charge).start();
+          }
+        });
   }
 
   private static String hostOf(HttpServerRequest request) {
@@ -274,14 +327,19 @@
               1,
               sent.objective(),
               due,
-              sent.regions());
+              sent.regions(),
+              sent.organisation());
       readBody(
           request,
           answer,
           due,
           body ->
               new ForwardCall(
-                      context, reader.read(request, body, handling, arrivedAt), answer, true)
+                      context,
+                      reader.read(request, body, handling, arrivedAt, /* keysNeeded= */ false),
+                      answer,
+                      true,
+                      QuotaCharge.none(node.quotas()))
                   .start());
     } catch (GatewayException | IllegalArgumentException e) {
       logRejected(request, e.getMessage());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -64,6 +64,7 @@
   private final CallerAnswer answer;
   private final boolean relayed;
   private final RequestLog log;
+  private final QuotaCharge charge;
   private final Set<String> passedOver = new HashSet<>();
   private final Set<String> passedOverRegions = new HashSet<>();
   private Optional<UpstreamAttempt> current = Optional.empty();
@@ -83,8 +84,19 @@
   private record EndpointError(
       UpstreamAttempt attempt, int status, List<Map.Entry<String, String>> headers, Buffer body) {}
 
+  /**
+   * Creates the call.
+   *
+   * @param relayed whether another entry sent the request
+   * @param charge what it has taken of a quota
+   */
   ForwardCall(
-      ForwardContext context, ForwardRequest request, CallerAnswer answer, boolean relayed) {
+      ForwardContext context,
+      ForwardRequest request,
+      CallerAnswer answer,
+      boolean relayed,
+      QuotaCharge charge) {
+    this.charge = charge;
     this.context = context;
     this.request = request;
     this.answer = answer;
@@ -226,6 +238,10 @@
     if (target.endpoint().isPresent()) {
       headers.add(Map.entry(names.deadlineMillis(), Long.toString(leftMillis)));
       headers.add(Map.entry(names.expectInstance(), target.name()));
+      request
+          .handling()
+          .organisation()
+          .ifPresent(name -> headers.add(Map.entry(names.organisation(), name)));
       target
           .fetch()
           .map(f -> f.source().record().address())
@@ -522,6 +538,10 @@
     }
   }
 
+  private boolean awaitsAnswer() {
+    return current.filter(UpstreamAttempt::written).isPresent();
+  }
+
   private boolean resend() {
     return context.node().mayResend(request.handling().service());
   }
@@ -547,7 +567,7 @@
     if (done) {
       return;
     }
-    boolean sent = current.filter(UpstreamAttempt::written).isPresent();
+    boolean sent = awaitsAnswer();
     current.ifPresent(a -> giveUp(a, Outcome.CANCELLED));
     if (sent || mayHaveRun) {
       finish(GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
@@ -591,6 +611,9 @@
 
   private void finished(String outcome, int status) {
     done = true;
+    if (!mayHaveRun && !awaitsAnswer()) {
+      charge.giveBack();
+    }
     context.open().decrementAndGet();
     Vertx vertx = context.vertx();
     vertx.cancelTimer(dueTimer);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/Handling.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/Handling.java
@@ -1,6 +1,10 @@
 package org.lacewingcroft.forward;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
@@ -18,6 +22,7 @@
  * @param objective the time to the first byte that callers want
  * @param timeout the longest it may go without its final answer
  * @param regions regions that may run it; empty for any
+ * @param organisation the organisation of its caller, empty if it showed no key
  */
 record Handling(
     String route,
@@ -28,11 +33,13 @@
     int maxAttempts,
     Duration objective,
     Duration timeout,
-    Set<String> regions) {
+    Set<String> regions,
+    Optional<String> organisation) {
   private static final String SEPARATOR = ";";
-  private static final int FIELDS = 8;
+  private static final int FIELDS = 9;
 
-  static Handling of(Route route, String service, int priority) {
+  static Handling of(
+      Route route, String service, int priority, Set<String> regions, Optional<String> caller) {
     return new Handling(
         route.name(),
         service,
@@ -42,7 +49,8 @@
         route.maxAttempts(),
         route.latencyObjective(),
         route.timeout(),
-        route.homeRegions());
+        regions,
+        caller);
   }
 
   boolean idempotent() {
@@ -64,7 +72,8 @@
         Integer.toString(priority),
         Integer.toString(maxAttempts),
         Long.toString(objective.toMillis()),
-        Long.toString(timeout.toMillis()));
+        Long.toString(timeout.toMillis()),
+        URLEncoder.encode(organisation.orElse(""), StandardCharsets.UTF_8));
   }
 
   /**
@@ -86,6 +95,8 @@
         Integer.parseInt(fields[5]),
         Duration.ofMillis(Long.parseLong(fields[6])),
         Duration.ofMillis(Long.parseLong(fields[7])),
-        Set.of());
+        Set.of(),
+        Optional.of(URLDecoder.decode(fields[8], StandardCharsets.UTF_8))
+            .filter(o -> !o.isEmpty()));
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param priority rank of the request at the endpoint, 0 the most urgent
  * @param prefixSource address of an endpoint from which the prompt's beginning is fetched
  * @param lastEventId the last event that the sender of the request has
+ * @param organisation tells an endpoint the organisation of the caller
  * @param owned headers in lower case that only this system may set; callers' are dropped
  */
 public record HeaderNames(
@@ -30,4 +31,5 @@
     String priority,
     String prefixSource,
     String lastEventId,
+    String organisation,
     Set<String> owned) {}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -22,15 +23,27 @@
 
   private final HeaderNames names;
   private final Set<String> dropped;
+  private final Set<String> droppedWithKeys;
 
   RequestReader(HeaderNames names) {
     this.names = names;
     this.dropped = new HashSet<>(names.owned());
     this.dropped.addAll(ForwardContext.RELAY_HEADERS);
+    this.droppedWithKeys = new HashSet<>(dropped);
+    this.droppedWithKeys.add(HttpHeaders.AUTHORIZATION.toString().toLowerCase(Locale.ROOT));
   }
 
+  /**
+   * Reads a request.
+   *
+   * @param keysNeeded whether its key is for this system and goes no further
+   */
   ForwardRequest read(
-      HttpServerRequest request, Buffer body, Handling handling, Instant arrivedAt) {
+      HttpServerRequest request,
+      Buffer body,
+      Handling handling,
+      Instant arrivedAt,
+      boolean keysNeeded) {
     MultiMap headers = request.headers();
     Duration patience =
         numbers(headers.get(names.deadlineMillis())).stream()
@@ -45,7 +58,7 @@
         request.remoteAddress().hostAddress(),
         request.method(),
         request.uri(),
-        ForwardRequest.endToEnd(headers, dropped),
+        ForwardRequest.endToEnd(headers, keysNeeded ? droppedWithKeys : dropped),
         body,
         handling,
         arrivedAt,
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryListTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryListTest.java
@@ -59,7 +59,8 @@
 
     private void report(FleetHarness harness, boolean wantsLists) {
       FleetMessage report =
-          new FleetMessage.EntryReport(info, true, wantsLists, 0, 0, /* entriesDigest= */ 12345, 0);
+          new FleetMessage.EntryReport(
+              info, true, wantsLists, 0, 0, /* entriesDigest= */ 12345, 0, 0);
       transport.send(harness.controlAddress(), new PeerMessage.Fleet(report));
     }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -47,11 +47,22 @@
           "X-Priority",
           "X-Prefix-Source",
           "Last-Event-Id",
-          Set.of("x-expect", "x-priority"));
+          "X-Organisation",
+          Set.of("x-expect", "x-priority", "x-organisation"));
+
+  /** Short, so that tests see an entry without control instances run out of it. */
+  static final Duration REVOCATION = Duration.ofSeconds(5);
 
   private static final FleetBounds BOUNDS =
       new FleetBounds(
-          Duration.ofSeconds(8), Duration.ofSeconds(5), 1, 100, Duration.ofSeconds(10), 1.5, 3);
+          Duration.ofSeconds(8),
+          Duration.ofSeconds(5),
+          1,
+          100,
+          Duration.ofSeconds(10),
+          1.5,
+          3,
+          Optional.of(REVOCATION));
   private static final Duration HEARTBEAT = Duration.ofMillis(300);
   static final byte[] SECRET = "a secret of the test fleet".getBytes();
 
@@ -208,7 +219,8 @@
         attempts,
         resumable,
         Optional.empty(),
-        homes);
+        homes,
+        false);
   }
 
   /** A service that is never cold. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
@@ -50,11 +50,13 @@
       FleetRecords.packEntry(p, r.entry());
       p.packBoolean(r.ready()).packBoolean(r.wantsLists()).packLong(r.revision());
       p.packInt(r.rosterDigest()).packInt(r.entriesDigest()).packInt(r.quarantineDigest());
+      p.packLong(r.questionId());
     } else if (message instanceof FleetMessage.ControlPulse c) {
       p.packInt(CONTROL_PULSE).packString(c.from()).packString(c.region());
       p.packBoolean(c.inMajority()).packBoolean(c.settled()).packLong(c.revision());
       p.packInt(c.quarantineDigest());
       FleetRecords.packStrings(p, c.controls());
+      p.packLong(c.questionId());
     } else if (message instanceof FleetMessage.ControlHello h) {
       p.packInt(CONTROL_HELLO).packString(h.from()).packInt(h.recurringDigest());
       FleetRecords.packStrings(p, h.controls());
@@ -135,7 +137,8 @@
               u.unpackLong(),
               u.unpackInt(),
               u.unpackInt(),
-              u.unpackInt());
+              u.unpackInt(),
+              u.unpackLong());
       case CONTROL_PULSE ->
           new FleetMessage.ControlPulse(
               u.unpackString(),
@@ -144,7 +147,8 @@
               u.unpackBoolean(),
               u.unpackLong(),
               u.unpackInt(),
-              FleetRecords.unpackStrings(u));
+              FleetRecords.unpackStrings(u),
+              u.unpackLong());
       case CONTROL_HELLO ->
           new FleetMessage.ControlHello(
               u.unpackString(), u.unpackInt(), FleetRecords.unpackStrings(u));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.fleet;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.lacewingcroft.quarantine.Suspicion;
 
@@ -22,6 +23,7 @@
    * @param rosterDigest the digest of its roster
    * @param entriesDigest the digest of the entries it knows
    * @param quarantineDigest the digest of the quarantined contents it knows
+   * @param questionId what the answer is to repeat
    */
   record EntryReport(
       EntryInfo entry,
@@ -30,7 +32,8 @@
       long revision,
       int rosterDigest,
       int entriesDigest,
-      int quarantineDigest)
+      int quarantineDigest,
+      long questionId)
       implements FleetMessage {}
 
   /**
@@ -43,6 +46,7 @@
    * @param revision the revision of its committed routing state
    * @param quarantineDigest the digest of the quarantined contents it knows
    * @param controls the control instances it knows
+   * @param questionId names the report that this answers; 0 if it answers none
    */
   record ControlPulse(
       String from,
@@ -51,7 +55,8 @@
       boolean settled,
       long revision,
       int quarantineDigest,
-      List<String> controls)
+      List<String> controls,
+      long questionId)
       implements FleetMessage {}
 
   /**
@@ -234,14 +239,24 @@
    * @param loads entries' work at endpoints, the later report of an entry behind the earlier
    * @param prefixes beginnings of prompts that endpoints have read
    * @param regionLoads how loaded whole regions are
+   * @param quotaUses what callers have used of the quotas of their organisations, by its name
    */
-  record News(List<LoadReport> loads, List<PrefixRead> prefixes, List<RegionLoad> regionLoads) {
+  record News(
+      List<LoadReport> loads,
+      List<PrefixRead> prefixes,
+      List<RegionLoad> regionLoads,
+      Map<String, Long> quotaUses) {
     /** Nothing. */
-    public static final News NONE = new News(List.of(), List.of(), List.of());
+    public static final News NONE = new News(List.of(), List.of(), List.of(), Map.of());
+
+    /** News that say nothing of quotas. */
+    public News(List<LoadReport> loads, List<PrefixRead> prefixes, List<RegionLoad> regionLoads) {
+      this(loads, prefixes, regionLoads, Map.of());
+    }
 
     /** Returns whether there is none. */
     public boolean isEmpty() {
-      return loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty();
+      return loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty() && quotaUses.isEmpty();
     }
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
@@ -4,7 +4,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.lacewingcroft.fleet.FleetMessage.EndpointLoad;
@@ -205,12 +207,26 @@
     packAll(p, news.loads(), FleetRecords::packLoadReport);
     packAll(p, news.prefixes(), FleetRecords::packPrefixRead);
     packAll(p, news.regionLoads(), FleetRecords::packRegionLoad);
+    packAll(p, news.quotaUses().entrySet(), FleetRecords::packQuotaUse);
+  }
+
+  private static void packQuotaUse(MessagePacker p, Map.Entry<String, Long> use)
+      throws IOException {
+    p.packString(use.getKey()).packLong(use.getValue());
+  }
+
+  private static Map<String, Long> unpackQuotaUses(MessageUnpacker u) throws IOException {
+    Map<String, Long> uses = new HashMap<>();
+    unpackAll(u, element -> Map.entry(element.unpackString(), element.unpackLong()))
+        .forEach(use -> uses.merge(use.getKey(), use.getValue(), Long::sum));
+    return uses;
   }
 
   static News unpackNews(MessageUnpacker u) throws IOException {
     return new News(
         unpackAll(u, FleetRecords::unpackLoadReport),
         unpackAll(u, FleetRecords::unpackPrefixRead),
-        unpackAll(u, FleetRecords::unpackRegionLoad));
+        unpackAll(u, FleetRecords::unpackRegionLoad),
+        unpackQuotaUses(u));
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/NewsBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/NewsBuffer.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
 import org.lacewingcroft.fleet.FleetMessage.News;
@@ -12,7 +14,8 @@
 
 /**
  * News that waits for the next digest to a region's entries: a later whole report of an entry takes
- * the place of its earlier ones, a region's later load that of its earlier one.
+ * the place of its earlier ones, a region's later load that of its earlier one, and what was used
+ * of quotas adds up.
  *
  * <p>Not thread-safe: owned by the instance's event loop.
  */
@@ -29,6 +32,7 @@
   private final List<LoadReport> loads = new ArrayList<>();
   private final List<PrefixRead> prefixes = new ArrayList<>();
   private final List<RegionLoad> regionLoads = new ArrayList<>();
+  private final Map<String, Long> quotaUses = new HashMap<>();
   private boolean urgent;
   private Instant takenAt = Instant.EPOCH;
 
@@ -45,6 +49,7 @@
       regionLoads.removeIf(earlier -> earlier.region().equals(load.region()));
       regionLoads.add(load);
     }
+    news.quotaUses().forEach((name, use) -> quotaUses.merge(name, use, Long::sum));
     urgent |= isUrgent;
   }
 
@@ -53,10 +58,16 @@
     if (takenAt.plus(pause()).isAfter(now)) {
       return Optional.empty();
     }
-    final News news = new News(List.copyOf(loads), List.copyOf(prefixes), List.copyOf(regionLoads));
+    final News news =
+        new News(
+            List.copyOf(loads),
+            List.copyOf(prefixes),
+            List.copyOf(regionLoads),
+            Map.copyOf(quotaUses));
     loads.clear();
     prefixes.clear();
     regionLoads.clear();
+    quotaUses.clear();
     urgent = false;
     takenAt = now;
     return Optional.of(news);
@@ -66,7 +77,8 @@
     if (urgent) {
       return URGENT_PAUSE;
     }
-    boolean empty = loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty();
+    boolean empty =
+        loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty() && quotaUses.isEmpty();
     return empty ? IDLE_PAUSE : PAUSE;
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/RemoteNewsBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/RemoteNewsBuffer.java
@@ -28,6 +28,7 @@
 
   private final Map<List<ReadPart>, Instant> toldAt = new HashMap<>();
   private final List<PrefixRead> prefixes = new ArrayList<>();
+  private final Map<String, Long> quotaUses = new HashMap<>();
   private Optional<RegionLoad> load = Optional.empty();
   private Instant takenAt = Instant.EPOCH;
 
@@ -41,17 +42,20 @@
     for (RegionLoad newer : news.regionLoads()) {
       load = Optional.of(newer);
     }
+    news.quotaUses().forEach((name, use) -> quotaUses.merge(name, use, Long::sum));
   }
 
   /** Takes the news if there is some and it is due. */
   public Optional<News> take(Instant now) {
-    boolean empty = prefixes.isEmpty() && load.isEmpty();
+    boolean empty = prefixes.isEmpty() && load.isEmpty() && quotaUses.isEmpty();
     if (empty || takenAt.plus(PAUSE).isAfter(now)) {
       return Optional.empty();
     }
     takenAt = now;
     toldAt.values().removeIf(at -> !at.plus(PREFIX_PAUSE).isAfter(now));
-    News news = new News(List.of(), List.copyOf(prefixes), load.stream().toList());
+    News news =
+        new News(List.of(), List.copyOf(prefixes), load.stream().toList(), Map.copyOf(quotaUses));
+    quotaUses.clear();
     prefixes.clear();
     load = Optional.empty();
     return Optional.of(news);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/Route.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/Route.java
@@ -20,6 +20,7 @@
  * @param resumable whether a stream may go on at another endpoint after an event
  * @param pauseObjective the longest pause between two events that callers want, for streams
  * @param homeRegions the regions that may run its requests; empty for any
+ * @param open whether callers need no key of an organisation
  */
 public record Route(
     String name,
@@ -33,7 +34,8 @@
     int maxAttempts,
     boolean resumable,
     Optional<Duration> pauseObjective,
-    Set<String> homeRegions) {
+    Set<String> homeRegions,
+    boolean open) {
 
   /** Copies the collections so the route is immutable. */
   public Route {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.route;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,16 +24,30 @@
   private final Map<String, ServiceSpec> services;
   private final RequestLimits limits;
   private final QueuePriorities queuePriorities;
+  private final Map<String, Organisation> organisationsByKey = new HashMap<>();
+  private final boolean keysNeeded;
+
+  /** Checks and indexes a document without organisations: callers need no keys. */
+  public RouteTable(
+      long version, List<Route> routes, List<ServiceSpec> services, RequestLimits limits) {
+    this(version, routes, services, limits, List.of());
+  }
 
   /**
    * Checks and indexes a document.
    *
    * @throws InvalidRouteTableException if two routes share a place, or a route names an unknown
-   *     service, has weights that add up to 0 or no timeout
+   *     service, has weights that add up to 0 or no timeout, or two organisations share a key
    */
   public RouteTable(
-      long version, List<Route> routes, List<ServiceSpec> services, RequestLimits limits) {
+      long version,
+      List<Route> routes,
+      List<ServiceSpec> services,
+      RequestLimits limits,
+      List<Organisation> organisations) {
     this.version = version;
+    this.keysNeeded = !organisations.isEmpty();
+    organisations.forEach(this::index);
     this.limits = limits;
     this.services = new HashMap<>();
     services.forEach(s -> this.services.put(s.name(), s));
@@ -51,6 +66,20 @@
             .collect(Collectors.groupingBy(Route::host));
   }
 
+  private void index(Organisation organisation) {
+    for (String key : organisation.keys()) {
+      Organisation other = organisationsByKey.put(key, organisation);
+      if (other != null) {
+        throw new InvalidRouteTableException(
+            "the organisations '"
+                + other.name()
+                + "' and '"
+                + organisation.name()
+                + "' share a key; give each its own");
+      }
+    }
+  }
+
   private void check(Route route) {
     String subject = "route '" + route.name() + "' ";
     for (ServiceShare share : route.shares()) {
@@ -84,6 +113,21 @@
     return limits;
   }
 
+  /** Returns whether callers show a key, but on open routes. */
+  public boolean keysNeeded() {
+    return keysNeeded;
+  }
+
+  /** Returns the organisations that have keys. */
+  public Collection<Organisation> organisations() {
+    return Set.copyOf(organisationsByKey.values());
+  }
+
+  /** Returns the organisation that holds a key. */
+  public Optional<Organisation> organisationOf(String key) {
+    return Optional.ofNullable(organisationsByKey.get(key));
+  }
+
   /** Returns a service's specification. */
   public Optional<ServiceSpec> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/ControlContactsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/ControlContactsTest.java
@@ -49,7 +49,7 @@
     for (Answer a : answers) {
       FleetMessage.ControlPulse pulse =
           new FleetMessage.ControlPulse(
-              a.from(), a.region(), a.inMajority(), true, 1, 0, List.of());
+              a.from(), a.region(), a.inMajority(), true, 1, 0, List.of(), 0);
       contacts.pulse(pulse, NOW.minusMillis(a.agoMillis()));
     }
     return contacts;
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -52,12 +53,14 @@
           new RequestFingerprint(-1),
           Set.of(new EndpointEnd("i-1@0", Duration.ofMillis(250), true)),
           Optional.of(Duration.ofSeconds(9)));
-  private static final News NEWS = new News(List.of(LOAD), List.of(PREFIX), List.of(REGION));
+  private static final News NEWS =
+      new News(List.of(LOAD), List.of(PREFIX), List.of(REGION), Map.of("desk", 1L << 33));
 
   static Stream<FleetMessage> messages() {
     return Stream.of(
-        new FleetMessage.EntryReport(ENTRY, true, false, 1L << 40, -5, Integer.MIN_VALUE, 7),
-        new FleetMessage.ControlPulse("c", "north", true, false, 3, -9, List.of("c", "d")),
+        new FleetMessage.EntryReport(
+            ENTRY, true, false, 1L << 40, -5, Integer.MIN_VALUE, 7, 1L << 50),
+        new FleetMessage.ControlPulse("c", "north", true, false, 3, -9, List.of("c", "d"), 9),
         new FleetMessage.ControlHello("c", Integer.MAX_VALUE, List.of()),
         new FleetMessage.RosterUpdate("c", 7, true, List.of(ENDPOINT, ENDPOINT)),
         new FleetMessage.RosterAck("c", 7),
--- /dev/null
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/StateLeaseTest.java
@@ -0,0 +1,75 @@
+package org.lacewingcroft.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.fleet.StateLease.Clocks;
+
+class StateLeaseTest {
+  private static final Duration VALIDITY = Duration.ofSeconds(3);
+
+  /** The clocks some time after the start, the time of day off by some more. */
+  private static Clocks at(long steadyMillis, long stepMillis) {
+    return new Clocks(
+        Instant.ofEpochMilli(steadyMillis),
+        Instant.ofEpochSecond(1_000_000).plusMillis(steadyMillis + stepMillis));
+  }
+
+  static Stream<Arguments> checks() {
+    return Stream.of(
+        Arguments.of("at once", 0, 0, true),
+        Arguments.of("just before its end", 2_999, 0, true),
+        Arguments.of("at its end", 3_000, 0, false),
+        Arguments.of("clocks drift a little", 1_000, 100, true),
+        Arguments.of("suspended meanwhile", 1_000, 4_000, false),
+        Arguments.of("time of day set back", 1_000, -4_000, false));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("checks")
+  void provesTheStateForWhileFromTheQuestion(
+      String name, long passedMillis, long stepMillis, boolean valid) {
+    StateLease lease = new StateLease(VALIDITY);
+    lease.proved(lease.ask(at(100, 0)));
+    assertThat(lease.isValid(at(100 + passedMillis, stepMillis)), is(valid));
+  }
+
+  @Test
+  void isOverUntilTheFirstAnswer() {
+    StateLease lease = new StateLease(VALIDITY);
+    assertThat(lease.isValid(at(0, 0)), is(false));
+    lease.ask(at(0, 0));
+    lease.proved(0);
+    lease.proved(99);
+    assertThat(lease.isValid(at(0, 0)), is(false));
+  }
+
+  @Test
+  void answerHeldUpOnTheWayProvesWhatWasAskedForThen() {
+    StateLease lease = new StateLease(VALIDITY);
+    long early = lease.ask(at(0, 0));
+    long late = lease.ask(at(2_000, 0));
+    lease.proved(late);
+    lease.proved(early);
+    assertThat(lease.isValid(at(4_900, 0)), is(true));
+    lease.proved(early);
+    assertThat(lease.isValid(at(5_000, 0)), is(false));
+  }
+
+  @Test
+  void answerToQuestionFromBeforeSuspensionProvesNothing() {
+    StateLease lease = new StateLease(VALIDITY);
+    long before = lease.ask(at(0, 0));
+    lease.proved(before);
+    assertThat(lease.isValid(at(10, 5_000)), is(false));
+    lease.proved(lease.ask(at(20, 5_000)));
+    assertThat(lease.isValid(at(30, 5_000)), is(true));
+  }
+}
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/QueuePrioritiesTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/QueuePrioritiesTest.java
@@ -80,6 +80,7 @@
         1,
         false,
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        false);
   }
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/route/RouteTableTest.java
@@ -3,14 +3,17 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -32,7 +35,8 @@
         1,
         false,
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        false);
   }
 
   private static RouteTable table(Route... routes) {
@@ -82,7 +86,8 @@
         plain.maxAttempts(),
         plain.resumable(),
         plain.pauseObjective(),
-        homes.isEmpty() ? Set.of() : Set.of(homes.split(" ")));
+        homes.isEmpty() ? Set.of() : Set.of(homes.split(" ")),
+        false);
   }
 
   /** A row: routes that must not be put in force, and what the error says. */
@@ -113,4 +118,31 @@
     Route route = route("r", "/a/", 1, new ServiceShare("s", 90), new ServiceShare("t", 10));
     assertThat(route.pick(point), equalTo(expected));
   }
+
+  private static Organisation organisation(String name, String... keys) {
+    return new Organisation(name, Set.of(keys), OptionalInt.empty(), Optional.empty(), Set.of());
+  }
+
+  @Test
+  void keysNameOrganisations() {
+    RouteTable table =
+        new RouteTable(
+            1,
+            List.of(),
+            List.of(),
+            RequestLimits.DEFAULT,
+            List.of(organisation("desk", "k1", "k2"), organisation("crew", "k3")));
+    assertThat(table.keysNeeded(), is(true));
+    assertThat(RouteTable.EMPTY.keysNeeded(), is(false));
+    assertThat(table.organisationOf("k2").map(Organisation::name), is(Optional.of("desk")));
+    assertThat(table.organisationOf("k4"), is(Optional.empty()));
+  }
+
+  @Test
+  void organisationsDoNotShareKeys() {
+    List<Organisation> sharing = List.of(organisation("desk", "k1"), organisation("crew", "k1"));
+    assertThrows(
+        InvalidRouteTableException.class,
+        () -> new RouteTable(1, List.of(), List.of(), RequestLimits.DEFAULT, sharing));
+  }
 }
