Placement asks endpoints' queues without streams; entries' names are listed when they change

Callers saw: nothing; processor time of entries in large fleets. Cause: the tokens ahead of a prompt were gathered with three streams for each endpoint and priority, and the names of a region's entries sorted anew for each request; caller connections carried the extension of a protocol that is not spoken. Change: loops over the lists as they are; the names are kept; the extension is off. Why it holds: the same prompts are compared by the same order. Conclusion: kept as the plainer form of the same decision.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -86,6 +86,7 @@
   private volatile List<String> seeds;
   private List<String> controls = List.of();
   private List<EntryInfo> entries = List.of();
+  private List<String> regionEntryNames;
   private boolean largeFleet;
   private volatile RoutingView routing = RoutingView.NONE;
   private Instant requestedAt = Instant.EPOCH;
@@ -128,6 +129,7 @@
     this.parser = parser;
     this.clock = clock;
     this.startedAt = clock.instant();
+    this.regionEntryNames = List.of(self.name());
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
     this.quotas = new FleetQuotas(startedAt);
@@ -284,7 +286,7 @@
       Set<String> passedOverRegions) {
     Optional<ServiceSpec> spec = routing.table().service(request.service());
     Optional<ServiceSpec.Engine> engine = spec.flatMap(ServiceSpec::engine);
-    List<String> near = regionEntryNames();
+    List<String> near = regionEntryNames;
     Placer placer = new Placer(coldOwners(spec), ThreadLocalRandom.current());
     List<EndpointTracker> all = endpointsOf(request.service());
     return placer.place(
@@ -332,11 +334,11 @@
     return entries.stream().map(EntryInfo::name).toList();
   }
 
-  private List<String> regionEntryNames() {
+  private static List<String> regionEntryNames(EntryInfo self, List<EntryInfo> entries) {
     Set<String> names = new TreeSet<>();
     names.add(self.name());
     entries.stream()
-        .filter(e -> e.region().equals(settings.region()))
+        .filter(e -> e.region().equals(self.region()))
         .forEach(e -> names.add(e.name()));
     return List.copyOf(names);
   }
@@ -614,6 +616,7 @@
   private void entriesChanged(FleetMessage.EntryList list) {
     if (entriesDigest(list.entries()) != entriesDigest(entries)) {
       entries = List.copyOf(list.entries());
+      regionEntryNames = regionEntryNames(self, entries);
       largeFleet = isLarge(entries);
       LOG.log(
           System.Logger.Level.INFO,
@@ -646,7 +649,7 @@
 
   private void tellRegions() {
     if (ready()) {
-      loads.tellRegions(regionEntryNames(), routing.evacuatedDomains());
+      loads.tellRegions(regionEntryNames, routing.evacuatedDomains());
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -147,6 +147,8 @@
         .setTcpNoDelay(true)
         .setAcceptBacklog(ACCEPT_BACKLOG)
         .setHttp2ClearTextEnabled(false)
+        .setPerFrameWebSocketCompressionSupported(false)
+        .setPerMessageWebSocketCompressionSupported(false)
         .setHandle100ContinueAutomatically(true);
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReadingQueue.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The prompts that an engine has been sent and has not read yet, those of other entries included as
@@ -80,32 +78,64 @@
    * @param tokensPerMilli the engine's reading speed
    */
   double tokensAhead(int priority, double tokensPerMilli, Instant now) {
-    List<Unread> all = new ArrayList<>(own);
-    for (PeerPrompts peer : peers.values()) {
-      if (peer.at.plus(PEER_REPORT_VALID).isAfter(now)) {
-        all.addAll(peer.prompts);
+    List<List<Unread>> waiting = waiting(now);
+    Unread oldest = null;
+    for (List<Unread> prompts : waiting) {
+      for (Unread prompt : prompts) {
+        if (oldest == null || prompt.sentAt().isBefore(oldest.sentAt())) {
+          oldest = prompt;
+        }
       }
     }
-    Optional<Unread> oldest = all.stream().min(Comparator.comparing(Unread::sentAt));
-    if (oldest.isEmpty()) {
+    if (oldest == null) {
       return 0;
     }
-    Instant began = later(oldest.get().sentAt(), lastReadAt);
-    Unread reading = beingRead(all, began).orElse(oldest.get());
+    Instant began = later(oldest.sentAt(), lastReadAt);
+    Unread reading = beingRead(waiting, began, oldest);
     double ahead = rest(reading, began, tokensPerMilli, now);
-    for (Unread prompt : all) {
-      if (prompt != reading && prompt.priority() <= priority) {
-        ahead += prompt.tokens();
+    for (List<Unread> prompts : waiting) {
+      for (Unread prompt : prompts) {
+        if (prompt != reading && prompt.priority() <= priority) {
+          ahead += prompt.tokens();
+        }
       }
     }
     return ahead;
   }
 
-  /** The most urgent of the prompts that waited when the engine became free. */
-  private static Optional<Unread> beingRead(List<Unread> all, Instant free) {
-    return all.stream()
-        .filter(p -> !p.sentAt().isAfter(free))
-        .min(Comparator.comparingInt(Unread::priority).thenComparing(Unread::sentAt));
+  private List<List<Unread>> waiting(Instant now) {
+    List<List<Unread>> waiting = new ArrayList<>(1 + peers.size());
+    waiting.add(own);
+    Instant oldestValid = now.minus(PEER_REPORT_VALID);
+    for (PeerPrompts peer : peers.values()) {
+      if (peer.at.isAfter(oldestValid)) {
+        waiting.add(peer.prompts);
+      }
+    }
+    return waiting;
+  }
+
+  /**
+   * The most urgent of the prompts that waited when the engine became free.
+   *
+   * @param oldest the prompt sent first, which waited then
+   */
+  private static Unread beingRead(List<List<Unread>> waiting, Instant free, Unread oldest) {
+    Unread reading = oldest;
+    for (List<Unread> prompts : waiting) {
+      for (Unread prompt : prompts) {
+        if (!prompt.sentAt().isAfter(free) && comesBefore(prompt, reading)) {
+          reading = prompt;
+        }
+      }
+    }
+    return reading;
+  }
+
+  private static boolean comesBefore(Unread prompt, Unread other) {
+    return prompt.priority() != other.priority()
+        ? prompt.priority() < other.priority()
+        : prompt.sentAt().isBefore(other.sentAt());
   }
 
   private static double rest(Unread reading, Instant began, double tokensPerMilli, Instant now) {
