--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FleetQuotasTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FleetQuotasTest.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -153,6 +154,35 @@
         greaterThan(perSecond * WINDOW.toSeconds() * 0.9));
   }
 
+  /** The other way to share a quota: each entry has a bucket with its part of rate and burst. */
+  @ParameterizedTest
+  @MethodSource("loads")
+  void fixedSharesRefuseWhatIsBelowTheQuota(double perSecond, long seed) {
+    Random random = new Random(seed);
+    double[] levels = new double[ENTRIES];
+    Arrays.fill(levels, perSecond / ENTRIES);
+    int refused = 0;
+    double owed = 0;
+    for (Instant now = START; now.isBefore(START.plusSeconds(30)); now = now.plus(STEP)) {
+      double share = perSecond / ENTRIES;
+      for (int i = 0; i < ENTRIES; i++) {
+        levels[i] = Math.min(share, levels[i] + share * STEP.toMillis() / 1_000);
+      }
+      owed += perSecond * 0.56 * STEP.toMillis() / 1_000;
+      while (owed > 0) {
+        long cost = 1_000 + random.nextInt(15_000);
+        owed -= cost;
+        int entry = random.nextInt(ENTRIES);
+        if (levels[entry] < Math.min(cost, share)) {
+          refused++;
+        } else {
+          levels[entry] -= cost;
+        }
+      }
+    }
+    assertThat(refused, greaterThan(0));
+  }
+
   @Test
   void quotaThatIsLoweredBindsAtOnce() {
     Organisation desk = organisation(1_000, 10_000);
