Evidence that waits for a control instance keeps its time

Callers saw: nothing yet; a content that ended endpoints while no control instance was in reach was not quarantined afterwards. Cause: what is told again until it is confirmed was told with the age that it had when it was gathered. Change: the age grows until it is told. Why it holds: ages are counted from one instant, whenever they are told.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -50,10 +50,17 @@
   private final EndProbe probe;
   private final PendingVerdicts pending = new PendingVerdicts();
   private final List<Suspicion> gathered = new ArrayList<>();
-  private final Map<Long, List<Suspicion>> unconfirmed =
-      BoundedMap.forgettingFirst(MOST_UNCONFIRMED);
+  private final Map<Long, Told> unconfirmed = BoundedMap.forgettingFirst(MOST_UNCONFIRMED);
   private long nextCallId = 1;
 
+  /** What was gathered until an instant; told again later, its ends are older by then. */
+  private record Told(List<Suspicion> suspicions, Instant gatheredAt) {
+    private List<Suspicion> at(Instant now) {
+      Duration since = Duration.between(gatheredAt, now);
+      return suspicions.stream().map(s -> s.agedBy(since)).toList();
+    }
+  }
+
   /**
    * Creates it with nothing quarantined.
    *
@@ -185,14 +192,14 @@
 
   private void tell() {
     long callId = nextCallId++;
-    unconfirmed.put(callId, List.copyOf(gathered));
+    unconfirmed.put(callId, new Told(List.copyOf(gathered), clock.instant()));
     gathered.clear();
     send(callId);
   }
 
   private void send(long callId) {
-    transport.sendAll(
-        controls.get(), new FleetMessage.SuspicionUpdate(self, callId, unconfirmed.get(callId)));
+    List<Suspicion> suspicions = unconfirmed.get(callId).at(clock.instant());
+    transport.sendAll(controls.get(), new FleetMessage.SuspicionUpdate(self, callId, suspicions));
   }
 
   /** Tells again what no control instance has confirmed, and forgets what is too old. */
