--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -244,8 +244,7 @@
   private Optional<EndpointRecord> heard(EndpointRecord record, Instant now) {
     Optional<EndpointRecord> before = roster.find(record.id());
     Optional<EndpointRecord> changed = roster.announced(record, now);
-    boolean wasLost = before.filter(b -> b.state() == EndpointState.LOST).isPresent();
-    if (wasLost && record.state() == EndpointState.READY && !record.startedAfter(before.get())) {
+    if (before.filter(record::returnsAfter).isPresent()) {
       changed.ifPresent(suspicions::returned);
     }
     return changed;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -13,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.lacewingcroft.misc.BoundedMap;
+import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.QuarantineTrials;
 import org.lacewingcroft.quarantine.RecentCompletions;
@@ -94,7 +94,10 @@
   public Optional<Duration> remaining(RequestFingerprint content) {
     Instant now = clock.instant();
     Optional<Suspicion> known = ledger.quarantined(content, now);
-    if (known.filter(k -> trials.tryNow(k, name, entries.get(), now)).isPresent()) {
+    if (known.isEmpty()) {
+      return Optional.empty();
+    }
+    if (trials.tryNow(known.get(), name, entries.get(), now)) {
       QuarantineLog.tried(known.get());
       return Optional.empty();
     }
@@ -123,7 +126,7 @@
     unanswered(endpoint.record(), content, UnansweredRuns.Kind.BROKEN_OFF);
     Future<Boolean> verdict =
         probe
-            .hasEnded(addressOf(endpoint.record()))
+            .hasEnded(SocketAddresses.parse(endpoint.record().address()))
             .onSuccess(
                 hasEnded -> {
                   if (hasEnded) {
@@ -138,13 +141,6 @@
     return pending.of(content);
   }
 
-  private static SocketAddress addressOf(EndpointRecord endpoint) {
-    String address = endpoint.address();
-    int colon = address.lastIndexOf(':');
-    return SocketAddress.inetSocketAddress(
-        Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon));
-  }
-
   /** Notes that this entry stopped waiting for an endpoint's answer to a content. */
   public void givenUp(EndpointRecord endpoint, RequestFingerprint content) {
     unanswered(endpoint, content, UnansweredRuns.Kind.GIVEN_UP);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -538,7 +538,8 @@
     }
   }
 
-  private boolean awaitsAnswer() {
+  /** Whether the last target may have the request, answered or not. */
+  private boolean wasSent() {
     return current.filter(UpstreamAttempt::written).isPresent();
   }
 
@@ -567,7 +568,7 @@
     if (done) {
       return;
     }
-    boolean sent = awaitsAnswer();
+    boolean sent = wasSent();
     current.ifPresent(a -> giveUp(a, Outcome.CANCELLED));
     if (sent || mayHaveRun) {
       finish(GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
@@ -611,7 +612,7 @@
 
   private void finished(String outcome, int status) {
     done = true;
-    if (!mayHaveRun && !awaitsAnswer()) {
+    if (!mayHaveRun && !wasSent()) {
       charge.giveBack();
     }
     context.open().decrementAndGet();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.ConnectionKeeping;
 
 /**
@@ -164,12 +166,12 @@
   }
 
   private Future<Lease> connect(String address) {
-    int colon = address.lastIndexOf(':');
+    SocketAddress target = SocketAddresses.parse(address);
     return client
         .connect(
             new HttpConnectOptions()
-                .setHost(address.substring(0, colon))
-                .setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setHost(target.host())
+                .setPort(target.port())
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS))
         .map(connection -> new Lease(address, connection));
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -161,9 +161,7 @@
     return connections.computeIfAbsent(
         address,
         a -> {
-          int colon = a.lastIndexOf(':');
-          Future<NetSocket> f =
-              client.connect(Integer.parseInt(a.substring(colon + 1)), a.substring(0, colon));
+          Future<NetSocket> f = client.connect(SocketAddresses.parse(a));
           f.onSuccess(
               s -> {
                 Watch watch = new Watch(s);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointRecord.java
@@ -47,6 +47,15 @@
     return startedAtMillis > other.startedAtMillis;
   }
 
+  /**
+   * Returns whether an incarnation that was lost by an earlier record is in service by this one.
+   */
+  public boolean returnsAfter(EndpointRecord earlier) {
+    return earlier.state == EndpointState.LOST
+        && state == EndpointState.READY
+        && !startedAfter(earlier);
+  }
+
   /**
    * Returns whether this record says something newer of the same id: of a later incarnation, whose
    * sequence numbers start anew, or later words of the same one.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
@@ -102,7 +102,9 @@
     EndpointTracker tracker = trackers.get(record.id());
     if (tracker != null) {
       noteEnd(tracker, known, changed.isPresent());
-      noteReturn(tracker, known);
+      if (known.returnsAfter(tracker.record())) {
+        listener.returned(known);
+      }
     }
     if (tracker == null || known.startedAfter(tracker.record())) {
       trackers.put(record.id(), new EndpointTracker(known, now));
@@ -123,14 +125,6 @@
     }
   }
 
-  private void noteReturn(EndpointTracker tracker, EndpointRecord known) {
-    boolean sameIncarnation = !known.startedAfter(tracker.record());
-    boolean lost = tracker.record().state() == EndpointState.LOST;
-    if (sameIncarnation && lost && known.state() == EndpointState.READY) {
-      listener.returned(known);
-    }
-  }
-
   /** Returns the tracker of an endpoint's newest incarnation. */
   public Optional<EndpointTracker> tracker(String endpointId) {
     return Optional.ofNullable(trackers.get(endpointId));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/EndpointEnd.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/EndpointEnd.java
@@ -15,11 +15,6 @@
     age = age.isNegative() ? Duration.ZERO : age;
   }
 
-  /** An end whose moment is known. */
-  public static EndpointEnd seen(String incarnation) {
-    return new EndpointEnd(incarnation, Duration.ZERO, false);
-  }
-
   /** Returns the same end some time later. */
   public EndpointEnd agedBy(Duration time) {
     return new EndpointEnd(incarnation, age.plus(time), silent);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
@@ -31,7 +31,7 @@
   private static final Duration APART = Duration.ofSeconds(3);
 
   private static Suspicion suspicion(RequestFingerprint content, String endpoint) {
-    return Suspicion.of(content, EndpointEnd.seen(endpoint));
+    return Suspicion.of(content, new EndpointEnd(endpoint, Duration.ZERO, false));
   }
 
   /** Endpoints that end one after the other, the last one now. */
