Log lines tell the rate that an endpoint states and placements under it

What callers saw: endpoints that name the requests a second that they take got ten times as many. Cause: not settled; whether an entry was told, when and by which endpoint stood in no log, so that the hypotheses of the incident could not be told apart. Change: what an answer states is read and kept with the endpoint; endpoint.rate_limit_stated says when it changes, request.placed under which rate a request was sent. Nothing is decided by it yet. Why it holds: an answer of another incarnation is not counted; one without a rate ends it only if its request was sent after the rate was last stated.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -85,6 +85,7 @@
             node,
             new UpstreamConnections(vertx, clock),
             names,
+            new EndpointStatements(names),
             hops,
             settings.region(),
             metrics,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -343,7 +343,10 @@
       boolean success = status >= OK && status < MULTIPLE_CHOICES;
       if (echoed != null && !echoed.equals(request.id())) {
         spoiled("answered request " + echoed);
-      } else if (success && response.getHeader(context.names().proof()) == null) {
+        return;
+      }
+      noteStatements(response);
+      if (success && response.getHeader(context.names().proof()) == null) {
         spoiled("answered " + status + " without signature");
       } else if (success && request.handling().stream()) {
         count();
@@ -359,6 +362,17 @@
       }
     }
 
+    /** Another incarnation that answers at the address speaks for itself only. */
+    private void noteStatements(HttpClientResponse response) {
+      UpstreamTarget target = upstream.target();
+      if (status != WRONG_INSTANCE && target.endpoint().isPresent()) {
+        Instant sentAt = target.ticket().orElseThrow().sentAt();
+        context
+            .statements()
+            .read(target.endpoint().get(), status, response, sentAt, context.now());
+      }
+    }
+
     private String refusalOf(HttpClientResponse response) {
       if (upstream.target().entry().isPresent()) {
         return response.getHeader(CallerAnswer.NOT_RUN_HEADER) != null ? "entry" : "";
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -24,6 +24,7 @@
  * @param node what the entry believes
  * @param connections the connections to endpoints and entries
  * @param names the deployment's header names
+ * @param statements reads what endpoints state about themselves
  * @param hops marks requests passed to other entries
  * @param region this entry's region
  * @param metrics the metrics
@@ -35,6 +36,7 @@
     EntryNode node,
     UpstreamConnections connections,
     HeaderNames names,
+    EndpointStatements statements,
     HopAuthenticator hops,
     String region,
     GatewayMetrics metrics,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -17,6 +17,7 @@
  * @param prefixSource address of an endpoint from which the prompt's beginning is fetched
  * @param lastEventId the last event that the sender of the request has
  * @param organisation tells an endpoint the organisation of the caller
+ * @param rateLimit the requests a second that an endpoint takes from all entries together
  * @param owned headers in lower case that only this system may set; callers' are dropped
  */
 public record HeaderNames(
@@ -32,4 +33,5 @@
     String prefixSource,
     String lastEventId,
     String organisation,
+    String rateLimit,
     Set<String> owned) {}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
@@ -67,6 +68,8 @@
         here.fetch().map(f -> f.source().record().id()).orElse("none"),
         "fetchTokens",
         here.fetch().map(Placement.PrefixFetch::tokens).orElse(0L),
+        "rateLimit",
+        orNone(here.endpoint().rateLimit().perSecond()),
         "try",
         attempt,
         "revision",
@@ -206,6 +209,10 @@
     LOG.log(System.Logger.Level.INFO, event, line);
   }
 
+  private static Object orNone(OptionalDouble number) {
+    return number.isPresent() ? number.getAsDouble() : "none";
+  }
+
   private static Object orNone(OptionalLong number) {
     return number.isPresent() ? number.getAsLong() : "none";
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -48,6 +48,7 @@
           "X-Prefix-Source",
           "Last-Event-Id",
           "X-Organisation",
+          "X-Rate-Limit",
           Set.of("x-expect", "x-priority", "x-organisation"));
 
   /** Short, so that tests see an entry without control instances run out of it. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -11,6 +11,7 @@
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.FleetMessage;
+import org.lacewingcroft.limit.EndpointRateLimit;
 
 /**
  * What one entry knows of one endpoint beyond its record: the work it has in flight there, what the
@@ -70,6 +71,7 @@
   private final PrefixMemory prefixes = new PrefixMemory();
   private final PrefixMemory readPrefixes = new PrefixMemory();
   private final TokenPace pace = new TokenPace();
+  private final EndpointRateLimit rateLimit = new EndpointRateLimit();
 
   /**
    * Reading speed by priority. It is measured apart, because more urgent requests that arrive later
@@ -210,6 +212,11 @@
     return record;
   }
 
+  /** Returns the rate that the endpoint takes from all entries together. */
+  public EndpointRateLimit rateLimit() {
+    return rateLimit;
+  }
+
   /** Returns whether the endpoint is still warming up. */
   public boolean cold(Instant now) {
     return coldUntil.isAfter(now);
