Entries together keep the rate that an endpoint states

What callers saw: an endpoint that states that it takes 1.1 requests a second got 14 in four seconds, one at 1.5 a second 47, and their callers waited for it. Cause: no entry read the rate. Placement knew slots, waits and failures; an endpoint in need looks idle and got more requests than before it was in need. Ruled out: entries that keep a rate each and exceed it together (one entry alone sent ten times as many, and the region with one entry exceeded it too); second attempts and relays (27 of 30 placements in the logs were first tries of the region's own callers). Change: EndpointRateLimit. A few entries, first in the endpoint's rendezvous order, share the rate and send, each at a fixed share with an allowance of one request; the others do not. Who reads a rate tells the region's entries at once and repeats it. Placement treats an endpoint beyond the rate as one that takes no work, for first tries, further tries and relays alike; if nothing else is left the caller is refused with the time until the rate bears a request. Other regions are offered such endpoints only when there are none without a rate. A rate of nothing is kept as one request in five seconds, for only answers tell its end. Why it holds: shares are fixed, so what one entry does not know of the others' sends does not matter; the sum of the allowances is below what the rule leaves, whatever the number of entries, also while these disagree on who they are. An endpoint that was forgotten and comes back keeps what it stated. Ruled out as a mend: a fixed share for each entry (32 entries, each with an allowance of one, are a burst) and counting each other's sends by news (older than a burst).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedNews.java
@@ -7,8 +7,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
 import org.lacewingcroft.fleet.FleetMessage.News;
+import org.lacewingcroft.limit.EndpointRateLimit;
 
 /**
  * An entry tells its news to the aggregator of its region, which tells all entries: one message out
@@ -32,10 +35,20 @@
   private Instant toldAt = Instant.EPOCH;
 
   /** What others were told of the work at an endpoint, but for the age of its prompts. */
-  private record Told(String endpoint, int running, int unreadPrompts, long unreadTokens) {
+  private record Told(
+      String endpoint,
+      int running,
+      int unreadPrompts,
+      long unreadTokens,
+      Optional<OptionalDouble> rate) {
     private static Told of(FleetMessage.EndpointLoad load) {
       long tokens = load.unread().stream().mapToLong(FleetMessage.UnreadPrompt::tokens).sum();
-      return new Told(load.endpoint(), load.running(), load.unread().size(), tokens);
+      return new Told(
+          load.endpoint(),
+          load.running(),
+          load.unread().size(),
+          tokens,
+          load.rate().map(EndpointRateLimit.Statement::perSecond));
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
@@ -642,6 +643,22 @@
     loads.begun(tracker, uncachedTokens);
   }
 
+  /**
+   * Takes what an answer states of the rate that its endpoint takes; the others of the region hear
+   * of a change at once.
+   *
+   * @param perSecond requests a second, empty if the answer states none
+   * @param sentAt when the answer's request was sent
+   * @param status the answer's status, for the log
+   */
+  public void rateStated(
+      EndpointTracker tracker, OptionalDouble perSecond, Instant sentAt, int status) {
+    if (tracker.rateLimit().stated(perSecond, sentAt, clock.instant())) {
+      RosterLog.rateLimitChanged(tracker.record().id(), perSecond, status);
+      loads.rateStated(tracker);
+    }
+  }
+
   /** Notes that an endpoint has read a prompt, and tells the other entries what others share. */
   public void prefixRead(EndpointTracker tracker, PlacementRequest request) {
     prefixes.read(tracker, request);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.placement.EndpointTracker;
 
@@ -76,7 +77,10 @@
     vertx.setTimer(channel.get().pauseMillis(), id -> report());
     Instant now = clock.instant();
     List<FleetMessage.EndpointLoad> work =
-        trackers.get().stream().filter(t -> t.running() > 0).map(t -> workAt(t, now)).toList();
+        trackers.get().stream()
+            .filter(t -> t.running() > 0 || t.rateLimit().toTell(now).isPresent())
+            .map(t -> workAt(t, now))
+            .toList();
     Map<String, Long> uses = quotas.takeUntold();
     if (!uses.isEmpty()) {
       channel.get().quotaUses(uses);
@@ -90,7 +94,20 @@
 
   private static FleetMessage.EndpointLoad workAt(EndpointTracker tracker, Instant now) {
     return new FleetMessage.EndpointLoad(
-        tracker.record().id(), tracker.running(), tracker.unreadPrompts(now));
+        tracker.record().id(),
+        tracker.running(),
+        tracker.unreadPrompts(now),
+        tracker.rateLimit().toTell(now));
+  }
+
+  /** Tells the others at once that an endpoint states another rate than before. */
+  void rateStated(EndpointTracker tracker) {
+    tellWork(tracker);
+  }
+
+  private void tellWork(EndpointTracker tracker) {
+    FleetMessage.EndpointLoad work = workAt(tracker, clock.instant());
+    channel.get().work(new FleetMessage.LoadReport(self.name(), false, List.of(work)), true);
   }
 
   /**
@@ -99,8 +116,7 @@
    */
   void begun(EndpointTracker tracker, long uncachedTokens) {
     if (uncachedTokens >= LONG_PROMPT_TOKENS) {
-      FleetMessage.EndpointLoad work = workAt(tracker, clock.instant());
-      channel.get().work(new FleetMessage.LoadReport(self.name(), false, List.of(work)), true);
+      tellWork(tracker);
     }
   }
 
@@ -119,7 +135,10 @@
     for (String endpoint : notNamedAgain) {
       if (report.loads().stream().noneMatch(l -> l.endpoint().equals(endpoint))) {
         named.remove(endpoint);
-        peerWork(report.from(), new FleetMessage.EndpointLoad(endpoint, 0, List.of()), now);
+        peerWork(
+            report.from(),
+            new FleetMessage.EndpointLoad(endpoint, 0, List.of(), Optional.empty()),
+            now);
       }
     }
   }
@@ -127,7 +146,18 @@
   private void peerWork(String from, FleetMessage.EndpointLoad load, Instant now) {
     trackerOf
         .apply(load.endpoint())
-        .ifPresent(t -> t.peerWork(from, load.running(), load.unread(), now));
+        .ifPresent(
+            t -> {
+              t.peerWork(from, load.running(), load.unread(), now);
+              load.rate().ifPresent(rate -> rateHeard(t, rate, from, now));
+            });
+  }
+
+  private static void rateHeard(
+      EndpointTracker tracker, EndpointRateLimit.Statement rate, String from, Instant now) {
+    if (tracker.rateLimit().heard(rate, now)) {
+      RosterLog.rateLimitChanged(tracker.record().id(), rate.perSecond(), from);
+    }
   }
 
   /**
@@ -148,16 +178,25 @@
               && tracker.takesWork(now)
               && !tracker.cold(now)
               && !tracker.suspect(now)
+              && tracker.withinRate(self.name(), regionEntries, now)
               && !evacuatedDomains.contains(tracker.record().failureDomain());
       if (open) {
         byService.computeIfAbsent(tracker.record().service(), s -> new ArrayList<>()).add(tracker);
       }
     }
     List<FleetMessage.ServiceLoad> services = new ArrayList<>();
-    byService.forEach((service, open) -> services.add(serviceLoad(service, open, now)));
+    byService.forEach(
+        (service, open) -> services.add(serviceLoad(service, withoutLimitIfAny(open), now)));
     channel.get().regionLoad(new FleetMessage.RegionLoad(settings.region(), services));
   }
 
+  /** Endpoints that state a limit have room for this region's own callers at most. */
+  private static List<EndpointTracker> withoutLimitIfAny(List<EndpointTracker> open) {
+    List<EndpointTracker> unlimited =
+        open.stream().filter(t -> t.rateLimit().perSecond().isEmpty()).toList();
+    return unlimited.isEmpty() ? open : unlimited;
+  }
+
   private static FleetMessage.ServiceLoad serviceLoad(
       String service, List<EndpointTracker> open, Instant now) {
     long[] waits = new long[EndpointTracker.PRIORITIES];
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
@@ -3,47 +3,34 @@
 import io.vertx.core.http.HttpClientResponse;
 import java.time.Instant;
 import java.util.OptionalDouble;
+import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.placement.EndpointTracker;
 
 /** Reads what endpoints state about themselves in the heads of their answers. */
 final class EndpointStatements {
-  private static final System.Logger LOG = System.getLogger(EndpointStatements.class.getName());
-
   private final HeaderNames names;
+  private final EntryNode node;
 
-  EndpointStatements(HeaderNames names) {
+  EndpointStatements(HeaderNames names, EntryNode node) {
     this.names = names;
+    this.node = node;
   }
 
   /**
-   * Takes what an answer states.
+   * Takes what an answer states. Only a success without a rate shows that there is none any more.
    *
    * @param endpoint the endpoint that gave it
    * @param sentAt when its request was sent
    */
-  void read(
-      EndpointTracker endpoint,
-      int status,
-      HttpClientResponse answer,
-      Instant sentAt,
-      Instant now) {
+  void read(EndpointTracker endpoint, int status, HttpClientResponse answer, Instant sentAt) {
     String stated = answer.getHeader(names.rateLimit());
-    boolean success = status >= 200 && status < 300;
-    if (stated == null && !success) {
-      return;
-    }
-    OptionalDouble perSecond = stated == null ? OptionalDouble.empty() : rate(stated);
-    boolean unreadable = stated != null && perSecond.isEmpty();
-    if (!unreadable && endpoint.rateLimit().stated(perSecond, sentAt, now)) {
-      LOG.log(
-          System.Logger.Level.INFO,
-          "endpoint.rate_limit_stated",
-          "endpoint",
-          endpoint.record().id(),
-          "perSecond",
-          stated == null ? "none" : stated,
-          "status",
-          status);
+    if (stated != null) {
+      OptionalDouble rate = rate(stated);
+      if (rate.isPresent()) {
+        node.rateStated(endpoint, rate, sentAt, status);
+      }
+    } else if (status >= 200 && status < 300) {
+      node.rateStated(endpoint, OptionalDouble.empty(), sentAt, status);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -85,7 +85,7 @@
             node,
             new UpstreamConnections(vertx, clock),
             names,
-            new EndpointStatements(names),
+            new EndpointStatements(names, node),
             hops,
             settings.region(),
             metrics,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -198,11 +198,12 @@
 
   private void refuse(Placement.Refused refused) {
     log.refused(refused, passedOver, context.node().routing().revision());
-    boolean overloaded = refused.reason() == Placement.Reason.OVERLOADED;
     String reason =
-        overloaded
-            ? "every endpoint that may run this is overloaded"
-            : "no endpoint that may run this is in reach";
+        switch (refused.reason()) {
+          case OVERLOADED -> "every endpoint that may run this is overloaded";
+          case PACED -> "every endpoint that may run this takes no more requests for now";
+          case NO_ENDPOINT -> "no endpoint that may run this is in reach";
+        };
     if (mayHaveRun) {
       finish(BAD_GATEWAY, reason + "; an earlier try may have run", Optional.empty());
     } else {
@@ -367,9 +368,7 @@
       UpstreamTarget target = upstream.target();
       if (status != WRONG_INSTANCE && target.endpoint().isPresent()) {
         Instant sentAt = target.ticket().orElseThrow().sentAt();
-        context
-            .statements()
-            .read(target.endpoint().get(), status, response, sentAt, context.now());
+        context.statements().read(target.endpoint().get(), status, response, sentAt);
       }
     }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LimitedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LimitedEndpoints.java
@@ -81,7 +81,7 @@
     int mostWithin(long windowMillis, long afterMillis) {
       long first = statedSinceNanos + TimeUnit.MILLISECONDS.toNanos(afterMillis);
       long windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
-      List<Long> counted = 
+      List<Long> counted =
           arrivalNanos.stream()
               .filter(at -> at >= first && at < statedUntilNanos)
               .sorted()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RateLimitedEndpointTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RateLimitedEndpointTest.java
@@ -208,7 +208,8 @@
     int inRow = 0;
     while (inRow < SERVED_IN_ROW * ENTRIES.size()) {
       inRow = call(ENTRIES.get(inRow % ENTRIES.size()), row) == 200 ? inRow + 1 : 0;
-      assertThat(row + " served again, " + inRow + " in a row", end, greaterThan(System.nanoTime()));
+      assertThat(
+          row + " served again, " + inRow + " in a row", end, greaterThan(System.nanoTime()));
     }
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.quarantine.Suspicion;
 
 /**
@@ -186,8 +188,13 @@
    * @param endpoint the endpoint's id
    * @param running requests in flight
    * @param unread the prompts among them that the endpoint has not read yet
+   * @param rate what it has lately stated to this entry of the rate that it takes, if anything
    */
-  record EndpointLoad(String endpoint, int running, List<UnreadPrompt> unread) {}
+  record EndpointLoad(
+      String endpoint,
+      int running,
+      List<UnreadPrompt> unread,
+      Optional<EndpointRateLimit.Statement> rate) {}
 
   /**
    * A prompt that an endpoint has been sent and has not read yet.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecords.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.lacewingcroft.fleet.FleetMessage.EndpointLoad;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
@@ -17,6 +18,7 @@
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.fleet.FleetMessage.UnreadPrompt;
+import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.quarantine.EndpointEnd;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
@@ -145,11 +147,33 @@
   private static void packEndpointLoad(MessagePacker p, EndpointLoad l) throws IOException {
     p.packString(l.endpoint()).packInt(l.running());
     packAll(p, l.unread(), FleetRecords::packUnread);
+    p.packBoolean(l.rate().isPresent());
+    if (l.rate().isPresent()) {
+      packRate(p, l.rate().get());
+    }
+  }
+
+  private static void packRate(MessagePacker p, EndpointRateLimit.Statement rate)
+      throws IOException {
+    p.packBoolean(rate.perSecond().isPresent());
+    if (rate.perSecond().isPresent()) {
+      p.packDouble(rate.perSecond().getAsDouble());
+    }
+    p.packLong(rate.age().toMillis());
+  }
+
+  private static EndpointRateLimit.Statement unpackRate(MessageUnpacker u) throws IOException {
+    OptionalDouble perSecond =
+        u.unpackBoolean() ? OptionalDouble.of(u.unpackDouble()) : OptionalDouble.empty();
+    return new EndpointRateLimit.Statement(perSecond, Duration.ofMillis(u.unpackLong()));
   }
 
   private static EndpointLoad unpackEndpointLoad(MessageUnpacker u) throws IOException {
     return new EndpointLoad(
-        u.unpackString(), u.unpackInt(), unpackAll(u, FleetRecords::unpackUnread));
+        u.unpackString(),
+        u.unpackInt(),
+        unpackAll(u, FleetRecords::unpackUnread),
+        u.unpackBoolean() ? Optional.of(unpackRate(u)) : Optional.empty());
   }
 
   private static void packUnread(MessagePacker p, UnreadPrompt prompt) throws IOException {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -12,6 +12,7 @@
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.FleetMessage;
 import org.lacewingcroft.limit.EndpointRateLimit;
+import org.lacewingcroft.misc.Rendezvous;
 
 /**
  * What one entry knows of one endpoint beyond its record: the work it has in flight there, what the
@@ -71,7 +72,7 @@
   private final PrefixMemory prefixes = new PrefixMemory();
   private final PrefixMemory readPrefixes = new PrefixMemory();
   private final TokenPace pace = new TokenPace();
-  private final EndpointRateLimit rateLimit = new EndpointRateLimit();
+  private final EndpointRateLimit rateLimit;
 
   /**
    * Reading speed by priority. It is measured apart, because more urgent requests that arrive later
@@ -190,6 +191,12 @@
 
   /** Starts tracking an endpoint. */
   public EndpointTracker(EndpointRecord record, Instant now) {
+    this(record, new EndpointRateLimit(), now);
+  }
+
+  /** Starts tracking an endpoint that may have stated a limit before. */
+  EndpointTracker(EndpointRecord record, EndpointRateLimit rateLimit, Instant now) {
+    this.rateLimit = rateLimit;
     Arrays.fill(tokensPerMilli, INITIAL_TOKENS_PER_MILLI);
     update(record, now);
   }
@@ -284,6 +291,7 @@
     if (cold(now)) {
       coldSentAt = now;
     }
+    rateLimit.sent(now);
     return ticket;
   }
 
@@ -348,6 +356,37 @@
     return record.state() == EndpointState.READY && !wrongInstance && !refusedUntil.isAfter(now);
   }
 
+  /**
+   * Returns how many entries share the rate that the endpoint states.
+   *
+   * @param entry this entry's name
+   * @param regionEntries the names of the region's entries
+   * @return 0 if this entry is none of them
+   */
+  private int rateSenders(String entry, List<String> regionEntries) {
+    int senders = Math.min(rateLimit.senders(), regionEntries.size());
+    return isAmongFirst(entry, regionEntries, senders) ? senders : 0;
+  }
+
+  /** Returns whether an entry is one of the first in the order in which they use the endpoint. */
+  boolean isAmongFirst(String entry, List<String> regionEntries, int count) {
+    return regionEntries.size() <= count
+        || Rendezvous.rank(regionEntries, n -> n, record.id()).stream()
+            .limit(count)
+            .anyMatch(entry::equals);
+  }
+
+  /** Returns whether the rate that the endpoint states bears one more request of this entry now. */
+  public boolean withinRate(String entry, List<String> regionEntries, Instant now) {
+    return rateLimit.perSecond().isEmpty()
+        || rateLimit.admits(rateSenders(entry, regionEntries), now);
+  }
+
+  /** Returns how long until the rate that the endpoint states bears one more request. */
+  Duration untilWithinRate(String entry, List<String> regionEntries, Instant now) {
+    return rateLimit.untilAdmitted(rateSenders(entry, regionEntries), now);
+  }
+
   /** Returns whether a cold endpoint bears one more request of this entry now. */
   public boolean coldPauseOver(Instant now) {
     return !coldSentAt.plus(COLD_PAUSE).isAfter(now);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -69,6 +69,8 @@
   enum Reason {
     /** No endpoint that may run it is known or usable. */
     NO_ENDPOINT,
+    /** Every endpoint that may run it takes so many requests a second and has had them. */
+    PACED,
     /** Wherever it may run, the wait is longer than the caller's objective. */
     OVERLOADED
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -136,9 +136,7 @@
 
   /** Places a request. */
   public Placement place(PlacementRequest request, Surroundings around, Instant now) {
-    boolean homeHere =
-        around.allowedRegions().isEmpty() || around.allowedRegions().contains(around.region());
-    Optional<Scored> here = homeHere ? bestHere(request, around, now) : Optional.empty();
+    Optional<Scored> here = homeHere(around) ? bestHere(request, around, now) : Optional.empty();
     Optional<RegionLoads.Offer> elsewhere =
         around
             .regions()
@@ -162,7 +160,11 @@
       return new Placement.Elsewhere(
           elsewhere.get().region(), firstByteElsewhere(elsewhere.get(), request, around));
     }
-    return refuse(request, here, elsewhere, patience, now);
+    return refuse(request, around, here, elsewhere, patience, now);
+  }
+
+  private static boolean homeHere(Surroundings around) {
+    return around.allowedRegions().isEmpty() || around.allowedRegions().contains(around.region());
   }
 
   /**
@@ -216,6 +218,7 @@
 
   private Placement refuse(
       PlacementRequest request,
+      Surroundings around,
       Optional<Scored> here,
       Optional<RegionLoads.Offer> elsewhere,
       double patience,
@@ -231,8 +234,12 @@
     Placement.Evidence evidence =
         new Placement.Evidence(rounded(waitHere), rounded(waitElsewhere), Math.round(patience));
     if (here.isEmpty() && elsewhere.isEmpty()) {
+      Optional<Duration> pause =
+          homeHere(around) ? pauseHere(request, around, now) : Optional.empty();
       return new Placement.Refused(
-          Placement.Reason.NO_ENDPOINT, bounded(Duration.ofSeconds(1), request), evidence);
+          pause.isPresent() ? Placement.Reason.PACED : Placement.Reason.NO_ENDPOINT,
+          bounded(pause.orElse(Duration.ofSeconds(1)), request),
+          evidence);
     }
     double wait =
         Math.min(waitHere.orElse(Double.MAX_VALUE), waitElsewhere.orElse(Double.MAX_VALUE));
@@ -240,6 +247,16 @@
     return new Placement.Refused(Placement.Reason.OVERLOADED, bounded(until, request), evidence);
   }
 
+  /** The time until an endpoint takes a request again that only wants them slower. */
+  private static Optional<Duration> pauseHere(
+      PlacementRequest request, Surroundings around, Instant now) {
+    return around.endpoints().stream()
+        .filter(e -> e.takesWork(now) && !request.passedOver().contains(e.record().id()))
+        .map(e -> e.untilWithinRate(around.entry(), around.regionEntries(), now))
+        .filter(pause -> !pause.isZero())
+        .min(Comparator.naturalOrder());
+  }
+
   private static OptionalLong rounded(OptionalDouble millis) {
     return millis.isPresent()
         ? OptionalLong.of(Math.round(millis.getAsDouble()))
@@ -348,15 +365,12 @@
       EndpointTracker e, PlacementRequest request, Surroundings around, Instant now) {
     if (!e.takesWork(now)
         || request.passedOver().contains(e.record().id())
-        || e.running() >= around.ownLimit()) {
+        || e.running() >= around.ownLimit()
+        || !e.withinRate(around.entry(), around.regionEntries(), now)) {
       return false;
     }
-    return !e.cold(now) || e.coldPauseOver(now) && ownsCold(e, around);
-  }
-
-  private boolean ownsCold(EndpointTracker e, Surroundings around) {
-    return Rendezvous.rank(around.regionEntries(), n -> n, e.record().id()).stream()
-        .limit(coldOwners)
-        .anyMatch(around.entry()::equals);
+    return !e.cold(now)
+        || e.coldPauseOver(now)
+            && e.isAmongFirst(around.entry(), around.regionEntries(), coldOwners);
   }
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -27,6 +28,7 @@
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.fleet.FleetMessage.UnreadPrompt;
+import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.quarantine.EndpointEnd;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
@@ -42,8 +44,20 @@
           "front-1",
           true,
           List.of(
-              new EndpointLoad("i-1", 2, List.of(new UnreadPrompt(3, 13_300, 20))),
-              new EndpointLoad("i-2", 1, List.of())));
+              new EndpointLoad(
+                  "i-1",
+                  2,
+                  List.of(new UnreadPrompt(3, 13_300, 20)),
+                  Optional.of(
+                      new EndpointRateLimit.Statement(
+                          OptionalDouble.of(1.1), Duration.ofMillis(40)))),
+              new EndpointLoad(
+                  "i-2",
+                  1,
+                  List.of(),
+                  Optional.of(
+                      new EndpointRateLimit.Statement(OptionalDouble.empty(), Duration.ZERO))),
+              new EndpointLoad("i-3", 0, List.of(), Optional.empty())));
   private static final PrefixRead PREFIX =
       new PrefixRead("i-1", List.of(new ReadPart("5c1e07a2", 800), new ReadPart("", 0)));
   private static final RegionLoad REGION =
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/NewsBufferTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/NewsBufferTest.java
@@ -23,7 +23,8 @@
   private static final Instant START = Instant.EPOCH.plusSeconds(100);
 
   private static LoadReport report(String from, boolean whole, int running) {
-    return new LoadReport(from, whole, List.of(new EndpointLoad("e1", running, List.of())));
+    return new LoadReport(
+        from, whole, List.of(new EndpointLoad("e1", running, List.of(), Optional.empty())));
   }
 
   private static News work(LoadReport report) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -116,6 +117,28 @@
     assertThat("trackers kept", endpoints.trackers(), hasSize(0));
   }
 
+  /** Control instances that restart forget endpoints that they do not reach; entries go on. */
+  @Test
+  void endpointThatWasForgottenKeepsTheRateThatItStated() {
+    tell(true, START, record("e", 1, EndpointState.READY, 1));
+    endpoints
+        .tracker("e")
+        .orElseThrow()
+        .rateLimit()
+        .stated(OptionalDouble.of(1.1), START, START.plusMillis(10));
+    tell(true, START.plusSeconds(10));
+    tell(true, START.plusSeconds(11));
+    assertThat(endpoints.tracker("e").isPresent(), is(false));
+    tell(true, START.plusSeconds(12), record("e", 1, EndpointState.READY, 2));
+    assertThat(rateOf("e"), is(OptionalDouble.of(1.1)));
+    tell(true, START.plusSeconds(13), record("e", 2, EndpointState.READY, 1));
+    assertThat("another incarnation", rateOf("e"), is(OptionalDouble.empty()));
+  }
+
+  private OptionalDouble rateOf(String endpoint) {
+    return endpoints.tracker(endpoint).orElseThrow().rateLimit().perSecond();
+  }
+
   private void pass(EndpointRoster control, EndpointRecord record, Instant now) {
     control.announced(record, now);
     tell(false, now, record);
