Log lines tell the pause that an endpoint asks for and placements in it

What callers saw: nothing; endpoints that asked for 3 s without requests got 6 to 9 in them. Cause: not settled; what an endpoint asks for stood in no log, so that the hypotheses of the incident could not be told apart. Change: what an answer asks for is read and kept with the endpoint's incarnation, where its rate is kept too. endpoint.pause_stated says when an endpoint asks, and whether in a pause it had asked for; request.placed how much of a pause was left. Nothing is decided by it yet.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -659,6 +659,22 @@
     }
   }
 
+  /** Takes an endpoint's wish to get nothing from this entry for a while. */
+  public void pauseStated(EndpointTracker tracker, Duration pause) {
+    Instant now = clock.instant();
+    boolean inPause = !tracker.conditions().pauseLeft(now).isZero();
+    tracker.conditions().pause(pause, now);
+    LOG.log(
+        System.Logger.Level.INFO,
+        "endpoint.pause_stated",
+        "endpoint",
+        tracker.record().id(),
+        "millis",
+        pause.toMillis(),
+        "inPause",
+        inPause);
+  }
+
   /** Notes that an endpoint has read a prompt, and tells the other entries what others share. */
   public void prefixRead(EndpointTracker tracker, PlacementRequest request) {
     prefixes.read(tracker, request);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
@@ -4,10 +4,14 @@
 import java.time.Instant;
 import java.util.OptionalDouble;
 import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.http.RetryAfter;
 import org.lacewingcroft.placement.EndpointTracker;
 
 /** Reads what endpoints state about themselves in the heads of their answers. */
 final class EndpointStatements {
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
   private final HeaderNames names;
   private final EntryNode node;
 
@@ -23,6 +27,15 @@
    * @param sentAt when its request was sent
    */
   void read(EndpointTracker endpoint, int status, HttpClientResponse answer, Instant sentAt) {
+    readRate(endpoint, status, answer, sentAt);
+    if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
+      RetryAfter.parse(answer.getHeader(RetryAfter.HEADER))
+          .ifPresent(pause -> node.pauseStated(endpoint, pause));
+    }
+  }
+
+  private void readRate(
+      EndpointTracker endpoint, int status, HttpClientResponse answer, Instant sentAt) {
     String stated = answer.getHeader(names.rateLimit());
     if (stated != null) {
       OptionalDouble rate = rate(stated);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -157,7 +157,12 @@
             context.kvCapacity(wanted.service()),
             context.now());
     context.node().begun(endpoint, ticket.unreadTokens());
-    log.placed(here, ticket.unreadTokens(), targets + 1, context.node().routing().revision());
+    log.placed(
+        here,
+        ticket.unreadTokens(),
+        targets + 1,
+        context.node().routing().revision(),
+        context.now());
     send(UpstreamTarget.endpoint(here, ticket), here.expectedMillis());
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -47,7 +47,7 @@
   }
 
   /** It goes to an endpoint of this region. */
-  void placed(Placement.Here here, long readTokens, int attempt, long revision) {
+  void placed(Placement.Here here, long readTokens, int attempt, long revision, Instant now) {
     write(
         "request.placed",
         "fingerprint",
@@ -70,6 +70,8 @@
         here.fetch().map(Placement.PrefixFetch::tokens).orElse(0L),
         "rateLimit",
         orNone(here.endpoint().rateLimit().perSecond()),
+        "pauseLeftMillis",
+        here.endpoint().conditions().pauseLeft(now).toMillis(),
         "try",
         attempt,
         "revision",
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -72,7 +72,7 @@
   private final PrefixMemory prefixes = new PrefixMemory();
   private final PrefixMemory readPrefixes = new PrefixMemory();
   private final TokenPace pace = new TokenPace();
-  private final EndpointRateLimit rateLimit;
+  private final StatedConditions conditions;
 
   /**
    * Reading speed by priority. It is measured apart, because more urgent requests that arrive later
@@ -191,12 +191,12 @@
 
   /** Starts tracking an endpoint. */
   public EndpointTracker(EndpointRecord record, Instant now) {
-    this(record, new EndpointRateLimit(), now);
+    this(record, new StatedConditions(), now);
   }
 
-  /** Starts tracking an endpoint that may have stated a limit before. */
-  EndpointTracker(EndpointRecord record, EndpointRateLimit rateLimit, Instant now) {
-    this.rateLimit = rateLimit;
+  /** Starts tracking an endpoint that may have stated conditions before. */
+  EndpointTracker(EndpointRecord record, StatedConditions conditions, Instant now) {
+    this.conditions = conditions;
     Arrays.fill(tokensPerMilli, INITIAL_TOKENS_PER_MILLI);
     update(record, now);
   }
@@ -219,9 +219,14 @@
     return record;
   }
 
+  /** Returns on which conditions the endpoint takes requests. */
+  public StatedConditions conditions() {
+    return conditions;
+  }
+
   /** Returns the rate that the endpoint takes from all entries together. */
   public EndpointRateLimit rateLimit() {
-    return rateLimit;
+    return conditions.rateLimit();
   }
 
   /** Returns whether the endpoint is still warming up. */
@@ -291,7 +296,7 @@
     if (cold(now)) {
       coldSentAt = now;
     }
-    rateLimit.sent(now);
+    rateLimit().sent(now);
     return ticket;
   }
 
@@ -364,7 +369,7 @@
    * @return 0 if this entry is none of them
    */
   private int rateSenders(String entry, List<String> regionEntries) {
-    int senders = Math.min(rateLimit.senders(), regionEntries.size());
+    int senders = Math.min(rateLimit().senders(), regionEntries.size());
     return isAmongFirst(entry, regionEntries, senders) ? senders : 0;
   }
 
@@ -378,13 +383,13 @@
 
   /** Returns whether the rate that the endpoint states bears one more request of this entry now. */
   public boolean withinRate(String entry, List<String> regionEntries, Instant now) {
-    return rateLimit.perSecond().isEmpty()
-        || rateLimit.admits(rateSenders(entry, regionEntries), now);
+    return rateLimit().perSecond().isEmpty()
+        || rateLimit().admits(rateSenders(entry, regionEntries), now);
   }
 
   /** Returns how long until the rate that the endpoint states bears one more request. */
   Duration untilWithinRate(String entry, List<String> regionEntries, Instant now) {
-    return rateLimit.untilAdmitted(rateSenders(entry, regionEntries), now);
+    return rateLimit().untilAdmitted(rateSenders(entry, regionEntries), now);
   }
 
   /** Returns whether a cold endpoint bears one more request of this entry now. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
@@ -14,7 +14,6 @@
 import org.lacewingcroft.fleet.EndpointRoster;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.FleetMessage;
-import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.misc.BoundedMap;
 
 /**
@@ -27,15 +26,15 @@
   /** A record younger than this may be missing in another control instance's whole roster. */
   private static final Duration ROSTER_SPREAD = Duration.ofSeconds(3);
 
-  private static final int RATE_LIMITS_KEPT = 4_096;
+  private static final int CONDITIONS_KEPT = 4_096;
 
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, EndpointTracker> trackers = new TreeMap<>();
   private final Map<String, Instant> knownSince = new HashMap<>();
 
   /** By incarnation, those of endpoints included that the control instances have forgotten. */
-  private final Map<String, EndpointRateLimit> rateLimits =
-      BoundedMap.forgettingUnused(RATE_LIMITS_KEPT);
+  private final Map<String, StatedConditions> conditions =
+      BoundedMap.forgettingUnused(CONDITIONS_KEPT);
 
   private final Listener listener;
 
@@ -116,9 +115,9 @@
       }
     }
     if (tracker == null || known.startedAfter(tracker.record())) {
-      EndpointRateLimit rateLimit =
-          rateLimits.computeIfAbsent(known.incarnation(), i -> new EndpointRateLimit());
-      trackers.put(record.id(), new EndpointTracker(known, rateLimit, now));
+      StatedConditions stated =
+          conditions.computeIfAbsent(known.incarnation(), i -> new StatedConditions());
+      trackers.put(record.id(), new EndpointTracker(known, stated, now));
       knownSince.put(record.id(), now);
     } else if (known.equals(record)) {
       tracker.update(record, now);
