Endpoints get no requests in a pause that they ask for: failing tests

Reproduces the reported excess behind the platform and on the product's own interface: one endpoint or all of a service turn requests away for 1.5 or 3 s, with 503 or 429, for callers of the region and relayed ones. The fleet of the rate's test is shared (StatingFleet, StatingEndpoints); its checks are as before.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -6,9 +6,11 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -35,12 +37,17 @@
     DIES_IN_BODY,
     /** Answers 503. */
     REFUSES,
+    /** Answers 503 and asks for {@link #PAUSE_SECONDS} without requests, until {@link #release}. */
+    ASKS_FOR_PAUSE,
     /** Answers with the id of another request. */
     ANSWERS_ANOTHER,
     /** Never answers, until {@link #release}. */
     HANGS
   }
 
+  /** The pause for which an endpoint asks. */
+  static final int PAUSE_SECONDS = 3;
+
   private static final long DOWN_MILLIS = 200;
 
   private final Vertx vertx;
@@ -49,6 +56,7 @@
   private HttpServer server;
   private final AtomicInteger runs = new AtomicInteger();
   private final AtomicInteger poisonRuns = new AtomicInteger();
+  private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
   private final Set<String> keysRun = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> released = new CompletableFuture<>();
 
@@ -83,6 +91,11 @@
     return runs.get();
   }
 
+  /** Returns when each request reached it, by {@link System#nanoTime}. */
+  List<Long> arrivalNanos() {
+    return arrivalNanos;
+  }
+
   /** Returns how many poisonous requests reached it. */
   int poisonRuns() {
     return poisonRuns.get();
@@ -99,6 +112,7 @@
 
   private void handle(HttpServerRequest request, String body) {
     runs.incrementAndGet();
+    arrivalNanos.add(System.nanoTime());
     boolean poison = body.contains("poison");
     if (poison) {
       poisonRuns.incrementAndGet();
@@ -131,6 +145,16 @@
               .write("0123456789")
               .onComplete(sent -> request.connection().close());
       case STREAMS -> stream(response).end("data: one\n\ndata: [DONE]\n\n");
+      case ASKS_FOR_PAUSE -> {
+        if (released.isDone()) {
+          response.end("answer to " + id);
+        } else {
+          response
+              .setStatusCode(503)
+              .putHeader("Retry-After", Integer.toString(PAUSE_SECONDS))
+              .end("full");
+        }
+      }
       case REFUSES -> response.setStatusCode(503).end("full");
       case ANSWERS_ANOTHER -> response.putHeader("X-Request-Id", "another").end("stolen");
       case HANGS -> released.thenRun(() -> response.end("late " + id));
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StatingFleet.java
@@ -0,0 +1,162 @@
+package org.lacewingcroft.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.Route;
+import org.lacewingcroft.route.RouteKind;
+import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceSpec;
+
+/**
+ * Three entries of the region of some services and one of another region, and callers that ask at
+ * each of them, beginning at different times. A service has two endpoints.
+ */
+final class StatingFleet implements AutoCloseable {
+  /** The beginning of the ids of requests whose callers ask in the other region. */
+  static final String OTHER_REGION = "south-0";
+
+  private static final List<String> ENTRY_NAMES =
+      List.of("north-0", "north-1", "north-2", OTHER_REGION);
+  private static final int ENDPOINTS = 2;
+  private static final long CALL_PAUSE_MILLIS = 125;
+  private static final long LATER_MILLIS = 1_200;
+  private static final int SERVED_IN_ROW = 12;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final AtomicInteger requests = new AtomicInteger();
+  private final List<FleetHarness.Entry> entries = new ArrayList<>();
+  private final Map<String, StatingEndpoints> endpoints = new LinkedHashMap<>();
+  private final List<String> refusedWithoutPause = new CopyOnWriteArrayList<>();
+  private final FleetHarness fleet;
+
+  /**
+   * Starts it.
+   *
+   * @param statuses by the services' names, what their endpoints answer at first
+   */
+  StatingFleet(Path folder, Map<String, String> statuses) throws Exception {
+    List<Route> routes = new ArrayList<>();
+    List<ServiceSpec> services = new ArrayList<>();
+    for (String name : statuses.keySet()) {
+      routes.add(FleetHarness.routeTo(name, RouteKind.IDEMPOTENT, false, 2, Duration.ofSeconds(2)));
+      services.add(FleetHarness.serviceNamed(name));
+    }
+    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    for (String name : ENTRY_NAMES) {
+      entries.add(fleet.startEntry(name, name.split("-")[0]));
+    }
+    fleet.route(1);
+    for (Map.Entry<String, String> service : statuses.entrySet()) {
+      String name = service.getKey();
+      StatingEndpoints its = new StatingEndpoints(fleet.vertx(), ENDPOINTS, service.getValue());
+      endpoints.put(name, its);
+      for (int i = 0; i < ENDPOINTS; i++) {
+        fleet.keepAnnouncing(name + "-" + i, name, "north", its.all().get(i).port());
+      }
+    }
+    for (FleetHarness.Entry entry : entries) {
+      fleet.awaitReady(entry);
+      for (String name : statuses.keySet()) {
+        fleet.awaitEndpoints(entry, name, ENDPOINTS);
+      }
+    }
+  }
+
+  /** Returns the first endpoints of a service. */
+  List<StatingEndpoints.Stating> endpoints(String service, int count) {
+    return endpoints.get(service).all().subList(0, count);
+  }
+
+  /** Returns the names of the entries that reach the endpoints. */
+  List<String> entriesOfRegion() {
+    return ENTRY_NAMES.stream().filter(name -> !name.equals(OTHER_REGION)).toList();
+  }
+
+  /** Has callers ask for all services for a while, and does something after a part of it. */
+  void callDuring(Duration time, Duration before, Runnable then) throws InterruptedException {
+    List<Thread> callers = new ArrayList<>();
+    long end = System.nanoTime() + time.toNanos();
+    for (int e = 0; e < entries.size(); e++) {
+      FleetHarness.Entry entry = entries.get(e);
+      long laterMillis = e * LATER_MILLIS;
+      for (String service : endpoints.keySet()) {
+        callers.add(new Thread(() -> callUntil(end, laterMillis, entry, service)));
+      }
+    }
+    callers.forEach(Thread::start);
+    TimeUnit.MILLISECONDS.sleep(before.toMillis());
+    then.run();
+    for (Thread caller : callers) {
+      caller.join();
+    }
+  }
+
+  private void callUntil(
+      long endNanos, long laterMillis, FleetHarness.Entry entry, String service) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(laterMillis);
+      while (System.nanoTime() < endNanos) {
+        call(entry, service);
+        TimeUnit.MILLISECONDS.sleep(CALL_PAUSE_MILLIS);
+      }
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int call(FleetHarness.Entry entry, String service) throws Exception {
+    int number = requests.incrementAndGet();
+    HttpRequest request =
+        HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + service + "/x"))
+            .POST(HttpRequest.BodyPublishers.ofString("body " + number))
+            .header("X-Request-Id", entry.node().name() + "-" + number)
+            .header("X-Deadline", "2000")
+            .timeout(Duration.ofSeconds(4))
+            .build();
+    HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+    boolean pause = answer.headers().firstValue("Retry-After").isPresent();
+    if (answer.statusCode() == 503 && !pause) {
+      refusedWithoutPause.add(service);
+    }
+    return answer.statusCode();
+  }
+
+  /** Returns the services of requests that were refused without a word of when to come back. */
+  List<String> refusedWithoutPause() {
+    return refusedWithoutPause;
+  }
+
+  /** Waits until a number of requests in a row are served at each entry. */
+  void awaitServed(String service, Duration patience) throws Exception {
+    long end = System.nanoTime() + patience.toNanos();
+    int inRow = 0;
+    while (inRow < SERVED_IN_ROW * entries.size()) {
+      inRow = call(entries.get(inRow % entries.size()), service) == 200 ? inRow + 1 : 0;
+      assertThat(
+          service + " served again, " + inRow + " in a row", end, greaterThan(System.nanoTime()));
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    endpoints.values().forEach(StatingEndpoints::close);
+    fleet.close();
+  }
+}
