Endpoints get nothing in a pause that they ask for

What callers saw: nothing behind the platform, where requests that were turned away went elsewhere; while all endpoints of a service rest, refusals that came late and without the time to come back. Endpoints that had asked for 3 s without requests got 9 from one entry, on the product's own interface 41 to 68. Cause: what an endpoint asked for was not read. A refusal was taken for a momentary lack of room, worth as long a pause as one request takes there, and that pause was given up when there was nothing else. Ruled out: requests that were under way when the endpoint asked (they still came 2.6 s later); the pause given up for lack of others as the only cause (a third engine took everything all the while). Change: an endpoint in a pause takes no work, for first tries, further tries and relays, whatever else there is. If nothing else is left, callers are refused at once and told when the first pause ends; other regions are offered no such endpoint. A request whose connection was still being opened is withdrawn if the endpoint asks meanwhile. On the product's own interface EndpointHealth keeps pauses apart from failures: failures may be overlooked for lack of others, a pause may not. Why it holds: one test, takesWork, stands before every send, and once more between connection and write.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -472,6 +472,15 @@
         unreachable(upstream, detail);
       }
     }
+
+    @Override
+    public void withdrawn() {
+      if (!done) {
+        tryFailed(upstream, "withdrawn", "the endpoint takes no work any more");
+        passOver(upstream);
+        tryElsewhere("the endpoint takes no work any more", true);
+      }
+    }
   }
 
   /** An endpoint that closes a connection before the answer is complete may have ended. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -40,6 +40,9 @@
      * @param detail what happened
      */
     void failed(boolean sent, String detail);
+
+    /** It was not sent: the endpoint stopped taking work before there was a connection. */
+    void withdrawn();
   }
 
   private final UpstreamTarget target;
@@ -89,11 +92,22 @@
                 acquired.release(Optional.empty());
                 return;
               }
+              if (target.endpoint().filter(e -> !e.takesWork(clock.instant())).isPresent()) {
+                acquired.release(Optional.empty());
+                withdraw();
+                return;
+              }
               lease = Optional.of(acquired);
               write(acquired, request, extraHeaders);
             });
   }
 
+  private void withdraw() {
+    over = true;
+    target.ticket().ifPresent(t -> t.end(Outcome.NOT_RUN, clock.instant()));
+    listener.withdrawn();
+  }
+
   private void write(
       UpstreamConnections.Lease acquired,
       ForwardRequest request,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
@@ -54,15 +54,20 @@
    * @param remaining how long the content is still quarantined
    */
   void quarantined(Exchange exchange, Duration remaining) {
-    if (!exchange.mayHaveRun() && !exchange.answered()) {
-      ErrorReply.setRetryAfter(exchange.response(), remaining);
-    }
+    comeBackAfter(exchange, remaining);
     notRun(
         exchange,
         ErrorKind.CONTENT_QUARANTINED,
         "several endpoints broke off while they had the content " + exchange.content());
   }
 
+  /** Has the refusal that follows say when it is worth coming back. */
+  void comeBackAfter(Exchange exchange, Duration pause) {
+    if (!exchange.mayHaveRun() && !exchange.answered()) {
+      ErrorReply.setRetryAfter(exchange.response(), pause);
+    }
+  }
+
   /** Ends a request whose endpoint failed after it received the request. */
   void outcomeUnknown(Exchange exchange, String detail) {
     exchange.claimedKey().ifPresent(keys::markUnknown);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.http.RetryAfter;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.LinkFaults;
@@ -119,6 +120,7 @@
     RouteDecision decision = routes.choose(exchange);
     if (decision instanceof RouteDecision.Refuse refuse) {
       if (!exchange.hasLiveAttempt()) {
+        routes.pauseLeft(exchange).ifPresent(pause -> reply.comeBackAfter(exchange, pause));
         reply.notRun(exchange, refuse.kind(), refuse.detail());
       }
     } else if (decision instanceof RouteDecision.Forward forward) {
@@ -283,7 +285,8 @@
       failedAfterSend(exchange, attempt, "it answered another request");
       return;
     }
-    routes.noteAnswer(attempt, answer.statusCode());
+    routes.noteAnswer(
+        attempt, answer.statusCode(), RetryAfter.parse(answer.getHeader(RetryAfter.HEADER)));
     if (EntryGateway.RUN_NO.equals(answer.getHeader(EntryGateway.RUN_HEADER))) {
       exchange.didNotRun();
       if (refusedByRegion(attempt, answer) && exchange.sends() < ExtraSends.MAX_SENDS) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.config.OrganisationPolicy;
+import org.lacewingcroft.endpoint.EndpointHealth;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.fleet.FleetMessage;
@@ -32,6 +33,9 @@
  * its deadline: the endpoint's, or a typed error that says whether it was run.
  */
 public final class EntryGateway {
+  /** How long an endpoint is passed over after its first failure. */
+  private static final Duration FIRST_PASS_OVER = Duration.ofSeconds(1);
+
   /** Header carrying the request's id; echoed in answers. */
   public static final String REQUEST_ID_HEADER = "X-Request-Id";
 
@@ -108,14 +112,15 @@
     this.clock = clock;
     this.limits = limits;
     this.hops = hops;
-    this.regions = new RegionView(region, endpoints, membership, inFlight, clock);
+    EndpointHealth health = new EndpointHealth(FIRST_PASS_OVER);
+    this.regions = new RegionView(region, endpoints, membership, inFlight, health, clock);
     this.keys = new KeyOwnership(vertx, membership, clock);
     this.reply = new CallerReply(metrics, keys);
     this.quarantine = new ContentQuarantine(vertx, membership, endpoints, clock);
     this.dispatcher =
         new Dispatcher(
             vertx,
-            new RouteChooser(router, configs, endpoints, regions, clock),
+            new RouteChooser(router, configs, endpoints, regions, health, clock),
             membership,
             regions,
             inFlight,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/RegionView.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.gateway;
 
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.lacewingcroft.endpoint.Endpoint;
+import org.lacewingcroft.endpoint.EndpointHealth;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.misc.BoundedMap;
 import org.lacewingcroft.misc.PrefixHash;
@@ -29,6 +31,7 @@
   private final EndpointRegistry endpoints;
   private final Membership membership;
   private final InFlight inFlight;
+  private final EndpointHealth health;
   private final InstantSource clock;
   private final Map<String, String> lastEndpointByPrefix =
       Collections.synchronizedMap(BoundedMap.forgettingUnused(PREFIXES_KEPT));
@@ -38,20 +41,27 @@
       EndpointRegistry endpoints,
       Membership membership,
       InFlight inFlight,
+      EndpointHealth health,
       InstantSource clock) {
     this.region = region;
     this.endpoints = endpoints;
     this.membership = membership;
     this.inFlight = inFlight;
+    this.health = health;
     this.clock = clock;
   }
 
   /** Returns this region's free capacity by model, as this entry sees it. */
   Map<String, Integer> freeSlotsByModel() {
     Map<String, Integer> free = new HashMap<>();
+    Instant now = clock.instant();
+    Set<String> paused = health.paused(now).keySet();
     for (Endpoint e : endpoints.snapshot().all()) {
-      if (e.region().equals(region) && e.acceptsWork(clock.instant())) {
-        int used = new Candidate(e, inFlight.to(e.id()), false).estimatedLoad();
+      if (e.region().equals(region) && e.acceptsWork(now)) {
+        int used =
+            paused.contains(e.id())
+                ? e.capacity()
+                : new Candidate(e, inFlight.to(e.id()), false).estimatedLoad();
         for (String model : e.models()) {
           free.merge(model, Math.max(0, e.capacity() - used), Integer::sum);
         }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/endpoint/EndpointHealth.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/endpoint/EndpointHealth.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -11,6 +12,9 @@
  * What this entry has itself seen of endpoints' failures. An endpoint that fails is passed over for
  * a while, twice as long after each further failure up to a bound, and is forgiven by a success. An
  * announcement's lease may still be running while the endpoint is already gone.
+ *
+ * <p>An endpoint that asks for a pause gets nothing in it, whatever else there is: it has said that
+ * it would turn the request away.
  */
 public final class EndpointHealth {
   private static final int MAX_DOUBLINGS = 5;
@@ -18,6 +22,7 @@
   private record Failing(int failures, Instant until) {}
 
   private final Map<String, Failing> failing = new ConcurrentHashMap<>();
+  private final Map<String, Instant> pausedUntil = new ConcurrentHashMap<>();
   private final Duration firstPause;
 
   /**
@@ -40,6 +45,20 @@
         });
   }
 
+  /** Notes that the endpoint asked to get nothing for a while. */
+  public void askedForPause(String endpointId, Duration pause, Instant now) {
+    Instant until = now.plus(pause);
+    pausedUntil.merge(endpointId, until, (one, other) -> one.isAfter(other) ? one : other);
+  }
+
+  /** Returns the endpoints that want nothing now, and how much longer. */
+  public Map<String, Duration> paused(Instant now) {
+    pausedUntil.values().removeIf(until -> !until.isAfter(now));
+    Map<String, Duration> left = new HashMap<>();
+    pausedUntil.forEach((id, until) -> left.put(id, Duration.between(now, until)));
+    return left;
+  }
+
   /** Notes that the endpoint answered. */
   public void succeeded(String endpointId) {
     failing.remove(endpointId);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -358,6 +358,11 @@
 
   /** Returns whether the endpoint may get new work at all. */
   public boolean takesWork(Instant now) {
+    return inService(now) && conditions.pauseLeft(now).isZero();
+  }
+
+  /** Returns whether the endpoint takes work but for a pause that it asked for. */
+  private boolean inService(Instant now) {
     return record.state() == EndpointState.READY && !wrongInstance && !refusedUntil.isAfter(now);
   }
 
@@ -387,9 +392,18 @@
         || rateLimit().admits(rateSenders(entry, regionEntries), now);
   }
 
-  /** Returns how long until the rate that the endpoint states bears one more request. */
-  Duration untilWithinRate(String entry, List<String> regionEntries, Instant now) {
-    return rateLimit().untilAdmitted(rateSenders(entry, regionEntries), now);
+  /**
+   * Returns how long until the conditions that the endpoint states bear one more request.
+   *
+   * @return empty if it is out of service for another reason
+   */
+  Optional<Duration> untilConditionsHold(String entry, List<String> regionEntries, Instant now) {
+    if (!inService(now)) {
+      return Optional.empty();
+    }
+    Duration rate = rateLimit().untilAdmitted(rateSenders(entry, regionEntries), now);
+    Duration pause = conditions.pauseLeft(now);
+    return Optional.of(rate.compareTo(pause) > 0 ? rate : pause);
   }
 
   /** Returns whether a cold endpoint bears one more request of this entry now. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -69,7 +69,7 @@
   enum Reason {
     /** No endpoint that may run it is known or usable. */
     NO_ENDPOINT,
-    /** Every endpoint that may run it takes so many requests a second and has had them. */
+    /** Every endpoint that may run it has had its rate of requests or asked for a pause. */
     PACED,
     /** Wherever it may run, the wait is longer than the caller's objective. */
     OVERLOADED
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -247,12 +247,12 @@
     return new Placement.Refused(Placement.Reason.OVERLOADED, bounded(until, request), evidence);
   }
 
-  /** The time until an endpoint takes a request again that only wants them slower. */
+  /** The time until an endpoint takes a request again that only states conditions. */
   private static Optional<Duration> pauseHere(
       PlacementRequest request, Surroundings around, Instant now) {
     return around.endpoints().stream()
-        .filter(e -> e.takesWork(now) && !request.passedOver().contains(e.record().id()))
-        .map(e -> e.untilWithinRate(around.entry(), around.regionEntries(), now))
+        .filter(e -> !request.passedOver().contains(e.record().id()))
+        .flatMap(e -> e.untilConditionsHold(around.entry(), around.regionEntries(), now).stream())
         .filter(pause -> !pause.isZero())
         .min(Comparator.naturalOrder());
   }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/endpoint/EndpointHealthTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/endpoint/EndpointHealthTest.java
@@ -33,6 +33,17 @@
     assertThat(health.passedOver(T0), is(Set.of()));
   }
 
+  /** A success of another request says nothing of the pause that the endpoint asked for. */
+  @Test
+  void pauseLastsAsLongAsTheEndpointAskedFor() {
+    EndpointHealth health = new EndpointHealth(Duration.ofSeconds(1));
+    health.askedForPause("e1", Duration.ofSeconds(3), T0);
+    health.askedForPause("e1", Duration.ofSeconds(1), T0.plusMillis(100));
+    health.succeeded("e1");
+    assertThat(health.paused(T0.plusMillis(2_999)), is(Map.of("e1", Duration.ofMillis(1))));
+    assertThat(health.paused(T0.plusMillis(3_000)), is(Map.of()));
+  }
+
   /** A late announcement must not undo a newer one that says the endpoint is leaving. */
   @Test
   void lateAnnouncementDoesNotUndoDraining() {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -17,6 +18,7 @@
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
+import org.lacewingcroft.misc.Rendezvous;
 
 /** Single decisions: what keeps an endpoint from getting work, and when a request leaves. */
 class PlacerTest {
@@ -143,6 +145,56 @@
     assertThat("three owners, one request a second each", mostInSecond, equalTo(3));
   }
 
+  /** A row: what the only endpoint here has stated, and what becomes of the next requests. */
+  record Stated(
+      String name, Duration pause, OptionalDouble perSecond, long laterMillis, String goes) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  static Stream<Stated> statedRows() {
+    Duration none = Duration.ZERO;
+    Duration pause = Duration.ofSeconds(3);
+    OptionalDouble any = OptionalDouble.empty();
+    OptionalDouble two = OptionalDouble.of(2);
+    return Stream.of(
+        new Stated("nothing", none, any, 0, "here"),
+        new Stated("in the pause", pause, any, 2_999, "refused, back in 300 ms"),
+        new Stated("early in the pause", pause, any, 0, "refused, back in 1666 ms"),
+        new Stated("after the pause", pause, any, 3_000, "here"),
+        new Stated("beyond the rate", none, two, 500, "refused, back in 1500 ms"),
+        new Stated("within the rate", none, two, 2_000, "here"),
+        new Stated("both", pause, two, 2_500, "refused, back in 500 ms"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("statedRows")
+  void nothingIsSentAgainstWhatTheOnlyEndpointStates(Stated row) {
+    EndpointTracker endpoint = tracker("i-1", EndpointState.READY, 0);
+    row.perSecond().ifPresent(r -> endpoint.rateLimit().stated(row.perSecond(), NOW, NOW));
+    endpoint.conditions().pause(row.pause(), NOW);
+    endpoint.full(NOW.plusMillis(row.laterMillis()));
+    Placement placement =
+        new Placer(3, new Random(1))
+            .place(
+                request(0),
+                around(List.of(endpoint), new RegionLoads(), Set.of(), rateSender()),
+                NOW.plusMillis(row.laterMillis()));
+    String goes = where(placement);
+    if (placement instanceof Placement.Refused refused) {
+      assertThat(refused.reason(), equalTo(Placement.Reason.PACED));
+      goes += ", back in " + refused.retryAfter().toMillis() + " ms";
+    }
+    assertThat(goes, equalTo(row.goes()));
+  }
+
+  /** Returns one of the entries that share a low rate at the endpoint of these tests. */
+  private static String rateSender() {
+    return Rendezvous.rank(List.of("e1", "e2", "e3", "e4", "e5", "e6"), n -> n, "i-1").get(0);
+  }
+
   @Test
   void silentEndpointThatOwesAnswersIsAvoided() {
     EndpointTracker silent = tracker("i-1", EndpointState.READY, 0);
