Endpoints that say that they leave get nothing more from the entries that they have told

What callers saw: requests at an endpoint that was about to end, answered late or broken off, when its answers said that it leaves before its announcements did, or instead of them. Cause: entries went by the control instances' word alone; what answers say of leaving was not read. Change: an answer that says so takes the endpoint out of service at this entry, for its incarnation: later announcements that call it ready do not bring it back, nor does being forgotten and told of anew. Why it holds: takesWork stands before every send; the word is kept by incarnation beside rate and pause.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -659,6 +659,13 @@
     }
   }
 
+  /** Takes an endpoint's word that it leaves, which may be here before the control instances'. */
+  public void leavingStated(EndpointTracker tracker) {
+    if (tracker.conditions().leave()) {
+      RosterLog.changed(tracker.record().inState(EndpointState.DRAINING), "its answer");
+    }
+  }
+
   /** Takes an endpoint's wish to get nothing from this entry for a while. */
   public void pauseStated(EndpointTracker tracker, Duration pause) {
     Instant now = clock.instant();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointStatements.java
@@ -9,6 +9,7 @@
 
 /** Reads what endpoints state about themselves in the heads of their answers. */
 final class EndpointStatements {
+  private static final String LEAVES = "1";
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
 
@@ -28,6 +29,9 @@
    */
   void read(EndpointTracker endpoint, int status, HttpClientResponse answer, Instant sentAt) {
     readRate(endpoint, status, answer, sentAt);
+    if (LEAVES.equals(answer.getHeader(names.leaving()))) {
+      node.leavingStated(endpoint);
+    }
     if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
       RetryAfter.parse(answer.getHeader(RetryAfter.HEADER))
           .ifPresent(pause -> node.pauseStated(endpoint, pause));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -18,6 +18,7 @@
  * @param lastEventId the last event that the sender of the request has
  * @param organisation tells an endpoint the organisation of the caller
  * @param rateLimit the requests a second that an endpoint takes from all entries together
+ * @param leaving {@code 1} if an endpoint leaves
  * @param owned headers in lower case that only this system may set; callers' are dropped
  */
 public record HeaderNames(
@@ -34,4 +35,5 @@
     String lastEventId,
     String organisation,
     String rateLimit,
+    String leaving,
     Set<String> owned) {}
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -49,6 +49,7 @@
           "Last-Event-Id",
           "X-Organisation",
           "X-Rate-Limit",
+          "X-Leaving",
           Set.of("x-expect", "x-priority", "x-organisation"));
 
   /** Short, so that tests see an entry without control instances run out of it. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -363,7 +363,10 @@
 
   /** Returns whether the endpoint takes work but for a pause that it asked for. */
   private boolean inService(Instant now) {
-    return record.state() == EndpointState.READY && !wrongInstance && !refusedUntil.isAfter(now);
+    return record.state() == EndpointState.READY
+        && !conditions.isLeaving()
+        && !wrongInstance
+        && !refusedUntil.isAfter(now);
   }
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/StatedConditions.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/StatedConditions.java
@@ -13,12 +13,29 @@
 public final class StatedConditions {
   private final EndpointRateLimit rateLimit = new EndpointRateLimit();
   private Instant pausedUntil = Instant.EPOCH;
+  private boolean leaving;
 
   /** Returns the rate that it takes from all entries together. */
   public EndpointRateLimit rateLimit() {
     return rateLimit;
   }
 
+  /**
+   * Notes that the endpoint leaves.
+   *
+   * @return whether this entry did not know
+   */
+  public boolean leave() {
+    boolean news = !leaving;
+    leaving = true;
+    return news;
+  }
+
+  /** Returns whether the endpoint leaves; an incarnation that leaves does not come back. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
   /** Takes the endpoint's wish to get nothing from this entry for a while. */
   public void pause(Duration pause, Instant now) {
     Instant until = now.plus(pause);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/TrackedEndpointsTest.java
@@ -135,6 +135,24 @@
     assertThat("another incarnation", rateOf("e"), is(OptionalDouble.empty()));
   }
 
+  @Test
+  void endpointThatSaidThatItLeavesGetsNoWorkWhateverIsAnnouncedOfIt() {
+    tell(true, START, record("e", 1, EndpointState.READY, 1));
+    endpoints.tracker("e").orElseThrow().conditions().leave();
+    tell(true, START.plusSeconds(1), record("e", 1, EndpointState.READY, 2));
+    assertThat(takesWork("e", START.plusSeconds(1)), is(false));
+    tell(true, START.plusSeconds(10));
+    tell(true, START.plusSeconds(11));
+    tell(true, START.plusSeconds(12), record("e", 1, EndpointState.READY, 3));
+    assertThat("after it was forgotten", takesWork("e", START.plusSeconds(12)), is(false));
+    tell(true, START.plusSeconds(13), record("e", 2, EndpointState.READY, 1));
+    assertThat("another incarnation", takesWork("e", START.plusSeconds(13)), is(true));
+  }
+
+  private boolean takesWork(String endpoint, Instant now) {
+    return endpoints.tracker(endpoint).orElseThrow().takesWork(now);
+  }
+
   private OptionalDouble rateOf(String endpoint) {
     return endpoints.tracker(endpoint).orElseThrow().rateLimit().perSecond();
   }
