Relays that endpoints have turned away count against the budget of extra sends

What callers saw: nothing; while endpoints of several regions turned requests away, one request reached five of them, and a service got 123 arrivals beyond the first of a request in 10 s where 115 are allowed. Cause: an entry that refuses a relayed request may have asked endpoints of its region before. To the entry that relayed it, the refusal looked like a send that reached nobody, so the next one was free. Ruled out: the budget's shares (each entry takes six tenths of its part); the pauses, which end such sends earlier than before. Change: the refusal between entries says how many endpoints turned the request away; if any did, the next send, wherever it goes, is an extra one. Why it holds: every arrival beyond a request's first is charged where the decision to send again is made, and a send that reached no endpoint stays free.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerAnswer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerAnswer.java
@@ -14,13 +14,17 @@
  * that it cannot be taken for complete.
  */
 final class CallerAnswer {
-  /** Tells another entry, whose caller's request this is, that no endpoint ran it. */
+  /**
+   * Tells another entry, whose caller's request this is, that no endpoint ran it, and how many
+   * turned it away.
+   */
   static final String NOT_RUN_HEADER = "X-Lacewingcroft-Not-Run";
 
   private final HttpServerRequest request;
   private final HttpServerResponse response;
   private final boolean toEntry;
   private boolean finished;
+  private int turnedAway;
 
   CallerAnswer(HttpServerRequest request, boolean toEntry) {
     this.request = request;
@@ -100,6 +104,11 @@
     }
   }
 
+  /** Notes how many endpoints have turned the request away so far. */
+  void turnedAwayBy(int endpoints) {
+    turnedAway = endpoints;
+  }
+
   /** Refuses or fails the request with an answer of our own. */
   void own(int status, String reason, boolean notRun, Optional<Duration> retryAfter) {
     if (!open()) {
@@ -124,7 +133,7 @@
             response.putHeader(
                 "Retry-After", String.format(Locale.ROOT, "%.2f", after.toMillis() / 1000.0)));
     if (toEntry && notRun) {
-      response.putHeader(NOT_RUN_HEADER, "1");
+      response.putHeader(NOT_RUN_HEADER, Integer.toString(turnedAway));
     }
     response.end(reason + "\n");
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -70,6 +70,7 @@
   private Optional<UpstreamAttempt> current = Optional.empty();
   private int targets;
   private int runs;
+  private int turnedAway;
   private boolean mayHaveRun;
   private boolean streaming;
   private boolean done;
@@ -324,6 +325,9 @@
     private Buffer whole = Buffer.buffer();
     private String refusal = "";
 
+    /** Endpoints that turned the request away in this attempt. */
+    private int refusals;
+
     private Attempt(UpstreamTarget target) {
       upstream = new UpstreamAttempt(target, context.names(), context.clock(), this);
     }
@@ -345,6 +349,7 @@
       }
       headers = ForwardRequest.endToEnd(response.headers(), ForwardContext.RELAY_HEADERS);
       refusal = refusalOf(response);
+      refusals = refusalsOf(response);
       String echoed = response.getHeader(context.names().requestId());
       boolean success = status >= OK && status < MULTIPLE_CHOICES;
       if (echoed != null && !echoed.equals(request.id())) {
@@ -385,6 +390,15 @@
       return notRun != null || status == WRONG_INSTANCE ? "endpoint" : "";
     }
 
+    /** Another entry may have asked endpoints of its region before it refused. */
+    private int refusalsOf(HttpClientResponse response) {
+      if (upstream.target().entry().isEmpty()) {
+        return 1;
+      }
+      String told = response.getHeader(CallerAnswer.NOT_RUN_HEADER);
+      return told != null && told.matches("\\d{1,4}") ? Integer.parseInt(told) : 1;
+    }
+
     private void spoiled(String detail) {
       upstream.cancel(Outcome.FAILED);
       broken(this, detail);
@@ -431,7 +445,7 @@
           finished(ForwardContext.SERVED, status);
         }
       } else if (!refusal.isEmpty()) {
-        refusedBy(upstream, status, refusal);
+        refusedBy(upstream, status, refusal, refusals);
       } else {
         completeWhole();
       }
@@ -521,8 +535,13 @@
     tryElsewhere(detail, true);
   }
 
-  /** The target said that it did not run the request. */
-  private void refusedBy(UpstreamAttempt attempt, int status, String who) {
+  /**
+   * The target said that it did not run the request.
+   *
+   * @param refusals how many endpoints turned it away, which makes the next send an extra one
+   */
+  private void refusedBy(UpstreamAttempt attempt, int status, String who, int refusals) {
+    turnedAway += refusals;
     tryFailed(attempt, "refused", who + " answered " + status);
     attempt
         .target()
@@ -536,7 +555,7 @@
               }
             });
     passOver(attempt);
-    tryElsewhere("the endpoint was full", attempt.target().entry().isPresent());
+    tryElsewhere("the endpoint was full", refusals == 0);
   }
 
   private void passOver(UpstreamAttempt attempt) {
@@ -633,6 +652,7 @@
       return;
     }
     boolean notRun = !mayHaveRun && PROMISES.contains(status);
+    answer.turnedAwayBy(turnedAway);
     answer.own(status, reason, notRun, retryAfter);
     finished(reason, status);
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -55,7 +55,7 @@
   /** Short, so that tests see an entry without control instances run out of it. */
   static final Duration REVOCATION = Duration.ofSeconds(5);
 
-  private static final FleetBounds BOUNDS =
+  static final FleetBounds BOUNDS =
       new FleetBounds(
           Duration.ofSeconds(8),
           Duration.ofSeconds(5),
@@ -71,6 +71,7 @@
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final Context context = vertx.getOrCreateContext();
   private final Map<Long, RouteTable> tables;
+  private final FleetBounds bounds;
   private final FleetSettings controlSettings;
   private ControlNode control;
 
@@ -78,7 +79,13 @@
   record Entry(EntryNode node, EntryServer server, int publicPort, int relayPort) {}
 
   FleetHarness(Path dataDir, Map<Long, RouteTable> tables) throws Exception {
+    this(dataDir, tables, BOUNDS);
+  }
+
+  /** Starts a control instance of a fleet with bounds of its own. */
+  FleetHarness(Path dataDir, Map<Long, RouteTable> tables, FleetBounds bounds) throws Exception {
     this.tables = tables;
+    this.bounds = bounds;
     this.controlSettings = settings("control", "north", List.of(), Optional.of(dataDir));
     FleetSettings founding =
         new FleetSettings(
@@ -94,7 +101,7 @@
             true,
             0,
             HEARTBEAT,
-            BOUNDS,
+            bounds,
             Set.of(),
             SECRET);
     startControl(founding);
@@ -133,7 +140,7 @@
     return vertx;
   }
 
-  private static FleetSettings settings(
+  private FleetSettings settings(
       String name, String region, List<String> seeds, Optional<Path> dataDir) throws IOException {
     return new FleetSettings(
         name,
@@ -148,7 +155,7 @@
         true,
         0,
         HEARTBEAT,
-        BOUNDS,
+        bounds,
         Set.of(),
         SECRET);
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StatingFleet.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StatingFleet.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.lacewingcroft.fleet.FleetBounds;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
@@ -50,6 +51,11 @@
    * @param statuses by the services' names, what their endpoints answer at first
    */
   StatingFleet(Path folder, Map<String, String> statuses) throws Exception {
+    this(folder, statuses, FleetHarness.BOUNDS);
+  }
+
+  /** Starts it with bounds of its own. */
+  StatingFleet(Path folder, Map<String, String> statuses, FleetBounds bounds) throws Exception {
     List<Route> routes = new ArrayList<>();
     List<ServiceSpec> services = new ArrayList<>();
     for (String name : statuses.keySet()) {
@@ -57,7 +63,7 @@
       services.add(FleetHarness.serviceNamed(name));
     }
     RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
-    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table), bounds);
     for (String name : ENTRY_NAMES) {
       entries.add(fleet.startEntry(name, name.split("-")[0]));
     }
@@ -138,6 +144,11 @@
     return answer.statusCode();
   }
 
+  /** Returns how many requests callers have sent. */
+  int requests() {
+    return requests.get();
+  }
+
   /** Returns the services of requests that were refused without a word of when to come back. */
   List<String> refusedWithoutPause() {
     return refusedWithoutPause;
