Stand-in runners can be told to be in need

Cause: no stand-in stated a rate or a pause or that it leaves, so nothing that is run against them could show whether these are kept. Change: POST /v1/admin/conditions has a runner state a rate or turn everything away with a pause; one that drains says in its answers that it leaves. Without an order nothing changes.

--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/StandinRunner.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/StandinRunner.java
@@ -24,8 +24,10 @@
  * not), or a plain service whose {@code POST /v1/orders} counts every run.
  *
  * <p>It announces itself, reports its load and its cache with a lag and, for orders ({@code POST
- * /v1/admin/load-model}), honours or ignores the {@code X-Fencing-Token} header. Closing it
- * announces {@code draining}, waits for the requests in flight and then stops: a graceful shutdown.
+ * /v1/admin/load-model}), honours or ignores the {@code X-Fencing-Token} header. {@code POST
+ * /v1/admin/conditions} has it state a rate or turn requests away, as an endpoint in need does.
+ * Closing it announces {@code draining}, waits for the requests in flight and then stops: a
+ * graceful shutdown.
  */
 public final class StandinRunner implements AutoCloseable {
   private static final ObjectMapper JSON = new ObjectMapper();
@@ -43,6 +45,7 @@
   private final AtomicLong runs = new AtomicLong();
   private final AtomicLong sequence = new AtomicLong(System.currentTimeMillis());
   private final Deque<long[]> loadHistory = new ArrayDeque<>();
+  private final StatedConditions conditions = new StatedConditions();
   private volatile boolean draining;
   private HttpServer server;
   private int port;
@@ -111,6 +114,14 @@
         .body()
         .onSuccess(
             body -> {
+              if (path.equals("/v1/admin/conditions")) {
+                setConditions(request, body);
+                return;
+              }
+              conditions.state(request.response(), draining);
+              if (conditions.turnsAway(request.response())) {
+                return;
+              }
               if (path.equals("/v1/chat/completions") && spec.kind() == EndpointKind.ENGINE) {
                 engine.serve(request, body);
               } else if (path.startsWith("/v1/orders") && spec.kind() == EndpointKind.SERVICE) {
@@ -123,6 +134,17 @@
             });
   }
 
+  private void setConditions(HttpServerRequest request, Buffer body) {
+    if (conditions.set(body)) {
+      request.response().end("{\"set\":true}");
+    } else {
+      request
+          .response()
+          .setStatusCode(400)
+          .end("{\"error\":\"requestsPerSecond and pauseSeconds are numbers, 0 or more\"}");
+    }
+  }
+
   private void order(HttpServerRequest request, Buffer body) {
     inFlight.incrementAndGet();
     String key = request.getHeader("Idempotency-Key");
