Log and count what the budget of extra sends decides

What callers saw: nothing. Endpoints receive more repeated sends than the fleet's budget allows, and no line or metric states what entries granted. Ruled out: nothing by this change. Change: a line request.resend for each decision, with what the entry has used, what it may use and the number of entries that it assumed; a counter lwc_resends_total by decision. No decision changes. Measured: ExtraSendBudgetTest and RelayedResendTest pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -252,10 +252,8 @@
    * entry's sends of a request after its first, except those that follow a send that reached no
    * endpoint: the connection could not be established, the request was withdrawn before it was
    * sent, or another entry refused it without having sent it to an endpoint.
-   *
-   * @return whether the extra send is allowed
    */
-  public boolean tryTakeExtraSend(String service) {
+  public ExtraSendBudget.Decision tryTakeExtraSend(String service) {
     return extraSends.tryTake(service, entries.size(), clock.instant());
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -17,6 +17,7 @@
 import org.lacewingcroft.fleet.RelayPartners;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
+import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.stream.EventSplitter;
@@ -649,8 +650,7 @@
    * @param budgetExempt whether the next send does not count against the budget of extra sends
    */
   private void sendToAnotherTarget(String detail, boolean budgetExempt) {
-    boolean allowed = sends < MAX_SENDS && (budgetExempt || tryTakeExtraSend());
-    if (allowed) {
+    if (sends < MAX_SENDS && (budgetExempt ? recordExemptSend() : tryTakeExtraSend())) {
       place();
     } else if (streaming || mayHaveRun) {
       finishWithError(BAD_GATEWAY, detail, Optional.empty());
@@ -666,7 +666,19 @@
 
   /** Takes one send from the fleet-wide budget of extra sends, if it allows one. */
   private boolean tryTakeExtraSend() {
-    return context.node().tryTakeExtraSend(request.handling().service());
+    ExtraSendBudget.Decision decision =
+        context.node().tryTakeExtraSend(request.handling().service());
+    String budget = decision.granted() ? "granted" : "denied";
+    context.metrics().resends.labelValues(budget).inc();
+    requestLog.logResend(budget, Optional.of(decision));
+    return decision.granted();
+  }
+
+  /** Records a send that does not count against the budget of extra sends. */
+  private boolean recordExemptSend() {
+    context.metrics().resends.labelValues("exempt").inc();
+    requestLog.logResend("exempt", Optional.empty());
+    return true;
   }
 
   /** Handles an attempt whose target may have run the request but sent no complete response. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
 import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
 
 /**
@@ -191,6 +192,27 @@
         endpoint.map(e -> e.isCold(now)).orElse(false));
   }
 
+  /**
+   * Logs whether the request may be sent again.
+   *
+   * @param budget what the budget of extra sends decided, as in the metric of resends
+   * @param decision the values that the decision was based on, empty for an exempt send
+   */
+  void logResend(String budget, Optional<ExtraSendBudget.Decision> decision) {
+    write(
+        "request.resend",
+        "service",
+        request.handling().service(),
+        "budget",
+        budget,
+        "used",
+        decision.map(ExtraSendBudget.Decision::used).orElse(0),
+        "allowed",
+        decision.map(ExtraSendBudget.Decision::allowed).orElse(0.0),
+        "entries",
+        decision.map(ExtraSendBudget.Decision::entries).orElse(0));
+  }
+
   /** Logs the end of the request: the response was sent or aborted, or the caller disconnected. */
   void logFinished(Summary summary) {
     write(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -109,6 +109,17 @@
           .labelNames("what")
           .register(registry);
 
+  /**
+   * Repeated sends on the fleet's request path, by what the fleet-wide budget of extra sends
+   * decided: granted, denied or exempt.
+   */
+  public final Counter resends =
+      Counter.builder()
+          .name("lwc_resends_total")
+          .help("Repeated sends by the decision of the budget of extra sends")
+          .labelNames("budget")
+          .register(registry);
+
   /** Endpoint announcements received by a control instance, by whether it acknowledged them. */
   public final Counter announcements =
       Counter.builder()
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ExtraSendBudget.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ExtraSendBudget.java
@@ -39,6 +39,16 @@
     this.window = window;
   }
 
+  /**
+   * The result of a request for an extra send.
+   *
+   * @param granted whether the request may be sent again
+   * @param used the extra sends of this entry in the window, including this one if it was granted
+   * @param allowed the extra sends that this entry may make in the window
+   * @param entries the number of entries that the budget was divided by
+   */
+  public record Decision(boolean granted, int used, double allowed, int entries) {}
+
   /** Counts a request's first send. */
   public void recordFirstSend(String service, Instant now) {
     recent(firstSends, service, now).addLast(now);
@@ -48,18 +58,17 @@
    * Takes one extra send from the budget. An entry may always take one per service and window.
    *
    * @param entries the number of entries that share the budget
-   * @return whether the request may be sent again
    */
-  public boolean tryTake(String service, int entries, Instant now) {
+  public Decision tryTake(String service, int entries, Instant now) {
     Deque<Instant> taken = recent(extraSends, service, now);
     double allowed =
         USED_SHARE
             * (ratio * recent(firstSends, service, now).size() + slack / Math.max(1, entries));
-    if (taken.size() + 1 > Math.max(1, allowed)) {
-      return false;
+    boolean granted = taken.size() + 1 <= Math.max(1, allowed);
+    if (granted) {
+      taken.addLast(now);
     }
-    taken.addLast(now);
-    return true;
+    return new Decision(granted, taken.size(), allowed, entries);
   }
 
   private Deque<Instant> recent(Map<String, Deque<Instant>> times, String service, Instant now) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ExtraSendBudgetTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ExtraSendBudgetTest.java
@@ -27,7 +27,7 @@
         for (int r = 0; r < requestsEachSecond; r++) {
           budget.recordFirstSend("s", now);
         }
-        while (budget.tryTake("s", entries, now)) {
+        while (budget.tryTake("s", entries, now).granted()) {
           extras++;
         }
       }
