--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/AdvertisingFleet.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/AdvertisingFleet.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 
+import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -41,12 +42,16 @@
   private static final long START_STAGGER_MILLIS = 1_200;
   private static final int CONSECUTIVE_SERVED_PER_ENTRY = 12;
 
+  /** Stands for no entry where an index is expected. */
+  private static final int NONE = -1;
+
   private final HttpClient client = HttpClient.newHttpClient();
   private final AtomicInteger requests = new AtomicInteger();
-  private final List<FleetHarness.Entry> entries = new ArrayList<>();
+  private final List<FleetHarness.Entry> entries = new CopyOnWriteArrayList<>();
   private final Map<String, AdvertisingEndpoints> endpoints = new LinkedHashMap<>();
   private final List<String> refusedWithoutRetryAfter = new CopyOnWriteArrayList<>();
   private final FleetHarness fleet;
+  private volatile int restarting = NONE;
 
   /**
    * Starts the fleet.
@@ -109,7 +114,7 @@
     List<Thread> callers = new ArrayList<>();
     long endNanos = System.nanoTime() + duration.toNanos();
     for (int e = 0; e < entries.size(); e++) {
-      FleetHarness.Entry entry = entries.get(e);
+      int entry = e;
       long startDelayMillis = e * START_STAGGER_MILLIS;
       for (String service : endpoints.keySet()) {
         callers.add(new Thread(() -> callUntil(endNanos, startDelayMillis, entry, service)));
@@ -123,12 +128,11 @@
     }
   }
 
-  private void callUntil(
-      long endNanos, long startDelayMillis, FleetHarness.Entry entry, String service) {
+  private void callUntil(long endNanos, long startDelayMillis, int entry, String service) {
     try {
       TimeUnit.MILLISECONDS.sleep(startDelayMillis);
       while (System.nanoTime() < endNanos) {
-        call(entry, service);
+        callUnlessRestarting(entry, service);
         TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MILLIS);
       }
     } catch (Exception e) {
@@ -136,6 +140,47 @@
     }
   }
 
+  /** Sends a request to an entry; the connection may fail if the entry is restarted meanwhile. */
+  private void callUnlessRestarting(int index, String service) throws Exception {
+    FleetHarness.Entry entry = entries.get(index);
+    try {
+      call(entry, service);
+    } catch (IOException e) {
+      if (restarting != index && entries.get(index) == entry) {
+        throw e;
+      }
+    }
+  }
+
+  /**
+   * Restarts the entries in turn. Each entry starts without the state of its predecessor.
+   *
+   * @param duration how long entries are restarted
+   * @param interval the pause between two restarts
+   */
+  void restartEntriesInTurn(Duration duration, Duration interval) {
+    long endNanos = System.nanoTime() + duration.toNanos();
+    try {
+      for (int i = 0; System.nanoTime() < endNanos; i++) {
+        restart(i % entries.size());
+        TimeUnit.MILLISECONDS.sleep(interval.toMillis());
+      }
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void restart(int index) throws Exception {
+    FleetHarness.Entry stopped = entries.get(index);
+    restarting = index;
+    fleet.stopEntry(stopped);
+    String name = stopped.node().name();
+    FleetHarness.Entry started = fleet.startEntry(name, name.split("-")[0]);
+    fleet.awaitReady(started);
+    entries.set(index, started);
+    restarting = NONE;
+  }
+
   private int call(FleetHarness.Entry entry, String service) throws Exception {
     int number = requests.incrementAndGet();
     HttpRequest request =
