Divide the budget of extra sends by all entries that may use it

What callers saw: nothing. Endpoints received more repeated sends than the fleet's budget of extra sends allows. Cause: each entry divided the slack of the budget by the number of entries in the list that it held at the moment, and kept what it had used in memory only. Lists are partial after a start and hold the own region while regions are cut from each other, and an entry that restarts takes its share again. So the shares of all entries together exceeded the whole. Ruled out: sends that are not charged but arrive. Change: EntryMembership. An absent entry counts until its sends have left the window, absence counts only in contact with a majority of the control instances, and the share of the slack is used only after one window of such contact. The part of the budget that is a ratio of an entry's own requests needs no knowledge of others and is used as before.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -96,6 +96,7 @@
   private final LoadExchange loads;
   private final PrefixExchange prefixes;
   private final ExtraSendBudget extraSends;
+  private final EntryMembership membership;
   private final ControlInstanceTracker controlTracker;
   private final RequestQuarantine quarantine;
   private final Instant startedAt;
@@ -187,6 +188,8 @@
             this::entryNames);
     FleetBounds bounds = settings.bounds();
     this.lease = new StateLease(leaseLength(bounds));
+    this.membership =
+        new EntryMembership(self.name(), bounds.extraSendWindow(), bounds.shutdownGrace());
     this.extraSends =
         new ExtraSendBudget(
             bounds.extraSendRatio(), bounds.extraSendSlack(), bounds.extraSendWindow());
@@ -254,7 +257,7 @@
    * sent, or another entry refused it without having sent it to an endpoint.
    */
   public ExtraSendBudget.Decision tryTakeExtraSend(String service) {
-    return extraSends.tryTake(service, entries.size(), clock.instant());
+    return extraSends.tryTake(service, membership.size(), clock.instant());
   }
 
   /** Records the first send of a request, which adds to the budget of extra sends. */
@@ -589,6 +592,9 @@
       controls = pulse.controls();
       controlTracker.retain(controls);
     }
+    if (pulse.inMajority()) {
+      membership.onMajorityContact(now);
+    }
     if (pulse.inMajority() && pulse.revision() <= routing.revision()) {
       lease.confirm(pulse.reportId());
     }
@@ -665,6 +671,7 @@
   private void onEntryList(FleetMessage.EntryList list) {
     if (entriesDigest(list.entries()) != entriesDigest(entries)) {
       entries = List.copyOf(list.entries());
+      membership.update(entries, clock.instant());
       regionEntryNames = regionEntryNames(self, entries);
       hasLargeRegion = hasLargeRegion(entries);
       LOG.log(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
@@ -210,7 +211,7 @@
         "allowed",
         decision.map(ExtraSendBudget.Decision::allowed).orElse(0.0),
         "entries",
-        decision.map(ExtraSendBudget.Decision::entries).orElse(0));
+        orNone(decision.map(ExtraSendBudget.Decision::entries).orElse(OptionalInt.empty())));
   }
 
   /** Logs the end of the request: the response was sent or aborted, or the caller disconnected. */
@@ -253,6 +254,10 @@
     return number.isPresent() ? number.getAsDouble() : "none";
   }
 
+  private static Object orNone(OptionalInt number) {
+    return number.isPresent() ? number.getAsInt() : "none";
+  }
+
   private static Object orNone(OptionalLong number) {
     return number.isPresent() ? number.getAsLong() : "none";
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ExtraSendBudget.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ExtraSendBudget.java
@@ -6,14 +6,15 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 
 /**
  * Limits extra sends (any send of a request after the first: retry, hedge or relay) of each service
  * over a sliding window. All entries share one budget: each entry may use an equal part of a fixed
  * allowance (the slack) plus a fixed ratio of its own requests, but uses only {@link #USED_SHARE}
- * of both, so that the limit also holds while entries disagree on the number of entries. In
- * contrast, a {@link org.lacewingcroft.limit.RetryBudget} limits the retries and hedges of one
- * instance.
+ * of both, so that the limit also holds if sends that were held up on the way arrive in a later
+ * window. An entry that does not know how many others use the slack uses none of it. In contrast, a
+ * {@link org.lacewingcroft.limit.RetryBudget} limits the retries and hedges of one instance.
  *
  * <p>Not thread-safe: confined to the entry's event loop thread.
  */
@@ -45,9 +46,9 @@
    * @param granted whether the request may be sent again
    * @param used the extra sends of this entry in the window, including this one if it was granted
    * @param allowed the extra sends that this entry may make in the window
-   * @param entries the number of entries that the budget was divided by
+   * @param entries the number of entries that the slack was divided by, empty if it is unknown
    */
-  public record Decision(boolean granted, int used, double allowed, int entries) {}
+  public record Decision(boolean granted, int used, double allowed, OptionalInt entries) {}
 
   /** Counts a request's first send. */
   public void recordFirstSend(String service, Instant now) {
@@ -57,13 +58,12 @@
   /**
    * Takes one extra send from the budget. An entry may always take one per service and window.
    *
-   * @param entries the number of entries that share the budget
+   * @param entries the number of entries that share the budget, empty if it is unknown
    */
-  public Decision tryTake(String service, int entries, Instant now) {
+  public Decision tryTake(String service, OptionalInt entries, Instant now) {
     Deque<Instant> taken = recent(extraSends, service, now);
-    double allowed =
-        USED_SHARE
-            * (ratio * recent(firstSends, service, now).size() + slack / Math.max(1, entries));
+    double slackShare = entries.isPresent() ? slack / entries.getAsInt() : 0;
+    double allowed = USED_SHARE * (ratio * recent(firstSends, service, now).size() + slackShare);
     boolean granted = taken.size() + 1 <= Math.max(1, allowed);
     if (granted) {
       taken.addLast(now);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ExtraSendBudgetTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ExtraSendBudgetTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.OptionalInt;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -27,7 +28,7 @@
         for (int r = 0; r < requestsEachSecond; r++) {
           budget.recordFirstSend("s", now);
         }
-        while (budget.tryTake("s", entries, now).granted()) {
+        while (budget.tryTake("s", OptionalInt.of(entries), now).granted()) {
           extras++;
         }
       }
