Send to cold and limited endpoints only once the neighbours are known

What callers saw: nothing. After many entries of a region have started together, a cold endpoint receives more requests in one second than it takes. Only few entries of a region may send to a cold endpoint, or to one that advertises a rate, by their rank in the list of entries. An entry that has just started holds a list of itself alone, or of the few that were ready before it, and takes a place in each. Ruled out: sends of predecessors. In the test each entry starts once. Change: until 2.5 s after its first contact with a control instance, an entry is not among the senders.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -319,7 +319,7 @@
       Set<String> excludedRegions) {
     Optional<ServiceSpec> spec = routing.table().service(request.service());
     Optional<ServiceSpec.Engine> engine = spec.flatMap(ServiceSpec::engine);
-    List<String> regionEntries = regionEntryNames;
+    Instant now = clock.instant();
     Placer placer = new Placer(coldSenders(spec), ThreadLocalRandom.current());
     List<EndpointTracker> all = endpointsOf(request.service());
     return placer.place(
@@ -327,8 +327,8 @@
         new Placer.Context(
             all.stream().filter(t -> settings.inOwnRegion(t.record().failureDomain())).toList(),
             self.name(),
-            regionEntries,
-            maxInFlightPerEndpoint(spec, regionEntries.size()),
+            membership.isDiscoveryComplete(now) ? regionEntryNames : List.of(),
+            maxInFlightPerEndpoint(spec, regionEntryNames.size()),
             allowOtherRegions ? Optional.of(regionLoads) : Optional.empty(),
             allowedRegions,
             excludedRegions,
@@ -336,7 +336,7 @@
             engine.isPresent() ? prefixSources(all, allowedRegions) : List.of(),
             engine,
             settings.disabledMechanisms()),
-        clock.instant());
+        now);
   }
 
   /**
@@ -592,6 +592,7 @@
       controls = pulse.controls();
       controlTracker.retain(controls);
     }
+    membership.onContact(now);
     if (pulse.inMajority()) {
       membership.onMajorityContact(now);
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.lacewingcroft.fleet.ControlNode;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
@@ -287,11 +288,20 @@
 
   /** Announces an endpoint at each heartbeat interval, as a running one does. */
   void keepAnnouncing(String id, String service, String region, int port) throws Exception {
-    announce(id, service, region, port, 1);
-    AtomicLong sequence = new AtomicLong(1);
-    vertx.setPeriodic(
-        HEARTBEAT_INTERVAL.toMillis(),
-        t -> control.announce(record(id, service, region, port, sequence.incrementAndGet())));
+    keepAnnouncing(id, service, region, port, Duration.ZERO);
+  }
+
+  /** Announces an endpoint at each heartbeat interval, each time as cold for the given time. */
+  void keepAnnouncing(String id, String service, String region, int port, Duration cold)
+      throws Exception {
+    AtomicLong sequence = new AtomicLong();
+    Supplier<Future<Boolean>> announcement =
+        () ->
+            control.announce(
+                record(id, service, region, port, sequence.incrementAndGet())
+                    .withColdMillis(cold.toMillis()));
+    onContext(announcement::get);
+    vertx.setPeriodic(HEARTBEAT_INTERVAL.toMillis(), t -> announcement.get());
   }
 
   /** Waits until an entry tracks the given number of endpoints of a service. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EntryMembership.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EntryMembership.java
@@ -34,6 +34,12 @@
    */
   private static final Duration MAX_CONTACT_INTERVAL = Duration.ofSeconds(2);
 
+  /**
+   * Time from the first contact with a control instance until the lists of entries are complete:
+   * entries that start at the same time report within this time, and receive lists with each other.
+   */
+  private static final Duration DISCOVERY_TIME = Duration.ofMillis(2_500);
+
   private final String self;
   private final Duration window;
   private final Duration retention;
@@ -41,6 +47,7 @@
   /** When each entry was first found to be absent; empty for listed entries. */
   private final Map<String, Optional<Instant>> absentSince = new HashMap<>();
 
+  private Optional<Instant> firstContactAt = Optional.empty();
   private Instant contactSince = Instant.EPOCH;
   private Instant lastContactAt = Instant.EPOCH;
   private boolean established;
@@ -68,6 +75,19 @@
         (name, since) -> names.contains(name) || since.isPresent() ? since : Optional.of(now));
   }
 
+  /** Records a message from any control instance. */
+  public void onContact(Instant now) {
+    firstContactAt = firstContactAt.or(() -> Optional.of(now));
+  }
+
+  /**
+   * Returns whether this entry has discovered the entries that started at the same time. Until
+   * then, each of them would assume that it is one of the few that may use a bound.
+   */
+  public boolean isDiscoveryComplete(Instant now) {
+    return firstContactAt.filter(at -> !at.plus(DISCOVERY_TIME).isAfter(now)).isPresent();
+  }
+
   /**
    * Records a message from a control instance that is connected to a majority, and removes the
    * entries that have been absent for long enough.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -409,7 +409,7 @@
    * Returns how many entries share the rate that the endpoint advertises.
    *
    * @param entry this entry's name
-   * @param regionEntries the names of the region's entries
+   * @param regionEntries the names of the region's entries, empty if not all are known yet
    * @return 0 if this entry is not one of them
    */
   private int rateSenderCount(String entry, List<String> regionEntries) {
@@ -419,10 +419,12 @@
 
   /** Returns whether an entry is among the first entries in the endpoint's rendezvous order. */
   boolean isAmongFirst(String entry, List<String> regionEntries, int count) {
-    return regionEntries.size() <= count
-        || Rendezvous.rank(regionEntries, n -> n, record.id()).stream()
-            .limit(count)
-            .anyMatch(entry::equals);
+    if (regionEntries.size() <= count) {
+      return regionEntries.contains(entry);
+    }
+    return Rendezvous.rank(regionEntries, n -> n, record.id()).stream()
+        .limit(count)
+        .anyMatch(entry::equals);
   }
 
   /** Returns whether the advertised rate limit admits one more request of this entry now. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -117,7 +117,8 @@
    *
    * @param endpoints the service's endpoints in this region that are not evacuated
    * @param entry this entry's name
-   * @param regionEntries the names of this region's entries
+   * @param regionEntries the names of this region's entries, empty if not all are known yet; in
+   *     that case this entry sends nothing to endpoints that only some entries may send to
    * @param maxInFlightPerEndpoint limit of this entry's requests in flight at one endpoint
    * @param regions the other regions' load; empty if the request must stay in this region
    * @param allowedRegions regions that may run the request; empty for any
