Test, red: a content is refused before other entries could clear it

What callers saw: a request with a common content is refused as if the content crashed endpoints. Cause: not changed by this commit. The entry that sees the third crash refuses the content at once, 32 ms before the entry that has completed it a second earlier clears it. Ruled out: that nobody cleared it, or that it was quarantined again. content.cleared follows content.quarantined at each entry, and no crash counts anew.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
@@ -222,6 +222,11 @@
     fleet.run(() -> poisonDisabled = true);
   }
 
+  /** Makes the endpoints fail again while they run such requests. */
+  void enablePoison() throws Exception {
+    fleet.run(() -> poisonDisabled = false);
+  }
+
   /**
    * Starts or ends a one-way network partition. During the partition the endpoints still receive
    * and run requests, but none of their responses and announcements arrive.
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/HarmlessContentTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/HarmlessContentTest.java
@@ -1,8 +1,11 @@
 package org.lacewingcroft.forward;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import io.vertx.core.Future;
 import java.io.IOException;
@@ -17,6 +20,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -58,6 +62,12 @@
   private static final Duration PARTITION_DURATION = Duration.ofSeconds(4);
 
   private static final long CALL_INTERVAL_MILLIS = 40;
+
+  /** One more than quarantine content, if they are not simultaneous. */
+  private static final int CRASHES = 4;
+
+  private static final long CRASH_INTERVAL_MILLIS = 150;
+  private static final String QUARANTINE_REASON = "endpoints that ran this content";
   private static final int CALLERS_PER_ENTRY = 24;
 
   private static final long POLL_INTERVAL_MILLIS = 5;
@@ -169,6 +179,29 @@
     assertServedEverywhere(FaultyEndpoints.LONG);
   }
 
+  /** Guards against refusing content before the entries that have completed it could report so. */
+  @Test
+  void contentThatAnotherEntryHasCompletedIsNotRefused() throws Exception {
+    start(new TestCase(RouteKind.IDEMPOTENT, false, 2, Fault.CRASH));
+    FleetHarness.Entry completing = entries.get(0);
+    FleetHarness.Entry crashing = entries.get(1);
+    endpoints.disablePoison();
+    assertThat(call(completing, FaultyEndpoints.POISON), is(200));
+    endpoints.enablePoison();
+    // Requests that allow the entry to send others again.
+    for (int n = 0; n < CALLERS_PER_ENTRY; n++) {
+      call(crashing, "harmless");
+    }
+    Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
+    List<String> responses = new ArrayList<>();
+    while (endpoints.crashes() < CRASHES && Instant.now().isBefore(deadline)) {
+      responses.add(callForBody(crashing, FaultyEndpoints.POISON));
+      TimeUnit.MILLISECONDS.sleep(CRASH_INTERVAL_MILLIS);
+    }
+    assertThat(endpoints.crashes(), greaterThanOrEqualTo(CRASHES));
+    assertThat(responses, not(hasItem(containsString(QUARANTINE_REASON))));
+  }
+
   private void crashAllWhileRunning() {
     try {
       Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
@@ -219,6 +252,15 @@
 
   /** Sends a request under a new id; returns the status, 0 if the connection was lost. */
   private static int call(FleetHarness.Entry entry, String body) {
+    return send(entry, body).map(HttpResponse::statusCode).orElse(0);
+  }
+
+  /** Sends a request under a new id; returns the response body, empty without a response. */
+  private static String callForBody(FleetHarness.Entry entry, String body) {
+    return send(entry, body).map(HttpResponse::body).orElse("");
+  }
+
+  private static Optional<HttpResponse<String>> send(FleetHarness.Entry entry, String body) {
     HttpRequest request =
         HttpRequest.newBuilder(
                 URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x"))
@@ -228,12 +270,12 @@
             .timeout(REQUEST_TIMEOUT.plus(REQUEST_TIMEOUT))
             .build();
     try {
-      return CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+      return Optional.of(CLIENT.send(request, HttpResponse.BodyHandlers.ofString()));
     } catch (IOException connectionLost) {
-      return 0;
+      return Optional.empty();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return 0;
+      return Optional.empty();
     }
   }
 }
