Refuse quarantined content only after other entries could clear it

What callers saw: a request with a content that many callers send was refused as if the content crashed endpoints, after three endpoints had been lost within seconds for other reasons. Cause: the entry that saw the third crash quarantined the content at once. An entry that has completed the content clears it, but learns of the quarantine later: 32 ms in the test, up to 170 ms between regions. The request that waited for the crash probe of the third endpoint was always refused. Ruled out: content that nobody cleared, and content that was quarantined again after it was cleared. In the test content.cleared follows content.quarantined once at each entry. Change: QuarantineConfirmation. For 300 ms after an entry learns of a new quarantine, requests with the content wait, as they do for a crash probe: they neither run nor are refused. Endpoints see no additional run. Measured: HarmlessContentTest failed and passes; CrashingRequestTest, CrashingContentTest and QuarantineSpreadTest pass with their bounds.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -15,6 +15,7 @@
 import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.IncompleteRuns;
+import org.lacewingcroft.quarantine.QuarantineConfirmation;
 import org.lacewingcroft.quarantine.QuarantineTrials;
 import org.lacewingcroft.quarantine.RecentCompletions;
 import org.lacewingcroft.quarantine.Suspicion;
@@ -25,7 +26,8 @@
  * The request contents that an entry does not send to endpoints because they crash the endpoints
  * that run them. The entry reports to the control instances which contents were running when
  * endpoints crashed, repeating a report until one of them has confirmed it, and receives from them
- * which contents are quarantined; its own observations apply immediately.
+ * which contents are quarantined; its own observations apply after entries that have completed the
+ * content could report so.
  *
  * <p>Confined to the event loop thread.
  */
@@ -50,6 +52,7 @@
   private final RecentCompletions completions = new RecentCompletions();
   private final IncompleteRuns incompleteRuns = new IncompleteRuns();
   private final QuarantineTrials trials = new QuarantineTrials();
+  private final QuarantineConfirmation confirmation = new QuarantineConfirmation();
   private final CrashProbe probe;
   private final PendingCrashProbes pendingProbes = new PendingCrashProbes();
   private final List<Suspicion> nextBatch = new ArrayList<>();
@@ -142,9 +145,23 @@
     pendingProbes.add(fingerprint, result);
   }
 
-  /** Returns the crash probe result that a request content must wait for before it may run. */
-  public Optional<Future<Boolean>> pendingCrashProbe(RequestFingerprint fingerprint) {
-    return pendingProbes.get(fingerprint);
+  /**
+   * Returns what a request content must wait for before it is known whether it may run: a crash
+   * probe, or reports of entries that have completed it.
+   */
+  public Optional<Future<Void>> pendingDecision(RequestFingerprint fingerprint) {
+    return pendingProbes
+        .get(fingerprint)
+        .map(Future::<Void>mapEmpty)
+        .or(() -> pendingConfirmation(fingerprint));
+  }
+
+  private Optional<Future<Void>> pendingConfirmation(RequestFingerprint fingerprint) {
+    Instant now = clock.instant();
+    return ledger
+        .quarantineEvidence(fingerprint, now)
+        .flatMap(quarantined -> confirmation.remaining(fingerprint, now))
+        .map(remaining -> vertx.timer(Math.max(1, remaining.toMillis())).mapEmpty());
   }
 
   /** Records that this entry stopped waiting for the response to this request content. */
@@ -174,7 +191,10 @@
   /** Records that an endpoint that was presumed crashed has recovered, as the same incarnation. */
   void endpointRecovered(EndpointRecord endpoint) {
     incompleteRuns.endpointRecovered(endpoint.incarnationId());
-    ledger.retractCrash(endpoint.incarnationId(), clock.instant());
+    Instant now = clock.instant();
+    ledger.retractCrash(endpoint.incarnationId(), now);
+    confirmation.retain(
+        ledger.allQuarantineEvidence(now).stream().map(Suspicion::content).toList());
   }
 
   private void suspect(Suspicion suspicion) {
@@ -185,15 +205,24 @@
 
   /** Applies a local observation and schedules its report. */
   private void recordAndReport(Suspicion suspicion) {
-    ledger
-        .merge(suspicion, clock.instant())
-        .ifPresent(merged -> QuarantineLog.logChange(merged, "seen here"));
+    merge(suspicion, "seen here");
     if (nextBatch.isEmpty()) {
       vertx.setTimer(BATCH_DELAY_MILLIS, id -> sendBatch());
     }
     nextBatch.add(suspicion);
   }
 
+  private void merge(Suspicion suspicion, String cause) {
+    Instant now = clock.instant();
+    ledger
+        .merge(suspicion, now)
+        .ifPresent(
+            merged -> {
+              QuarantineLog.logChange(merged, cause);
+              confirmation.onEvidence(merged, now);
+            });
+  }
+
   private void sendBatch() {
     long callId = nextCallId++;
     unconfirmed.put(callId, new Batch(List.copyOf(nextBatch), clock.instant()));
@@ -223,9 +252,7 @@
   void onSuspicionUpdate(FleetMessage.SuspicionUpdate update) {
     Instant now = clock.instant();
     for (Suspicion suspicion : update.suspicions()) {
-      ledger
-          .merge(suspicion, now)
-          .ifPresent(merged -> QuarantineLog.logChange(merged, update.from()));
+      merge(suspicion, update.from());
       RequestFingerprint fingerprint = suspicion.content();
       if (ledger.quarantineEvidence(fingerprint, now).isPresent()
           && completions.isRecentlyCompleted(fingerprint, now)) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -137,10 +137,10 @@
     if (done) {
       return;
     }
-    Optional<Future<Boolean>> pendingProbe =
-        context.node().quarantine().pendingCrashProbe(request.fingerprint());
-    if (pendingProbe.isPresent()) {
-      pendingProbe.get().onComplete(probed -> place());
+    Optional<Future<Void>> pendingDecision =
+        context.node().quarantine().pendingDecision(request.fingerprint());
+    if (pendingDecision.isPresent()) {
+      pendingDecision.get().onComplete(decided -> place());
       return;
     }
     // An endpoint that runs quarantined content crashes, and fails all its other requests as well.
