Test name as the linter requires

What callers saw: nothing. Cause: two capital letters in a row in the name of a test. Ruled out: a change of the test. Change: the name. Measured: the linter passes.

--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/QuarantineConfirmationTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/QuarantineConfirmationTest.java
@@ -53,7 +53,7 @@
   }
 
   @Test
-  void waitsAgainAfterACrashWasRetracted() {
+  void waitsAgainAfterRetractedCrash() {
     confirmation.onEvidence(crashes(3), START);
     confirmation.retain(List.of());
     confirmation.onEvidence(crashes(3), START.plusMillis(5_000));
