HarmlessContentTest: declare a variable where it is used

What callers saw: nothing. Cause: the linter's limit between declaration and first use. Ruled out: a change of the test. Change: the order of two lines.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/HarmlessContentTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/HarmlessContentTest.java
@@ -184,10 +184,10 @@
   void contentThatAnotherEntryHasCompletedIsNotRefused() throws Exception {
     start(new TestCase(RouteKind.IDEMPOTENT, false, 2, Fault.CRASH));
     FleetHarness.Entry completing = entries.get(0);
-    FleetHarness.Entry crashing = entries.get(1);
     endpoints.disablePoison();
     assertThat(call(completing, FaultyEndpoints.POISON), is(200));
     endpoints.enablePoison();
+    FleetHarness.Entry crashing = entries.get(1);
     // Requests that allow the entry to send others again.
     for (int n = 0; n < CALLERS_PER_ENTRY; n++) {
       call(crashing, "harmless");
