QuarantineSpreadTest: start the entry once the control instance has the quarantine

What callers saw: nothing. Beside busy processes the test failed in 1 of 8 runs: a started entry answered 502 where 503 is expected. Cause: a race of the test. It waits for the third crash; the control instance has the quarantine when the crash is confirmed by two refused connections, at least 60 ms later. An entry that is ready before that cannot have it. Ruled out: an entry that is ready before it has what the control instance has; the control instance sends the quarantine before the reply that makes an entry ready. Change: the test waits for the control instance before it starts the entry. What it demands of the entry is as before.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
@@ -98,6 +98,7 @@
   @Test
   void startingEntryReceivesTheQuarantineBeforeItIsReady() throws Exception {
     quarantine();
+    awaitQuarantinedAtControl();
     startEntries(1);
     int runs = endpoints.poisonRuns();
     HttpResponse<String> response = send(last(entries), FaultyEndpoints.POISON);
@@ -111,11 +112,7 @@
     quarantine();
     awaitQuarantined(entries.get(0));
     fleet.restartControl();
-    Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
-    while (fleet.control().quarantinedContents() == 0 && Instant.now().isBefore(deadline)) {
-      TimeUnit.MILLISECONDS.sleep(20);
-    }
-    assertThat(fleet.control().quarantinedContents(), is(1));
+    awaitQuarantinedAtControl();
   }
 
   /**
@@ -212,6 +209,14 @@
     assertThat(entry.node().name() + " quarantined contents", size, is(1));
   }
 
+  private void awaitQuarantinedAtControl() throws InterruptedException {
+    Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
+    while (fleet.control().quarantinedContents() == 0 && Instant.now().isBefore(deadline)) {
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    assertThat(fleet.control().quarantinedContents(), is(1));
+  }
+
   private void awaitServed(String body) throws Exception {
     awaitServed(entries.get(REQUESTS.get() % entries.size()), body);
   }
