--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -22,6 +22,8 @@
  * @param dataDir the data folder, present for control instances
  * @param firstStart whether the deployment starts for the first time
  * @param toleratedFailures number of control instances that may fail at the same time
+ * @param upstreamBindAddress the local address of an entry's connections to endpoints and other
+ *     entries; empty for the one that the operating system selects
  * @param endpointHeartbeat interval at which endpoints announce themselves
  * @param bounds the bounds that the deployment guarantees
  * @param disabledMechanisms placement mechanisms that are disabled
@@ -39,6 +41,7 @@
     Optional<Path> dataDir,
     boolean firstStart,
     int toleratedFailures,
+    Optional<String> upstreamBindAddress,
     Duration endpointHeartbeat,
     FleetBounds bounds,
     Set<PlacementMechanism> disabledMechanisms,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -88,7 +88,7 @@
         new ForwardContext(
             vertx,
             node,
-            new UpstreamConnections(vertx, clock),
+            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock),
             headerNames,
             new AdvertisedConditionsReader(headerNames, node),
             hopAuthenticator,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -46,19 +46,21 @@
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
 
-  UpstreamConnections(Vertx vertx, InstantSource clock) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param bindAddress the local address of new connections, empty for the system's choice
+   */
+  UpstreamConnections(Vertx vertx, Optional<String> bindAddress, InstantSource clock) {
     this.clock = clock;
-    this.client =
-        vertx
-            .httpClientBuilder()
-            .with(
-                new HttpClientOptions()
-                    .setKeepAlive(true)
-                    .setTcpNoDelay(true)
-                    .setDecompressionSupported(false)
-                    .setConnectTimeout(CONNECT_TIMEOUT_MILLIS))
-            .with(new PoolOptions())
-            .build();
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setKeepAlive(true)
+            .setTcpNoDelay(true)
+            .setDecompressionSupported(false)
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    bindAddress.ifPresent(options::setLocalAddress);
+    this.client = vertx.httpClientBuilder().with(options).with(new PoolOptions()).build();
     vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, id -> closeExpired());
   }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -94,7 +94,8 @@
   FleetHarness(Path dataDir, Map<Long, RouteTable> tables, FleetBounds bounds) throws Exception {
     this.tables = tables;
     this.bounds = bounds;
-    this.controlSettings = settings("control", "north", List.of(), Optional.of(dataDir));
+    this.controlSettings =
+        settings("control", "north", List.of(), Optional.of(dataDir), Optional.empty());
     FleetSettings foundingSettings =
         new FleetSettings(
             "control",
@@ -108,6 +109,7 @@
             Optional.of(dataDir),
             true,
             0,
+            Optional.empty(),
             HEARTBEAT_INTERVAL,
             bounds,
             Set.of(),
@@ -149,7 +151,12 @@
   }
 
   private FleetSettings settings(
-      String name, String region, List<String> seeds, Optional<Path> dataDir) throws IOException {
+      String name,
+      String region,
+      List<String> seeds,
+      Optional<Path> dataDir,
+      Optional<String> upstreamBindAddress)
+      throws IOException {
     return new FleetSettings(
         name,
         "127.0.0.1",
@@ -162,6 +169,7 @@
         dataDir,
         true,
         0,
+        upstreamBindAddress,
         HEARTBEAT_INTERVAL,
         bounds,
         Set.of(),
@@ -169,8 +177,24 @@
   }
 
   Entry startEntry(String name, String region) throws Exception {
+    return startEntry(name, region, Optional.empty());
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param upstreamBindAddress the loopback address from which it connects to endpoints, so that
+   *     endpoints can tell the entries' connections apart
+   */
+  Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
+      throws Exception {
     FleetSettings settings =
-        settings(name, region, List.of(controlSettings.peerAddress()), Optional.empty());
+        settings(
+            name,
+            region,
+            List.of(controlSettings.peerAddress()),
+            Optional.empty(),
+            upstreamBindAddress);
     int publicPort = LoopbackPorts.allocatePort();
     EntryInfo self =
         new EntryInfo(
