Relay within the region while an entry is cut off from the endpoints

Requests were refused with 503 though a neighbour reached the endpoints, or ran into their deadline.

Cause: an entry decided from its own view alone. It relayed only to other regions and refused when these reported no room; nobody learned which entries reach endpoints, so requests were relayed to entries that were cut off too, and two cut-off entries reported the load of their region; and callers' requests were the probes of endpoints that could not be reached, at 900 ms of connect timeout each.

Ruled out: too little capacity.

Change: - EndpointReachability judges each endpoint by this entry's connections: a failed connect, two connections lost without a byte, or silence make it suspected. Only data from it or a probe (EndpointProber: a health check on a new connection) ends that, so no caller's request pays for finding out. - While no endpoint of the region responds, requests are relayed to another entry of the region. The hop is marked like one between regions and goes no further; an entry that receives a relay and reaches no endpoint refuses it at once. - Entries report the services that they do not reach to the control instances, which repeat that to all entries (EntryReach, expires unless repeated). Nobody relays to an entry that does not reach the service, and those that reach most report the load of the region.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -51,6 +52,9 @@
    */
   private static final Duration NON_FOLLOWING_ENTRY_TIMEOUT = Duration.ofSeconds(5);
 
+  /** Time after which an entry's report of unreachable services is no longer used. */
+  private static final Duration REACH_TTL = Duration.ofSeconds(2);
+
   /**
    * Time for which an entry must have been reporting without interruption before it receives a list
    * of entries; by then, after a start or a network partition, its neighbours have reported as
@@ -100,6 +104,8 @@
 
   private static final class TrackedEntry {
     private EntryInfo info;
+    private Set<String> unreachableServices = Set.of();
+    private Instant reachReportedAt = Instant.EPOCH;
     private boolean ready;
     private boolean following;
     private Instant reportingSince;
@@ -111,6 +117,17 @@
       return lastReportAt.plus(timeout).isAfter(now);
     }
 
+    /** Returns the services that the entry does not reach, as far as it has reported recently. */
+    private Set<String> unreachableServices(Instant now) {
+      boolean recent = isLive(now) && reachReportedAt.plus(REACH_TTL).isAfter(now);
+      return recent ? unreachableServices : Set.of();
+    }
+
+    private void onReach(Set<String> services, Instant now) {
+      unreachableServices = services;
+      reachReportedAt = now;
+    }
+
     private void onReport(FleetMessage.EntryReport report, Instant now) {
       if (lastReportAt == null || !isLive(now)) {
         reportingSince = now;
@@ -340,6 +357,23 @@
         .toList();
   }
 
+  /** Returns the services that entries do not reach, by the entry's name. */
+  private Map<String, Set<String>> unreachableServicesByEntry() {
+    Instant now = clock.instant();
+    return entries.values().stream()
+        .filter(e -> !e.unreachableServices(now).isEmpty())
+        .collect(Collectors.toMap(e -> e.info.name(), e -> e.unreachableServices(now)));
+  }
+
+  private void onEntryReach(FleetMessage.EntryReach reach) {
+    Instant now = clock.instant();
+    reach
+        .unreachableServices()
+        .forEach(
+            (name, services) ->
+                Optional.ofNullable(entries.get(name)).ifPresent(e -> e.onReach(services, now)));
+  }
+
   private List<String> entryPeersOfRegion(String region) {
     Instant now = clock.instant();
     return entryPeers(e -> e.isLive(now) && e.info.region().equals(region));
@@ -352,6 +386,8 @@
   private void receive(FleetMessage message) {
     if (message instanceof FleetMessage.EntryReport report) {
       onEntryReport(report);
+    } else if (message instanceof FleetMessage.EntryReach reach) {
+      onEntryReach(reach);
     } else if (message instanceof FleetMessage.EntryNews news) {
       aggregator.onUpdates(news);
     } else if (message instanceof FleetMessage.RemoteNews news) {
@@ -391,6 +427,11 @@
     // receives the reply, and must have the quarantined contents by then.
     suspicions.compare(report);
     transport.send(peer, controlPulse(report.reportId()));
+    Map<String, Set<String>> unreachableServices = unreachableServicesByEntry();
+    if (!unreachableServices.isEmpty()) {
+      transport.send(
+          peer, new FleetMessage.EntryReach(settings.peerAddress(), unreachableServices));
+    }
     if (report.following()) {
       sendDifferences(tracked, report, now);
     }
@@ -411,13 +452,13 @@
               discoveryComplete && control.view().inMajority(),
               List.copyOf(roster.records(now))));
     }
-    List<EntryInfo> ready = readyEntries();
-    boolean entryListEmpty = report.entriesDigest() == EntryNode.entriesDigest(List.of());
+    FleetMessage.EntryList list =
+        new FleetMessage.EntryList(settings.peerAddress(), readyEntries());
+    boolean entryListEmpty = report.entriesDigest() == 0;
     boolean listComplete =
         discoveryComplete && tracked.reportingSince.plus(ENTRY_DISCOVERY_TIME).isBefore(now);
-    if ((listComplete || entryListEmpty)
-        && report.entriesDigest() != EntryNode.entriesDigest(ready)) {
-      transport.send(peer, new FleetMessage.EntryList(settings.peerAddress(), ready));
+    if ((listComplete || entryListEmpty) && report.entriesDigest() != list.digest()) {
+      transport.send(peer, list);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -49,6 +49,15 @@
   /** Interval at which an entry reports to the control instances. */
   private static final long REPORT_INTERVAL_MILLIS = 500;
 
+  /** Interval at which this entry determines which services it does not reach. */
+  private static final long REACHABILITY_CHECK_INTERVAL_MILLIS = 100;
+
+  /** Maximum interval between two probes of an endpoint that does not respond. */
+  private static final long MAX_PROBE_INTERVAL_MILLIS = 1_500;
+
+  /** Limits the probes of one endpoint by all entries of a region to 20 a second. */
+  private static final long MILLIS_PER_PROBE_OF_REGION = 50;
+
   /**
    * Each report with a number divisible by this goes to all control instances, the others only to
    * those that the entry follows.
@@ -89,7 +98,6 @@
   private final RouteDocumentParser parser;
   private final TrackedEndpoints endpoints = new TrackedEndpoints(new EndpointListener());
   private final RegionLoads regionLoads = new RegionLoads();
-  private final UnreachableEntries unreachable = new UnreachableEntries();
   private final AggregatorSelector aggregatorSelector;
   private final UpdateChannel directChannel;
   private final UpdateChannel aggregatedChannel;
@@ -97,6 +105,7 @@
   private final PrefixExchange prefixes;
   private final ExtraSendBudget extraSends;
   private final EntryMembership membership;
+  private final KnownEntries entries;
   private final ControlInstanceTracker controlTracker;
   private final RequestQuarantine quarantine;
   private final Instant startedAt;
@@ -105,8 +114,7 @@
   private final InstantSource wallClock = InstantSource.system();
   private volatile List<String> seeds;
   private List<String> controls = List.of();
-  private List<EntryInfo> entries = List.of();
-  private List<String> regionEntryNames;
+  private Set<String> unreachableServices = Set.of();
   private boolean hasLargeRegion;
   private volatile RoutingView routing = RoutingView.NONE;
   private Instant stateRequestedAt = Instant.EPOCH;
@@ -149,13 +157,13 @@
     this.parser = parser;
     this.clock = clock;
     this.startedAt = clock.instant();
-    this.regionEntryNames = List.of(self.name());
+    this.entries = new KnownEntries(self);
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
     this.quotas = new FleetQuotas(startedAt);
     this.controlTracker = new ControlInstanceTracker(settings.region());
     this.aggregatorSelector = new AggregatorSelector(settings.region());
-    this.directChannel = new DirectUpdateChannel(settings, transport, () -> this.entries);
+    this.directChannel = new DirectUpdateChannel(settings, transport, entries::all);
     this.aggregatedChannel =
         new AggregatedUpdateChannel(settings, transport, aggregatorSelector, clock);
     this.loads =
@@ -185,7 +193,7 @@
             transport,
             clock,
             this::followedControls,
-            this::entryNames);
+            entries::names);
     FleetBounds bounds = settings.bounds();
     this.lease = new StateLease(leaseLength(bounds));
     this.membership =
@@ -207,6 +215,7 @@
   /** Starts listening to peers and reporting. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> report());
+    vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> checkReachability());
     loads.start();
     return transport
         .listen(this::receive, (from, message) -> {})
@@ -267,7 +276,7 @@
 
   /** Returns the known entries, including this one while it accepts requests. */
   public List<EntryInfo> entries() {
-    return entries;
+    return entries.all();
   }
 
   /** Returns the tracked endpoints, for metrics. */
@@ -295,26 +304,18 @@
     return regionLoads;
   }
 
-  /** Returns the digest of a list of entries that {@link FleetMessage.EntryReport} contains. */
-  static int entriesDigest(List<EntryInfo> entries) {
-    int digest = 0;
-    for (EntryInfo entry : entries) {
-      digest += entry.hashCode();
-    }
-    return digest;
-  }
-
   /**
    * Selects an endpoint or a region for a request.
    *
    * @param request the request
-   * @param allowOtherRegions whether it may run in another region
+   * @param relayed whether another entry relayed it; it must then run at an endpoint that this
+   *     entry reaches
    * @param allowedRegions regions that may run it; empty for any
    * @param excludedRegions regions not to be tried again
    */
   public Placement place(
       PlacementRequest request,
-      boolean allowOtherRegions,
+      boolean relayed,
       Set<String> allowedRegions,
       Set<String> excludedRegions) {
     Optional<ServiceSpec> spec = routing.table().service(request.service());
@@ -327,11 +328,13 @@
         new Placer.Context(
             all.stream().filter(t -> settings.inOwnRegion(t.record().failureDomain())).toList(),
             self.name(),
-            membership.isDiscoveryComplete(now) ? regionEntryNames : List.of(),
-            maxInFlightPerEndpoint(spec, regionEntryNames.size()),
-            allowOtherRegions ? Optional.of(regionLoads) : Optional.empty(),
+            membership.isDiscoveryComplete(now) ? entries.regionNames() : List.of(),
+            maxInFlightPerEndpoint(spec, entries.regionNames().size()),
+            relayed ? Optional.empty() : Optional.of(regionLoads),
             allowedRegions,
             excludedRegions,
+            relayed,
+            !relayed && hasRelayTargetInOwnRegion(request, now),
             settings.region(),
             engine.isPresent() ? prefixSources(all, allowedRegions) : List.of(),
             engine,
@@ -339,6 +342,11 @@
         now);
   }
 
+  private boolean hasRelayTargetInOwnRegion(PlacementRequest request, Instant now) {
+    Set<String> excluded = request.excludedEndpoints();
+    return !entries.relayTargets(settings.region(), request.service(), excluded, now).isEmpty();
+  }
+
   /**
    * Returns the endpoints from which KV cache may be fetched: healthy ones in regions where the
    * request's data may be stored.
@@ -366,19 +374,6 @@
         .toList();
   }
 
-  private List<String> entryNames() {
-    return entries.stream().map(EntryInfo::name).toList();
-  }
-
-  private static List<String> regionEntryNames(EntryInfo self, List<EntryInfo> entries) {
-    Set<String> names = new TreeSet<>();
-    names.add(self.name());
-    entries.stream()
-        .filter(e -> e.region().equals(self.region()))
-        .forEach(e -> names.add(e.name()));
-    return List.copyOf(names);
-  }
-
   private static int maxInFlightPerEndpoint(Optional<ServiceSpec> spec, int regionEntryCount) {
     int connections = spec.map(ServiceSpec::maxConnections).orElse(1);
     return Math.max(2, (int) (connections * CONNECTION_SHARE / regionEntryCount));
@@ -396,23 +391,76 @@
 
   /** Returns the entries of a region. */
   public List<EntryInfo> entriesOf(String region) {
-    return entries.stream().filter(e -> e.region().equals(region)).toList();
+    return entries.ofRegion(region);
   }
 
-  /** Returns the entries of a region to which a request may be relayed. */
-  public List<EntryInfo> relayEntriesOf(String region) {
-    return unreachable.preferReachable(entriesOf(region), clock.instant());
+  /**
+   * Returns the entries of a region to which a request for a service may be relayed.
+   *
+   * @param excluded the names of entries that must not be used
+   */
+  public List<EntryInfo> relayTargets(String region, String service, Set<String> excluded) {
+    return entries.relayTargets(region, service, excluded, clock.instant());
   }
 
   /** Returns the entries of other regions to which this one keeps connections open. */
   public List<EntryInfo> relayPartners() {
+    Instant now = clock.instant();
     return settings.regionByDomain().values().stream()
         .distinct()
         .filter(r -> !r.equals(settings.region()))
-        .flatMap(r -> RelayPartners.of(relayEntriesOf(r), self.name()).stream())
+        .flatMap(r -> entries.relayPartners(r, now).stream())
         .toList();
   }
 
+  /** Returns this region's endpoints that are to be probed because they do not respond. */
+  public List<EndpointTracker> endpointsToProbe() {
+    Instant now = clock.instant();
+    return endpoints.trackers().stream()
+        .filter(t -> settings.inOwnRegion(t.record().failureDomain()) && t.isProbeDue(now))
+        .toList();
+  }
+
+  /**
+   * Returns the maximum interval at which this entry probes an endpoint that does not respond. It
+   * grows with the number of entries that probe the same endpoint.
+   */
+  public Duration maxProbeInterval() {
+    long millis =
+        Math.max(
+            MAX_PROBE_INTERVAL_MILLIS, MILLIS_PER_PROBE_OF_REGION * entries.regionNames().size());
+    return Duration.ofMillis(millis);
+  }
+
+  /**
+   * Determines which services of this region this entry does not reach, and reports a change
+   * immediately, so that other entries neither relay requests for them to it nor expect it to.
+   */
+  private void checkReachability() {
+    Instant now = clock.instant();
+    Map<String, Boolean> responding = new HashMap<>();
+    for (EndpointTracker tracker : endpoints.trackers()) {
+      String domain = tracker.record().failureDomain();
+      if (tracker.isAnnounced()
+          && settings.inOwnRegion(domain)
+          && !routing.evacuatedDomains().contains(domain)) {
+        responding.merge(tracker.record().service(), tracker.isResponding(now), Boolean::logicalOr);
+      }
+    }
+    responding.values().removeIf(responds -> responds);
+    if (!unreachableServices.equals(responding.keySet())) {
+      unreachableServices = Set.copyOf(responding.keySet());
+      LOG.log(System.Logger.Level.INFO, "services.unreachable", "services", unreachableServices);
+      reportReach();
+    }
+  }
+
+  private void reportReach() {
+    transport.sendAll(
+        knownControls(clock.instant()),
+        new FleetMessage.EntryReach(self.name(), Map.of(self.name(), unreachableServices)));
+  }
+
   /** Returns this entry's name. */
   public String name() {
     return self.name();
@@ -420,27 +468,18 @@
 
   /** Records a request relayed to another region. */
   public void requestRelayed(String region, PlacementRequest request) {
-    regionLoads.recordRelayed(region, request, entriesOf(settings.region()).size());
+    regionLoads.recordRelayed(region, request, entries.regionNames().size());
   }
 
   /**
-   * Records that connecting to an entry of another region failed. After this has happened for all
-   * relay partners there, the region is unreachable and no request waits for another connect
-   * timeout.
+   * Records that connecting to another entry failed. After this has happened for all relay partners
+   * in its region, the region is unreachable and no request waits for another connect timeout.
    */
   public void entryUnreachable(EntryInfo entry) {
     Instant now = clock.instant();
-    unreachable.recordFailure(entry, now);
-    List<EntryInfo> partners = RelayPartners.of(entriesOf(entry.region()), self.name());
-    if (unreachable.allUnreachable(partners, now)) {
+    if (entries.recordConnectFailure(entry, now)) {
       regionLoads.recordUnreachable(entry.region(), now);
-      LOG.log(
-          System.Logger.Level.INFO,
-          "region.unreachable",
-          "region",
-          entry.region(),
-          "entries",
-          partners.stream().map(EntryInfo::name).toList());
+      LOG.log(System.Logger.Level.INFO, "region.unreachable", "region", entry.region());
     }
   }
 
@@ -462,6 +501,9 @@
       others.removeAll(followed);
       transport.sendAll(others, entryReport(false, reportId));
     }
+    if (!unreachableServices.isEmpty()) {
+      reportReach();
+    }
     quarantine.resendUnconfirmed();
     reportRegionLoad();
   }
@@ -503,7 +545,7 @@
         following,
         routing.revision(),
         endpoints.digest(),
-        entriesDigest(entries),
+        entries.digest(),
         quarantine.digest(),
         reportId);
   }
@@ -515,6 +557,8 @@
       onRosterUpdate(update);
     } else if (message instanceof FleetMessage.EntryList list) {
       onEntryList(list);
+    } else if (message instanceof FleetMessage.EntryReach reach) {
+      entries.updateReach(reach, clock.instant());
     } else if (message instanceof FleetMessage.StateOffer offer) {
       onStateOffer(offer);
     } else if (message instanceof FleetMessage.LoadReport load) {
@@ -569,17 +613,6 @@
     return aggregator.isPresent() ? aggregatedChannel : directChannel;
   }
 
-  /**
-   * Returns whether a region has so many entries that direct exchange between them is too
-   * expensive. All entries have about the same list of entries and so come to the same result.
-   */
-  private static boolean hasLargeRegion(List<EntryInfo> entries) {
-    Map<String, Integer> regionSizes = new HashMap<>();
-    entries.forEach(e -> regionSizes.merge(e.region(), 1, Integer::sum));
-    return regionSizes.values().stream()
-        .anyMatch(size -> size > DirectUpdateChannel.MAX_ENTRIES_PER_REGION);
-  }
-
   private void onControlPulse(FleetMessage.ControlPulse pulse) {
     Instant now = clock.instant();
     aggregatorSelector.onControlPulse(pulse.from(), pulse.region(), now);
@@ -670,16 +703,15 @@
   }
 
   private void onEntryList(FleetMessage.EntryList list) {
-    if (entriesDigest(list.entries()) != entriesDigest(entries)) {
-      entries = List.copyOf(list.entries());
-      membership.update(entries, clock.instant());
-      regionEntryNames = regionEntryNames(self, entries);
-      hasLargeRegion = hasLargeRegion(entries);
+    if (entries.update(list)) {
+      membership.update(entries.all(), clock.instant());
+      // All entries have about the same list and so use the same kind of channel.
+      hasLargeRegion = entries.hasRegionLargerThan(DirectUpdateChannel.MAX_ENTRIES_PER_REGION);
       LOG.log(
           System.Logger.Level.INFO,
           "entries.changed",
           "entries",
-          entries.stream().map(EntryInfo::name).toList(),
+          entries.names(),
           "from",
           list.from());
       reportRegionLoad();
@@ -757,7 +789,10 @@
 
   private void reportRegionLoad() {
     if (ready()) {
-      loads.reportRegionLoad(regionEntryNames, routing.evacuatedDomains());
+      loads.reportRegionLoad(
+          entries.regionNames(),
+          entries.regionNamesByReach(clock.instant()),
+          routing.evacuatedDomains());
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -33,9 +33,9 @@
   private static final long LONG_PROMPT_TOKENS = 5_000;
 
   /**
-   * Number of entries, the first by name, that report to the other regions. With only one, its loss
-   * would leave the region without reports until the list of entries drops it, which takes longer
-   * than its last report remains in use.
+   * Number of entries of a region that report to the other regions. With only one, its loss would
+   * leave the region without reports until the list of entries drops it, which takes longer than
+   * its last report remains in use.
    */
   private static final int REGION_REPORTERS = 2;
 
@@ -171,10 +171,12 @@
    * reporters.
    *
    * @param regionEntries the names of the region's entries in order, including this one
+   * @param byReach the same names, those first whose entries reach the most services
    * @param evacuatedDomains failure domains whose endpoints receive no requests
    */
-  void reportRegionLoad(List<String> regionEntries, Set<String> evacuatedDomains) {
-    if (regionEntries.indexOf(self.name()) >= REGION_REPORTERS) {
+  void reportRegionLoad(
+      List<String> regionEntries, List<String> byReach, Set<String> evacuatedDomains) {
+    if (byReach.indexOf(self.name()) >= REGION_REPORTERS) {
       return;
     }
     Instant now = clock.instant();
@@ -184,7 +186,7 @@
           settings.inOwnRegion(tracker.record().failureDomain())
               && tracker.acceptsRequests(now)
               && !tracker.isCold(now)
-              && !tracker.isUnresponsiveOrInBackoff(now)
+              && tracker.isResponding(now)
               && tracker.withinRate(self.name(), regionEntries, now)
               && !evacuatedDomains.contains(tracker.record().failureDomain());
       if (available) {
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
@@ -0,0 +1,119 @@
+package org.lacewingcroft.forward;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.route.ServiceSpec;
+
+/**
+ * Probes endpoints that do not respond to this entry, so that callers' requests are sent to them
+ * only once they do. A probe opens a new connection and, if the service has a health path, requests
+ * it; any response shows that the endpoint is reachable, whether or not it is healthy.
+ *
+ * <p>Confined to the event loop thread.
+ */
+final class EndpointProber {
+  private static final System.Logger LOG = System.getLogger(EndpointProber.class.getName());
+
+  private static final long CHECK_INTERVAL_MILLIS = 100;
+
+  /** Time in which a health check has to be answered; it may wait for a slot of the endpoint. */
+  private static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
+
+  /** Time for which a connection must stay open if nothing can be requested on it. */
+  private static final long MIN_OPEN_MILLIS = 100;
+
+  private final Vertx vertx;
+  private final EntryNode node;
+  private final UpstreamConnections connections;
+  private final InstantSource clock;
+
+  EndpointProber(
+      Vertx vertx, EntryNode node, UpstreamConnections connections, InstantSource clock) {
+    this.vertx = vertx;
+    this.node = node;
+    this.connections = connections;
+    this.clock = clock;
+  }
+
+  /** Starts probing. */
+  void start() {
+    vertx.setPeriodic(CHECK_INTERVAL_MILLIS, id -> node.endpointsToProbe().forEach(this::probe));
+  }
+
+  private void probe(EndpointTracker endpoint) {
+    endpoint.startProbe();
+    String address = endpoint.record().address();
+    Optional<String> healthPath =
+        node.routing()
+            .table()
+            .service(endpoint.record().service())
+            .flatMap(ServiceSpec::healthPath);
+    connections
+        .acquireNew(address, UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT)
+        .compose(
+            connection ->
+                (healthPath.isPresent()
+                        ? requestHealth(connection, address, healthPath.get())
+                        : stayOpen(connection))
+                    .eventually(
+                        () -> {
+                          connection.close();
+                          return Future.succeededFuture();
+                        }))
+        .onComplete(result -> onProbed(endpoint, result.succeeded(), result.cause()));
+  }
+
+  private static Future<Void> requestHealth(
+      UpstreamConnections.PooledConnection connection, String address, String path) {
+    RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setURI(path);
+    options.putHeader("Host", address);
+    return connection
+        .connection()
+        .request(options)
+        .compose(request -> request.send())
+        .compose(HttpClientResponse::body)
+        .<Void>map((Buffer body) -> null)
+        .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private Future<Void> stayOpen(UpstreamConnections.PooledConnection connection) {
+    return vertx
+        .timer(MIN_OPEN_MILLIS)
+        .compose(
+            elapsed ->
+                connection.isClosed()
+                    ? Future.failedFuture(new TimeoutException("the connection was closed"))
+                    : Future.succeededFuture());
+  }
+
+  private void onProbed(EndpointTracker endpoint, boolean responded, Throwable cause) {
+    Instant now = clock.instant();
+    if (responded) {
+      endpoint.recordProbeSuccess(now);
+    } else {
+      Duration maxInterval = node.maxProbeInterval();
+      endpoint.recordProbeFailure(maxInterval, now);
+    }
+    LOG.log(
+        System.Logger.Level.INFO,
+        "endpoint.probed",
+        "endpoint",
+        endpoint.record().id(),
+        "responded",
+        responded,
+        "detail",
+        cause == null ? "none" : String.valueOf(cause.getMessage()));
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -30,8 +30,8 @@
 import org.lacewingcroft.route.Route;
 
 /**
- * The HTTP servers of an entry: the public server for callers, and the relay server for entries of
- * other regions, which have already selected the service and need an endpoint of this region.
+ * The HTTP servers of an entry: the public server for callers, and the relay server for other
+ * entries, which have already selected the service and need an endpoint of this region.
  */
 public final class EntryServer {
   private static final System.Logger LOG = System.getLogger(EntryServer.class.getName());
@@ -120,6 +120,7 @@
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
+    new EndpointProber(vertx, node, context.connectionPool(), clock).start();
     return relayServer
         .listen(relayAddress)
         .compose(s -> publicServer.listen(publicAddress))
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -14,7 +14,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
-import org.lacewingcroft.fleet.RelayPartners;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 import org.lacewingcroft.placement.ExtraSendBudget;
@@ -154,8 +153,7 @@
     Placement placement =
         context
             .node()
-            .place(
-                placementRequest, !relayed, request.handling().allowedRegions(), excludedRegions);
+            .place(placementRequest, relayed, request.handling().allowedRegions(), excludedRegions);
     context.metrics().placements.labelValues(placement.where()).inc();
     if (placement instanceof Placement.ToEndpoint toEndpoint) {
       sendToEndpoint(toEndpoint, placementRequest);
@@ -201,17 +199,16 @@
   }
 
   private void relay(Placement.ToRegion placement, PlacementRequest placementRequest) {
-    List<EntryInfo> entries =
-        context.node().relayEntriesOf(placement.region()).stream()
-            .filter(e -> !excludedTargets.contains(e.name()))
-            .toList();
-    if (entries.isEmpty()) {
+    List<EntryInfo> targets =
+        context
+            .node()
+            .relayTargets(placement.region(), request.handling().service(), excludedTargets);
+    if (targets.isEmpty()) {
       handleNoRelayEntry(placement.region());
       return;
     }
-    List<EntryInfo> partners = RelayPartners.of(entries, context.node().name());
-    int index = Math.floorMod(request.id().hashCode() + sends, partners.size());
-    EntryInfo entry = partners.get(index);
+    int index = Math.floorMod(request.id().hashCode() + sends, targets.size());
+    EntryInfo entry = targets.get(index);
     context.node().requestRelayed(placement.region(), placementRequest);
     requestLog.logRelayed(entry, placement, sends + 1, context.node().routing().revision());
     send(UpstreamTarget.entry(entry), placement.expectedMillis());
@@ -330,7 +327,7 @@
                           .upstream
                           .target()
                           .endpoint()
-                          .filter(e -> !e.isUnresponsiveOrInBackoff(context.now()))
+                          .filter(e -> e.isResponding(context.now()))
                           .isPresent();
                   if (respondsToOthers && periodsLeft > 1) {
                     startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
@@ -558,14 +555,18 @@
   }
 
   /**
-   * Reports a connection that an endpoint closed before the response was complete: the endpoint may
-   * have crashed because of the request content.
+   * Reports a connection that an endpoint closed before the response was complete: it may be
+   * unreachable, or may have crashed because of the request content.
    */
   private void reportConnectionLost(UpstreamAttempt attempt) {
     attempt
         .target()
         .endpoint()
-        .ifPresent(e -> context.node().quarantine().onConnectionLost(e, request.fingerprint()));
+        .ifPresent(
+            e -> {
+              e.recordLostConnection();
+              context.node().quarantine().onConnectionLost(e, request.fingerprint());
+            });
   }
 
   /** Records that an endpoint has prefilled the prompt, so that it caches the prompt's prefixes. */
@@ -595,7 +596,7 @@
   /** Handles a target to which no connection could be established. */
   private void handleUnreachable(UpstreamAttempt attempt, String detail) {
     recordAttemptFailure(attempt, "unreachable", detail);
-    attempt.target().endpoint().ifPresent(e -> e.recordConnectFailure(context.now()));
+    attempt.target().endpoint().ifPresent(EndpointTracker::recordConnectFailure);
     attempt.target().entry().ifPresent(context.node()::entryUnreachable);
     excludeTarget(attempt);
     sendToAnotherTarget(detail, true);
@@ -626,21 +627,18 @@
   }
 
   /**
-   * Excludes a target for the rest of the request, and its region once all the region's entries are
-   * excluded.
+   * Excludes a target for the rest of the request, and its region once no entry of the region is
+   * left to relay to.
    */
   private void excludeTarget(UpstreamAttempt attempt) {
     excludedTargets.add(attempt.target().name());
+    String service = request.handling().service();
     attempt
         .target()
         .entry()
-        .filter(this::areAllEntriesOfRegionExcluded)
-        .ifPresent(e -> excludedRegions.add(e.region()));
-  }
-
-  private boolean areAllEntriesOfRegionExcluded(EntryInfo entry) {
-    return context.node().entriesOf(entry.region()).stream()
-        .allMatch(other -> excludedTargets.contains(other.name()));
+        .map(EntryInfo::region)
+        .filter(r -> context.node().relayTargets(r, service, excludedTargets).isEmpty())
+        .ifPresent(excludedRegions::add);
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -94,11 +94,15 @@
       List<Map.Entry<String, String>> extraHeaders) {
     // An unconfirmed endpoint has sent no byte since it was last unresponsive, so that connections
     // opened earlier may be dead: a new connection is used.
+    Duration connectTimeout =
+        target.endpoint().isPresent()
+            ? UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT
+            : UpstreamConnections.RELAY_CONNECT_TIMEOUT;
     boolean unconfirmed = target.endpoint().filter(EndpointTracker::isUnconfirmed).isPresent();
     Future<UpstreamConnections.PooledConnection> connecting =
         unconfirmed
-            ? connectionPool.acquireNew(target.address())
-            : connectionPool.acquire(target.address());
+            ? connectionPool.acquireNew(target.address(), connectTimeout)
+            : connectionPool.acquire(target.address(), connectTimeout);
     connecting
         .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
         .onSuccess(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -35,8 +35,14 @@
    */
   static final Duration RELAY_IDLE_TIMEOUT = Duration.ofSeconds(20);
 
-  /** Several round trips between regions; within a region connecting takes a few milliseconds. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 900;
+  /** Connect timeout of connections to other entries: several round trips between regions. */
+  static final Duration RELAY_CONNECT_TIMEOUT = Duration.ofMillis(900);
+
+  /**
+   * Connect timeout of connections to endpoints, which are in this region. A lost SYN packet is
+   * repeated after one second, so a longer time helps only if the network is congested.
+   */
+  static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
   /** Interval at which idle connections are checked for expiry. */
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 1_000;
@@ -57,8 +63,7 @@
         new HttpClientOptions()
             .setKeepAlive(true)
             .setTcpNoDelay(true)
-            .setDecompressionSupported(false)
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+            .setDecompressionSupported(false);
     bindAddress.ifPresent(options::setLocalAddress);
     this.client = vertx.httpClientBuilder().with(options).with(new PoolOptions()).build();
     vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, id -> closeExpired());
@@ -89,6 +94,10 @@
       return connection;
     }
 
+    boolean isClosed() {
+      return closed;
+    }
+
     /**
      * Returns the connection to the pool after a complete response of an endpoint.
      *
@@ -140,14 +149,14 @@
    * a request written to an old connection may or may not run, whereas a failure to connect proves
    * that it has not.
    */
-  Future<PooledConnection> acquireNew(String address) {
+  Future<PooledConnection> acquireNew(String address, Duration connectTimeout) {
     List.copyOf(idle.getOrDefault(address, new ArrayDeque<>())).forEach(PooledConnection::close);
     idle.remove(address);
-    return connect(address);
+    return connect(address, connectTimeout);
   }
 
   /** Returns an idle connection, or opens a new one if there is none. */
-  Future<PooledConnection> acquire(String address) {
+  Future<PooledConnection> acquire(String address, Duration connectTimeout) {
     Deque<PooledConnection> idleConnections = idle.getOrDefault(address, new ArrayDeque<>());
     Instant now = clock.instant();
     while (!idleConnections.isEmpty()) {
@@ -158,7 +167,7 @@
       }
       pooled.close();
     }
-    return connect(address);
+    return connect(address, connectTimeout);
   }
 
   /**
@@ -171,19 +180,19 @@
     if (!idle.getOrDefault(address, new ArrayDeque<>()).isEmpty()) {
       return Future.succeededFuture();
     }
-    return connect(address)
+    return connect(address, RELAY_CONNECT_TIMEOUT)
         .onSuccess(pooled -> pooled.releaseWithIdleTimeout(idleTimeout))
         .mapEmpty();
   }
 
-  private Future<PooledConnection> connect(String address) {
+  private Future<PooledConnection> connect(String address, Duration timeout) {
     SocketAddress target = SocketAddresses.parse(address);
     return client
         .connect(
             new HttpConnectOptions()
                 .setHost(target.host())
                 .setPort(target.port())
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS))
+                .setConnectTimeout(Math.toIntExact(timeout.toMillis())))
         .map(connection -> new PooledConnection(address, connection));
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
@@ -34,6 +34,7 @@
   private static final int REMOTE_NEWS = 16;
   private static final int SUSPICION_UPDATE = 17;
   private static final int SUSPICION_ACK = 18;
+  private static final int ENTRY_REACH = 19;
 
   private FleetCodec() {}
 
@@ -115,6 +116,9 @@
       FleetRecordCodec.packAll(p, u.suspicions(), FleetRecordCodec::packSuspicion);
     } else if (message instanceof FleetMessage.SuspicionAck a) {
       p.packInt(SUSPICION_ACK).packLong(a.callId());
+    } else if (message instanceof FleetMessage.EntryReach r) {
+      p.packInt(ENTRY_REACH).packString(r.from());
+      FleetRecordCodec.packUnreachableServices(p, r.unreachableServices());
     }
   }
 
@@ -204,6 +208,9 @@
               u.unpackLong(),
               FleetRecordCodec.unpackAll(u, FleetRecordCodec::unpackSuspicion));
       case SUSPICION_ACK -> new FleetMessage.SuspicionAck(u.unpackLong());
+      case ENTRY_REACH ->
+          new FleetMessage.EntryReach(
+              u.unpackString(), FleetRecordCodec.unpackUnreachableServices(u));
       default -> throw new IOException("unknown fleet message type " + type);
     };
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -100,7 +100,24 @@
    * @param from the control instance
    * @param entries the entries
    */
-  record EntryList(String from, List<EntryInfo> entries) implements FleetMessage {}
+  record EntryList(String from, List<EntryInfo> entries) implements FleetMessage {
+    /** Returns a digest that in all likelihood differs between lists of different entries. */
+    public int digest() {
+      return entries.stream().mapToInt(EntryInfo::hashCode).sum();
+    }
+  }
+
+  /**
+   * Which services some entries do not reach. An entry sends its own to the control instances,
+   * which send those of all entries to each entry, in both cases repeatedly while there are any;
+   * they expire when they are not repeated.
+   *
+   * @param from the sender
+   * @param unreachableServices by the name of an entry, the services of its region of which no
+   *     endpoint responds to it
+   */
+  record EntryReach(String from, Map<String, Set<String>> unreachableServices)
+      implements FleetMessage {}
 
   /**
    * Requests the routing state.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
@@ -93,6 +93,24 @@
         u.unpackString());
   }
 
+  static void packUnreachableServices(MessagePacker p, Map<String, Set<String>> byEntry)
+      throws IOException {
+    packAll(
+        p,
+        byEntry.entrySet(),
+        (packer, entry) -> {
+          packer.packString(entry.getKey());
+          packStrings(packer, entry.getValue());
+        });
+  }
+
+  static Map<String, Set<String>> unpackUnreachableServices(MessageUnpacker u) throws IOException {
+    Map<String, Set<String>> byEntry = new HashMap<>();
+    unpackAll(u, e -> Map.entry(e.unpackString(), Set.copyOf(unpackStrings(e))))
+        .forEach(entry -> byEntry.put(entry.getKey(), entry.getValue()));
+    return Map.copyOf(byEntry);
+  }
+
   static void packEndpoint(MessagePacker p, EndpointRecord r) throws IOException {
     p.packString(r.id()).packLong(r.startedAtMillis()).packString(r.service());
     p.packString(r.address()).packString(r.failureDomain()).packInt(r.slots());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -51,14 +51,6 @@
    */
   private static final Duration UNRESPONSIVE_TIMEOUT = Duration.ofMillis(800);
 
-  /**
-   * Backoff after the first failed connection attempt or unresponsive period; it doubles with each
-   * further one.
-   */
-  private static final long INITIAL_BACKOFF_MILLIS = 250;
-
-  private static final long MAX_BACKOFF_MILLIS = 2_000;
-
   /**
    * Minimum interval between two requests of one entry to a cold endpoint: its limit applies to
    * each second, in which one entry then sends at most one request.
@@ -106,12 +98,9 @@
   /** When a byte last arrived, or a request was sent while none was in flight, if that is later. */
   private Instant lastByteAt = Instant.EPOCH;
 
-  private Instant connectBackoffUntil = Instant.EPOCH;
-  private int connectFailures;
+  private final EndpointReachability reachability = new EndpointReachability();
   private Instant lastColdRequestAt = Instant.EPOCH;
   private Instant fullUntil = Instant.EPOCH;
-  private Instant unresponsiveBackoffUntil = Instant.EPOCH;
-  private int unresponsivePeriods;
 
   private record PeerLoad(int inFlight, Instant receivedAt) {}
 
@@ -145,8 +134,7 @@
     /** Records bytes of the response; the first ones mark the end of the prefill. */
     public void bytesReceived(Instant now) {
       lastByteAt = now;
-      unresponsivePeriods = 0;
-      unresponsiveBackoffUntil = Instant.EPOCH;
+      reachability.recordData();
       if (!firstByteReceived) {
         firstByteReceived = true;
         prefillQueue.prefilled(prompt, now);
@@ -193,12 +181,13 @@
       if (outcome == Outcome.ANSWERED) {
         double millis = Duration.between(sentAt, now).toMillis();
         serviceTimeMillis += SAMPLE_WEIGHT * (millis - serviceTimeMillis);
-        connectFailures = 0;
       } else if (outcome == Outcome.FAILED) {
         recordFailure(1, now);
       }
       if (unresponsive && (outcome == Outcome.FAILED || outcome == Outcome.CANCELLED)) {
-        recordUnresponsivePeriod(now);
+        // Otherwise the endpoint would appear idle once its last overdue request has ended, and all
+        // new requests would be sent to it again.
+        reachability.recordSilence();
       }
     }
   }
@@ -333,24 +322,44 @@
   }
 
   /** Records that a connection to the endpoint could not be established. */
-  public void recordConnectFailure(Instant now) {
-    connectFailures++;
-    connectBackoffUntil = now.plusMillis(backoffMillis(connectFailures));
+  public void recordConnectFailure() {
+    reachability.recordConnectFailure();
+  }
+
+  /** Records a connection that was lost before the first byte of a response. */
+  public void recordLostConnection() {
+    reachability.recordLostConnection();
   }
 
   /**
-   * Records that a request ended while the endpoint was unresponsive. Without this record, the
-   * endpoint would appear idle once the last such request has ended, and all new requests would be
-   * sent to it again.
+   * Returns whether this entry should probe the endpoint: it is in service, its connections to this
+   * entry fail, and no probe is under way or deferred after a failed one.
    */
-  private void recordUnresponsivePeriod(Instant now) {
-    unresponsivePeriods++;
-    unresponsiveBackoffUntil = now.plusMillis(backoffMillis(unresponsivePeriods));
+  public boolean isProbeDue(Instant now) {
+    return record.state() == EndpointState.READY
+        && !replaced
+        && !isResponding(now)
+        && reachability.isProbeDue(now);
   }
 
-  private static long backoffMillis(int count) {
-    long millis = INITIAL_BACKOFF_MILLIS << Math.min(8, count - 1);
-    return Math.min(MAX_BACKOFF_MILLIS, millis);
+  /** Records the start of a probe. */
+  public void startProbe() {
+    reachability.startProbe();
+  }
+
+  /** Records that the endpoint responded to a probe. */
+  public void recordProbeSuccess(Instant now) {
+    lastByteAt = now;
+    reachability.recordProbeSuccess();
+  }
+
+  /**
+   * Records a failed probe.
+   *
+   * @param maxBackoff the maximum time until the next one
+   */
+  public void recordProbeFailure(Duration maxBackoff, Instant now) {
+    reachability.recordProbeFailure(maxBackoff, now);
   }
 
   /**
@@ -358,7 +367,7 @@
    * opened earlier may be dead, and it is unknown whether a request written to one of them runs.
    */
   public boolean isUnconfirmed() {
-    return unresponsivePeriods > 0;
+    return reachability.isSilent();
   }
 
   /** Records that another incarnation responds at the endpoint's address. */
@@ -394,15 +403,20 @@
 
   /** Returns whether the endpoint is in service and not in a pause that it requested. */
   public boolean acceptsRequests(Instant now) {
-    return isInService(now) && conditions.remainingPause(now).isZero();
+    return isInService() && conditions.remainingPause(now).isZero();
   }
 
   /** Returns whether the endpoint accepts requests, apart from any pause that it requested. */
-  private boolean isInService(Instant now) {
-    return record.state() == EndpointState.READY
-        && !conditions.isDraining()
-        && !replaced
-        && !connectBackoffUntil.isAfter(now);
+  private boolean isInService() {
+    return isAnnounced() && !reachability.isUnreachable();
+  }
+
+  /**
+   * Returns whether the endpoint is in service according to itself and the control instances,
+   * whether or not this entry reaches it.
+   */
+  public boolean isAnnounced() {
+    return record.state() == EndpointState.READY && !conditions.isDraining() && !replaced;
   }
 
   /**
@@ -439,7 +453,7 @@
    * @return empty if the endpoint accepts no requests for another reason
    */
   Optional<Duration> timeUntilAdmitted(String entry, List<String> regionEntries, Instant now) {
-    if (!isInService(now)) {
+    if (!isInService()) {
       return Optional.empty();
     }
     Duration rateDelay = rateLimit().untilAdmitted(rateSenderCount(entry, regionEntries), now);
@@ -462,13 +476,13 @@
    */
   public boolean isPrefixSource(Instant now) {
     return acceptsRequests(now)
-        && !isUnresponsiveOrInBackoff(now)
+        && isResponding(now)
         && failureScore(now) < MAX_SOURCE_FAILURE_SCORE;
   }
 
-  /** Returns whether the endpoint is unresponsive or in backoff after an unresponsive period. */
-  public boolean isUnresponsiveOrInBackoff(Instant now) {
-    return isUnresponsive(now) || unresponsiveBackoffUntil.isAfter(now);
+  /** Returns whether the endpoint is neither unresponsive nor suspected of being unreachable. */
+  public boolean isResponding(Instant now) {
+    return !isUnresponsive(now) && !reachability.isSuspected();
   }
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -15,8 +15,10 @@
 
 /**
  * Decides where to send a request: to the endpoint of this region with the lowest score, which is
- * the estimated response time plus penalties, or to another region if that is clearly faster. The
- * request is refused immediately if the wait would be too long everywhere.
+ * the estimated response time plus penalties, or to another region if that is clearly faster. If no
+ * endpoint of this region responds to this entry, the request is relayed to another entry of the
+ * region that reaches them. The request is refused immediately if the wait would be too long
+ * everywhere.
  *
  * <p>Designed for a region's peak: prompts arrive faster than its engines can prefill them.
  * Admitting all of them would make every response late, so the wait is bounded by the callers'
@@ -31,6 +33,9 @@
   /** Round trip to another region plus the processing time of the relaying entry. */
   static final double CROSS_REGION_MILLIS = 130;
 
+  /** Round trip to another entry of this region plus its processing time. */
+  private static final double NEIGHBOUR_MILLIS = 10;
+
   /**
    * Advantage that another region's estimate must have to be preferred: such estimates are stale.
    */
@@ -123,6 +128,10 @@
    * @param regions the other regions' load; empty if the request must stay in this region
    * @param allowedRegions regions that may run the request; empty for any
    * @param excludedRegions regions to which the request must not be sent again
+   * @param relayed whether another entry relayed the request, which then chooses again if no
+   *     endpoint of this region responds to this entry
+   * @param hasNeighbour whether the request may be relayed to another entry of this region that may
+   *     reach the service's endpoints
    * @param region this region
    * @param prefixSources the service's endpoints in any region from which KV cache may be fetched
    * @param engine the service's engine; empty for a plain service
@@ -136,6 +145,8 @@
       Optional<RegionLoads> regions,
       Set<String> allowedRegions,
       Set<String> excludedRegions,
+      boolean relayed,
+      boolean hasNeighbour,
       String region,
       Collection<EndpointTracker> prefixSources,
       Optional<ServiceSpec.Engine> engine,
@@ -169,11 +180,15 @@
         local.isPresent() && localWaitMillis(local.get(), request, now) <= maxWait;
     boolean remoteAcceptable =
         remote.isPresent() && remote.get().waitMillis() + CROSS_REGION_MILLIS <= maxWait;
+    boolean localResponds =
+        local.isPresent() && !isUnresponsive(local.get().endpoint(), context, now);
+    if (!localResponds && mayRelayToNeighbour(context, now)) {
+      return new Placement.ToRegion(context.region(), NEIGHBOUR_MILLIS);
+    }
     boolean preferRemote =
         remoteAcceptable
             && localAcceptable
-            && (isUnresponsive(local.get().endpoint(), context, now)
-                || isClearlyFaster(local.get(), remote.get(), request, context));
+            && (!localResponds || isClearlyFaster(local.get(), remote.get(), request, context));
     if (localAcceptable && !preferRemote) {
       ScoredEndpoint best = local.get();
       double tokenMillis = best.endpoint().tokenMillis(now);
@@ -187,6 +202,16 @@
     return refuse(request, context, local, remote, maxWait, now);
   }
 
+  /**
+   * Returns whether another entry of this region may reach endpoints that do not respond to this
+   * one.
+   */
+  private static boolean mayRelayToNeighbour(Context context, Instant now) {
+    return context.hasNeighbour()
+        && allowsThisRegion(context)
+        && context.endpoints().stream().anyMatch(e -> e.isAnnounced() && !e.isResponding(now));
+  }
+
   private static boolean allowsThisRegion(Context context) {
     return context.allowedRegions().isEmpty()
         || context.allowedRegions().contains(context.region());
@@ -236,7 +261,7 @@
 
   private static boolean isUnresponsive(EndpointTracker endpoint, Context context, Instant now) {
     return context.uses(PlacementMechanism.SILENCE_MEMORY)
-        ? endpoint.isUnresponsiveOrInBackoff(now)
+        ? !endpoint.isResponding(now)
         : endpoint.isUnresponsive(now);
   }
 
@@ -310,9 +335,13 @@
       PlacementRequest request, Context context, Instant now) {
     List<EndpointTracker> usable =
         context.endpoints().stream().filter(e -> isUsable(e, request, context, now)).toList();
-    List<EndpointTracker> healthy =
-        usable.stream().filter(e -> !isUnresponsive(e, context, now) && !e.isFull(now)).toList();
-    List<EndpointTracker> candidates = healthy.isEmpty() ? usable : healthy;
+    List<EndpointTracker> responding =
+        usable.stream().filter(e -> !isUnresponsive(e, context, now)).toList();
+    List<EndpointTracker> healthy = responding.stream().filter(e -> !e.isFull(now)).toList();
+    List<EndpointTracker> candidates =
+        !healthy.isEmpty()
+            ? healthy
+            : !responding.isEmpty() || context.relayed() ? responding : usable;
     Optional<EndpointTracker> firstRanked =
         Rendezvous.owner(candidates, e -> e.record().id(), request.sharedKey());
     List<CacheHolder> holders = cacheHolders(request, context);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/ServiceSpec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/ServiceSpec.java
@@ -11,6 +11,7 @@
  *     total
  * @param warmup the time after its start during which an endpoint is cold
  * @param coldRequestsPerSecond the maximum request rate of a cold endpoint, per second
+ * @param healthPath the path at which its endpoints answer health checks, if they do
  * @param engine the properties of its model engine; empty for a plain service
  */
 public record ServiceSpec(
@@ -18,6 +19,7 @@
     int maxConnections,
     Duration warmup,
     double coldRequestsPerSecond,
+    Optional<String> healthPath,
     Optional<Engine> engine) {
 
   /**
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -77,6 +77,7 @@
         new FleetMessage.RosterUpdate("c", 7, true, List.of(ENDPOINT, ENDPOINT)),
         new FleetMessage.RosterAck("c", 7),
         new FleetMessage.EntryList("c", List.of(ENTRY)),
+        new FleetMessage.EntryReach("c", Map.of("front-1", Set.of("model"))),
         new FleetMessage.StateRequest("front-1"),
         new FleetMessage.StateOffer(4, Long.MAX_VALUE, "{\"ä\":1}", Set.of("north-a")),
         new FleetMessage.ControlCall(
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -278,6 +278,8 @@
             Optional.empty(),
             Set.of(),
             Set.of(),
+            /* relayed= */ false,
+            /* hasNeighbour= */ false,
             "here",
             allEngines().map(e -> e.trackers.get(entry)).toList(),
             engineSpec,
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -105,6 +105,8 @@
         Optional.of(loads),
         allowedRegions,
         Set.of(),
+        /* relayed= */ false,
+        /* hasNeighbour= */ false,
         "here",
         List.of(),
         Optional.empty(),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
@@ -149,6 +149,8 @@
             Optional.empty(),
             Set.of(),
             Set.of(),
+            /* relayed= */ false,
+            /* hasNeighbour= */ false,
             "here",
             List.of(),
             Optional.empty(),
