A refused connection is evidence of a crash only if another endpoint accepts one

What callers could see: an entry partitioned from all endpoints with its connections refused took each of them for crashed, and reported the contents that it had in flight there as suspects. A content that many callers send would be quarantined and refused by the whole fleet.

Change: after two refused connections the entry connects to the other endpoints of its region; if none accepts, it draws no conclusion. Control instances still tell it which endpoints no longer announce themselves.

The tests of contents that do crash endpoints keep their bounds and pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CrashProbe.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CrashProbe.java
@@ -4,8 +4,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.ConnectException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -52,6 +54,16 @@
         });
   }
 
+  /** Returns whether any of these endpoints accepts a connection. */
+  public Future<Boolean> acceptsAny(List<SocketAddress> addresses) {
+    if (addresses.isEmpty()) {
+      return Future.succeededFuture(false);
+    }
+    List<Future<Void>> attempts =
+        addresses.stream().map(a -> client.connect(a).compose(NetSocket::close)).toList();
+    return Future.any(attempts).map(true).otherwise(false);
+  }
+
   private Future<Boolean> refusesConnections(SocketAddress address, int refusalsLeft) {
     return vertx
         .timer(ATTEMPT_DELAY_MILLIS)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -25,6 +25,7 @@
 import org.lacewingcroft.placement.Placer;
 import org.lacewingcroft.placement.RegionLoads;
 import org.lacewingcroft.placement.TrackedEndpoints;
+import org.lacewingcroft.request.RequestFingerprint;
 import org.lacewingcroft.route.InvalidRouteTableException;
 import org.lacewingcroft.route.RouteDocumentParser;
 import org.lacewingcroft.route.ServiceSpec;
@@ -413,6 +414,20 @@
         .toList();
   }
 
+  /**
+   * Records that an endpoint closed the connection while it was running this request content. The
+   * endpoint may be unreachable for this entry, or may have crashed because of the content.
+   */
+  public void connectionLost(EndpointTracker endpoint, RequestFingerprint fingerprint) {
+    endpoint.recordLostConnection();
+    List<EndpointTracker> others =
+        endpoints.trackers().stream()
+            .filter(t -> t != endpoint && t.isAnnounced())
+            .filter(t -> settings.inOwnRegion(t.record().failureDomain()))
+            .toList();
+    quarantine.onConnectionLost(endpoint, fingerprint, others);
+  }
+
   /** Returns this region's endpoints that are to be probed because they do not respond. */
   public List<EndpointTracker> endpointsToProbe() {
     Instant now = clock.instant();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -129,13 +130,24 @@
 
   /**
    * Records that an endpoint closed the connection while it was running this request content. This
-   * counts as evidence against the content only if the endpoint turns out to have crashed.
+   * counts as evidence against the content only if the endpoint turns out to have crashed: it
+   * refuses connections while another endpoint accepts them. An entry to which all endpoints refuse
+   * connections may be partitioned from them; the control instances then tell what has crashed.
+   *
+   * @param others other endpoints of the region
    */
-  public void onConnectionLost(EndpointTracker endpoint, RequestFingerprint fingerprint) {
+  public void onConnectionLost(
+      EndpointTracker endpoint, RequestFingerprint fingerprint, List<EndpointTracker> others) {
     recordIncompleteRun(endpoint.record(), fingerprint, IncompleteRuns.Kind.BROKEN_OFF);
     Future<Boolean> result =
         probe
-            .hasCrashed(SocketAddresses.parse(endpoint.record().address()))
+            .hasCrashed(addressOf(endpoint))
+            .compose(
+                refuses ->
+                    refuses
+                        ? probe.acceptsAny(
+                            others.stream().map(RequestQuarantine::addressOf).toList())
+                        : Future.succeededFuture(false))
             .onSuccess(
                 hasCrashed -> {
                   if (hasCrashed) {
@@ -145,6 +157,10 @@
     pendingProbes.add(fingerprint, result);
   }
 
+  private static SocketAddress addressOf(EndpointTracker endpoint) {
+    return SocketAddresses.parse(endpoint.record().address());
+  }
+
   /**
    * Returns what a request content must wait for before it is known whether it may run: a crash
    * probe, or reports of entries that have completed it.
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -562,11 +562,7 @@
     attempt
         .target()
         .endpoint()
-        .ifPresent(
-            e -> {
-              e.recordLostConnection();
-              context.node().quarantine().onConnectionLost(e, request.fingerprint());
-            });
+        .ifPresent(e -> context.node().connectionLost(e, request.fingerprint()));
   }
 
   /** Records that an endpoint has prefilled the prompt, so that it caches the prompt's prefixes. */
