Probe an endpoint soon after its data, look for a neighbour only when needed

What callers could see: an endpoint that falls silent for a second lets connects time out; after it went on, entries avoided it until the next probe, up to 1.5 s later.

Change: data from an endpoint whose connections failed shortens the time to the next probe to 250 ms. Whether a neighbour can be relayed to is determined only if no endpoint responds, not for every request.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -427,14 +427,22 @@
     // receives the reply, and must have the quarantined contents by then.
     suspicions.compare(report);
     transport.send(peer, controlPulse(report.reportId()));
+    if (report.following()) {
+      sendDifferences(tracked, report, now);
+    }
+    sendReach(peer);
+  }
+
+  /**
+   * Sends the services that entries do not reach. It is the last message after a report, because an
+   * instance of a build that does not know it closes the connection.
+   */
+  private void sendReach(String peer) {
     Map<String, Set<String>> unreachableServices = unreachableServicesByEntry();
     if (!unreachableServices.isEmpty()) {
       transport.send(
           peer, new FleetMessage.EntryReach(settings.peerAddress(), unreachableServices));
     }
-    if (report.following()) {
-      sendDifferences(tracked, report, now);
-    }
   }
 
   /** Sends the roster and the list of entries if the digests in the entry's report differ. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -335,7 +335,7 @@
             allowedRegions,
             excludedRegions,
             relayed,
-            !relayed && hasRelayTargetInOwnRegion(request, now),
+            () -> !relayed && hasRelayTargetInOwnRegion(request, now),
             settings.region(),
             engine.isPresent() ? prefixSources(all, allowedRegions) : List.of(),
             engine,
@@ -481,9 +481,11 @@
     return self.name();
   }
 
-  /** Records a request relayed to another region. */
+  /** Records a request relayed to another entry, which adds to the load of another region. */
   public void requestRelayed(String region, PlacementRequest request) {
-    regionLoads.recordRelayed(region, request, entries.regionNames().size());
+    if (!region.equals(settings.region())) {
+      regionLoads.recordRelayed(region, request, entries.regionNames().size());
+    }
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -88,7 +88,7 @@
   }
 
   /**
-   * Logs that the request is relayed to an entry of another region.
+   * Logs that the request is relayed to another entry.
    *
    * @param attempt the number of this send, from 1
    * @param revision the revision of the routing state
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -92,12 +92,12 @@
       UpstreamConnections connectionPool,
       ForwardRequest request,
       List<Map.Entry<String, String>> extraHeaders) {
-    // An unconfirmed endpoint has sent no byte since it was last unresponsive, so that connections
-    // opened earlier may be dead: a new connection is used.
     Duration connectTimeout =
         target.endpoint().isPresent()
             ? UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT
             : UpstreamConnections.RELAY_CONNECT_TIMEOUT;
+    // An unconfirmed endpoint has sent no byte since it was last unresponsive, so that connections
+    // opened earlier may be dead: a new connection is used.
     boolean unconfirmed = target.endpoint().filter(EndpointTracker::isUnconfirmed).isPresent();
     Future<UpstreamConnections.PooledConnection> connecting =
         unconfirmed
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamTarget.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamTarget.java
@@ -6,14 +6,14 @@
 import org.lacewingcroft.placement.Placement;
 
 /**
- * The destination of one attempt: an endpoint of this region or an entry of another region.
+ * The destination of one attempt: an endpoint of this region or another entry.
  *
  * @param name the endpoint's id or the entry's name, for logs
  * @param address the address to connect to, {@code host:port}
  * @param inFlightRequest the request's entry in the load tracking of the endpoint, empty for an
  *     entry
  * @param endpoint the endpoint, empty if the target is an entry
- * @param entry the entry of another region, empty if the target is an endpoint
+ * @param entry the other entry, empty if the target is an endpoint
  * @param prefixFetch the KV cache fetch that replaces prefill of a part of the prompt, if any
  */
 record UpstreamTarget(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/HopAuthenticator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/HopAuthenticator.java
@@ -30,7 +30,7 @@
     NONE(""),
     /** Another entry of the same region relayed the request to the owner of its key. */
     TO_OWNER(OWNER_HOP_HEADER),
-    /** An entry of another region forwarded the request. */
+    /** Another entry forwarded the request, which must then run in the region of this one. */
     ACROSS_REGIONS(CallerRequest.FORWARDED_HEADER);
 
     private final String header;
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointReachability.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointReachability.java
@@ -48,13 +48,16 @@
     silent = true;
   }
 
-  /** Records data from the endpoint, which says nothing about new connections. */
-  void recordData() {
+  /**
+   * Records data from the endpoint. It says nothing about new connections, but an endpoint that was
+   * only silent accepts them again, so the next probe of one that refused them follows soon.
+   */
+  void recordData(Instant now) {
     lostConnections = 0;
     silent = false;
-    if (!connectFailed) {
-      resetProbes();
-    }
+    Instant soon = now.plusMillis(INITIAL_PROBE_BACKOFF_MILLIS);
+    failedProbes = 0;
+    nextProbeAt = nextProbeAt.isAfter(soon) ? soon : nextProbeAt;
   }
 
   /** Returns whether no data has arrived since requests ended without any for too long. */
@@ -73,7 +76,8 @@
     connectFailed = false;
     lostConnections = 0;
     silent = false;
-    resetProbes();
+    failedProbes = 0;
+    nextProbeAt = Instant.EPOCH;
   }
 
   /**
@@ -89,11 +93,6 @@
     failedProbes++;
   }
 
-  private void resetProbes() {
-    failedProbes = 0;
-    nextProbeAt = Instant.EPOCH;
-  }
-
   /** Returns whether a suspected endpoint is to be probed now. */
   boolean isProbeDue(Instant now) {
     return !probing && !nextProbeAt.isAfter(now);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -134,7 +134,7 @@
     /** Records bytes of the response; the first ones mark the end of the prefill. */
     public void bytesReceived(Instant now) {
       lastByteAt = now;
-      reachability.recordData();
+      reachability.recordData(now);
       if (!firstByteReceived) {
         firstByteReceived = true;
         prefillQueue.prefilled(prompt, now);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -40,9 +40,10 @@
   record PrefixFetch(EndpointTracker source, long tokens) {}
 
   /**
-   * The request is relayed to an entry of another region, which places it there.
+   * The request is relayed to an entry, which places it at an endpoint of its region.
    *
-   * @param region the region
+   * @param region the entry's region, which is this region if its endpoints do not respond to this
+   *     entry
    * @param expectedMillis the estimated time to the first byte of its response
    */
   record ToRegion(String region, double expectedMillis) implements Placement {}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.lacewingcroft.misc.Rendezvous;
 import org.lacewingcroft.route.ServiceSpec;
@@ -131,7 +132,7 @@
    * @param relayed whether another entry relayed the request, which then chooses again if no
    *     endpoint of this region responds to this entry
    * @param hasNeighbour whether the request may be relayed to another entry of this region that may
-   *     reach the service's endpoints
+   *     reach the service's endpoints; evaluated only if no endpoint responds to this entry
    * @param region this region
    * @param prefixSources the service's endpoints in any region from which KV cache may be fetched
    * @param engine the service's engine; empty for a plain service
@@ -146,7 +147,7 @@
       Set<String> allowedRegions,
       Set<String> excludedRegions,
       boolean relayed,
-      boolean hasNeighbour,
+      BooleanSupplier hasNeighbour,
       String region,
       Collection<EndpointTracker> prefixSources,
       Optional<ServiceSpec.Engine> engine,
@@ -207,9 +208,9 @@
    * one.
    */
   private static boolean mayRelayToNeighbour(Context context, Instant now) {
-    return context.hasNeighbour()
-        && allowsThisRegion(context)
-        && context.endpoints().stream().anyMatch(e -> e.isAnnounced() && !e.isResponding(now));
+    return allowsThisRegion(context)
+        && context.endpoints().stream().anyMatch(e -> e.isAnnounced() && !e.isResponding(now))
+        && context.hasNeighbour().getAsBoolean();
   }
 
   private static boolean allowsThisRegion(Context context) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
@@ -148,7 +148,7 @@
         Set.of(),
         Set.of(),
         row.relayed(),
-        row.others() == Others.NEIGHBOUR || row.others() == Others.NEIGHBOUR_AND_REGION,
+        () -> row.others() == Others.NEIGHBOUR || row.others() == Others.NEIGHBOUR_AND_REGION,
         "here",
         List.of(),
         Optional.empty(),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -279,7 +279,7 @@
             Set.of(),
             Set.of(),
             /* relayed= */ false,
-            /* hasNeighbour= */ false,
+            /* hasNeighbour= */ () -> false,
             "here",
             allEngines().map(e -> e.trackers.get(entry)).toList(),
             engineSpec,
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -106,7 +106,7 @@
         allowedRegions,
         Set.of(),
         /* relayed= */ false,
-        /* hasNeighbour= */ false,
+        /* hasNeighbour= */ () -> false,
         "here",
         List.of(),
         Optional.empty(),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
@@ -266,7 +266,7 @@
         Set.of(),
         Set.of(),
         /* relayed= */ false,
-        /* hasNeighbour= */ false,
+        /* hasNeighbour= */ () -> false,
         "here",
         holders,
         Optional.of(new ServiceSpec.Engine(128, KV_TOKENS, 4, 35_136, linkMbps)),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
@@ -150,7 +150,7 @@
             Set.of(),
             Set.of(),
             /* relayed= */ false,
-            /* hasNeighbour= */ false,
+            /* hasNeighbour= */ () -> false,
             "here",
             List.of(),
             Optional.empty(),
