--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CutOffEntryTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CutOffEntryTest.java
@@ -95,12 +95,12 @@
       TimeUnit.MILLISECONDS.sleep(WARM_UP.toMillis());
       fleet.run(() -> cutOff.forEach(e -> endpoints.partition(bindAddress(e), partition)));
       TimeUnit.MILLISECONDS.sleep(CONTACT_TIME.toMillis());
-      long fromNanos = System.nanoTime();
+      final long fromNanos = System.nanoTime();
       TimeUnit.MILLISECONDS.sleep(MEASURED.toMillis());
-      long untilNanos = System.nanoTime();
+      final long untilNanos = System.nanoTime();
       fleet.run(() -> cutOff.forEach(e -> endpoints.heal(bindAddress(e))));
       TimeUnit.MILLISECONDS.sleep(HEAL_TIME.dividedBy(2).toMillis());
-      List<Integer> arrivalsBefore =
+      final List<Integer> arrivalsBefore =
           cutOff.stream().map(e -> endpoints.arrivalsFrom(bindAddress(e))).toList();
       for (Thread caller : callers) {
         caller.join();
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
@@ -31,34 +31,12 @@
   enum Contact {
     RESPONDS(e -> {}),
     CONNECT_FAILED(EndpointTracker::recordConnectFailure),
-    CONNECT_FAILED_THEN_DATA(
-        e -> {
-          EndpointTracker.InFlightRequest request = e.startRequest(request(), 0, 0, SENT);
-          e.recordConnectFailure();
-          request.bytesReceived(NOW);
-          request.finish(Outcome.ANSWERED, NOW);
-        }),
+    CONNECT_FAILED_THEN_DATA(Contact::sendDataAfterConnectFailure),
     ONE_CONNECTION_LOST(EndpointTracker::recordLostConnection),
-    CONNECTIONS_LOST(
-        e -> {
-          e.recordLostConnection();
-          e.recordLostConnection();
-        }),
+    CONNECTIONS_LOST(Contact::loseConnections),
     SILENT(Contact::fallSilent),
-    SILENT_AND_PROBED(
-        e -> {
-          fallSilent(e);
-          for (int i = 0; i < 2; i++) {
-            e.startProbe();
-            e.recordProbeFailure(MAX_PROBE_INTERVAL, NOW);
-          }
-        }),
-    REACHED_BY_PROBE(
-        e -> {
-          e.recordConnectFailure();
-          e.startProbe();
-          e.recordProbeSuccess(NOW);
-        });
+    SILENT_AND_PROBED(Contact::failProbesAfterSilence),
+    REACHED_BY_PROBE(Contact::answerProbe);
 
     private final Consumer<EndpointTracker> events;
 
@@ -66,6 +44,32 @@
       this.events = events;
     }
 
+    private static void sendDataAfterConnectFailure(EndpointTracker endpoint) {
+      EndpointTracker.InFlightRequest request = endpoint.startRequest(request(), 0, 0, SENT);
+      endpoint.recordConnectFailure();
+      request.bytesReceived(NOW);
+      request.finish(Outcome.ANSWERED, NOW);
+    }
+
+    private static void loseConnections(EndpointTracker endpoint) {
+      endpoint.recordLostConnection();
+      endpoint.recordLostConnection();
+    }
+
+    private static void failProbesAfterSilence(EndpointTracker endpoint) {
+      fallSilent(endpoint);
+      for (int i = 0; i < 2; i++) {
+        endpoint.startProbe();
+        endpoint.recordProbeFailure(MAX_PROBE_INTERVAL, NOW);
+      }
+    }
+
+    private static void answerProbe(EndpointTracker endpoint) {
+      endpoint.recordConnectFailure();
+      endpoint.startProbe();
+      endpoint.recordProbeSuccess(NOW);
+    }
+
     private static void fallSilent(EndpointTracker endpoint) {
       endpoint.startRequest(request(), 0, 0, SENT).finish(Outcome.FAILED, SENT.plusSeconds(1));
     }
