Ask other endpoints once for all requests that a crash breaks off

What callers could see: nothing; found by reading. When an endpoint crashed, each of its requests opened connections to all other endpoints of the region, though the probe of the crashed one is shared: with 32 requests and 30 endpoints about 1,000. Change: both belong to the one shared check, and the others are tried in turn until one accepts. The result is the same. Measured: CutOffQuarantineTest, CrashingRequestTest, HarmlessContentTest and KnownEntriesTest pass, with the linter, in the kernel and daemon modules. The number of connections was not measured.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CrashProbe.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CrashProbe.java
@@ -4,12 +4,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 /**
  * Checks whether an endpoint that closed a connection during a request has crashed. Connections are
@@ -45,23 +45,42 @@
    * @return whether it refuses new connections; false if that cannot be determined
    */
   public Future<Boolean> hasCrashed(SocketAddress address) {
+    return checkOnce(address, () -> refusesConnections(address, REQUIRED_REFUSALS));
+  }
+
+  /**
+   * Checks an endpoint like {@link #hasCrashed(SocketAddress)}, for an instance that may be
+   * partitioned from all endpoints.
+   *
+   * @param others other endpoints, which are tried in turn
+   * @return whether it refuses new connections while another endpoint accepts one
+   */
+  public Future<Boolean> hasCrashed(SocketAddress address, List<SocketAddress> others) {
+    return checkOnce(
+        address,
+        () ->
+            refusesConnections(address, REQUIRED_REFUSALS)
+                .compose(refuses -> refuses ? acceptsAny(others) : Future.succeededFuture(false)));
+  }
+
+  private Future<Boolean> checkOnce(SocketAddress address, Supplier<Future<Boolean>> check) {
     return inProgress.computeIfAbsent(
         address,
         a -> {
-          Future<Boolean> result = refusesConnections(a, REQUIRED_REFUSALS);
+          Future<Boolean> result = check.get();
           result.onComplete(done -> inProgress.remove(a));
           return result;
         });
   }
 
-  /** Returns whether any of these endpoints accepts a connection. */
-  public Future<Boolean> acceptsAny(List<SocketAddress> addresses) {
+  private Future<Boolean> acceptsAny(List<SocketAddress> addresses) {
     if (addresses.isEmpty()) {
       return Future.succeededFuture(false);
     }
-    List<Future<Void>> attempts =
-        addresses.stream().map(a -> client.connect(a).compose(NetSocket::close)).toList();
-    return Future.any(attempts).map(true).otherwise(false);
+    List<SocketAddress> rest = addresses.subList(1, addresses.size());
+    return client
+        .connect(addresses.get(0))
+        .compose(socket -> socket.close().map(true), e -> acceptsAny(rest));
   }
 
   private Future<Boolean> refusesConnections(SocketAddress address, int refusalsLeft) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.EndpointTracker;
@@ -421,19 +422,19 @@
   public void connectionLost(EndpointTracker endpoint, RequestFingerprint fingerprint) {
     endpoint.recordLostConnection();
     List<EndpointTracker> others =
-        endpoints.trackers().stream()
-            .filter(t -> t != endpoint && t.isAnnounced())
-            .filter(t -> settings.inOwnRegion(t.record().failureDomain()))
-            .toList();
+        ownRegionEndpoints().filter(t -> t != endpoint && t.isAnnounced()).toList();
     quarantine.onConnectionLost(endpoint, fingerprint, others);
   }
 
   /** Returns this region's endpoints that are to be probed because they do not respond. */
   public List<EndpointTracker> endpointsToProbe() {
     Instant now = clock.instant();
+    return ownRegionEndpoints().filter(t -> t.isProbeDue(now)).toList();
+  }
+
+  private Stream<EndpointTracker> ownRegionEndpoints() {
     return endpoints.trackers().stream()
-        .filter(t -> settings.inOwnRegion(t.record().failureDomain()) && t.isProbeDue(now))
-        .toList();
+        .filter(t -> settings.inOwnRegion(t.record().failureDomain()));
   }
 
   /**
@@ -454,14 +455,11 @@
   private void checkReachability() {
     Instant now = clock.instant();
     Map<String, Boolean> responding = new HashMap<>();
-    for (EndpointTracker tracker : endpoints.trackers()) {
-      String domain = tracker.record().failureDomain();
-      if (tracker.isAnnounced()
-          && settings.inOwnRegion(domain)
-          && !routing.evacuatedDomains().contains(domain)) {
-        responding.merge(tracker.record().service(), tracker.isResponding(now), Boolean::logicalOr);
-      }
-    }
+    ownRegionEndpoints()
+        .filter(EndpointTracker::isAnnounced)
+        .filter(t -> !routing.evacuatedDomains().contains(t.record().failureDomain()))
+        .forEach(
+            t -> responding.merge(t.record().service(), t.isResponding(now), Boolean::logicalOr));
     responding.values().removeIf(responds -> responds);
     if (!unreachableServices.equals(responding.keySet())) {
       unreachableServices = Set.copyOf(responding.keySet());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -132,7 +132,8 @@
    * Records that an endpoint closed the connection while it was running this request content. This
    * counts as evidence against the content only if the endpoint turns out to have crashed: it
    * refuses connections while another endpoint accepts them. An entry to which all endpoints refuse
-   * connections may be partitioned from them; the control instances then tell what has crashed.
+   * connections may be partitioned from them; what has crashed is then known from the control
+   * instances.
    *
    * @param others other endpoints of the region
    */
@@ -141,13 +142,8 @@
     recordIncompleteRun(endpoint.record(), fingerprint, IncompleteRuns.Kind.BROKEN_OFF);
     Future<Boolean> result =
         probe
-            .hasCrashed(addressOf(endpoint))
-            .compose(
-                refuses ->
-                    refuses
-                        ? probe.acceptsAny(
-                            others.stream().map(RequestQuarantine::addressOf).toList())
-                        : Future.succeededFuture(false))
+            .hasCrashed(
+                addressOf(endpoint), others.stream().map(RequestQuarantine::addressOf).toList())
             .onSuccess(
                 hasCrashed -> {
                   if (hasCrashed) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -183,8 +183,8 @@
   /**
    * Starts an entry.
    *
-   * @param upstreamBindAddress the loopback address from which it connects to endpoints, so that
-   *     endpoints can tell the entries' connections apart
+   * @param upstreamBindAddress the loopback address from which it connects to endpoints, which
+   *     identifies it there
    */
   Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/KnownEntries.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/KnownEntries.java
@@ -104,8 +104,8 @@
   }
 
   /**
-   * Returns the names of this region's entries, those first that reach the most services: they can
-   * tell best how much load the region's endpoints have.
+   * Returns the names of this region's entries, those first that reach the most services, whose
+   * view of the load of the region's endpoints is the most complete.
    */
   public List<String> regionNamesByReach(Instant now) {
     return regionNames.stream()
