Log the shared parts of prompts, and report those that crashed endpoints had in common

What callers saw: requests of one route refused, because endpoints crashed one after the other under requests that had nothing in common but a part of their prompts. The logs had the fingerprint of the whole content only, so that no line could show it. Change: failed attempts and finished requests carry the fingerprints of the prompt's shared parts (all but the last, which belongs to the request or its session), and the report lists, besides contents, the parts of requests lost at endpoints that no served request has. No decision uses them. Measured: CrashSuspectReportTest, RequestFingerprintTest and CrashingRequestTest pass.

--- a/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/CrashSuspectReportTest.java
+++ b/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/CrashSuspectReportTest.java
@@ -74,4 +74,42 @@
     assertThat(report.suspects(), is(List.of()));
     assertThat(report.text(), is(""));
   }
+
+  @Test
+  void listsPromptPartThatNoServedRequestHas() {
+    CrashSuspectReport report =
+        report(
+            failedParts("f-1", "shared bad", "i-1"),
+            failedParts("f-2", "shared bad", "i-2"),
+            failedParts("f-3", "shared other", "i-2"),
+            finished("shared other", "served"),
+            finished("shared bad", "the endpoint failed"));
+    CrashSuspectReport.Suspect first = report.suspects().get(0);
+    assertThat(first.fingerprint(), is("bad"));
+    assertThat(first.kind(), is(CrashSuspectReport.Kind.PROMPT_PART));
+    assertThat(first.endpoints(), is(Set.of("i-1", "i-2")));
+    assertThat(
+        report.suspects().stream().map(CrashSuspectReport.Suspect::fingerprint).toList(),
+        is(List.of("bad", "f-1", "f-2", "f-3")));
+  }
+
+  private static String failedParts(String fingerprint, String promptParts, String target) {
+    return SampleLog.line(
+        2,
+        "n",
+        "request.try_failed",
+        "fingerprint",
+        fingerprint,
+        "promptParts",
+        promptParts,
+        "what",
+        "broken",
+        "target",
+        target);
+  }
+
+  private static String finished(String promptParts, String outcome) {
+    return SampleLog.line(
+        3, "n", "request.finished", "promptParts", promptParts, "outcome", outcome);
+  }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -137,14 +137,14 @@
       return;
     }
     Optional<Future<Void>> pendingDecision =
-        context.node().quarantine().pendingDecision(request.fingerprint());
+        context.node().quarantine().pendingDecision(request.fingerprints().content());
     if (pendingDecision.isPresent()) {
       pendingDecision.get().onComplete(decided -> place());
       return;
     }
     // An endpoint that runs quarantined content crashes, and fails all its other requests as well.
     Optional<Duration> quarantined =
-        context.node().quarantine().remainingQuarantine(request.fingerprint());
+        context.node().quarantine().remainingQuarantine(request.fingerprints().content());
     if (quarantined.isPresent()) {
       refuseQuarantined(quarantined.get());
       return;
@@ -562,7 +562,7 @@
     attempt
         .target()
         .endpoint()
-        .ifPresent(e -> context.node().connectionLost(e, request.fingerprint()));
+        .ifPresent(e -> context.node().connectionLost(e, request.fingerprints().content()));
   }
 
   /** Records that an endpoint has prefilled the prompt, so that it caches the prompt's prefixes. */
@@ -585,7 +585,7 @@
   private void recordServed(UpstreamAttempt attempt, int status) {
     servedBy = attempt.target().name();
     if (attempt.target().endpoint().isPresent() && status < SERVER_ERROR) {
-      context.node().quarantine().recordCompletion(request.fingerprint());
+      context.node().quarantine().recordCompletion(request.fingerprints().content());
     }
   }
 
@@ -722,7 +722,12 @@
       attempt
           .target()
           .endpoint()
-          .ifPresent(e -> context.node().quarantine().abandoned(e.record(), request.fingerprint()));
+          .ifPresent(
+              e ->
+                  context
+                      .node()
+                      .quarantine()
+                      .abandoned(e.record(), request.fingerprints().content()));
     }
     attempt.cancel(outcome);
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
@@ -14,13 +14,13 @@
 import java.util.Set;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.PromptPart;
-import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 
 /**
  * A caller's request with its complete body.
  *
  * @param id the request id
- * @param fingerprint identifies the content; equal for every repetition of the same request
+ * @param fingerprints identify the content and the shared parts of the prompt
  * @param sender the address of the peer: the caller or, if relayed, an entry
  * @param method the HTTP method
  * @param uri path and query, unchanged
@@ -37,7 +37,7 @@
  */
 record ForwardRequest(
     String id,
-    RequestFingerprint fingerprint,
+    RequestFingerprints fingerprints,
     String sender,
     HttpMethod method,
     String uri,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -60,7 +60,7 @@
     write(
         "request.placed",
         "fingerprint",
-        request.fingerprint(),
+        request.fingerprints().content(),
         "sender",
         request.sender(),
         "service",
@@ -97,7 +97,7 @@
     write(
         "request.placed",
         "fingerprint",
-        request.fingerprint(),
+        request.fingerprints().content(),
         "sender",
         request.sender(),
         "service",
@@ -151,7 +151,7 @@
     write(
         "request.refused",
         "fingerprint",
-        request.fingerprint(),
+        request.fingerprints().content(),
         "sender",
         request.sender(),
         "service",
@@ -176,7 +176,9 @@
     write(
         "request.try_failed",
         "fingerprint",
-        request.fingerprint(),
+        request.fingerprints().content(),
+        "promptParts",
+        request.fingerprints().promptPartsText(),
         "target",
         target.name(),
         "what",
@@ -218,6 +220,8 @@
   void logFinished(Summary summary) {
     write(
         "request.finished",
+        "promptParts",
+        request.fingerprints().promptPartsText(),
         "outcome",
         summary.outcome(),
         "status",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import org.lacewingcroft.placement.PromptPart;
 import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 
 /** Converts a received HTTP request into a {@link ForwardRequest}. */
 final class RequestReader {
@@ -53,9 +54,10 @@
             .orElse(DEFAULT_TIMEOUT);
     List<Long> tokenUsage = parseNumbers(headers.get(headerNames.tokenUsage()));
     List<Long> lastEventId = parseNumbers(headers.get(headerNames.lastEventId()));
+    List<PromptPart> parts = parsePromptParts(headers.get(headerNames.promptParts()));
     return new ForwardRequest(
         headers.get(headerNames.requestId()),
-        fingerprint(request, body),
+        fingerprints(request, body, parts),
         request.remoteAddress().hostAddress(),
         request.method(),
         request.uri(),
@@ -69,12 +71,15 @@
         tokenUsage.isEmpty() ? 0 : tokenUsage.get(0),
         tokenUsage.size() < 2 ? 0 : tokenUsage.get(1),
         parseNumbers(headers.get(headerNames.lengthHint())).stream().findFirst().orElse(0L),
-        parsePromptParts(headers.get(headerNames.promptParts())));
+        parts);
   }
 
-  private static RequestFingerprint fingerprint(HttpServerRequest request, Buffer body) {
+  private static RequestFingerprints fingerprints(
+      HttpServerRequest request, Buffer body, List<PromptPart> parts) {
     String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
-    return RequestFingerprint.of(request.method().name(), host, request.uri(), body.getBytes());
+    return RequestFingerprints.of(
+        RequestFingerprint.of(request.method().name(), host, request.uri(), body.getBytes()),
+        parts.stream().map(PromptPart::id).toList());
   }
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/RequestFingerprint.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/RequestFingerprint.java
@@ -9,9 +9,9 @@
 import org.lacewingcroft.route.HostHeader;
 
 /**
- * Identifies the content of a request, independent of its sender and request id: the first 64 bits
- * of the SHA-256 hash over its method, host, target and body. Requests with the same fingerprint
- * cause the same work at an endpoint.
+ * Identifies the content of a request, independent of its sender and request id, or a part of its
+ * prompt: the first 64 bits of a SHA-256 hash. Requests with the same content cause the same work
+ * at an endpoint; requests with a common prompt part cause a part of the same work.
  *
  * @param value the first 64 bits of the hash, in big-endian order
  */
@@ -24,7 +24,13 @@
   private static final char FIELD_TERMINATOR = '\n';
 
   /**
-   * Returns the fingerprint of a request.
+   * Precedes the id of a prompt part. No hashed request begins with it, because an HTTP method is
+   * not empty.
+   */
+  private static final String PROMPT_PART_PREFIX = FIELD_TERMINATOR + "prompt part ";
+
+  /**
+   * Returns the fingerprint of a request: the hash over its method, host, target and body.
    *
    * @param method the HTTP method
    * @param hostHeader the Host header; its port is ignored, because entries may listen on different
@@ -41,6 +47,15 @@
             + FIELD_TERMINATOR
             + target
             + FIELD_TERMINATOR;
+    return hash(fields, body);
+  }
+
+  /** Returns the fingerprint of a prompt part with the given id, in any request. */
+  public static RequestFingerprint ofPromptPart(String id) {
+    return hash(PROMPT_PART_PREFIX, id.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static RequestFingerprint hash(String fields, byte[] body) {
     MessageDigest digest = newDigest();
     digest.update(fields.getBytes(StandardCharsets.UTF_8));
     return new RequestFingerprint(ByteBuffer.wrap(digest.digest(body)).getLong());
