Quarantine prompt parts that crash endpoints, not only whole contents

What callers saw: requests refused or broken off for seconds, again and again, because all endpoints in reach crashed one after the other. The requests that crashed them shared one part of their prompts, and no two were alike. Cause: evidence was kept by the fingerprint of the whole content, so that each crash was the first of its content. Ruled out, by CrashingPromptPartTest: lost evidence (no content was lost at more than one endpoint) and load. Change: the shared parts of a prompt (all but the last) are suspected, reported, confirmed, quarantined, tried and cleared like contents, with the same messages and the same stored data. MAX_RUNS_PER_ENDPOINT is larger because a run has several fingerprints.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -26,7 +26,7 @@
 import org.lacewingcroft.placement.Placer;
 import org.lacewingcroft.placement.RegionLoads;
 import org.lacewingcroft.placement.TrackedEndpoints;
-import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 import org.lacewingcroft.route.InvalidRouteTableException;
 import org.lacewingcroft.route.RouteDocumentParser;
 import org.lacewingcroft.route.ServiceSpec;
@@ -416,14 +416,14 @@
   }
 
   /**
-   * Records that an endpoint closed the connection while it was running this request content. The
-   * endpoint may be unreachable for this entry, or may have crashed because of the content.
+   * Records that an endpoint closed the connection while it was running this request. The endpoint
+   * may be unreachable for this entry, or may have crashed because of the request.
    */
-  public void connectionLost(EndpointTracker endpoint, RequestFingerprint fingerprint) {
+  public void connectionLost(EndpointTracker endpoint, RequestFingerprints request) {
     endpoint.recordLostConnection();
     List<EndpointTracker> others =
         ownRegionEndpoints().filter(t -> t != endpoint && t.isAnnounced()).toList();
-    quarantine.onConnectionLost(endpoint, fingerprint, others);
+    quarantine.onConnectionLost(endpoint, request, others);
   }
 
   /** Returns this region's endpoints that are to be probed because they do not respond. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,13 +23,14 @@
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.quarantine.SuspicionLedger;
 import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 
 /**
- * The request contents that an entry does not send to endpoints because they crash the endpoints
- * that run them. The entry reports to the control instances which contents were running when
- * endpoints crashed, repeating a report until one of them has confirmed it, and receives from them
- * which contents are quarantined; its own observations apply after entries that have completed the
- * content could report so.
+ * The request contents and prompt parts that an entry does not send to endpoints because they crash
+ * the endpoints that run them. The entry reports to the control instances which contents and parts
+ * were running when endpoints crashed, repeating a report until one of them has confirmed it, and
+ * receives from them which ones are quarantined; its own observations apply after entries that have
+ * completed the content or part could report so.
  *
  * <p>Confined to the event loop thread.
  */
@@ -50,7 +52,10 @@
   private final Supplier<Set<String>> controls;
   private final Supplier<List<String>> entries;
   private final SuspicionLedger ledger = new SuspicionLedger();
-  private final RecentCompletions completions = new RecentCompletions();
+  private final RecentCompletions completedContents =
+      new RecentCompletions(RecentCompletions.CONTENT_TTL);
+  private final RecentCompletions completedParts =
+      new RecentCompletions(RecentCompletions.PROMPT_PART_TTL);
   private final IncompleteRuns incompleteRuns = new IncompleteRuns();
   private final QuarantineTrials trials = new QuarantineTrials();
   private final QuarantineConfirmation confirmation = new QuarantineConfirmation();
@@ -98,48 +103,73 @@
   }
 
   /**
-   * Returns how long a request content remains quarantined, or empty if it may run. A quarantined
-   * content may run if a trial of it is due on this entry, which is then recorded.
+   * Returns how long the content of a request or one of its prompt parts remains quarantined, or
+   * empty if the request may run. It may run although one is quarantined if a trial is due on this
+   * entry, which is then recorded.
    */
-  public Optional<Duration> remainingQuarantine(RequestFingerprint fingerprint) {
+  public Optional<Duration> remainingQuarantine(RequestFingerprints request) {
     Instant now = clock.instant();
-    Optional<Suspicion> suspicion = ledger.quarantineEvidence(fingerprint, now);
-    if (suspicion.isEmpty()) {
+    List<Suspicion> quarantined = quarantineEvidence(request, now);
+    if (quarantined.isEmpty()) {
       return Optional.empty();
     }
-    if (trials.tryStartTrial(suspicion.get(), name, entries.get(), now)) {
-      QuarantineLog.logTrial(suspicion.get());
+    boolean ambiguous =
+        quarantined.stream()
+            .map(Suspicion::content)
+            .allMatch(f -> !f.equals(request.content()) && ledger.isAmbiguous(f, now));
+    if (trials.tryStartTrial(quarantined, ambiguous, name, entries.get(), now)) {
+      quarantined.forEach(QuarantineLog::logTrial);
       return Optional.empty();
     }
-    return ledger.remainingQuarantine(fingerprint, now);
+    return quarantined.stream()
+        .flatMap(s -> ledger.remainingQuarantine(s.content(), now).stream())
+        .max(Comparator.naturalOrder());
   }
 
-  /** Returns the number of quarantined request contents. */
+  private List<Suspicion> quarantineEvidence(RequestFingerprints request, Instant now) {
+    return request.all().stream().flatMap(f -> ledger.quarantineEvidence(f, now).stream()).toList();
+  }
+
+  /** Returns the number of quarantined request contents and prompt parts. */
   public int size() {
     return ledger.allQuarantineEvidence(clock.instant()).size();
   }
 
-  /** Records that an endpoint has completed its response for this request content. */
-  public void recordCompletion(RequestFingerprint fingerprint) {
+  /**
+   * Records that an endpoint has completed its response to a request.
+   *
+   * @param successful whether the response is the result of the request; another response, such as
+   *     a rejection, may have been sent without running its prompt
+   */
+  public void recordCompletion(RequestFingerprints request, boolean successful) {
     Instant now = clock.instant();
-    completions.record(fingerprint, now);
-    if (ledger.quarantineEvidence(fingerprint, now).isPresent()) {
-      recordAndReport(Suspicion.cleared(fingerprint));
+    completedContents.record(request.content(), now);
+    if (successful) {
+      request.promptParts().forEach(part -> completedParts.record(part, now));
     }
+    quarantineEvidence(request, now).stream()
+        .map(Suspicion::content)
+        .filter(fingerprint -> isRecentlyCompleted(fingerprint, now))
+        .forEach(fingerprint -> recordAndReport(Suspicion.cleared(fingerprint)));
+  }
+
+  private boolean isRecentlyCompleted(RequestFingerprint fingerprint, Instant now) {
+    return completedContents.isRecentlyCompleted(fingerprint, now)
+        || completedParts.isRecentlyCompleted(fingerprint, now);
   }
 
   /**
-   * Records that an endpoint closed the connection while it was running this request content. This
-   * counts as evidence against the content only if the endpoint turns out to have crashed: it
-   * refuses connections while another endpoint accepts them. An entry to which all endpoints refuse
+   * Records that an endpoint closed the connection while it was running this request. This counts
+   * as evidence against the request only if the endpoint turns out to have crashed: it refuses
+   * connections while another endpoint accepts them. An entry to which all endpoints refuse
    * connections may be partitioned from them; what has crashed is then known from the control
    * instances.
    *
    * @param others other endpoints of the region
    */
   public void onConnectionLost(
-      EndpointTracker endpoint, RequestFingerprint fingerprint, List<EndpointTracker> others) {
-    recordIncompleteRun(endpoint.record(), fingerprint, IncompleteRuns.Kind.BROKEN_OFF);
+      EndpointTracker endpoint, RequestFingerprints request, List<EndpointTracker> others) {
+    recordIncompleteRun(endpoint.record(), request, IncompleteRuns.Kind.BROKEN_OFF);
     Future<Boolean> result =
         probe
             .hasCrashed(
@@ -150,7 +180,7 @@
                     endpointCrashed(endpoint.record(), endpoint.lastByteAt());
                   }
                 });
-    pendingProbes.add(fingerprint, result);
+    pendingProbes.add(request.content(), result);
   }
 
   private static SocketAddress addressOf(EndpointTracker endpoint) {
@@ -158,34 +188,37 @@
   }
 
   /**
-   * Returns what a request content must wait for before it is known whether it may run: a crash
-   * probe, or reports of entries that have completed it.
+   * Returns what a request must wait for before it is known whether it may run: a crash probe, or
+   * reports of entries that have completed its content or prompt parts.
    */
-  public Optional<Future<Void>> pendingDecision(RequestFingerprint fingerprint) {
+  public Optional<Future<Void>> pendingDecision(RequestFingerprints request) {
     return pendingProbes
-        .get(fingerprint)
+        .get(request.content())
         .map(Future::<Void>mapEmpty)
-        .or(() -> pendingConfirmation(fingerprint));
+        .or(() -> pendingConfirmation(request));
   }
 
-  private Optional<Future<Void>> pendingConfirmation(RequestFingerprint fingerprint) {
+  private Optional<Future<Void>> pendingConfirmation(RequestFingerprints request) {
     Instant now = clock.instant();
-    return ledger
-        .quarantineEvidence(fingerprint, now)
-        .flatMap(quarantined -> confirmation.remaining(fingerprint, now))
+    return quarantineEvidence(request, now).stream()
+        .flatMap(quarantined -> confirmation.remaining(quarantined.content(), now).stream())
+        .max(Comparator.naturalOrder())
         .map(remaining -> vertx.timer(Math.max(1, remaining.toMillis())).mapEmpty());
   }
 
-  /** Records that this entry stopped waiting for the response to this request content. */
-  public void abandoned(EndpointRecord endpoint, RequestFingerprint fingerprint) {
-    recordIncompleteRun(endpoint, fingerprint, IncompleteRuns.Kind.GIVEN_UP);
+  /** Records that this entry stopped waiting for the response to this request. */
+  public void abandoned(EndpointRecord endpoint, RequestFingerprints request) {
+    recordIncompleteRun(endpoint, request, IncompleteRuns.Kind.GIVEN_UP);
   }
 
   private void recordIncompleteRun(
-      EndpointRecord endpoint, RequestFingerprint fingerprint, IncompleteRuns.Kind kind) {
-    incompleteRuns
-        .record(endpoint.incarnationId(), fingerprint, kind, clock.instant())
-        .ifPresent(this::suspect);
+      EndpointRecord endpoint, RequestFingerprints request, IncompleteRuns.Kind kind) {
+    Instant now = clock.instant();
+    for (RequestFingerprint fingerprint : request.all()) {
+      incompleteRuns
+          .record(endpoint.incarnationId(), fingerprint, kind, now)
+          .ifPresent(this::suspect);
+    }
   }
 
   /**
@@ -210,7 +243,7 @@
   }
 
   private void suspect(Suspicion suspicion) {
-    if (!completions.isRecentlyCompleted(suspicion.content(), clock.instant())) {
+    if (!isRecentlyCompleted(suspicion.content(), clock.instant())) {
       recordAndReport(suspicion);
     }
   }
@@ -257,17 +290,16 @@
   }
 
   /**
-   * Applies suspicions from a control instance. A request content that an endpoint has recently
-   * completed for this entry does not crash every endpoint that runs it, but the instances that
-   * suspect it have not received this completion; such a content is reported as cleared.
+   * Applies suspicions from a control instance. A request content or prompt part that an endpoint
+   * has recently completed for this entry does not crash every endpoint that runs it, but the
+   * instances that suspect it have not received this completion; it is reported as cleared.
    */
   void onSuspicionUpdate(FleetMessage.SuspicionUpdate update) {
     Instant now = clock.instant();
     for (Suspicion suspicion : update.suspicions()) {
       merge(suspicion, update.from());
       RequestFingerprint fingerprint = suspicion.content();
-      if (ledger.quarantineEvidence(fingerprint, now).isPresent()
-          && completions.isRecentlyCompleted(fingerprint, now)) {
+      if (isRecentlyCompleted(fingerprint, now) && ledger.isSuspected(fingerprint)) {
         recordAndReport(Suspicion.cleared(fingerprint));
       }
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
@@ -11,11 +11,12 @@
 import org.lacewingcroft.quarantine.SuspicionLedger;
 
 /**
- * The evidence that a control instance has on request contents that crash endpoints. It merges the
- * observations of the entries: each entry sees only crashes during its own requests, and the same
- * content may reach a different entry each time. New evidence is sent to the other control
- * instances immediately, and to the entries if it quarantines or clears a content; digests detect
- * lost messages.
+ * The evidence that a control instance has on request contents and prompt parts that crash
+ * endpoints. It merges the observations of the entries: each entry sees only crashes during its own
+ * requests, and the same content or part may reach a different entry each time. New evidence is
+ * sent to the other control instances immediately, and to the entries if a content or part recurs
+ * or is cleared: those that have completed it can clear it before it is quarantined, and one that
+ * observes the next crash can quarantine it at once. Digests detect lost messages.
  *
  * <p>Confined to the event loop thread.
  */
@@ -116,7 +117,8 @@
   }
 
   private static boolean concernsEntries(Suspicion suspicion) {
-    return suspicion.isQuarantined() || suspicion.clearedAge().isPresent();
+    return suspicion.independentCrashes() >= SuspicionLedger.RECURRING_THRESHOLD
+        || suspicion.clearedAge().isPresent();
   }
 
   private void send(List<String> peers, List<Suspicion> suspicions) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -137,14 +137,14 @@
       return;
     }
     Optional<Future<Void>> pendingDecision =
-        context.node().quarantine().pendingDecision(request.fingerprints().content());
+        context.node().quarantine().pendingDecision(request.fingerprints());
     if (pendingDecision.isPresent()) {
       pendingDecision.get().onComplete(decided -> place());
       return;
     }
-    // An endpoint that runs quarantined content crashes, and fails all its other requests as well.
+    // An endpoint that runs a quarantined content or part crashes and fails its other requests too.
     Optional<Duration> quarantined =
-        context.node().quarantine().remainingQuarantine(request.fingerprints().content());
+        context.node().quarantine().remainingQuarantine(request.fingerprints());
     if (quarantined.isPresent()) {
       refuseQuarantined(quarantined.get());
       return;
@@ -245,7 +245,8 @@
   private void refuseQuarantined(Duration remaining) {
     requestLog.logQuarantined(remaining);
     context.metrics().placements.labelValues("quarantined").inc();
-    String reason = "endpoints that ran this content broke off, one after the other";
+    String reason =
+        "endpoints that ran this content or a part of its prompt broke off, one after the other";
     if (mayHaveRun) {
       finishWithError(BAD_GATEWAY, reason, Optional.empty());
     } else {
@@ -562,7 +563,7 @@
     attempt
         .target()
         .endpoint()
-        .ifPresent(e -> context.node().connectionLost(e, request.fingerprints().content()));
+        .ifPresent(e -> context.node().connectionLost(e, request.fingerprints()));
   }
 
   /** Records that an endpoint has prefilled the prompt, so that it caches the prompt's prefixes. */
@@ -585,7 +586,8 @@
   private void recordServed(UpstreamAttempt attempt, int status) {
     servedBy = attempt.target().name();
     if (attempt.target().endpoint().isPresent() && status < SERVER_ERROR) {
-      context.node().quarantine().recordCompletion(request.fingerprints().content());
+      boolean successful = status >= OK && status < MULTIPLE_CHOICES;
+      context.node().quarantine().recordCompletion(request.fingerprints(), successful);
     }
   }
 
@@ -723,11 +725,7 @@
           .target()
           .endpoint()
           .ifPresent(
-              e ->
-                  context
-                      .node()
-                      .quarantine()
-                      .abandoned(e.record(), request.fingerprints().content()));
+              e -> context.node().quarantine().abandoned(e.record(), request.fingerprints()));
     }
     attempt.cancel(outcome);
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ContentQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ContentQuarantine.java
@@ -36,7 +36,8 @@
   private final PendingCrashProbes pendingProbes = new PendingCrashProbes();
   private final InstantSource clock;
   private final SuspicionLedger ledger = new SuspicionLedger();
-  private final RecentCompletions completions = new RecentCompletions();
+  private final RecentCompletions completions =
+      new RecentCompletions(RecentCompletions.CONTENT_TTL);
 
   ContentQuarantine(
       Vertx vertx, Membership membership, EndpointRegistry endpoints, InstantSource clock) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
@@ -23,6 +23,7 @@
 import org.lacewingcroft.peer.LoopbackPorts;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 
 /**
  * Guards against quarantining a common content because an entry is partitioned from all endpoints,
@@ -63,7 +64,10 @@
       }
       for (EndpointTracker endpoint : lost) {
         List<EndpointTracker> others = all.stream().filter(t -> t != endpoint).toList();
-        onContext(() -> quarantine.onConnectionLost(endpoint, content, others));
+        onContext(
+            () ->
+                quarantine.onConnectionLost(
+                    endpoint, RequestFingerprints.ofContent(content), others));
         TimeUnit.MILLISECONDS.sleep(LOSS_INTERVAL_MILLIS);
       }
       CompletableFuture<Integer> size = new CompletableFuture<>();
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
@@ -226,6 +226,15 @@
     fleet.run(() -> List.copyOf(incarnations).forEach(Incarnation::crash));
   }
 
+  /** Crashes the endpoints of a region at the same moment, whatever they run. */
+  void crashRegion(String region) throws Exception {
+    fleet.run(
+        () ->
+            List.copyOf(incarnations).stream()
+                .filter(i -> i.region.equals(region))
+                .forEach(Incarnation::crash));
+  }
+
   /** Crashes one of the endpoints, whatever it runs. */
   void crashOne(int index) throws Exception {
     fleet.run(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PromptTraffic.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PromptTraffic.java
@@ -83,7 +83,9 @@
     if (response != null && response.statusCode() == 200) {
       served.incrementAndGet();
     }
-    if (response != null && response.statusCode() == 503 && response.body().contains("endpoints that ran")) {
+    if (response != null
+        && response.statusCode() == 503
+        && response.body().contains("endpoints that ran")) {
       refusedAsCrashing.incrementAndGet();
     }
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/IncompleteRuns.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/IncompleteRuns.java
@@ -12,12 +12,12 @@
 import org.lacewingcroft.request.RequestFingerprint;
 
 /**
- * The runs of request contents that endpoints did not complete: the connection was lost, or the
- * entry abandoned the run because the caller disconnected or the timeout expired. A connection is
- * lost for many reasons, and a crash of the endpoint is only one of them. A crash is established
- * when new connections are refused, announcements are missed or another incarnation has replaced
- * the endpoint; the contents that the endpoint was running when it sent its last response byte
- * become suspect then.
+ * The runs of request contents and prompt parts that endpoints did not complete: the connection was
+ * lost, or the entry abandoned the run because the caller disconnected or the timeout expired. A
+ * connection is lost for many reasons, and a crash of the endpoint is only one of them. A crash is
+ * established when new connections are refused, announcements are missed or another incarnation has
+ * replaced the endpoint; the contents and parts that the endpoint was running when it sent its last
+ * response byte become suspect then.
  *
  * <p>Not thread-safe.
  */
@@ -31,8 +31,8 @@
   /** Maximum number of endpoints retained. */
   static final int MAX_ENDPOINTS = 256;
 
-  /** Maximum number of runs retained per endpoint. */
-  static final int MAX_RUNS_PER_ENDPOINT = 256;
+  /** Maximum number of runs of contents and parts retained per endpoint. */
+  static final int MAX_RUNS_PER_ENDPOINT = 1_024;
 
   /**
    * An endpoint that still sends response bytes this long after the end of a run did not crash
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
@@ -5,11 +5,13 @@
 import java.time.Instant;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -21,7 +23,7 @@
  * The request contents that endpoints were running when they crashed, with the crashed endpoints. A
  * content is quarantined once several endpoints that ran it have crashed one after the other: it is
  * assumed to crash every endpoint that runs it, and each crash also fails the other requests that
- * the endpoint is running.
+ * the endpoint is running. The shared parts of prompts are recorded in the same way as contents.
  *
  * <p>Instances merge their evidence. Merging is commutative and idempotent, so the result depends
  * neither on the order of updates nor on duplicates: evidence is a set of crashes and only grows
@@ -268,11 +270,36 @@
         .map(e -> e.suspicion(content, now));
   }
 
+  /** Returns whether there is evidence against a content that was not cleared of it. */
+  public boolean isSuspected(RequestFingerprint content) {
+    return Optional.ofNullable(evidenceByContent.get(content))
+        .filter(e -> !e.crashes().isEmpty())
+        .isPresent();
+  }
+
   /** Returns the evidence against all quarantined contents. */
   public List<Suspicion> allQuarantineEvidence(Instant now) {
     return suspicions(e -> e.independentCrashes() >= Suspicion.QUARANTINE_THRESHOLD, now);
   }
 
+  /**
+   * Returns whether each crash of a quarantined content or part is also evidence against another
+   * quarantined one, so that it is open which of them is the cause.
+   */
+  public boolean isAmbiguous(RequestFingerprint content, Instant now) {
+    Set<String> unexplained =
+        quarantineEvidence(content, now)
+            .map(s -> new HashSet<>(s.crashedIncarnations()))
+            .orElseGet(HashSet::new);
+    if (unexplained.isEmpty()) {
+      return false;
+    }
+    allQuarantineEvidence(now).stream()
+        .filter(s -> !s.content().equals(content))
+        .forEach(s -> unexplained.removeAll(s.crashedIncarnations()));
+    return unexplained.isEmpty();
+  }
+
   /** Returns the remaining time of a content's quarantine, empty if it is not quarantined. */
   public Optional<Duration> remainingQuarantine(RequestFingerprint content, Instant now) {
     return quarantineEvidence(content, now).map(s -> RETENTION.minus(s.age()));
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/QuarantineTrialsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/QuarantineTrialsTest.java
@@ -58,11 +58,58 @@
     Suspicion suspicion = quarantined(crashes, lastAge);
     long trials =
         ENTRIES.stream()
-            .filter(e -> new QuarantineTrials().tryStartTrial(suspicion, e, ENTRIES, NOW))
+            .filter(
+                e ->
+                    new QuarantineTrials()
+                        .tryStartTrial(List.of(suspicion), false, e, ENTRIES, NOW))
             .count();
     assertThat(trials, is(expectsTrial ? 1L : 0L));
   }
 
+  static Stream<Arguments> ambiguousStates() {
+    Duration delay = QuarantineTrials.AMBIGUOUS_TRIAL_DELAY;
+    int maxCrashes = 3 + QuarantineTrials.MAX_FAILED_AMBIGUOUS_TRIALS;
+    return Stream.of(
+        Arguments.of("too early", 3, delay.minusMillis(1), false),
+        Arguments.of("no crash for the delay", 3, delay, true),
+        Arguments.of(
+            "too early after a failed trial", 4, delay.multipliedBy(2).minusMillis(1), false),
+        Arguments.of("twice the delay after a failed trial", 4, delay.multipliedBy(2), true),
+        Arguments.of(
+            "maximum number of trials failed", maxCrashes, QuarantineTrials.TRIAL_DELAY, false));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("ambiguousStates")
+  void trialsStartEarlyWhileEvidenceIsAmbiguous(
+      String name, int crashes, Duration lastAge, boolean expectsTrial) {
+    Suspicion suspicion = quarantined(crashes, lastAge);
+    long trials =
+        ENTRIES.stream()
+            .filter(
+                e ->
+                    new QuarantineTrials().tryStartTrial(List.of(suspicion), true, e, ENTRIES, NOW))
+            .count();
+    assertThat(trials, is(expectsTrial ? 1L : 0L));
+  }
+
+  /** A request that also has what is not due for a trial must not run. */
+  @Test
+  void trialNeedsAllQuarantinedPartsToBeDue() {
+    Suspicion due = quarantined(3, QuarantineTrials.TRIAL_DELAY);
+    Suspicion recent =
+        new Suspicion(
+            new RequestFingerprint(8),
+            quarantined(3, Duration.ofSeconds(1)).crashes(),
+            Optional.empty());
+    List<String> self = List.of("entry");
+    assertThat(
+        new QuarantineTrials().tryStartTrial(List.of(due, recent), false, "entry", self, NOW),
+        is(false));
+    assertThat(
+        new QuarantineTrials().tryStartTrial(List.of(due), false, "entry", self, NOW), is(true));
+  }
+
   /** Callers send to any entry, so entries take turns, with at most one trial per turn. */
   @Test
   void entriesTakeTurns() {
@@ -75,7 +122,9 @@
       Duration elapsed = QuarantineTrials.TURN_DURATION.dividedBy(4).multipliedBy(i);
       Suspicion suspicion = quarantined(3, QuarantineTrials.TRIAL_DELAY.plus(elapsed));
       for (String entry : ENTRIES) {
-        if (trials.get(entry).tryStartTrial(suspicion, entry, ENTRIES, NOW.plus(elapsed))) {
+        if (trials
+            .get(entry)
+            .tryStartTrial(List.of(suspicion), false, entry, ENTRIES, NOW.plus(elapsed))) {
           triedBy.add(entry);
           runs++;
         }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
@@ -173,6 +173,48 @@
     assertThat(suspicion.crashedIncarnations(), hasItem("later"));
   }
 
+  /**
+   * Each row: the endpoints that crashed with a second part, and whether the first is ambiguous.
+   */
+  static Stream<Arguments> otherParts() {
+    return Stream.of(
+        Arguments.of(List.of(), false),
+        Arguments.of(List.of("a", "b"), false),
+        Arguments.of(List.of("a", "b", "d"), false),
+        Arguments.of(List.of("a", "b", "c"), true),
+        Arguments.of(List.of("a", "b", "c", "d"), true));
+  }
+
+  @ParameterizedTest
+  @MethodSource("otherParts")
+  void evidenceIsAmbiguousIfOthersExplainEachCrash(List<String> endpoints, boolean ambiguous) {
+    SuspicionLedger ledger = ledger("a", "b", "c");
+    RequestFingerprint other = new RequestFingerprint(8);
+    for (int i = 0; i < endpoints.size(); i++) {
+      Duration age = CRASH_INTERVAL.multipliedBy(i);
+      ledger.merge(Suspicion.of(other, new EndpointCrash(endpoints.get(i), age, false)), NOW);
+    }
+    assertThat(ledger.isAmbiguous(CONTENT, NOW), is(ambiguous));
+  }
+
+  /** Guards against losing the part that recurs among prompts of which no two are alike. */
+  @Test
+  void recurringPartIsKeptWhileAllOthersAreNew() {
+    SuspicionLedger ledger = new SuspicionLedger();
+    for (int crash = 0; crash < 3; crash++) {
+      Instant crashedAt = NOW.plus(CRASH_INTERVAL.multipliedBy(crash));
+      ledger.merge(suspicion(CONTENT, "e" + crash), crashedAt);
+      for (int i = 0; i < SuspicionLedger.MAX_CONTENTS / 2; i++) {
+        RequestFingerprint unique =
+            new RequestFingerprint(1_000L + crash * SuspicionLedger.MAX_CONTENTS + i);
+        ledger.merge(suspicion(unique, "e" + crash), crashedAt);
+      }
+      assertThat(ledger.size(), lessThanOrEqualTo(SuspicionLedger.MAX_CONTENTS));
+    }
+    Instant now = NOW.plus(CRASH_INTERVAL.multipliedBy(3));
+    assertThat(ledger.quarantineEvidence(CONTENT, now).isPresent(), is(true));
+  }
+
   static Stream<Arguments> digests() {
     return Stream.of(
         Arguments.of("no crash and one crash", ledger(), ledger("a"), true, true),
@@ -263,7 +305,7 @@
   }
 
   static Stream<Arguments> completions() {
-    Duration ttl = RecentCompletions.COMPLETION_TTL;
+    Duration ttl = RecentCompletions.CONTENT_TTL;
     return Stream.of(
         Arguments.of(Duration.ZERO, true),
         Arguments.of(ttl.minusMillis(1), true),
@@ -273,7 +315,7 @@
   @ParameterizedTest
   @MethodSource("completions")
   void recentCompletionClearsItsContentOnly(Duration age, boolean clears) {
-    RecentCompletions completions = new RecentCompletions();
+    RecentCompletions completions = new RecentCompletions(RecentCompletions.CONTENT_TTL);
     completions.record(CONTENT, NOW.minus(age));
     assertThat(completions.isRecentlyCompleted(CONTENT, NOW), is(clears));
     assertThat(completions.isRecentlyCompleted(new RequestFingerprint(8), NOW), is(false));
@@ -281,9 +323,9 @@
 
   @Test
   void retainsBoundedNumberOfCompletions() {
-    RecentCompletions completions = new RecentCompletions();
+    RecentCompletions completions = new RecentCompletions(RecentCompletions.CONTENT_TTL);
     completions.record(CONTENT, NOW);
-    for (int i = 0; i < RecentCompletions.MAX_CONTENTS; i++) {
+    for (int i = 0; i < RecentCompletions.MAX_COMPLETIONS; i++) {
       completions.record(new RequestFingerprint(1_000 + i), NOW);
     }
     assertThat(completions.isRecentlyCompleted(CONTENT, NOW), is(not(true)));
