Keep the crashes that count when evidence against a content is evicted

What callers saw: a content that had crashed more than ten endpoints was refused, then run again at some entries. CrashingRequestTest, row 'left', showed it once: 12 runs after the quarantine where 3 are allowed. Cause: of more than 16 crashes the oldest was evicted. When many endpoints are lost together, their crashes are simultaneous and two of them count; they pushed out the earlier independent crashes, and the content was below the threshold again. Change: what is evicted first is the oldest crash that does not count. Measured: SuspicionLedgerTest#simultaneousCrashesDoNotEndTheQuarantine failed before and passes; CrashingRequestTest passes (one run).

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -160,7 +159,7 @@
           CrashRecord::mergedWith);
     }
     crashes.entrySet().removeIf(e -> isInvalidated(e.getKey(), e.getValue(), clearedAt));
-    evictOldestCrashes(crashes);
+    evictCrashes(content, crashes, now);
     StoredEvidence merged = StoredEvidence.of(content, crashes, clearedAt, now);
     if (merged.isEmpty() || !merged.isRetained(now)) {
       return Optional.empty();
@@ -178,14 +177,40 @@
     return !crash.at().isAfter(clearedAt) || !crash.at().isAfter(aliveAt);
   }
 
-  private static void evictOldestCrashes(Map<String, CrashRecord> crashes) {
+  /**
+   * Evicts crashes until the maximum is reached: the oldest one that does not count because others
+   * were simultaneous, or the oldest one if all count.
+   */
+  private static void evictCrashes(
+      RequestFingerprint content, Map<String, CrashRecord> crashes, Instant now) {
     while (crashes.size() > MAX_CRASHES_PER_CONTENT) {
-      crashes.remove(
-          Collections.min(crashes.entrySet(), Comparator.comparing(e -> e.getValue().at()))
-              .getKey());
+      List<String> oldestFirst =
+          crashes.entrySet().stream()
+              .sorted(Comparator.comparing(e -> e.getValue().at()))
+              .map(Map.Entry::getKey)
+              .toList();
+      int count = independentCrashes(content, crashes, now);
+      String evicted =
+          oldestFirst.stream()
+              .filter(i -> independentCrashes(content, without(crashes, i), now) == count)
+              .findFirst()
+              .orElse(oldestFirst.get(0));
+      crashes.remove(evicted);
     }
   }
 
+  private static int independentCrashes(
+      RequestFingerprint content, Map<String, CrashRecord> crashes, Instant now) {
+    return StoredEvidence.of(content, crashes, Instant.MIN, now).independentCrashes();
+  }
+
+  private static Map<String, CrashRecord> without(
+      Map<String, CrashRecord> crashes, String incarnation) {
+    Map<String, CrashRecord> others = new TreeMap<>(crashes);
+    others.remove(incarnation);
+    return others;
+  }
+
   /** Removes an incarnation's crash from all contents, because the incarnation is still alive. */
   public void retractCrash(String incarnation, Instant now) {
     retractedAt.remove(incarnation);
@@ -194,8 +219,7 @@
         Map.copyOf(evidenceByContent).entrySet()) {
       StoredEvidence evidence = entry.getValue();
       if (evidence.crashes().containsKey(incarnation)) {
-        Map<String, CrashRecord> crashes = new TreeMap<>(evidence.crashes());
-        crashes.remove(incarnation);
+        Map<String, CrashRecord> crashes = without(evidence.crashes(), incarnation);
         replace(
             entry.getKey(), StoredEvidence.of(entry.getKey(), crashes, evidence.clearedAt(), now));
       }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
@@ -173,6 +173,17 @@
     assertThat(suspicion.crashedIncarnations(), hasItem("later"));
   }
 
+  /** Guards against losing the independent crashes when many endpoints are lost together. */
+  @Test
+  void simultaneousCrashesDoNotEndTheQuarantine() {
+    SuspicionLedger ledger = ledger("a", "b", "c");
+    for (int i = 0; i < 2 * SuspicionLedger.MAX_CRASHES_PER_CONTENT; i++) {
+      EndpointCrash crash = new EndpointCrash("lost-" + i, Duration.ZERO, true);
+      ledger.merge(Suspicion.of(CONTENT, crash), NOW.plus(CRASH_INTERVAL));
+      assertThat(ledger.quarantineEvidence(CONTENT, NOW).isPresent(), is(true));
+    }
+  }
+
   /**
    * Each row: the endpoints that crashed with a second part, and whether the first is ambiguous.
    */
