Own interface: quarantine messages that crash endpoints; decisions in the kernel

What callers saw: on the product's own interface requests failed one after the other, because a message that their prompts had in common crashed all endpoints, as on the users' platform. Found by looking for the same cause elsewhere. Cause: evidence by the fingerprint of the whole body only. Two more faults of the same class: requests with the same part did not wait for the probe of an endpoint that may have crashed because of it, on both interfaces, so that a quick series of requests crashed many endpoints before the first crash was confirmed; and the own interface refused at once, before entries that had completed the content could clear it. Change: the messages of a chat but the last are its shared prompt parts. What both interfaces decide by stands once, in Quarantine in the kernel, with confirmation and trials for the own interface too; an operator's lift is as before. Requests wait for a crash probe of any of their parts that this entry has not seen completed.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -7,7 +7,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,11 +16,8 @@
 import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.IncompleteRuns;
-import org.lacewingcroft.quarantine.QuarantineConfirmation;
-import org.lacewingcroft.quarantine.QuarantineTrials;
-import org.lacewingcroft.quarantine.RecentCompletions;
+import org.lacewingcroft.quarantine.Quarantine;
 import org.lacewingcroft.quarantine.Suspicion;
-import org.lacewingcroft.quarantine.SuspicionLedger;
 import org.lacewingcroft.request.RequestFingerprint;
 import org.lacewingcroft.request.RequestFingerprints;
 
@@ -51,14 +47,8 @@
   private final InstantSource clock;
   private final Supplier<Set<String>> controls;
   private final Supplier<List<String>> entries;
-  private final SuspicionLedger ledger = new SuspicionLedger();
-  private final RecentCompletions completedContents =
-      new RecentCompletions(RecentCompletions.CONTENT_TTL);
-  private final RecentCompletions completedParts =
-      new RecentCompletions(RecentCompletions.PROMPT_PART_TTL);
+  private final Quarantine quarantine = new Quarantine();
   private final IncompleteRuns incompleteRuns = new IncompleteRuns();
-  private final QuarantineTrials trials = new QuarantineTrials();
-  private final QuarantineConfirmation confirmation = new QuarantineConfirmation();
   private final CrashProbe probe;
   private final PendingCrashProbes pendingProbes = new PendingCrashProbes();
   private final List<Suspicion> nextBatch = new ArrayList<>();
@@ -109,30 +99,18 @@
    */
   public Optional<Duration> remainingQuarantine(RequestFingerprints request) {
     Instant now = clock.instant();
-    List<Suspicion> quarantined = quarantineEvidence(request, now);
-    if (quarantined.isEmpty()) {
+    Optional<Duration> remaining = quarantine.remaining(request, now);
+    if (remaining.isEmpty()) {
       return Optional.empty();
     }
-    boolean ambiguous =
-        quarantined.stream()
-            .map(Suspicion::content)
-            .allMatch(f -> !f.equals(request.content()) && ledger.isAmbiguous(f, now));
-    if (trials.tryStartTrial(quarantined, ambiguous, name, entries.get(), now)) {
-      quarantined.forEach(QuarantineLog::logTrial);
-      return Optional.empty();
-    }
-    return quarantined.stream()
-        .flatMap(s -> ledger.remainingQuarantine(s.content(), now).stream())
-        .max(Comparator.naturalOrder());
-  }
-
-  private List<Suspicion> quarantineEvidence(RequestFingerprints request, Instant now) {
-    return request.all().stream().flatMap(f -> ledger.quarantineEvidence(f, now).stream()).toList();
+    List<Suspicion> tried = quarantine.tryStartTrial(request, name, entries.get(), now);
+    tried.forEach(QuarantineLog::logTrial);
+    return tried.isEmpty() ? remaining : Optional.empty();
   }
 
   /** Returns the number of quarantined request contents and prompt parts. */
   public int size() {
-    return ledger.allQuarantineEvidence(clock.instant()).size();
+    return quarantine.all(clock.instant()).size();
   }
 
   /**
@@ -142,20 +120,9 @@
    *     a rejection, may have been sent without running its prompt
    */
   public void recordCompletion(RequestFingerprints request, boolean successful) {
-    Instant now = clock.instant();
-    completedContents.record(request.content(), now);
-    if (successful) {
-      request.promptParts().forEach(part -> completedParts.record(part, now));
-    }
-    quarantineEvidence(request, now).stream()
-        .map(Suspicion::content)
-        .filter(fingerprint -> isRecentlyCompleted(fingerprint, now))
-        .forEach(fingerprint -> recordAndReport(Suspicion.cleared(fingerprint)));
-  }
-
-  private boolean isRecentlyCompleted(RequestFingerprint fingerprint, Instant now) {
-    return completedContents.isRecentlyCompleted(fingerprint, now)
-        || completedParts.isRecentlyCompleted(fingerprint, now);
+    quarantine
+        .recordCompletion(request, successful, clock.instant())
+        .forEach(this::recordAndReport);
   }
 
   /**
@@ -180,7 +147,7 @@
                     endpointCrashed(endpoint.record(), endpoint.lastByteAt());
                   }
                 });
-    pendingProbes.add(request.content(), result);
+    pendingProbes.add(request, result);
   }
 
   private static SocketAddress addressOf(EndpointTracker endpoint) {
@@ -193,16 +160,14 @@
    */
   public Optional<Future<Void>> pendingDecision(RequestFingerprints request) {
     return pendingProbes
-        .get(request.content())
+        .get(quarantine.uncompleted(request, clock.instant()))
         .map(Future::<Void>mapEmpty)
         .or(() -> pendingConfirmation(request));
   }
 
   private Optional<Future<Void>> pendingConfirmation(RequestFingerprints request) {
-    Instant now = clock.instant();
-    return quarantineEvidence(request, now).stream()
-        .flatMap(quarantined -> confirmation.remaining(quarantined.content(), now).stream())
-        .max(Comparator.naturalOrder())
+    return quarantine
+        .remainingConfirmation(request, clock.instant())
         .map(remaining -> vertx.timer(Math.max(1, remaining.toMillis())).mapEmpty());
   }
 
@@ -236,14 +201,11 @@
   /** Records that an endpoint that was presumed crashed has recovered, as the same incarnation. */
   void endpointRecovered(EndpointRecord endpoint) {
     incompleteRuns.endpointRecovered(endpoint.incarnationId());
-    Instant now = clock.instant();
-    ledger.retractCrash(endpoint.incarnationId(), now);
-    confirmation.retain(
-        ledger.allQuarantineEvidence(now).stream().map(Suspicion::content).toList());
+    quarantine.retractCrash(endpoint.incarnationId(), clock.instant());
   }
 
   private void suspect(Suspicion suspicion) {
-    if (!isRecentlyCompleted(suspicion.content(), clock.instant())) {
+    if (!quarantine.isRecentlyCompleted(suspicion.content(), clock.instant())) {
       recordAndReport(suspicion);
     }
   }
@@ -258,14 +220,9 @@
   }
 
   private void merge(Suspicion suspicion, String cause) {
-    Instant now = clock.instant();
-    ledger
-        .merge(suspicion, now)
-        .ifPresent(
-            merged -> {
-              QuarantineLog.logChange(merged, cause);
-              confirmation.onEvidence(merged, now);
-            });
+    quarantine
+        .merge(suspicion, clock.instant())
+        .ifPresent(merged -> QuarantineLog.logChange(merged, cause));
   }
 
   private void sendBatch() {
@@ -284,7 +241,7 @@
   /** Resends the reports that no control instance has confirmed, and removes expired evidence. */
   void resendUnconfirmed() {
     Instant now = clock.instant();
-    ledger.expire(now);
+    quarantine.expire(now);
     incompleteRuns.expire(now);
     List.copyOf(unconfirmed.keySet()).forEach(this::send);
   }
@@ -298,10 +255,7 @@
     Instant now = clock.instant();
     for (Suspicion suspicion : update.suspicions()) {
       merge(suspicion, update.from());
-      RequestFingerprint fingerprint = suspicion.content();
-      if (isRecentlyCompleted(fingerprint, now) && ledger.isSuspected(fingerprint)) {
-        recordAndReport(Suspicion.cleared(fingerprint));
-      }
+      quarantine.clearing(suspicion.content(), now).ifPresent(this::recordAndReport);
     }
   }
 
@@ -312,7 +266,7 @@
 
   /** Returns the digest of the quarantined request contents. */
   int digest() {
-    return ledger.quarantinedDigest();
+    return quarantine.digest();
   }
 
   /**
@@ -323,8 +277,7 @@
     if (pulse.quarantineDigest() == digest()) {
       return;
     }
-    List<Suspicion> quarantined =
-        ledger.withCrashesOrCleared(Suspicion.QUARANTINE_THRESHOLD, clock.instant());
+    List<Suspicion> quarantined = quarantine.allAndCleared(clock.instant());
     if (!quarantined.isEmpty()) {
       transport.send(pulse.from(), new FleetMessage.SuspicionUpdate(selfAddress, 0, quarantined));
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
@@ -52,16 +52,19 @@
   }
 
   /**
-   * Refuses a request whose content crashes the endpoints that run it.
+   * Refuses a request whose content or one of whose messages crashes the endpoints that run it.
    *
-   * @param remaining how long the content remains quarantined
+   * @param remaining how long it remains quarantined
    */
   void sendQuarantined(Exchange exchange, Duration remaining) {
     setRetryAfter(exchange, remaining);
     sendNotRun(
         exchange,
         ErrorKind.CONTENT_QUARANTINED,
-        "several endpoints broke off while they had the content " + exchange.fingerprint());
+        "several endpoints broke off while they had the content "
+            + exchange.fingerprints().content()
+            + " or one of its messages "
+            + exchange.fingerprints().promptPartsText());
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -109,12 +109,12 @@
     if (exchange.refused() || exchange.responseCommitted() && exchange.claimedKey().isEmpty()) {
       return;
     }
-    Optional<Future<Boolean>> pendingProbe = quarantine.pendingCrashProbe(exchange.fingerprint());
-    if (pendingProbe.isPresent()) {
-      pendingProbe.get().onComplete(done -> send(exchange));
+    Optional<Future<Void>> pendingDecision = quarantine.pendingDecision(exchange.fingerprints());
+    if (pendingDecision.isPresent()) {
+      pendingDecision.get().onComplete(decided -> send(exchange));
       return;
     }
-    Optional<Duration> quarantined = quarantine.remainingQuarantine(exchange.fingerprint());
+    Optional<Duration> quarantined = quarantine.remainingQuarantine(exchange.fingerprints());
     if (quarantined.isPresent()) {
       if (!exchange.hasLiveAttempt()) {
         reply.sendQuarantined(exchange, quarantined.get());
@@ -246,7 +246,7 @@
 
   private void onRequestFailure(Exchange exchange, Attempt attempt, Throwable e) {
     if (attempt.live() && attempt.toEndpoint() && !(e instanceof TimeoutException)) {
-      quarantine.onConnectionLost(attempt.target(), exchange.fingerprint());
+      quarantine.onConnectionLost(attempt.target(), exchange.fingerprints());
     }
     handleFailureAfterSend(exchange, attempt, String.valueOf(e.getMessage()));
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lacewingcroft.request.CallerRequest;
-import org.lacewingcroft.request.RequestFingerprint;
+import org.lacewingcroft.request.RequestFingerprints;
 
 /**
  * The state of one caller request while this daemon handles it.
@@ -22,7 +22,6 @@
   private final CallerRequest request;
   private final String requestId;
   private final HopAuthenticator.Hop hop;
-  private final RequestFingerprint fingerprint;
   private final Instant deadline;
   private final long startNanos = System.nanoTime();
   private final Set<String> excludedTargets = new HashSet<>();
@@ -43,7 +42,6 @@
     this.request = request;
     this.requestId = requestId;
     this.hop = hop;
-    this.fingerprint = request.fingerprint();
     this.deadline = now.plus(request.timeout());
   }
 
@@ -55,9 +53,9 @@
     return request;
   }
 
-  /** Returns the fingerprint of the request's content, the same for every resend. */
-  RequestFingerprint fingerprint() {
-    return fingerprint;
+  /** Returns the fingerprints of the request, the same for every resend. */
+  RequestFingerprints fingerprints() {
+    return request.fingerprints();
   }
 
   String requestId() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
@@ -16,6 +16,7 @@
  */
 final class ResponseRelay {
   private static final System.Logger LOG = System.getLogger(ResponseRelay.class.getName());
+  private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
 
   /** Bound on the buffered body; a key whose response is longer gets an unknown outcome. */
@@ -110,7 +111,7 @@
   private void onConnectionLost() {
     if (attempt.end()) {
       if (attempt.toEndpoint()) {
-        quarantine.onConnectionLost(attempt.target(), exchange.fingerprint());
+        quarantine.onConnectionLost(attempt.target(), exchange.fingerprints());
       }
       reply.sendOutcomeUnknown(exchange, "the answer broke off in the middle");
     }
@@ -120,8 +121,9 @@
     if (!attempt.end()) {
       return;
     }
-    if (attempt.toEndpoint() && upstreamResponse.statusCode() < SERVER_ERROR) {
-      quarantine.recordCompletion(exchange.fingerprint());
+    int status = upstreamResponse.statusCode();
+    if (attempt.toEndpoint() && status < SERVER_ERROR) {
+      quarantine.recordCompletion(exchange.fingerprints(), status < MULTIPLE_CHOICES);
     }
     exchange.claimedKey().ifPresent(this::recordResponse);
     if (!exchange.callerDisconnected() && !exchange.response().ended()) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CrashingContentTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CrashingContentTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -109,6 +110,31 @@
     endpoints.forEach(FakeEndpoint::close);
   }
 
+  /** The same for a message that requests have in common of which no two are alike. */
+  @ParameterizedTest
+  @EnumSource(RequestType.class)
+  void messageThatCrashesEndpointsIsQuarantined(RequestType type) throws Exception {
+    String model = "messages-" + type;
+    List<FakeEndpoint> endpoints = announceAll(model, Behaviour.CRASHES_ON_POISON);
+    List<String> sound = List.of("shared " + type, "sound " + type);
+    List<String> crashing = List.of("shared " + type, POISON + " " + type);
+    TestCluster.await(() -> chat(entries.get(1), model, sound, type).status() == 200);
+    TestCluster.Reply last = chat(entries.get(0), model, crashing, type);
+    for (int call = 1; call < CALLS; call++) {
+      last = chat(entries.get(call % entries.size()), model, crashing, type);
+      // The other messages of these requests are served all the while.
+      chat(entries.get(call % entries.size()), model, sound, type);
+    }
+    int poisonRuns = endpoints.stream().mapToInt(FakeEndpoint::poisonRuns).sum();
+    assertThat(poisonRuns, greaterThanOrEqualTo(3));
+    assertThat(poisonRuns, lessThanOrEqualTo(MAX_POISON_RUNS));
+    assertThat(last.code(), is("content_quarantined"));
+    for (Daemon entry : entries) {
+      TestCluster.await(() -> chat(entry, model, sound, type).status() == 200);
+    }
+    endpoints.forEach(FakeEndpoint::close);
+  }
+
   private List<FakeEndpoint> announceAll(String model, Behaviour behaviour) throws Exception {
     List<FakeEndpoint> endpoints = new ArrayList<>();
     for (int i = 0; i < ENDPOINTS; i++) {
@@ -151,17 +177,29 @@
 
   private TestCluster.Reply chat(
       Daemon entry, String model, String text, RequestType type, int call) throws Exception {
+    return send(entry, model, List.of(text), type, text + call);
+  }
+
+  /** Sends a request with the given messages and a last one that no other request has. */
+  private TestCluster.Reply chat(
+      Daemon entry, String model, List<String> sharedMessages, RequestType type) throws Exception {
+    List<String> messages = new ArrayList<>(sharedMessages);
+    messages.add("own " + System.nanoTime());
+    return send(entry, model, messages, type, String.join(" ", messages));
+  }
+
+  private TestCluster.Reply send(
+      Daemon entry, String model, List<String> messages, RequestType type, String key)
+      throws Exception {
     Map<String, String> headers = new HashMap<>(Map.of("X-Organisation", "desk"));
     if (type == RequestType.KEYED) {
-      headers.put("Idempotency-Key", model + text + call + System.nanoTime());
+      headers.put("Idempotency-Key", model + key + System.nanoTime());
       headers.put("X-Idempotent", "false");
     }
     String body =
-        "{\"model\":\""
-            + model
-            + "\",\"messages\":[{\"role\":\"user\",\"content\":\""
-            + text
-            + "\"}]}";
+        messages.stream()
+            .map(text -> "{\"role\":\"user\",\"content\":\"" + text + "\"}")
+            .collect(Collectors.joining(",", "{\"model\":\"" + model + "\",\"messages\":[", "]}"));
     return cluster.send(entry, "POST", "/v1/chat/completions", headers, body);
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallerRequest.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -36,6 +38,7 @@
  * @param forwardedFrom the region that forwarded the request to this one, if any
  * @param prefixKey the first {@link #PREFIX_CHARS} characters of the first message, for cache
  *     affinity
+ * @param fingerprints identify the content, the same for all callers, and its messages but the last
  * @param body the raw body, relayed unchanged to the endpoint
  * @param path the path to call on the endpoint, such as {@code /v1/chat/completions}
  */
@@ -50,6 +53,7 @@
     Duration timeout,
     Optional<String> forwardedFrom,
     String prefixKey,
+    RequestFingerprints fingerprints,
     byte[] body,
     String path) {
 
@@ -131,6 +135,7 @@
         model.asText(),
         root.path("stream").asBoolean(false),
         prefixOf(messages),
+        promptPartsOf(messages),
         body,
         CHAT_PATH,
         knownRegions);
@@ -160,7 +165,7 @@
     if (service == null || service.isBlank() || !path.startsWith("/")) {
       throw malformed("the path must be /v1/services/<service>/<path>");
     }
-    return build(headers, service, false, "", body, path, knownRegions);
+    return build(headers, service, false, "", List.of(), body, path, knownRegions);
   }
 
   private static String organisationOf(Function<String, String> headers) {
@@ -182,6 +187,7 @@
       String model,
       boolean stream,
       String prefixKey,
+      List<String> promptParts,
       byte[] body,
       String path,
       Supplier<Set<String>> knownRegions) {
@@ -204,15 +210,12 @@
         parseTimeout(headers.apply(DEADLINE_HEADER)),
         Optional.ofNullable(headers.apply(FORWARDED_HEADER)),
         prefixKey,
+        RequestFingerprints.of(
+            RequestFingerprint.of("POST", "", model + ' ' + path, body), promptParts),
         body.clone(),
         path);
   }
 
-  /** Returns the fingerprint of the request content, the same for all callers. */
-  public RequestFingerprint fingerprint() {
-    return RequestFingerprint.of("POST", "", model + ' ' + path, body);
-  }
-
   /**
    * Returns the key under which the owner instance records this request: the organisation and the
    * idempotency key.
@@ -258,6 +261,13 @@
     return text.substring(0, Math.min(PREFIX_CHARS, text.length()));
   }
 
+  /** Returns the messages of a prompt as ids of its parts; equal messages have equal ids. */
+  private static List<String> promptPartsOf(JsonNode messages) {
+    List<String> parts = new ArrayList<>();
+    messages.forEach(message -> parts.add(message.toString()));
+    return parts;
+  }
+
   private static GatewayException malformed(String detail) {
     return new GatewayException(ErrorKind.MALFORMED_REQUEST, detail);
   }
