Break off event streams that end within an event with their connection

What callers saw: on the product's own interface a stream with neither length nor chunks, whose endpoint crashed within an event, looked complete; on the users' platform one that ended before its first event did. Cause: the end of the connection was taken for the end of the body. The platform's interface looked at the last event already, but did not report the connection as lost, so that the crash was no evidence against what the endpoint was running. Change: the own interface passes on complete events only and ends a stream that broke off within one with its error event. A stream without framing that ends before its first event is broken off, and one that breaks off counts as a lost connection.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -356,6 +356,8 @@
     private int status;
     private List<Map.Entry<String, String>> headers = List.of();
     private Optional<EventSplitter> eventSplitter = Optional.empty();
+    private boolean framed;
+    private boolean eventsReceived;
     private Buffer body = Buffer.buffer();
 
     /**
@@ -403,6 +405,7 @@
         countRun();
         upstream.target().endpoint().ifPresent(ForwardCall.this::recordPrefix);
         eventSplitter = Optional.of(new EventSplitter(lastEventId));
+        framed = UpstreamAttempt.isFramed(upstreamResponse);
         if (!streaming) {
           streaming = true;
           if (context.node().isShuttingDown()) {
@@ -467,6 +470,7 @@
       lastEventId = eventSplitter.get().lastId();
       recordEvents(lastEventId.orElse(0) - lastIdBefore);
       if (completeEvents.length > 0) {
+        eventsReceived = true;
         response.write(completeEvents);
         startResponseTimer(this, 0);
         if (response.isWriteQueueFull()) {
@@ -490,8 +494,11 @@
         return;
       }
       if (eventSplitter.isPresent()) {
-        if (eventSplitter.get().incompleteEvent().length > 0) {
-          handleIncompleteResponse(this, "ended within an event");
+        if (isStreamBrokenOff(eventSplitter.get())) {
+          if (!framed) {
+            reportConnectionLost(upstream);
+          }
+          handleIncompleteResponse(this, "ended within an event or before the first one");
         } else {
           recordServed(upstream, status);
           response.endStream();
@@ -504,6 +511,15 @@
       }
     }
 
+    /**
+     * Returns whether the stream ended before its last event was complete. A stream without length
+     * and chunks ends with its connection, also when the endpoint crashes.
+     */
+    private boolean isStreamBrokenOff(EventSplitter events) {
+      boolean empty = !eventsReceived && lastEventId.isEmpty();
+      return events.incompleteEvent().length > 0 || !framed && empty;
+    }
+
     /** Handles a complete response that is not an event stream. */
     private void completeBuffered() {
       countRun();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -203,10 +203,7 @@
   private void releaseConnection(
       UpstreamConnections.PooledConnection pooled, HttpClientResponse received) {
     String connectionHeader = received.getHeader("Connection");
-    boolean delimited =
-        received.getHeader("Content-Length") != null
-            || received.getHeader("Transfer-Encoding") != null;
-    if (!delimited || "close".equalsIgnoreCase(connectionHeader)) {
+    if (!isFramed(received) || "close".equalsIgnoreCase(connectionHeader)) {
       pooled.close();
     } else if (target.entry().isPresent()) {
       pooled.releaseWithIdleTimeout(UpstreamConnections.RELAY_IDLE_TIMEOUT);
@@ -215,6 +212,12 @@
     }
   }
 
+  /** Returns whether a response states where its body ends, by its length or by chunks. */
+  static boolean isFramed(HttpClientResponse response) {
+    return response.getHeader("Content-Length") != null
+        || response.getHeader("Transfer-Encoding") != null;
+  }
+
   private static Optional<Duration> parseKeepAlive(String header) {
     Matcher matcher = KEEP_ALIVE_SECONDS.matcher(header == null ? "" : header);
     return matcher.find()
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.stream.EventSplitter;
 
 /**
  * Relays one upstream response to the caller as it arrives, with backpressure from the caller.
@@ -16,6 +17,7 @@
  */
 final class ResponseRelay {
   private static final System.Logger LOG = System.getLogger(ResponseRelay.class.getName());
+  private static final String EVENT_STREAM = "text/event-stream";
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
 
@@ -38,6 +40,7 @@
   private final CallerReply reply;
   private final ContentQuarantine quarantine;
   private final Optional<Buffer> bufferedBody;
+  private final Optional<EventSplitter> events;
   private boolean firstByteRelayed;
 
   /** Creates the relay of one response. */
@@ -61,6 +64,10 @@
     this.reply = reply;
     this.quarantine = quarantine;
     this.bufferedBody = exchange.claimedKey().map(key -> Buffer.buffer());
+    this.events =
+        Optional.ofNullable(upstreamResponse.getHeader("Content-Type"))
+            .filter(type -> type.startsWith(EVENT_STREAM))
+            .map(type -> EventSplitter.ofStreamWithoutIds());
   }
 
   void start() {
@@ -91,6 +98,18 @@
   }
 
   private void relayChunk(Buffer chunk) {
+    if (events.isEmpty()) {
+      relayBytes(chunk);
+      return;
+    }
+    // An event that is broken off must not precede the error event that ends the response.
+    byte[] completeEvents = events.get().append(chunk.getBytes());
+    if (completeEvents.length > 0) {
+      relayBytes(Buffer.buffer(completeEvents));
+    }
+  }
+
+  private void relayBytes(Buffer chunk) {
     if (!firstByteRelayed) {
       firstByteRelayed = true;
       metrics.firstByteSeconds.observe(exchange.elapsedSeconds());
@@ -118,6 +137,11 @@
   }
 
   private void onComplete() {
+    // A stream without length and chunks ends with its connection, also when the endpoint crashes.
+    if (events.filter(e -> e.incompleteEvent().length > 0).isPresent()) {
+      onConnectionLost();
+      return;
+    }
     if (!attempt.end()) {
       return;
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
@@ -118,7 +118,45 @@
             EVENTS,
             2),
         new TestCase("broken", stream, false, 2, List.of(Action.STREAM_BREAKS), ABORTED, "", 1),
-        new TestCase("spent", stream, true, 1, List.of(Action.STREAM_BREAKS), ABORTED, "", 1));
+        new TestCase("spent", stream, true, 1, List.of(Action.STREAM_BREAKS), ABORTED, "", 1),
+        new TestCase(
+            "unframed-stream", stream, false, 1, List.of(Action.UNFRAMED_STREAM), 200, EVENTS, 1),
+        new TestCase(
+            "unframed-broken",
+            stream,
+            false,
+            1,
+            List.of(Action.UNFRAMED_STREAM_BREAKS),
+            ABORTED,
+            "",
+            1),
+        new TestCase(
+            "unframed-resumed",
+            stream,
+            true,
+            2,
+            List.of(Action.UNFRAMED_STREAM_BREAKS, Action.UNFRAMED_STREAM),
+            200,
+            EVENTS,
+            2),
+        new TestCase(
+            "unframed-empty",
+            stream,
+            true,
+            2,
+            List.of(Action.UNFRAMED_STREAM_EMPTY, Action.UNFRAMED_STREAM),
+            200,
+            EVENTS,
+            2),
+        new TestCase(
+            "unframed-stream-reset",
+            stream,
+            true,
+            2,
+            List.of(Action.UNFRAMED_STREAM_RESET, Action.STREAM),
+            200,
+            EVENTS,
+            2));
   }
 
   @BeforeAll
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -5,10 +5,14 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * Endpoints of one service that handle requests according to a script, in the order in which the
@@ -46,7 +50,15 @@
     /** Streams the events after the last one that the sender has received, up to the third. */
     STREAM,
     /** Streams one event and closes the connection within the next one. */
-    STREAM_BREAKS
+    STREAM_BREAKS,
+    /** Streams like {@link #STREAM}, neither chunked nor with a length. */
+    UNFRAMED_STREAM,
+    /** Streams one event and ends the connection within the next one, neither chunked. */
+    UNFRAMED_STREAM_BREAKS,
+    /** Sends the head of a stream without framing and ends the connection. */
+    UNFRAMED_STREAM_EMPTY,
+    /** Streams one event without framing and resets the connection. */
+    UNFRAMED_STREAM_RESET
   }
 
   /** Delay of the response of {@link Action#SLOW}. */
@@ -54,6 +66,14 @@
 
   private static final int LAST_EVENT_ID = 3;
 
+  /** Actions that end the connection regularly, which marks the end of a body. */
+  private static final Set<Action> REGULAR_CLOSE =
+      EnumSet.of(
+          Action.UNFRAMED,
+          Action.UNFRAMED_STREAM,
+          Action.UNFRAMED_STREAM_BREAKS,
+          Action.UNFRAMED_STREAM_EMPTY);
+
   private final Vertx vertx;
   private final List<Action> script;
   private final AtomicInteger nextRequest = new AtomicInteger();
@@ -64,9 +84,8 @@
   ScriptedEndpoints(Vertx vertx, int count, List<Action> script) throws Exception {
     this.vertx = vertx;
     this.script = script;
-    // With SO_LINGER 0 every close resets the connection. Only UNFRAMED needs a regular close,
-    // which marks the end of its body.
-    int linger = script.contains(Action.UNFRAMED) ? -1 : 0;
+    // With SO_LINGER 0 every close resets the connection.
+    int linger = script.stream().anyMatch(REGULAR_CLOSE::contains) ? -1 : 0;
     for (int i = 0; i < count; i++) {
       servers.add(
           vertx
@@ -141,12 +160,27 @@
       case STREAM -> socket.write(stream(signedHeaders, head) + "0\r\n\r\n");
       case STREAM_BREAKS ->
           socket
-              .write(streamHead(signedHeaders) + chunk("id: 1\ndata: e1\n\nid: 2\nda"))
+              .write(streamHead(signedHeaders) + chunk(event(1) + "id: 2\nda"))
               .onComplete(v -> vertx.setTimer(50, t -> socket.close()));
+      case UNFRAMED_STREAM -> writeUnframed(socket, signedHeaders, String.join("", events(head)));
+      case UNFRAMED_STREAM_BREAKS -> writeUnframed(socket, signedHeaders, event(1) + "id: 2\nda");
+      case UNFRAMED_STREAM_EMPTY -> writeUnframed(socket, signedHeaders, "");
+      case UNFRAMED_STREAM_RESET -> writeUnframed(socket, signedHeaders, event(1));
       default -> throw new IllegalStateException("unknown action: " + action);
     }
   }
 
+  /** Writes a stream without length or chunks and closes the connection. */
+  private void writeUnframed(NetSocket socket, String signedHeaders, String events) {
+    socket
+        .write(
+            "HTTP/1.1 200 OK\r\n"
+                + signedHeaders
+                + "Content-Type: text/event-stream\r\n\r\n"
+                + events)
+        .onComplete(v -> vertx.setTimer(50, t -> socket.close()));
+  }
+
   private static String streamHead(String signedHeaders) {
     return "HTTP/1.1 200 OK\r\n"
         + signedHeaders
@@ -154,12 +188,18 @@
   }
 
   private static String stream(String signedHeaders, String head) {
+    return streamHead(signedHeaders)
+        + events(head).stream().map(ScriptedEndpoints::chunk).collect(Collectors.joining());
+  }
+
+  /** Returns the events after the last one that the sender of the request has received. */
+  private static List<String> events(String head) {
     int first = Integer.parseInt("0" + RawRequests.header(head, "last-event-id")) + 1;
-    StringBuilder text = new StringBuilder(streamHead(signedHeaders));
-    for (int i = first; i <= LAST_EVENT_ID; i++) {
-      text.append(chunk("id: " + i + "\ndata: e" + i + "\n\n"));
-    }
-    return text.toString();
+    return IntStream.rangeClosed(first, LAST_EVENT_ID).mapToObj(ScriptedEndpoints::event).toList();
+  }
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: e" + id + "\n\n";
   }
 
   private static String chunk(String text) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/stream/EventSplitter.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/stream/EventSplitter.java
@@ -17,16 +17,27 @@
 
   private final ByteArrayOutputStream completed = new ByteArrayOutputStream();
   private final ByteArrayOutputStream current = new ByteArrayOutputStream();
+  private final boolean resumable;
   private boolean lineEmpty = true;
   private OptionalLong lastId;
 
+  private EventSplitter(boolean resumable, OptionalLong lastId) {
+    this.resumable = resumable;
+    this.lastId = lastId;
+  }
+
   /**
-   * Creates a splitter.
+   * Creates a splitter of a stream that may be resumed.
    *
    * @param lastId the id of the last event forwarded so far; events up to it are dropped
    */
   public EventSplitter(OptionalLong lastId) {
-    this.lastId = lastId;
+    this(true, lastId);
+  }
+
+  /** Creates a splitter of a stream that is not resumed: no event is dropped for its id. */
+  public static EventSplitter ofStreamWithoutIds() {
+    return new EventSplitter(false, OptionalLong.empty());
   }
 
   /**
@@ -53,7 +64,7 @@
   private void completeEvent() {
     byte[] bytes = current.toByteArray();
     current.reset();
-    OptionalLong id = idOf(bytes);
+    OptionalLong id = resumable ? idOf(bytes) : OptionalLong.empty();
     boolean alreadyForwarded =
         id.isPresent() && lastId.isPresent() && id.getAsLong() <= lastId.getAsLong();
     if (!alreadyForwarded) {
