Test that instances that start receive the quarantine of a prompt part

A starting entry, a restarted control instance and a fleet that was restarted as a whole refuse requests with the part at once. The checks are those of contents, with a row for each.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/QuarantineSpreadTest.java
@@ -16,6 +16,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.forward.FaultyEndpoints.Fault;
 import org.lacewingcroft.route.RequestLimits;
@@ -48,10 +50,17 @@
   private static final HttpClient CLIENT = HttpClient.newHttpClient();
   private static final AtomicInteger REQUESTS = new AtomicInteger();
 
+  /** What the requests that crash endpoints have in common. */
+  private enum Cause {
+    CONTENT,
+    PROMPT_PART
+  }
+
   @TempDir private Path dataDir;
   private FleetHarness fleet;
   private FaultyEndpoints endpoints;
   private final List<FleetHarness.Entry> entries = new ArrayList<>();
+  private Cause cause = Cause.CONTENT;
 
   @BeforeEach
   void start() throws Exception {
@@ -95,20 +104,24 @@
     }
   }
 
-  @Test
-  void startingEntryReceivesTheQuarantineBeforeItIsReady() throws Exception {
+  @ParameterizedTest
+  @EnumSource(Cause.class)
+  void startingEntryReceivesTheQuarantineBeforeItIsReady(Cause cause) throws Exception {
+    this.cause = cause;
     quarantine();
     awaitQuarantinedAtControl();
     startEntries(1);
     int runs = endpoints.poisonRuns();
-    HttpResponse<String> response = send(last(entries), FaultyEndpoints.POISON);
+    HttpResponse<String> response = sendCrashing(last(entries));
     assertThat(response.statusCode(), is(503));
     assertThat(response.headers().firstValue("Retry-After").isPresent(), is(true));
     assertThat(endpoints.poisonRuns(), is(runs));
   }
 
-  @Test
-  void restartedControlInstanceReceivesTheQuarantine() throws Exception {
+  @ParameterizedTest
+  @EnumSource(Cause.class)
+  void restartedControlInstanceReceivesTheQuarantine(Cause cause) throws Exception {
+    this.cause = cause;
     quarantine();
     awaitQuarantined(entries.get(0));
     fleet.restartControl();
@@ -119,8 +132,10 @@
    * Entries and control instances restore the quarantine from each other; after a restart of the
    * whole fleet only the control instance's disk has it.
    */
-  @Test
-  void quarantineSurvivesRestartOfTheWholeFleet() throws Exception {
+  @ParameterizedTest
+  @EnumSource(Cause.class)
+  void quarantineSurvivesRestartOfTheWholeFleet(Cause cause) throws Exception {
+    this.cause = cause;
     quarantine();
     for (FleetHarness.Entry entry : entries) {
       awaitQuarantined(entry);
@@ -131,7 +146,7 @@
     fleet.restartControl();
     startEntries(1);
     int runs = endpoints.poisonRuns();
-    assertThat(send(last(entries), FaultyEndpoints.POISON).statusCode(), is(503));
+    assertThat(sendCrashing(last(entries)).statusCode(), is(503));
     assertThat(endpoints.poisonRuns(), is(runs));
     awaitServed("innocent");
   }
@@ -179,8 +194,8 @@
   }
 
   /**
-   * Crashes endpoints with the same content until the combined reports of all entries quarantine
-   * it.
+   * Crashes endpoints with the same content or prompt part until the combined reports of all
+   * entries quarantine it.
    */
   private void quarantine() throws Exception {
     Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
@@ -194,7 +209,11 @@
     int crashesBefore = endpoints.crashes();
     Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
     while (endpoints.crashes() == crashesBefore && Instant.now().isBefore(deadline)) {
-      trySend(FaultyEndpoints.POISON);
+      try {
+        sendCrashing(entries.get(REQUESTS.get() % entries.size()));
+      } catch (IOException connectionLost) {
+        // Expected: the request crashes the endpoint.
+      }
       TimeUnit.MILLISECONDS.sleep(60);
     }
   }
@@ -235,7 +254,7 @@
     try {
       send(entries.get(REQUESTS.get() % entries.size()), body);
     } catch (IOException connectionLost) {
-      // Expected: the request crashes the endpoint.
+      // Expected: the endpoint crashed for another request.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -245,16 +264,34 @@
     return all.get(all.size() - 1);
   }
 
+  private HttpResponse<String> sendCrashing(FleetHarness.Entry entry)
+      throws IOException, InterruptedException {
+    return switch (cause) {
+      case CONTENT -> send(entry, FaultyEndpoints.POISON);
+      case PROMPT_PART -> {
+        int number = REQUESTS.get();
+        String parts = FaultyEndpoints.POISON_PART + "1:20,own-" + number + ":20";
+        yield send(entry, "body " + number, Optional.of(parts));
+      }
+    };
+  }
+
   private static HttpResponse<String> send(FleetHarness.Entry entry, String body)
       throws IOException, InterruptedException {
+    return send(entry, body, Optional.empty());
+  }
+
+  private static HttpResponse<String> send(
+      FleetHarness.Entry entry, String body, Optional<String> promptParts)
+      throws IOException, InterruptedException {
     String target = "http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x";
-    HttpRequest request =
+    HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create(target))
             .POST(HttpRequest.BodyPublishers.ofString(body))
             .header("X-Request-Id", "id-" + REQUESTS.incrementAndGet())
             .header("X-Deadline", Long.toString(REQUEST_TIMEOUT.toMillis()))
-            .timeout(REQUEST_TIMEOUT.plus(REQUEST_TIMEOUT))
-            .build();
-    return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+            .timeout(REQUEST_TIMEOUT.plus(REQUEST_TIMEOUT));
+    promptParts.ifPresent(parts -> request.header("X-Parts", parts));
+    return CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 }
