Ignore peer messages of unknown types instead of closing the connection

What operators saw: while builds run beside each other, an older one closed the connection on which a message arrived that only the newer one knows, and both opened it again, twice a second for one kind of message. Cause: an unknown type counted as a malformed frame. A frame with a valid tag comes from a member of the fleet, so that an unknown type means another build. Change: both codecs have an exception of its own for it, and the transport goes on reading. Builds before this one still close the connection.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -241,6 +241,8 @@
               return;
             }
             handler.accept(frame.timestamp(), frame.message());
+          } catch (UnknownMessageException e) {
+            LOG.log(System.Logger.Level.DEBUG, "peer.message_ignored", "reason", e.getMessage());
           } catch (MalformedFrameException e) {
             framesRejected.incrementAndGet();
             LOG.log(
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
@@ -125,7 +125,8 @@
   /**
    * Decodes a message.
    *
-   * @throws IOException if the bytes are not a known message
+   * @throws UnknownMessageTypeException if the type of the message is unknown
+   * @throws IOException if the bytes are not a message
    */
   public static FleetMessage decode(byte[] bytes) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
@@ -211,7 +212,7 @@
       case ENTRY_REACH ->
           new FleetMessage.EntryReach(
               u.unpackString(), FleetRecordCodec.unpackUnreachableServices(u));
-      default -> throw new IOException("unknown fleet message type " + type);
+      default -> throw new UnknownMessageTypeException(type);
     };
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -14,6 +14,7 @@
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.endpoint.EndpointKind;
 import org.lacewingcroft.fleet.FleetCodec;
+import org.lacewingcroft.fleet.UnknownMessageTypeException;
 import org.lacewingcroft.idempotency.Claimant;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.membership.Heartbeat;
@@ -107,7 +108,8 @@
   /**
    * Decodes a message.
    *
-   * @throws MalformedFrameException if the bytes are not a valid message of a known type
+   * @throws UnknownMessageException if the type of the message is unknown
+   * @throws MalformedFrameException if the bytes are not a valid message
    */
   public static PeerMessage decode(byte[] bytes) {
     try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
@@ -135,8 +137,10 @@
         case KEY_RELEASE -> new PeerMessage.KeyRelease(u.unpackString(), unpackClaimant(u));
         case CONSENSUS ->
             new PeerMessage.Consensus(u.unpackString(), ConsensusCodec.unpackMessage(u));
-        default -> throw new MalformedFrameException("unknown message type " + type);
+        default -> throw new UnknownMessageException("unknown message type " + type);
       };
+    } catch (UnknownMessageTypeException e) {
+      throw new UnknownMessageException(e.getMessage());
     } catch (IOException | RuntimeException e) {
       if (e instanceof MalformedFrameException m) {
         throw m;
