--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/Quarantine.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/Quarantine.java
@@ -17,10 +17,7 @@
  */
 public final class Quarantine {
   private final SuspicionLedger ledger = new SuspicionLedger();
-  private final RecentCompletions completedContents =
-      new RecentCompletions(RecentCompletions.CONTENT_TTL);
-  private final RecentCompletions completedParts =
-      new RecentCompletions(RecentCompletions.PROMPT_PART_TTL);
+  private final RecentCompletions completions = new RecentCompletions();
   private final QuarantineTrials trials = new QuarantineTrials();
   private final QuarantineConfirmation confirmation = new QuarantineConfirmation();
 
@@ -78,9 +75,9 @@
    */
   public List<Suspicion> recordCompletion(
       RequestFingerprints request, boolean successful, Instant now) {
-    completedContents.record(request.content(), now);
+    completions.record(request.content(), now);
     if (successful) {
-      request.promptParts().forEach(part -> completedParts.record(part, now));
+      request.promptParts().forEach(part -> completions.record(part, now));
     }
     return evidence(request, now).stream()
         .map(Suspicion::content)
@@ -95,7 +92,7 @@
    */
   public List<RequestFingerprint> uncompleted(RequestFingerprints request, Instant now) {
     return request.all().stream()
-        .filter(f -> f.equals(request.content()) || !completedParts.isRecentlyCompleted(f, now))
+        .filter(f -> f.equals(request.content()) || !completions.isRecentlyCompleted(f, now))
         .toList();
   }
 
@@ -104,8 +101,7 @@
    * for this entry, so that it does not crash every endpoint that runs it.
    */
   public boolean isRecentlyCompleted(RequestFingerprint fingerprint, Instant now) {
-    return completedContents.isRecentlyCompleted(fingerprint, now)
-        || completedParts.isRecentlyCompleted(fingerprint, now);
+    return completions.isRecentlyCompleted(fingerprint, now);
   }
 
   /**
