--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -26,6 +26,7 @@
  *     entries; empty for the one that the operating system selects
  * @param endpointHeartbeat interval at which endpoints announce themselves
  * @param bounds the bounds that the deployment guarantees
+ * @param capacity the resources of the instance's machine; empty if the settings do not state them
  * @param disabledMechanisms placement mechanisms that are disabled
  * @param secret the shared secret of the peer transport
  */
@@ -44,6 +45,7 @@
     Optional<String> upstreamBindAddress,
     Duration endpointHeartbeat,
     FleetBounds bounds,
+    Optional<EntryCapacity> capacity,
     Set<PlacementMechanism> disabledMechanisms,
     byte[] secret) {
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -19,6 +19,8 @@
  * @param organisation the caller's organisation, sent to endpoints
  * @param rateLimit the requests per second that an endpoint accepts from all entries together
  * @param draining {@code 1} in the responses of an endpoint that is draining
+ * @param endpointLoad the load of the endpoint that sends the response: running requests, waiting
+ *     requests, slots, and optionally the pace in percent, separated by commas
  * @param reservedHeaders headers in lower case that only entries may set; dropped from callers'
  *     requests
  */
@@ -37,4 +39,5 @@
     String organisation,
     String rateLimit,
     String draining,
+    String endpointLoad,
     Set<String> reservedHeaders) {}
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
@@ -117,6 +117,7 @@
             1.5,
             3,
             Optional.empty()),
+        Optional.empty(),
         Set.of(),
         "a secret of the test".getBytes());
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -51,6 +51,7 @@
           "X-Organisation",
           "X-Rate-Limit",
           "X-Leaving",
+          "X-Load",
           Set.of("x-expect", "x-priority", "x-organisation"));
 
   /**
@@ -112,6 +113,7 @@
             Optional.empty(),
             HEARTBEAT_INTERVAL,
             bounds,
+            Optional.empty(),
             Set.of(),
             SECRET);
     startControl(foundingSettings);
@@ -172,6 +174,7 @@
         upstreamBindAddress,
         HEARTBEAT_INTERVAL,
         bounds,
+        Optional.empty(),
         Set.of(),
         SECRET);
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
@@ -35,6 +35,9 @@
   private static final int SUSPICION_UPDATE = 17;
   private static final int SUSPICION_ACK = 18;
   private static final int ENTRY_REACH = 19;
+  private static final int PRESSURE_REPORT = 20;
+  private static final int ACTIVE_ENTRIES = 21;
+  private static final int ENDPOINT_REPORTS = 22;
 
   private FleetCodec() {}
 
@@ -119,6 +122,16 @@
     } else if (message instanceof FleetMessage.EntryReach r) {
       p.packInt(ENTRY_REACH).packString(r.from());
       FleetRecordCodec.packUnreachableServices(p, r.unreachableServices());
+    } else if (message instanceof FleetMessage.PressureReport r) {
+      p.packInt(PRESSURE_REPORT).packString(r.entry());
+      FleetRecordCodec.packCapacity(p, r.capacity());
+      FleetRecordCodec.packPressure(p, r.pressure());
+    } else if (message instanceof FleetMessage.ActiveEntries a) {
+      p.packInt(ACTIVE_ENTRIES).packString(a.from());
+      FleetRecordCodec.packStrings(p, a.names());
+    } else if (message instanceof FleetMessage.EndpointReports r) {
+      p.packInt(ENDPOINT_REPORTS).packString(r.from()).packString(r.region());
+      FleetRecordCodec.packAll(p, r.reports(), FleetRecordCodec::packEndpointReport);
     }
   }
 
@@ -212,6 +225,18 @@
       case ENTRY_REACH ->
           new FleetMessage.EntryReach(
               u.unpackString(), FleetRecordCodec.unpackUnreachableServices(u));
+      case PRESSURE_REPORT ->
+          new FleetMessage.PressureReport(
+              u.unpackString(),
+              FleetRecordCodec.unpackCapacity(u),
+              FleetRecordCodec.unpackPressure(u));
+      case ACTIVE_ENTRIES ->
+          new FleetMessage.ActiveEntries(u.unpackString(), FleetRecordCodec.unpackStrings(u));
+      case ENDPOINT_REPORTS ->
+          new FleetMessage.EndpointReports(
+              u.unpackString(),
+              u.unpackString(),
+              FleetRecordCodec.unpackAll(u, FleetRecordCodec::unpackEndpointReport));
       default -> throw new UnknownMessageTypeException(type);
     };
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -119,6 +119,51 @@
   record EntryReach(String from, Map<String, Set<String>> unreachableServices)
       implements FleetMessage {}
 
+  /**
+   * An entry's capacity and how much of it is in use, sent to the control instances beside its
+   * report.
+   *
+   * @param entry the entry's name
+   * @param capacity its capacity
+   * @param pressure how much of it is in use
+   */
+  record PressureReport(String entry, EntryCapacity capacity, EntryPressure pressure)
+      implements FleetMessage {}
+
+  /**
+   * The entries that callers are directed to, sent by a control instance to the entries that follow
+   * it. The other entries are on standby.
+   *
+   * @param from the control instance
+   * @param names the names of the active entries of all regions
+   */
+  record ActiveEntries(String from, List<String> names) implements FleetMessage {}
+
+  /**
+   * The load that endpoints have reported in their responses, sent to the other entries of the
+   * region.
+   *
+   * @param from the entry's name, or the aggregator that merged the reports of several entries
+   * @param region the region of the endpoints
+   * @param reports the newest report of each endpoint
+   */
+  record EndpointReports(String from, String region, List<EndpointReport> reports)
+      implements FleetMessage {}
+
+  /**
+   * The load that an endpoint has reported in a response.
+   *
+   * @param endpoint the endpoint's id
+   * @param running number of requests that it is running
+   * @param waiting number of requests in its queue
+   * @param slots number of requests that it runs concurrently
+   * @param pacePercent how long work takes on its machine at the time of the report, 100 for the
+   *     usual time
+   * @param ageMillis time since the report was received, in ms
+   */
+  record EndpointReport(
+      String endpoint, int running, int waiting, int slots, int pacePercent, long ageMillis) {}
+
   /**
    * Requests the routing state.
    *
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
@@ -111,6 +111,40 @@
     return Map.copyOf(byEntry);
   }
 
+  static void packCapacity(MessagePacker p, EntryCapacity c) throws IOException {
+    p.packDouble(c.cores()).packLong(c.linkBytesPerSecond()).packLong(c.memoryBytes());
+    p.packInt(c.fileDescriptors());
+  }
+
+  static EntryCapacity unpackCapacity(MessageUnpacker u) throws IOException {
+    return new EntryCapacity(u.unpackDouble(), u.unpackLong(), u.unpackLong(), u.unpackInt());
+  }
+
+  static void packPressure(MessagePacker p, EntryPressure e) throws IOException {
+    p.packDouble(e.eventLoop()).packDouble(e.link()).packDouble(e.fileDescriptors());
+    p.packInt(e.inFlight());
+  }
+
+  static EntryPressure unpackPressure(MessageUnpacker u) throws IOException {
+    return new EntryPressure(u.unpackDouble(), u.unpackDouble(), u.unpackDouble(), u.unpackInt());
+  }
+
+  static void packEndpointReport(MessagePacker p, FleetMessage.EndpointReport r)
+      throws IOException {
+    p.packString(r.endpoint()).packInt(r.running()).packInt(r.waiting()).packInt(r.slots());
+    p.packInt(r.pacePercent()).packLong(r.ageMillis());
+  }
+
+  static FleetMessage.EndpointReport unpackEndpointReport(MessageUnpacker u) throws IOException {
+    return new FleetMessage.EndpointReport(
+        u.unpackString(),
+        u.unpackInt(),
+        u.unpackInt(),
+        u.unpackInt(),
+        u.unpackInt(),
+        u.unpackLong());
+  }
+
   static void packEndpoint(MessagePacker p, EndpointRecord r) throws IOException {
     p.packString(r.id()).packLong(r.startedAtMillis()).packString(r.service());
     p.packString(r.address()).packString(r.failureDomain()).packInt(r.slots());
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -78,6 +78,13 @@
         new FleetMessage.RosterAck("c", 7),
         new FleetMessage.EntryList("c", List.of(ENTRY)),
         new FleetMessage.EntryReach("c", Map.of("front-1", Set.of("model"))),
+        new FleetMessage.PressureReport(
+            "front-1",
+            new EntryCapacity(0.27, 656_250, 290L << 20, 2_212),
+            new EntryPressure(0.5, 0.25, 0.125, 17)),
+        new FleetMessage.ActiveEntries("c", List.of("front-1", "front-2")),
+        new FleetMessage.EndpointReports(
+            "front-1", "north", List.of(new FleetMessage.EndpointReport("i-1", 3, 0, 8, 140, 20))),
         new FleetMessage.StateRequest("front-1"),
         new FleetMessage.StateOffer(4, Long.MAX_VALUE, "{\"ä\":1}", Set.of("north-a")),
         new FleetMessage.ControlCall(
