EntryListTest and QuarantineSpreadTest: independent of the machine's load

EntryListTest#partialListIsNotPublished failed beside busy processes: five rounds of reports in real time ended before an entry list arrived. A trace beside load 31 showed that the control instance replied to the first report only 3.1 s after it was sent; it lists entries that have reported for 1.6 s, so that no list was due in the fifth round, 0.6 s later. The control instance is right and the test's timing was wrong. The test now advances the control instance's clock itself and sends each report after the reply to the previous one. The check is as strict: every list is complete, and the list arrives after the fifth report at the latest.

QuarantineSpreadTest#allEntriesReceiveTheQuarantine waited 15 s for a quarantine that did not come: 3 of 6 runs beside load 35, north-0, no instance had quarantined anything. The log of a failed run shows crashes of model-i1, model-i4 and model-i1: the third request was sent to model-i1, whose lease had not expired, at the address at which its replacement model-i5 already listened. The fake endpoint ran it although the request named another incarnation in X-Expect, so that two crashes of different endpoints counted as two of one. An endpoint has to respond with 421 in this case; FaultyEndpoints does so now, in all tests that use it. No check is changed.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryListTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryListTest.java
@@ -6,11 +6,15 @@
 
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -29,16 +33,35 @@
  */
 class EntryListTest {
   /** Longer than a control instance takes after its start to consider its roster complete. */
-  private static final long ROSTER_COMPLETE_MILLIS = 1_000;
+  private static final Duration ROSTER_COMPLETE_TIME = Duration.ofSeconds(1);
+
+  /** Interval between two reports of an entry. */
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
+
+  private static final int ROUNDS = 5;
+
+  /** Real time for one message to arrive; the first ones took 3.1 s on a machine under load 31. */
+  private static final Duration MESSAGE_TIMEOUT = Duration.ofSeconds(15);
 
   @TempDir private Path dataDir;
 
+  /**
+   * The time of the control instance, which advances only between reports, so that the result does
+   * not depend on how long messages take.
+   */
+  private final AtomicReference<Instant> now = new AtomicReference<>(Instant.EPOCH);
+
+  private void advance(Duration time) {
+    now.updateAndGet(instant -> instant.plus(time));
+  }
+
   /** An entry that only sends reports and records the entry lists that it receives. */
   private static final class ReportingEntry implements AutoCloseable {
     private final PeerTransport transport;
     private final EntryInfo info;
     private final List<FleetMessage.EntryList> lists =
         Collections.synchronizedList(new ArrayList<>());
+    private volatile long lastReplyId;
 
     private ReportingEntry(Vertx vertx, String name) throws Exception {
       int port = LoopbackPorts.allocatePort();
@@ -52,16 +75,25 @@
     }
 
     private void record(PeerMessage message) {
-      if (message instanceof PeerMessage.Fleet fleet
-          && fleet.message() instanceof FleetMessage.EntryList list) {
+      if (!(message instanceof PeerMessage.Fleet fleet)) {
+        return;
+      }
+      if (fleet.message() instanceof FleetMessage.EntryList list) {
         lists.add(list);
+      } else if (fleet.message() instanceof FleetMessage.ControlPulse pulse) {
+        lastReplyId = pulse.reportId();
       }
     }
 
-    private void report(FleetHarness harness, boolean following) {
+    private void awaitReply(long reportId) throws InterruptedException {
+      await(() -> lastReplyId == reportId);
+      assertThat(info.name() + " last reply", lastReplyId, is(reportId));
+    }
+
+    private void report(FleetHarness harness, boolean following, long reportId) {
       FleetMessage report =
           new FleetMessage.EntryReport(
-              info, true, following, 0, 0, /* entriesDigest= */ 12345, 0, 0);
+              info, true, following, 0, 0, /* entriesDigest= */ 12345, 0, reportId);
       transport.send(harness.controlAddress(), new PeerMessage.Fleet(report));
     }
 
@@ -75,28 +107,39 @@
   @ValueSource(ints = {6})
   void partialListIsNotPublished(int entries) throws Exception {
     List<ReportingEntry> reporting = new ArrayList<>();
-    try (FleetHarness harness = new FleetHarness(dataDir, Map.of(1L, RouteTable.EMPTY))) {
+    try (FleetHarness harness =
+        new FleetHarness(dataDir, Map.of(1L, RouteTable.EMPTY), FleetHarness.BOUNDS, now::get)) {
       for (int i = 0; i < entries; i++) {
         reporting.add(new ReportingEntry(harness.vertx(), "north-" + i));
       }
-      TimeUnit.MILLISECONDS.sleep(ROSTER_COMPLETE_MILLIS);
-      for (int round = 0; round < 5; round++) {
+      advance(ROSTER_COMPLETE_TIME);
+      for (long round = 1; round <= ROUNDS; round++) {
         for (ReportingEntry entry : reporting) {
-          entry.report(harness, true);
-          TimeUnit.MILLISECONDS.sleep(500 / entries);
+          entry.report(harness, true, round);
+          entry.awaitReply(round);
+          advance(REPORT_INTERVAL.dividedBy(entries));
         }
       }
+      ReportingEntry first = reporting.get(0);
+      await(() -> !first.lists.isEmpty());
+      assertThat(first.lists.isEmpty(), is(false));
       for (ReportingEntry entry : reporting) {
         for (FleetMessage.EntryList list : List.copyOf(entry.lists)) {
           assertThat(list.entries().size(), is(entries));
         }
       }
-      assertThat(reporting.get(0).lists.isEmpty(), is(false));
     } finally {
       reporting.forEach(ReportingEntry::close);
     }
   }
 
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    Instant deadline = Instant.now().plus(MESSAGE_TIMEOUT);
+    while (!condition.getAsBoolean() && Instant.now().isBefore(deadline)) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {3})
   void nonFollowingEntryReceivesNoLists(int entries) throws Exception {
@@ -106,7 +149,7 @@
         reporting.add(new ReportingEntry(harness.vertx(), "north-" + i));
       }
       for (int round = 0; round < 8; round++) {
-        reporting.forEach(e -> e.report(harness, false));
+        reporting.forEach(e -> e.report(harness, false, 0));
         TimeUnit.MILLISECONDS.sleep(400);
       }
       assertThat(reporting.get(0).lists, is(empty()));
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FaultyEndpoints.java
@@ -113,6 +113,10 @@
       if (crashed) {
         return;
       }
+      if (!isExpected(head)) {
+        refuseAsOtherInstance(socket, head);
+        return;
+      }
       if (body.startsWith(LONG)) {
         longRunIds.add(id);
       }
@@ -137,6 +141,24 @@
       }
     }
 
+    /**
+     * Returns whether a request is for this incarnation. One that an entry sends to a predecessor
+     * at the same address, before it has received the replacement, must not run.
+     */
+    private boolean isExpected(String head) {
+      String expected = RawRequests.header(head, "x-expect");
+      return expected.isEmpty() || expected.equalsIgnoreCase(id);
+    }
+
+    private void refuseAsOtherInstance(NetSocket socket, String head) {
+      if (!partitioned) {
+        socket.write(
+            "HTTP/1.1 421 Other\r\nX-Request-Id: "
+                + RawRequests.header(head, "x-request-id")
+                + "\r\nContent-Length: 0\r\n\r\n");
+      }
+    }
+
     private boolean isPoison(String head, String body) {
       return body.equals(POISON) || RawRequests.header(head, "x-parts").contains(POISON_PART);
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -77,6 +78,7 @@
   private final Map<Long, RouteTable> tables;
   private final FleetBounds bounds;
   private final FleetSettings controlSettings;
+  private final InstantSource controlClock;
   private ControlNode control;
 
   /** An entry of the fleet. */
@@ -93,6 +95,14 @@
 
   /** Starts a control instance of a fleet with the given bounds. */
   FleetHarness(Path dataDir, Map<Long, RouteTable> tables, FleetBounds bounds) throws Exception {
+    this(dataDir, tables, bounds, new MonotonicInstantSource());
+  }
+
+  /** Starts a control instance of a fleet with the given bounds and clock. */
+  FleetHarness(
+      Path dataDir, Map<Long, RouteTable> tables, FleetBounds bounds, InstantSource controlClock)
+      throws Exception {
+    this.controlClock = controlClock;
     this.tables = tables;
     this.bounds = bounds;
     this.controlSettings =
@@ -127,7 +137,7 @@
                   context,
                   settings,
                   document -> tables.get(Long.parseLong(document)),
-                  new MonotonicInstantSource(),
+                  controlClock,
                   new GatewayMetrics());
           return control.start();
         });
