--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.route;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,6 +25,7 @@
   private final Map<String, ServiceSpec> services;
   private final RequestLimits limits;
   private final QueuePriorities queuePriorities;
+  private final Map<String, Duration> eventGapObjectives = new HashMap<>();
   private final Map<String, Organisation> organisationsByKey = new HashMap<>();
   private final boolean requiresApiKeys;
 
@@ -61,12 +63,22 @@
       }
     }
     this.queuePriorities = new QueuePriorities(routes);
+    for (Route route : routes) {
+      route.eventGapObjective().ifPresent(objective -> indexEventGap(route, objective));
+    }
     this.routesByHost =
         routes.stream()
             .sorted(Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed())
             .collect(Collectors.groupingBy(Route::host));
   }
 
+  private void indexEventGap(Route route, Duration objective) {
+    for (ServiceShare share : route.shares()) {
+      eventGapObjectives.merge(
+          share.service(), objective, (a, b) -> a.compareTo(b) <= 0 ? a : b);
+    }
+  }
+
   private void indexKeys(Organisation organisation) {
     for (String key : organisation.keys()) {
       Organisation other = organisationsByKey.put(key, organisation);
@@ -141,6 +153,15 @@
     return service(service).flatMap(ServiceSpec::engine);
   }
 
+  /**
+   * Returns the shortest objective for the time between two events among the streams that a service
+   * may serve; empty if there is none. Streams share the steps of an engine's batch, so that all of
+   * them pause when it prefills a prompt.
+   */
+  public Optional<Duration> eventGapObjective(String service) {
+    return Optional.ofNullable(eventGapObjectives.get(service));
+  }
+
   /** Returns the priority of a route's requests in the queues of a service, 0 the most urgent. */
   public int queuePriority(Route route, String service) {
     return queuePriorities.of(route, service);
