Entries account for the time that requests wait unread, and send nothing for callers that left

What callers saw: after the event loop of an entry was late, requests reached endpoints though their callers had disconnected or their route's timeout was over, with deadlines that were too long. Cause: the time of arrival was the time at which the handler ran. Netty reads a close one iteration after the request, and reports it after tasks that are queued already. Deadlines for endpoints were computed before the connection was established. A pipelined request counted from the end of the response before it. Change: EventLoopMonitor measures iterations with one task at the end of each that had activity and the existing 100 ms check, without a new timer. OverloadGate moves the arrival back, refuses before the body is read, and starts a request only after closes have been read; writing to a connection waits likewise, and headers are computed then. Nothing changes for a wait below 100 ms.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -17,6 +17,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
+import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.EndpointTracker;
@@ -51,8 +52,12 @@
   /** Interval at which an entry reports to the control instances. */
   private static final long REPORT_INTERVAL_MILLIS = 500;
 
-  /** Interval at which this entry determines which services it does not reach. */
-  private static final long REACHABILITY_CHECK_INTERVAL_MILLIS = 100;
+  /**
+   * Interval at which this entry determines which services it does not reach and checks its event
+   * loop.
+   */
+  private static final long REACHABILITY_CHECK_INTERVAL_MILLIS =
+      EventLoopLoad.CHECK_INTERVAL.toMillis();
 
   /** Maximum interval between two probes of an endpoint that does not respond. */
   private static final long MAX_PROBE_INTERVAL_MILLIS = 1_500;
@@ -113,6 +118,7 @@
   private final Instant startedAt;
   private final StateLease lease;
   private final FleetQuotas quotas;
+  private final EventLoopMonitor eventLoop;
   private final InstantSource wallClock = InstantSource.system();
   private volatile List<String> seeds;
   private List<String> controls = List.of();
@@ -159,6 +165,7 @@
     this.parser = parser;
     this.clock = clock;
     this.startedAt = clock.instant();
+    this.eventLoop = new EventLoopMonitor(context, clock);
     this.entries = new KnownEntries(self);
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
@@ -217,7 +224,7 @@
   /** Starts listening to peers and reporting. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> report());
-    vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> checkReachability());
+    vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> runPeriodicChecks());
     loads.start();
     return transport
         .listen(this::receive, (from, message) -> {})
@@ -225,6 +232,11 @@
         .mapEmpty();
   }
 
+  private void runPeriodicChecks() {
+    eventLoop.check();
+    checkReachability();
+  }
+
   /** Replaces the seed peers after the settings have changed. */
   public void updateSeeds(List<String> peers) {
     seeds = List.copyOf(peers);
@@ -296,6 +308,11 @@
     return quarantine;
   }
 
+  /** Returns the monitor of this entry's event loop. */
+  public EventLoopMonitor eventLoop() {
+    return eventLoop;
+  }
+
   /** Returns the quotas of organisations. */
   public FleetQuotas quotas() {
     return quotas;
@@ -566,6 +583,7 @@
   }
 
   private void receive(FleetMessage message) {
+    eventLoop.activity();
     if (message instanceof FleetMessage.ControlPulse pulse) {
       onControlPulse(pulse);
     } else if (message instanceof FleetMessage.RosterUpdate update) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerResponse.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerResponse.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
@@ -50,6 +51,14 @@
     return !finished && !response.closed();
   }
 
+  /**
+   * Returns whether the caller's connection is open. Unlike {@link #onDisconnect}, it is up to date
+   * as soon as the close has been read.
+   */
+  boolean isConnected() {
+    return ((ConnectionBase) request.connection()).channelHandlerContext().channel().isActive();
+  }
+
   /** Returns whether the response head has been written. */
   boolean isHeadWritten() {
     return response.headWritten();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -58,6 +58,11 @@
   /** Retry delay sent before this entry has received its first routes. */
   private static final Duration STARTUP_RETRY_AFTER = Duration.ofMillis(500);
 
+  /** Kinds of senders of requests, in metrics. */
+  private static final String CALLER = "caller";
+
+  private static final String ENTRY = "entry";
+
   private final Vertx vertx;
   private final EntryNode node;
   private final HeaderNames headerNames;
@@ -66,6 +71,7 @@
   private final InstantSource clock;
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
+  private final OverloadGate overload;
   private HttpServer publicServer;
   private HttpServer relayServer;
 
@@ -83,6 +89,7 @@
     this.reader = new RequestReader(headerNames);
     this.clock = clock;
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
+    this.overload = new OverloadGate(node.eventLoop(), headerNames, metrics, clock);
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.context =
         new ForwardContext(
@@ -106,7 +113,9 @@
             .createHttpServer(publicOptions)
             .connectionHandler(
                 connection -> {
-                  StrictRequestDecoder.install(connection, publicOptions, this::limits);
+                  node.eventLoop().activity();
+                  StrictRequestDecoder.install(
+                      connection, publicOptions, this::limits, overload::onRequestHead);
                   callerConnections.onConnectionOpened(connection);
                 })
             .requestHandler(this::handleCaller);
@@ -172,7 +181,7 @@
   }
 
   private void handleCaller(HttpServerRequest request) {
-    final Instant arrivedAt = clock.instant();
+    final Instant arrivedAt = overload.arrivalOf(request);
     CallerResponse response = new CallerResponse(request, false);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
@@ -235,11 +244,15 @@
       Handling handling,
       Instant arrivedAt,
       Optional<Organisation> organisation) {
+    if (!overload.admit(request, response, handling, arrivedAt, CALLER)) {
+      return;
+    }
     boolean requiresApiKeys = node.routing().table().requiresApiKeys();
     readBody(
         request,
         response,
-        handling.timeout(),
+        remainingOf(handling, arrivedAt),
+        CALLER,
         body -> {
           ForwardRequest forwardRequest =
               reader.read(request, body, handling, arrivedAt, requiresApiKeys);
@@ -274,17 +287,24 @@
         reason);
   }
 
+  /** Returns the part of a request's timeout that is left after it has waited unread. */
+  private Duration remainingOf(Handling handling, Instant arrivedAt) {
+    return handling.timeout().minusMillis(Duration.between(arrivedAt, clock.instant()).toMillis());
+  }
+
   /**
    * Reads the body of a request. Responds with 408 if it is not complete in time and with 413 if it
    * exceeds the size limit.
    *
    * @param timeout the time limit, after which the response would be too late for the caller
-   * @param onBody receives the complete body
+   * @param sender the kind of sender, for the metrics
+   * @param onBody receives the complete body, unless the sender has disconnected
    */
   private void readBody(
       HttpServerRequest request,
       CallerResponse response,
       Duration timeout,
+      String sender,
       Consumer<Buffer> onBody) {
     int maxBytes = limits().maxBodyBytes();
     Buffer body = Buffer.buffer();
@@ -317,13 +337,13 @@
             response.sendError(
                 413, "the body exceeds " + maxBytes + " bytes", true, Optional.empty());
           } else {
-            onBody.accept(body);
+            overload.start(response, sender, () -> onBody.accept(body));
           }
         });
   }
 
   private void handleRelayed(HttpServerRequest request) {
-    final Instant arrivedAt = clock.instant();
+    final Instant arrivedAt = overload.arrivalOf(request);
     CallerResponse response = new CallerResponse(request, true);
     request.exceptionHandler(e -> {});
     try {
@@ -352,10 +372,14 @@
               remaining,
               decoded.allowedRegions(),
               decoded.organisation());
+      if (!overload.admit(request, response, handling, arrivedAt, ENTRY)) {
+        return;
+      }
       readBody(
           request,
           response,
-          remaining,
+          remainingOf(handling, arrivedAt),
+          ENTRY,
           body ->
               new ForwardCall(
                       context,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -133,7 +133,7 @@
   }
 
   private void place() {
-    if (done) {
+    if (done || endIfDue()) {
       return;
     }
     Optional<Future<Void>> pendingDecision =
@@ -258,10 +258,37 @@
     sends++;
     Attempt attempt = new Attempt(target);
     currentAttempt = Optional.of(attempt.upstream);
-    attempt.upstream.start(context.connectionPool(), request, extraHeaders(target));
+    attempt.upstream.start(
+        context.connectionPool(),
+        request,
+        () -> extraHeaders(target),
+        write -> context.eventLoop().runWhenPolled(() -> sendUnlessEnded(write)));
     startResponseTimer(attempt, expectedMillis);
   }
 
+  /**
+   * Writes the request to a connection, unless its caller has disconnected or its response is due,
+   * which end the attempt.
+   */
+  private void sendUnlessEnded(Runnable write) {
+    if (!response.isConnected()) {
+      onCallerDisconnect();
+    } else if (!done) {
+      endIfDue();
+    }
+    write.run();
+  }
+
+  /**
+   * Ends the call if its response is due, which the timer of a late event loop finds only later.
+   */
+  private boolean endIfDue() {
+    if (!context.now().isBefore(request.responseDue())) {
+      onResponseDue();
+    }
+    return done;
+  }
+
   private List<Map.Entry<String, String>> extraHeaders(UpstreamTarget target) {
     HeaderNames headerNames = context.headerNames();
     Instant now = context.now();
@@ -384,6 +411,7 @@
 
     @Override
     public void onHead(int newStatus, HttpClientResponse upstreamResponse) {
+      context.eventLoop().activity();
       status = newStatus;
       if (firstByteMillis < 0) {
         firstByteMillis = Duration.between(request.arrivedAt(), context.now()).toMillis();
@@ -461,6 +489,7 @@
 
     @Override
     public void onBody(Buffer chunk) {
+      context.eventLoop().activity();
       if (eventSplitter.isEmpty()) {
         body.appendBuffer(chunk);
         return;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.fleet.EventLoopMonitor;
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.request.CallerRequest;
@@ -69,6 +70,11 @@
   /** Limits the suggested retry delay to this fraction of the time left until the deadline. */
   private static final int REMAINING_TIME_DIVISOR = 3;
 
+  /** Returns the monitor of the event loop. */
+  EventLoopMonitor eventLoop() {
+    return node.eventLoop();
+  }
+
   Instant now() {
     return clock.instant();
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.lacewingcroft.placement.EndpointTracker;
@@ -51,6 +52,12 @@
     void onWithdrawn();
   }
 
+  /** Determines when a request may be written to its connection. */
+  interface SendGate {
+    /** Runs an action, now or later; it has no effect if the attempt was cancelled meanwhile. */
+    void run(Runnable action);
+  }
+
   private final UpstreamTarget target;
   private final HeaderNames headerNames;
   private final InstantSource clock;
@@ -86,12 +93,15 @@
    * Starts the attempt. If no connection can be established, the attempt fails with the outcome
    * {@link Outcome#NOT_RUN}.
    *
-   * @param extraHeaders headers added to those of the request, replacing any of the same name
+   * @param extraHeaders supplies headers added to those of the request, replacing any of the same
+   *     name, when the request is written
+   * @param sendGate passes the attempt after its connection is established
    */
   void start(
       UpstreamConnections connectionPool,
       ForwardRequest request,
-      List<Map.Entry<String, String>> extraHeaders) {
+      Supplier<List<Map.Entry<String, String>>> extraHeaders,
+      SendGate sendGate) {
     Duration connectTimeout =
         target.endpoint().isPresent()
             ? UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT
@@ -107,20 +117,36 @@
         .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
         .onSuccess(
             acquired -> {
-              if (finished) {
-                acquired.release(Optional.empty());
-                return;
-              }
-              if (target.endpoint().filter(e -> !e.acceptsRequests(clock.instant())).isPresent()) {
-                acquired.release(Optional.empty());
-                withdraw();
-                return;
-              }
-              connection = Optional.of(acquired);
-              openRequest(acquired, request, extraHeaders);
+              boolean closedBefore = acquired.isClosed();
+              sendGate.run(
+                  () -> {
+                    if (!finished && !closedBefore && acquired.isClosed()) {
+                      // Closed by the peer while the request waited for the event loop.
+                      start(connectionPool, request, extraHeaders, sendGate);
+                    } else {
+                      onConnected(acquired, request, extraHeaders);
+                    }
+                  });
             });
   }
 
+  private void onConnected(
+      UpstreamConnections.PooledConnection acquired,
+      ForwardRequest request,
+      Supplier<List<Map.Entry<String, String>>> extraHeaders) {
+    if (finished) {
+      acquired.release(Optional.empty());
+      return;
+    }
+    if (target.endpoint().filter(e -> !e.acceptsRequests(clock.instant())).isPresent()) {
+      acquired.release(Optional.empty());
+      withdraw();
+      return;
+    }
+    connection = Optional.of(acquired);
+    openRequest(acquired, request, extraHeaders);
+  }
+
   private void withdraw() {
     finished = true;
     target.inFlightRequest().ifPresent(r -> r.finish(Outcome.NOT_RUN, clock.instant()));
@@ -130,7 +156,7 @@
   private void openRequest(
       UpstreamConnections.PooledConnection acquired,
       ForwardRequest request,
-      List<Map.Entry<String, String>> extraHeaders) {
+      Supplier<List<Map.Entry<String, String>>> extraHeaders) {
     acquired
         .connection()
         .request(new RequestOptions().setMethod(request.method()).setURI(request.uri()))
@@ -141,12 +167,12 @@
   private void writeRequest(
       HttpClientRequest upstreamRequest,
       ForwardRequest request,
-      List<Map.Entry<String, String>> extraHeaders) {
+      Supplier<List<Map.Entry<String, String>>> extraHeaders) {
     if (finished) {
       return;
     }
     request.headers().forEach(h -> upstreamRequest.headers().add(h.getKey(), h.getValue()));
-    extraHeaders.forEach(h -> upstreamRequest.headers().set(h.getKey(), h.getValue()));
+    extraHeaders.get().forEach(h -> upstreamRequest.headers().set(h.getKey(), h.getValue()));
     upstreamRequest.exceptionHandler(
         e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
     upstreamRequest
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.lacewingcroft.route.RequestLimits;
 
@@ -34,12 +36,15 @@
   private static final String DECODER_NAME = "httpDecoder";
 
   private final Supplier<RequestLimits> limits;
+  private final Consumer<Channel> onRequestHead;
   private boolean insideMessage;
   private Optional<Future<?>> headTimer = Optional.empty();
 
-  private StrictRequestDecoder(HttpServerOptions options, Supplier<RequestLimits> limits) {
+  private StrictRequestDecoder(
+      HttpServerOptions options, Supplier<RequestLimits> limits, Consumer<Channel> onRequestHead) {
     super(options);
     this.limits = limits;
+    this.onRequestHead = onRequestHead;
   }
 
   /**
@@ -52,13 +57,29 @@
    */
   public static void install(
       HttpConnection connection, HttpServerOptions options, Supplier<RequestLimits> limits) {
+    install(connection, options, limits, channel -> {});
+  }
+
+  /**
+   * Replaces the decoder of a newly accepted connection, as the other method does.
+   *
+   * @param onRequestHead called with the connection's channel for each request head that was read
+   */
+  public static void install(
+      HttpConnection connection,
+      HttpServerOptions options,
+      Supplier<RequestLimits> limits,
+      Consumer<Channel> onRequestHead) {
     int maxHeadBytes = limits.get().maxHeaderBytes();
     HttpServerOptions boundedOptions =
         new HttpServerOptions(options)
             .setMaxHeaderSize(maxHeadBytes)
             .setMaxInitialLineLength(maxHeadBytes);
     ChannelPipeline pipeline = ((ConnectionBase) connection).channelHandlerContext().pipeline();
-    pipeline.replace(DECODER_NAME, DECODER_NAME, new StrictRequestDecoder(boundedOptions, limits));
+    pipeline.replace(
+        DECODER_NAME,
+        DECODER_NAME,
+        new StrictRequestDecoder(boundedOptions, limits, onRequestHead));
   }
 
   @Override
@@ -74,6 +95,7 @@
     super.decode(ctx, buffer, out);
     for (Object decoded : out.subList(sizeBefore, out.size())) {
       if (decoded instanceof HttpRequest) {
+        onRequestHead.accept(ctx.channel());
         insideMessage = true;
       }
       if (decoded instanceof LastHttpContent) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.ToLongFunction;
+import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.peer.PeerTraffic;
 
 /** The daemon's Prometheus metrics, exposed as text on {@code /metrics}. */
@@ -145,6 +147,36 @@
           .help("Seconds from an operator's order to its answer")
           .register(registry);
 
+  /** Requests that an entry refused because its event loop was late, by sender: caller, entry. */
+  public final Counter overloadRefusals =
+      Counter.builder()
+          .name("lwc_overload_refusals_total")
+          .help("Requests refused because the event loop was late, by sender")
+          .labelNames("sender")
+          .register(registry);
+
+  /** Requests whose sender had disconnected before they were started: caller, entry. */
+  public final Counter disconnectedBeforeStart =
+      Counter.builder()
+          .name("lwc_disconnected_before_start_total")
+          .help("Requests not started because their sender had disconnected, by sender")
+          .labelNames("sender")
+          .register(registry);
+
+  /** Registers metrics for the load of an entry's event loop. */
+  public void registerEventLoop(EventLoopLoad load) {
+    GaugeWithCallback.builder()
+        .name("lwc_event_loop_utilization")
+        .help("Share of time in which the event loop was busy, averaged over about a second")
+        .callback(gauge -> gauge.call(load.utilization()))
+        .register(registry);
+    GaugeWithCallback.builder()
+        .name("lwc_event_loop_delay_seconds")
+        .help("Longest time that requests may recently have waited unread")
+        .callback(gauge -> gauge.call(load.currentDelay().toNanos() / NANOS_PER_SECOND))
+        .register(registry);
+  }
+
   /** Registers metrics for the messages between instances by kind. */
   public void registerPeerTraffic(PeerTraffic traffic) {
     exposeByDirection(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -191,6 +191,17 @@
    */
   Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
+    return startEntry(name, region, upstreamBindAddress, context);
+  }
+
+  /** Starts an entry on an event loop of its own, so that only this entry is late if it blocks. */
+  Entry startEntryOn(Vertx ownVertx, String name, String region) throws Exception {
+    return startEntry(name, region, Optional.empty(), ownVertx.getOrCreateContext());
+  }
+
+  private Entry startEntry(
+      String name, String region, Optional<String> upstreamBindAddress, Context entryContext)
+      throws Exception {
     FleetSettings settings =
         settings(
             name,
@@ -210,15 +221,17 @@
     MonotonicInstantSource clock = new MonotonicInstantSource();
     EntryNode node =
         new EntryNode(
-            context,
+            entryContext,
             settings,
             self,
             document -> tables.get(Long.parseLong(document)),
             address -> Future.succeededFuture(List.of()),
             clock);
     EntryServer server =
-        new EntryServer(vertx, settings, node, HEADER_NAMES, new GatewayMetrics(), clock);
+        new EntryServer(
+            entryContext.owner(), settings, node, HEADER_NAMES, new GatewayMetrics(), clock);
     onContext(
+        entryContext,
         () ->
             node.start()
                 .compose(
@@ -369,6 +382,10 @@
 
   /** Runs an action on the fleet's Vert.x context and returns the result of its future. */
   <T> T onContext(Callable<Future<T>> action) throws Exception {
+    return onContext(context, action);
+  }
+
+  private static <T> T onContext(Context context, Callable<Future<T>> action) throws Exception {
     CompletableFuture<T> done = new CompletableFuture<>();
     context.runOnContext(
         v -> {
