Request cached prefixes from two entries per endpoint, and not at a first start

Seen: at a start of 72 entries, the entries made 1,414 calls for the lists of cached prefixes, each on its own connection, although no endpoint held any.

Cause: each entry asked each engine of its region, at every start.

Change: at a deployment's first start (firstStart in the settings) nothing is requested. After another start, an entry asks an endpoint if it is among the endpoint's first two entries in rendezvous order among the known entries of the region, and reports the list to the other entries as a prefix read. An entry that knows of no other entry asks all. Requests begin one heartbeat interval after the first endpoint is known, because the entries that start at the same time know each other only then; otherwise the first ones that are ready would each ask all endpoints. They end two intervals later. The window begins with the first endpoint and no longer with the process, which may take longer to start than the window lasts.

An entry that restarts alone asks only for its share of the lists and learns the others from the prefix reads of the running entries, which are repeated every 3 s while a prefix is in use.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -592,9 +592,7 @@
       quarantine.onSuspicionAck(ack);
     }
     reportOnceReady();
-    if (discoveringEndpoints()) {
-      prefixes.requestListings();
-    }
+    prefixes.requestListings(entries.regionNames());
   }
 
   private void onRegionLoad(FleetMessage.RegionLoad load) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.lacewingcroft.misc.Rendezvous;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.PlacementMechanism;
 import org.lacewingcroft.placement.PlacementRequest;
@@ -22,9 +23,9 @@
 
 /**
  * Tracks which prompt prefixes the endpoints cache: entries of all regions report prefilled
- * prefixes to each other, and an entry that has just started requests the list from the endpoints
- * themselves. Placement uses it to select an endpoint for a prompt and the endpoint from which to
- * fetch its prefix.
+ * prefixes to each other. After a restart, a few entries request the list from the endpoints
+ * themselves and report it to the others. Placement uses it to select an endpoint for a prompt and
+ * the endpoint from which to fetch its prefix.
  *
  * <p>Confined to the event loop thread.
  */
@@ -43,6 +44,18 @@
    */
   private static final Duration PREFIX_REPORT_INTERVAL = Duration.ofSeconds(3);
 
+  /**
+   * Number of entries of a region that request the list of one endpoint after a restart: a second
+   * one, because the first may stop or fail before it has reported the list.
+   */
+  private static final int LISTING_ENTRIES = 2;
+
+  /**
+   * Number of heartbeat intervals from the first known endpoint within which lists are requested. A
+   * running endpoint announces itself once per interval; one may be lost.
+   */
+  private static final int DISCOVERY_HEARTBEATS = 3;
+
   private final FleetSettings settings;
   private final PrefixListing listing;
   private final InstantSource clock;
@@ -53,6 +66,12 @@
   private final Map<String, Instant> reportedAt = new LinkedHashMap<>();
   private final Set<String> listingRequested = new HashSet<>();
 
+  /** Endpoints whose lists other entries request, as long as the known entries do not change. */
+  private final Set<String> listedByOthers = new HashSet<>();
+
+  private List<String> listingEntries = List.of();
+  private Optional<Instant> firstEndpointAt = Optional.empty();
+
   PrefixExchange(
       FleetSettings settings,
       PrefixListing listing,
@@ -80,14 +99,16 @@
     }
     tracker.recordPrefix(request.sharedParts(), kvCapacityOf(tracker));
     if (recordIfDue(tracker.record().id(), request.sharedKey())) {
-      List<FleetMessage.PrefixPart> parts =
-          request.sharedParts().stream()
-              .map(p -> new FleetMessage.PrefixPart(p.id(), p.tokens()))
-              .toList();
-      channel.get().sendPrefixRead(new FleetMessage.PrefixRead(tracker.record().id(), parts));
+      report(tracker, request.sharedParts());
     }
   }
 
+  private void report(EndpointTracker tracker, List<PromptPart> parts) {
+    List<FleetMessage.PrefixPart> reported =
+        parts.stream().map(p -> new FleetMessage.PrefixPart(p.id(), p.tokens())).toList();
+    channel.get().sendPrefixRead(new FleetMessage.PrefixRead(tracker.record().id(), reported));
+  }
+
   /** Applies another entry's report of a prefilled prefix. */
   void onPrefixRead(FleetMessage.PrefixRead read) {
     List<PromptPart> parts =
@@ -114,37 +135,92 @@
   }
 
   /**
-   * Requests the list of cached prefixes from each endpoint of the region, once per endpoint. After
-   * all entries crash at the same time, the endpoints still cache every prefix, and an entry that
-   * has not received them assumes a long prefill for each request. In one such case, 30 of the 35
-   * long prompts of the first two seconds were placed on that assumption, and 41 requests were
-   * rejected.
+   * Requests the lists of cached prefixes for which this entry is responsible, once per endpoint,
+   * and reports them to the other entries. Each list is requested by {@link #LISTING_ENTRIES}
+   * entries of the region, and all lists by an entry that knows of no other. At a deployment's
+   * first start no endpoint caches anything, and nothing is requested.
+   *
+   * <p>After all entries crash at the same time, the endpoints still cache every prefix, and an
+   * entry that has not received them assumes a long prefill for each request. In one such case, 30
+   * of the 35 long prompts of the first two seconds were placed on that assumption, and 41 requests
+   * were rejected.
+   *
+   * @param regionEntries the names of the region's known entries, including this one; a new list
+   *     after each change
+   */
+  void requestListings(List<String> regionEntries) {
+    if (settings.firstStart()
+        || settings.disabledMechanisms().contains(PlacementMechanism.PREFIX_LISTING)
+        || !isListingTime()) {
+      return;
+    }
+    if (listingEntries != regionEntries) {
+      listingEntries = regionEntries;
+      listedByOthers.clear();
+    }
+    trackers.get().stream().filter(this::tryStartListing).forEach(this::requestListing);
+  }
+
+  /**
+   * Returns whether lists are requested now: from one heartbeat interval after the first endpoint
+   * is known, when the entries that started at the same time are likely to be known, until all
+   * running endpoints have announced themselves. Without the wait, the first entries that are ready
+   * after a crash of all entries would each request all lists.
    */
-  void requestListings() {
-    if (!settings.disabledMechanisms().contains(PlacementMechanism.PREFIX_LISTING)) {
-      trackers.get().stream().filter(this::tryStartListing).forEach(this::requestListing);
+  private boolean isListingTime() {
+    Instant now = clock.instant();
+    if (firstEndpointAt.isEmpty() && !trackers.get().isEmpty()) {
+      firstEndpointAt = Optional.of(now);
     }
+    Duration heartbeat = settings.endpointHeartbeat();
+    return firstEndpointAt
+        .filter(at -> !at.plus(heartbeat).isAfter(now))
+        .filter(at -> at.plus(heartbeat.multipliedBy(DISCOVERY_HEARTBEATS)).isAfter(now))
+        .isPresent();
   }
 
-  /** Returns whether the endpoint's list has yet to be requested, and marks it as requested. */
+  /**
+   * Returns whether this entry is responsible for the endpoint's list and has yet to request it,
+   * and marks it as requested.
+   */
   private boolean tryStartListing(EndpointTracker tracker) {
     EndpointRecord record = tracker.record();
-    return settings.inOwnRegion(record.failureDomain())
+    return !listingRequested.contains(record.id())
+        && !listedByOthers.contains(record.id())
+        && settings.inOwnRegion(record.failureDomain())
         && record.state() == EndpointState.READY
         && engineOfService
             .apply(record.service())
             .filter(ServiceSpec.Engine::supportsKvFetch)
             .isPresent()
+        && isResponsibleFor(record.id())
         && listingRequested.add(record.id());
   }
 
+  private boolean isResponsibleFor(String endpoint) {
+    List<String> ranked = Rendezvous.rank(listingEntries, name -> name, endpoint);
+    boolean responsible =
+        ranked.stream().limit(LISTING_ENTRIES).anyMatch(settings.nodeName()::equals);
+    if (!responsible) {
+      listedByOthers.add(endpoint);
+    }
+    return responsible;
+  }
+
   private void requestListing(EndpointTracker tracker) {
     listing
         .list(tracker.record().address())
-        .onSuccess(parts -> tracker.recordPrefix(parts, kvCapacityOf(tracker)))
+        .onSuccess(parts -> applyListing(tracker, parts))
         .onComplete(response -> logListing(tracker.record(), response));
   }
 
+  private void applyListing(EndpointTracker tracker, List<PromptPart> parts) {
+    if (!parts.isEmpty()) {
+      tracker.recordPrefix(parts, kvCapacityOf(tracker));
+      report(tracker, parts);
+    }
+  }
+
   private long kvCapacityOf(EndpointTracker tracker) {
     return engineOfService
         .apply(tracker.record().service())
