--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/KnownEntries.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/KnownEntries.java
@@ -22,6 +22,7 @@
   private static final Duration REACH_TTL = Duration.ofMillis(1_500);
 
   private final EntryInfo self;
+  private final StandbyState activeEntries;
   private final UnreachableEntries unreachable = new UnreachableEntries();
   private FleetMessage.EntryList list = new FleetMessage.EntryList("", List.of());
 
@@ -32,9 +33,19 @@
 
   private record ReachReport(FleetMessage.EntryReach reach, Instant receivedAt) {}
 
-  /** Creates a view that contains no other entry. */
+  /** Creates a view that contains no other entry, all of whose entries are active. */
   public KnownEntries(EntryInfo self) {
+    this(self, new StandbyState(self.name()));
+  }
+
+  /**
+   * Creates a view that contains no other entry.
+   *
+   * @param activeEntries which entries are active
+   */
+  public KnownEntries(EntryInfo self, StandbyState activeEntries) {
     this.self = self;
+    this.activeEntries = activeEntries;
     this.regionNames = List.of(self.name());
   }
 
@@ -129,12 +140,17 @@
             .filter(e -> !excluded.contains(e.name()))
             .filter(e -> !unreachableServicesOf(e.name(), now).contains(service))
             .toList();
-    return RelayPartners.of(unreachable.preferReachable(candidates, now), self.name());
+    return relayPartnersAmong(candidates, now);
+  }
+
+  private List<EntryInfo> relayPartnersAmong(List<EntryInfo> candidates, Instant now) {
+    List<EntryInfo> active = activeEntries.activeOf(candidates, now);
+    return RelayPartners.of(unreachable.preferReachable(active, now), self.name());
   }
 
   /** Returns the entries of another region to which this one keeps connections open. */
   public List<EntryInfo> relayPartners(String region, Instant now) {
-    return RelayPartners.of(unreachable.preferReachable(ofRegion(region), now), self.name());
+    return relayPartnersAmong(ofRegion(region), now);
   }
 
   /**
@@ -144,6 +160,7 @@
    */
   public boolean recordConnectFailure(EntryInfo entry, Instant now) {
     unreachable.recordFailure(entry, now);
-    return unreachable.allUnreachable(RelayPartners.of(ofRegion(entry.region()), self.name()), now);
+    List<EntryInfo> active = activeEntries.activeOf(ofRegion(entry.region()), now);
+    return unreachable.allUnreachable(RelayPartners.of(active, self.name()), now);
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UpdateBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UpdateBuffer.java
@@ -32,13 +32,40 @@
   /** Interval after which an empty batch is sent as a heartbeat. */
   private static final Duration IDLE_BATCH_INTERVAL = Duration.ofMillis(480);
 
+  /**
+   * Interval between two batches for entries on standby, about one second: entries use quota usage
+   * for 1 s, the load of regions for 1.3 s and load reports for 1.5 s. The difference allows for
+   * the interval at which buffers are checked.
+   */
+  private static final Duration STANDBY_BATCH_INTERVAL = Duration.ofMillis(920);
+
   private final List<LoadReport> loads = new ArrayList<>();
   private final List<PrefixRead> prefixes = new ArrayList<>();
   private final List<RegionLoad> regionLoads = new ArrayList<>();
   private final Map<String, Long> quotaUsage = new HashMap<>();
+  private final Duration batchInterval;
+  private final Duration urgentBatchInterval;
+  private final Duration idleBatchInterval;
   private boolean urgent;
   private Instant lastBatchAt = Instant.EPOCH;
 
+  /** Creates a buffer for entries that serve callers. */
+  public UpdateBuffer() {
+    this(BATCH_INTERVAL, URGENT_BATCH_INTERVAL, IDLE_BATCH_INTERVAL);
+  }
+
+  private UpdateBuffer(
+      Duration batchInterval, Duration urgentBatchInterval, Duration idleBatchInterval) {
+    this.batchInterval = batchInterval;
+    this.urgentBatchInterval = urgentBatchInterval;
+    this.idleBatchInterval = idleBatchInterval;
+  }
+
+  /** Creates a buffer for entries on standby. */
+  public static UpdateBuffer forStandbyEntries() {
+    return new UpdateBuffer(STANDBY_BATCH_INTERVAL, STANDBY_BATCH_INTERVAL, STANDBY_BATCH_INTERVAL);
+  }
+
   /** Adds updates. */
   public void add(News updates, boolean updatesAreUrgent) {
     for (LoadReport report : updates.loads()) {
@@ -61,6 +88,11 @@
     if (lastBatchAt.plus(batchInterval()).isAfter(now)) {
       return Optional.empty();
     }
+    return Optional.of(drain(now));
+  }
+
+  /** Removes and returns the updates, before the entries that receive the batches change. */
+  public News drain(Instant now) {
     final News updates =
         new News(
             List.copyOf(loads),
@@ -73,15 +105,15 @@
     quotaUsage.clear();
     urgent = false;
     lastBatchAt = now;
-    return Optional.of(updates);
+    return updates;
   }
 
   private Duration batchInterval() {
     if (urgent) {
-      return URGENT_BATCH_INTERVAL;
+      return urgentBatchInterval;
     }
     boolean empty =
         loads.isEmpty() && prefixes.isEmpty() && regionLoads.isEmpty() && quotaUsage.isEmpty();
-    return empty ? IDLE_BATCH_INTERVAL : BATCH_INTERVAL;
+    return empty ? idleBatchInterval : batchInterval;
   }
 }
