The directory lists the active entries of a large region

Cause: callers are directed to all ready entries, so that each has little load. Change: entries of regions of more than eight entries report their capacity and pressure (tag 20); control instances list the active entries to callers of the region and send them to the entries (tag 21). An entry on standby opens no relay connections, gets about one digest a second, and checks its load and reachability once a second. LWC_ACTIVE_ENTRIES=all switches it off; settings without `limits` and small regions are served as before. The processor time of a deployment was not measured.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -97,6 +97,7 @@
   private final Map<String, EndpointRecord> pendingAnnouncements = new TreeMap<>();
   private final DepartureReplicator departures;
   private final UpdateAggregator aggregator;
+  private final ActiveEntryDirectory activeEntries;
   private final SuspicionExchange suspicions;
   private final Instant startedAt;
   private volatile List<String> seeds;
@@ -162,12 +163,15 @@
     this.transport = new FleetTransport(context, settings);
     metrics.registerPeerTraffic(transport.traffic());
     this.departures = new DepartureReplicator(vertx, settings.peerAddress(), transport);
+    this.activeEntries =
+        new ActiveEntryDirectory(settings, transport, clock, metrics, this::readyEntries);
     this.aggregator =
         new UpdateAggregator(
             transport,
             clock,
             settings.peerAddress(),
             this::entryPeersOfRegion,
+            activeEntries::idleStandbyPeers,
             this::otherControls);
     this.suspicions =
         new SuspicionExchange(
@@ -217,6 +221,7 @@
   /** Starts listening and sending hello messages. */
   public Future<Void> start() {
     vertx.setPeriodic(FLUSH_INTERVAL_MILLIS, id -> flushAnnouncements());
+    vertx.setPeriodic(FLUSH_INTERVAL_MILLIS, id -> activeEntries.update());
     vertx.setPeriodic(HELLO_INTERVAL_MILLIS, id -> sendHello());
     aggregator.start(vertx);
     return transport
@@ -337,7 +342,8 @@
    * @param limit maximum number of addresses
    */
   public List<String> entriesFor(String host, String region, int limit) {
-    return DirectorySelector.select(readyEntries(), region, routes().homeRegionsOf(host), limit);
+    return DirectorySelector.select(
+        activeEntries.entriesForCallersOf(region), region, routes().homeRegionsOf(host), limit);
   }
 
   /** Returns the active routes, parsing the document again only when its version has changed. */
@@ -389,7 +395,10 @@
     } else if (message instanceof FleetMessage.EntryReach reach) {
       onEntryReach(reach);
     } else if (message instanceof FleetMessage.EntryNews news) {
+      activeEntries.onUpdates(news);
       aggregator.onUpdates(news);
+    } else if (message instanceof FleetMessage.PressureReport pressure) {
+      activeEntries.onPressureReport(pressure);
     } else if (message instanceof FleetMessage.RemoteNews news) {
       aggregator.onUpdates(news);
     } else if (message instanceof FleetMessage.ControlHello hello) {
@@ -429,6 +438,7 @@
     transport.send(peer, controlPulse(report.reportId()));
     if (report.following()) {
       sendDifferences(tracked, report, now);
+      activeEntries.sendTo(report.entry());
     }
     sendReach(peer);
   }
@@ -501,6 +511,7 @@
     Instant now = clock.instant();
     lastHelloAt.values().removeIf(at -> at.plus(PEER_RETENTION).isBefore(now));
     entries.values().removeIf(e -> e.lastReportAt.plus(PEER_RETENTION).isBefore(now));
+    activeEntries.retain(entries.keySet());
     Set<String> targets = new TreeSet<>(knownControls());
     targets.addAll(seeds);
     targets.remove(settings.peerAddress());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
@@ -54,6 +55,8 @@
   /** Interval at which this entry determines which services it does not reach. */
   private static final long REACHABILITY_CHECK_INTERVAL_MILLIS = 100;
 
+  private static final int TICKS_PER_STANDBY_REACHABILITY_CHECK = 10;
+
   /** Maximum interval between two probes of an endpoint that does not respond. */
   private static final long MAX_PROBE_INTERVAL_MILLIS = 1_500;
 
@@ -97,6 +100,7 @@
   private final InstantSource clock;
   private final Vertx vertx;
   private final FleetTransport transport;
+  private final PressureReporter pressure;
   private final RouteDocumentParser parser;
   private final TrackedEndpoints endpoints = new TrackedEndpoints(new EndpointListener());
   private final RegionLoads regionLoads = new RegionLoads();
@@ -124,6 +128,7 @@
   private boolean controlReached;
   private Optional<String> currentAggregator = Optional.empty();
   private long reportCount;
+  private long reachabilityTicks;
   private boolean shuttingDown;
   private boolean readyReported;
 
@@ -159,9 +164,10 @@
     this.parser = parser;
     this.clock = clock;
     this.startedAt = clock.instant();
-    this.entries = new KnownEntries(self);
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.pressure = new PressureReporter(settings, transport, clock);
+    this.entries = new KnownEntries(self, pressure.state());
     this.quotas = new FleetQuotas(startedAt);
     this.controlTracker = new ControlInstanceTracker(settings.region());
     this.aggregatorSelector = new AggregatorSelector(settings.region());
@@ -177,6 +183,7 @@
             endpoints::trackers,
             endpoints::tracker,
             this::updateChannel,
+            pressure::isStandby,
             quotas);
     this.prefixes =
         new PrefixExchange(
@@ -217,7 +224,7 @@
   /** Starts listening to peers and reporting. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> report());
-    vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> checkReachability());
+    vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> checkReachabilityIfDue());
     loads.start();
     return transport
         .listen(this::receive, (from, message) -> {})
@@ -276,6 +283,21 @@
     extraSends.recordFirstSend(service, clock.instant());
   }
 
+  /** Sets the source of this entry's pressure, which is reported to the control instances. */
+  public void usePressure(Supplier<EntryPressure> source) {
+    pressure.usePressure(source);
+  }
+
+  /** Records a request of a caller or of another entry. */
+  public void requestArrived() {
+    pressure.state().onRequest(clock.instant());
+  }
+
+  /** Returns whether callers are directed to other entries and this one serves no requests. */
+  public boolean isStandby() {
+    return pressure.isStandby();
+  }
+
   /** Returns the known entries, including this one while it accepts requests. */
   public List<EntryInfo> entries() {
     return entries.all();
@@ -407,6 +429,9 @@
 
   /** Returns the entries of other regions to which this one keeps connections open. */
   public List<EntryInfo> relayPartners() {
+    if (isStandby()) {
+      return List.of();
+    }
     Instant now = clock.instant();
     return settings.regionByDomain().values().stream()
         .distinct()
@@ -448,6 +473,14 @@
     return Duration.ofMillis(millis);
   }
 
+  /** On standby, this entry is no relay target, so fewer checks are needed. */
+  private void checkReachabilityIfDue() {
+    reachabilityTicks++;
+    if (!isStandby() || reachabilityTicks % TICKS_PER_STANDBY_REACHABILITY_CHECK == 0) {
+      checkReachability();
+    }
+  }
+
   /**
    * Determines which services of this region this entry does not reach, and reports a change
    * immediately, so that other entries neither relay requests for them to it nor expect it to.
@@ -482,7 +515,8 @@
   /** Records a request relayed to another entry, which adds to the load of another region. */
   public void requestRelayed(String region, PlacementRequest request) {
     if (!region.equals(settings.region())) {
-      regionLoads.recordRelayed(region, request, entries.regionNames().size());
+      int senders = pressure.state().activeCount(entries.regionNames(), clock.instant());
+      regionLoads.recordRelayed(region, request, senders);
     }
   }
 
@@ -511,11 +545,13 @@
     long reportId = lease.startReport(clocks());
     transport.sendAll(followed, entryReport(true, reportId));
     reportCount++;
-    if (reportCount % REPORTS_PER_BROADCAST == 0 || shuttingDown) {
+    boolean broadcast = reportCount % REPORTS_PER_BROADCAST == 0 || shuttingDown;
+    if (broadcast) {
       Set<String> others = new TreeSet<>(targets);
       others.removeAll(followed);
       transport.sendAll(others, entryReport(false, reportId));
     }
+    pressure.report(broadcast ? targets : followed, entries.regionNames().size());
     if (!unreachableServices.isEmpty()) {
       reportReach();
     }
@@ -572,6 +608,8 @@
       onRosterUpdate(update);
     } else if (message instanceof FleetMessage.EntryList list) {
       onEntryList(list);
+    } else if (message instanceof FleetMessage.ActiveEntries active) {
+      pressure.onActiveEntries(active);
     } else if (message instanceof FleetMessage.EntryReach reach) {
       entries.updateReach(reach, clock.instant());
     } else if (message instanceof FleetMessage.StateOffer offer) {
@@ -804,9 +842,10 @@
 
   private void reportRegionLoad() {
     if (ready()) {
+      Instant now = clock.instant();
       loads.reportRegionLoad(
           entries.regionNames(),
-          entries.regionNamesByReach(clock.instant()),
+          pressure.state().activeFirst(entries.regionNamesByReach(now), now),
           routing.evacuatedDomains());
     }
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -27,6 +27,7 @@
  * @param endpointHeartbeat interval at which endpoints announce themselves
  * @param bounds the bounds that the deployment guarantees
  * @param capacity the resources of the instance's machine; empty if the settings do not state them
+ * @param activeEntriesMode whether the directory lists all entries of a large region
  * @param disabledMechanisms placement mechanisms that are disabled
  * @param secret the shared secret of the peer transport
  */
@@ -46,6 +47,7 @@
     Duration endpointHeartbeat,
     FleetBounds bounds,
     Optional<EntryCapacity> capacity,
+    ActiveEntriesMode activeEntriesMode,
     Set<PlacementMechanism> disabledMechanisms,
     byte[] secret) {
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lacewingcroft.limit.EndpointRateLimit;
@@ -39,6 +40,9 @@
    */
   private static final int REGION_REPORTERS = 2;
 
+  /** Interval of the check for load on standby; a request ends it at once. */
+  private static final long STANDBY_INTERVAL_MILLIS = 1_000;
+
   private final Vertx vertx;
   private final FleetSettings settings;
   private final EntryInfo self;
@@ -46,6 +50,7 @@
   private final Supplier<Collection<EndpointTracker>> trackers;
   private final Function<String, Optional<EndpointTracker>> trackerOf;
   private final Supplier<UpdateChannel> channel;
+  private final BooleanSupplier standby;
   private final FleetQuotas quotas;
 
   /** The endpoints at which each other entry has reported load. */
@@ -54,6 +59,9 @@
   /** Whether the last report contained load, so that a report without load has to follow. */
   private boolean loadReported;
 
+  private long timer;
+  private boolean standbyInterval;
+
   LoadExchange(
       Vertx vertx,
       FleetSettings settings,
@@ -62,6 +70,7 @@
       Supplier<Collection<EndpointTracker>> trackers,
       Function<String, Optional<EndpointTracker>> trackerOf,
       Supplier<UpdateChannel> channel,
+      BooleanSupplier standby,
       FleetQuotas quotas) {
     this.vertx = vertx;
     this.settings = settings;
@@ -70,6 +79,7 @@
     this.trackers = trackers;
     this.trackerOf = trackerOf;
     this.channel = channel;
+    this.standby = standby;
     this.quotas = quotas;
   }
 
@@ -79,7 +89,10 @@
   }
 
   private void report() {
-    vertx.setTimer(channel.get().reportIntervalMillis(), id -> report());
+    standbyInterval = standby.getAsBoolean();
+    long intervalMillis =
+        standbyInterval ? STANDBY_INTERVAL_MILLIS : channel.get().reportIntervalMillis();
+    timer = vertx.setTimer(intervalMillis, id -> report());
     Instant now = clock.instant();
     List<FleetMessage.EndpointLoad> loads =
         trackers.get().stream()
@@ -120,6 +133,10 @@
    * its prefill keeps the endpoint busy for a considerable part of the report interval.
    */
   void requestSent(EndpointTracker tracker, long uncachedTokens) {
+    if (standbyInterval) {
+      vertx.cancelTimer(timer);
+      report();
+    }
     if (uncachedTokens >= LONG_PROMPT_TOKENS) {
       reportLoadImmediately(tracker);
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -31,14 +32,22 @@
   private final InstantSource clock;
   private final String selfAddress;
   private final Function<String, Collection<String>> entriesOfRegion;
+  private final Function<String, Set<String>> idleStandbyEntriesOfRegion;
   private final Supplier<Collection<String>> otherControls;
   private final Map<String, ServedRegion> regions = new TreeMap<>();
 
   /** A region whose entries have selected this aggregator. */
   private static final class ServedRegion {
     private final UpdateBuffer localBuffer = new UpdateBuffer();
+    private final UpdateBuffer standbyBuffer = UpdateBuffer.forStandbyEntries();
+    private Set<String> standbyEntries = Set.of();
     private final RemoteUpdateBuffer remoteBuffer = new RemoteUpdateBuffer();
     private Instant lastUpdateAt;
+
+    private void addLocal(News updates, boolean urgent) {
+      localBuffer.add(updates, urgent);
+      standbyBuffer.add(updates, urgent);
+    }
   }
 
   /**
@@ -46,6 +55,8 @@
    *
    * @param selfAddress this instance's peer address
    * @param entriesOfRegion returns the peer addresses of a region's live entries
+   * @param idleStandbyEntriesOfRegion returns the peer addresses of those that receive updates less
+   *     often
    * @param otherControls returns the peer addresses of the other control instances
    */
   UpdateAggregator(
@@ -53,11 +64,13 @@
       InstantSource clock,
       String selfAddress,
       Function<String, Collection<String>> entriesOfRegion,
+      Function<String, Set<String>> idleStandbyEntriesOfRegion,
       Supplier<Collection<String>> otherControls) {
     this.transport = transport;
     this.clock = clock;
     this.selfAddress = selfAddress;
     this.entriesOfRegion = entriesOfRegion;
+    this.idleStandbyEntriesOfRegion = idleStandbyEntriesOfRegion;
     this.otherControls = otherControls;
   }
 
@@ -70,7 +83,7 @@
     Instant now = clock.instant();
     ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
     served.lastUpdateAt = now;
-    served.localBuffer.add(message.news(), message.urgent());
+    served.addLocal(message.news(), message.urgent());
     served.remoteBuffer.add(message.news(), now);
     News forOtherRegions =
         new News(
@@ -90,7 +103,7 @@
     regions.forEach(
         (region, served) -> {
           if (!region.equals(origin)) {
-            served.localBuffer.add(updates, false);
+            served.addLocal(updates, false);
           }
         });
   }
@@ -101,15 +114,30 @@
     regions.forEach((region, served) -> sendDue(region, served, now));
   }
 
+  private void sendLocal(String region, ServedRegion served, News updates) {
+    List<String> receivers =
+        entriesOfRegion.apply(region).stream()
+            .filter(peer -> !served.standbyEntries.contains(peer))
+            .toList();
+    transport.sendAll(receivers, new FleetMessage.NewsDigest(selfAddress, updates));
+  }
+
+  private void sendToStandby(ServedRegion served, News updates) {
+    transport.sendAll(served.standbyEntries, new FleetMessage.NewsDigest(selfAddress, updates));
+  }
+
   private void sendDue(String region, ServedRegion served, Instant now) {
-    served
-        .localBuffer
-        .drainIfDue(now)
-        .ifPresent(
-            updates ->
-                transport.sendAll(
-                    entriesOfRegion.apply(region),
-                    new FleetMessage.NewsDigest(selfAddress, updates)));
+    Set<String> standbyEntries = idleStandbyEntriesOfRegion.apply(region);
+    if (!standbyEntries.equals(served.standbyEntries)) {
+      // Each entry receives every update once: quota usage is added up.
+      sendLocal(region, served, served.localBuffer.drain(now));
+      sendToStandby(served, served.standbyBuffer.drain(now));
+      served.standbyEntries = standbyEntries;
+    }
+    served.localBuffer.drainIfDue(now).ifPresent(updates -> sendLocal(region, served, updates));
+    if (!served.standbyEntries.isEmpty()) {
+      served.standbyBuffer.drainIfDue(now).ifPresent(updates -> sendToStandby(served, updates));
+    }
     served
         .remoteBuffer
         .drainIfDue(now)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -66,6 +66,7 @@
   private final InstantSource clock;
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
+  private final LinkTraffic traffic = new LinkTraffic();
   private HttpServer publicServer;
   private HttpServer relayServer;
 
@@ -88,7 +89,7 @@
         new ForwardContext(
             vertx,
             node,
-            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock),
+            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock, traffic),
             headerNames,
             new AdvertisedConditionsReader(headerNames, node),
             hopAuthenticator,
@@ -96,6 +97,17 @@
             metrics,
             clock,
             new AtomicInteger());
+    settings
+        .capacity()
+        .ifPresent(
+            capacity ->
+                node.usePressure(
+                    new PressureMeter(
+                        capacity,
+                        traffic,
+                        new EventLoopCpuShare(capacity.cores()),
+                        this::inFlight,
+                        clock)));
   }
 
   /** Binds both servers and starts to keep connections to the relay partners open. */
@@ -107,6 +119,7 @@
             .connectionHandler(
                 connection -> {
                   StrictRequestDecoder.install(connection, publicOptions, this::limits);
+                  traffic.install(connection);
                   callerConnections.onConnectionOpened(connection);
                 })
             .requestHandler(this::handleCaller);
@@ -118,6 +131,7 @@
                     .setIdleTimeoutUnit(TimeUnit.SECONDS)
                     .setMaxHeaderSize(MAX_RELAY_HEAD_BYTES)
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
+            .connectionHandler(traffic::install)
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
     new EndpointProber(vertx, node, context.connectionPool(), clock).start();
@@ -173,6 +187,7 @@
 
   private void handleCaller(HttpServerRequest request) {
     final Instant arrivedAt = clock.instant();
+    node.requestArrived();
     CallerResponse response = new CallerResponse(request, false);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
@@ -324,6 +339,7 @@
 
   private void handleRelayed(HttpServerRequest request) {
     final Instant arrivedAt = clock.instant();
+    node.requestArrived();
     CallerResponse response = new CallerResponse(request, true);
     request.exceptionHandler(e -> {});
     try {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -49,6 +49,7 @@
 
   private final HttpClientAgent client;
   private final InstantSource clock;
+  private final LinkTraffic traffic;
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
 
@@ -56,9 +57,12 @@
    * Creates an empty pool.
    *
    * @param bindAddress the local address of new connections, empty for the system's choice
+   * @param traffic counts the bytes of the connections
    */
-  UpstreamConnections(Vertx vertx, Optional<String> bindAddress, InstantSource clock) {
+  UpstreamConnections(
+      Vertx vertx, Optional<String> bindAddress, InstantSource clock, LinkTraffic traffic) {
     this.clock = clock;
+    this.traffic = traffic;
     HttpClientOptions options =
         new HttpClientOptions()
             .setKeepAlive(true)
@@ -193,6 +197,7 @@
                 .setHost(target.host())
                 .setPort(target.port())
                 .setConnectTimeout(Math.toIntExact(timeout.toMillis())))
+        .onSuccess(traffic::install)
         .map(connection -> new PooledConnection(address, connection));
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -78,6 +78,29 @@
   public final Gauge inFlight =
       Gauge.builder().name("lwc_in_flight").help("Requests in flight").register(registry);
 
+  /** The number of entries that a control instance directs callers to, by region. */
+  public final Gauge activeEntries =
+      Gauge.builder()
+          .name("lwc_active_entries")
+          .help("Entries that callers are directed to, by region")
+          .labelNames("region")
+          .register(registry);
+
+  /** Changes of the active entries at a control instance, by region and cause. */
+  public final Counter activeEntryChanges =
+      Counter.builder()
+          .name("lwc_active_entry_changes_total")
+          .help("Changes of the active entries by region and cause")
+          .labelNames("region", "cause")
+          .register(registry);
+
+  /** Whether an entry is on standby: 1, or 0 if callers are directed to it. */
+  public final Gauge standby =
+      Gauge.builder()
+          .name("lwc_entry_standby")
+          .help("1 if callers are directed to other entries and this one serves no requests")
+          .register(registry);
+
   /** Seconds from the receipt of a request until the first byte of its response is relayed. */
   public final Histogram firstByteSeconds =
       Histogram.builder()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
@@ -118,6 +118,7 @@
             3,
             Optional.empty()),
         Optional.empty(),
+        ActiveEntriesMode.AUTO,
         Set.of(),
         "a secret of the test".getBytes());
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -17,9 +17,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.lacewingcroft.fleet.ActiveEntriesMode;
 import org.lacewingcroft.fleet.ControlNode;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
+import org.lacewingcroft.fleet.EntryCapacity;
 import org.lacewingcroft.fleet.EntryInfo;
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.FleetBounds;
@@ -96,7 +98,13 @@
     this.tables = tables;
     this.bounds = bounds;
     this.controlSettings =
-        settings("control", "north", List.of(), Optional.of(dataDir), Optional.empty());
+        settings(
+            "control",
+            "north",
+            List.of(),
+            Optional.of(dataDir),
+            Optional.empty(),
+            Optional.empty());
     FleetSettings foundingSettings =
         new FleetSettings(
             "control",
@@ -114,6 +122,7 @@
             HEARTBEAT_INTERVAL,
             bounds,
             Optional.empty(),
+            ActiveEntriesMode.AUTO,
             Set.of(),
             SECRET);
     startControl(foundingSettings);
@@ -157,7 +166,8 @@
       String region,
       List<String> seeds,
       Optional<Path> dataDir,
-      Optional<String> upstreamBindAddress)
+      Optional<String> upstreamBindAddress,
+      Optional<EntryCapacity> capacity)
       throws IOException {
     return new FleetSettings(
         name,
@@ -174,7 +184,8 @@
         upstreamBindAddress,
         HEARTBEAT_INTERVAL,
         bounds,
-        Optional.empty(),
+        capacity,
+        ActiveEntriesMode.AUTO,
         Set.of(),
         SECRET);
   }
@@ -191,13 +202,28 @@
    */
   Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
+    return startEntry(name, region, upstreamBindAddress, Optional.empty());
+  }
+
+  /** Starts an entry on a machine of known capacity. */
+  Entry startEntry(String name, String region, EntryCapacity capacity) throws Exception {
+    return startEntry(name, region, Optional.empty(), Optional.of(capacity));
+  }
+
+  private Entry startEntry(
+      String name,
+      String region,
+      Optional<String> upstreamBindAddress,
+      Optional<EntryCapacity> capacity)
+      throws Exception {
     FleetSettings settings =
         settings(
             name,
             region,
             List.of(controlSettings.peerAddress()),
             Optional.empty(),
-            upstreamBindAddress);
+            upstreamBindAddress,
+            capacity);
     int publicPort = LoopbackPorts.allocatePort();
     EntryInfo self =
         new EntryInfo(
