Active entries: grow before shares of connections are used up, and agree across regions

Found by review, not by callers. Cause and change: - The bounds that all entries share are divided by all listed entries, so active entries could use up their connections to endpoints while their processors are idle. The set grows when they have half of the requests in flight that these shares permit. - Control instances of other regions got reports of entries on standby only every 3 s, as long as a report is valid, and would list all entries of the region. Pressure goes to them with every third report, and with each one while it is high; one late report no longer changes the list. - An entry on standby that sent an update would have found its aggregator overdue, which sends it one digest a second, and excluded it for 3 s.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ActiveEntryDirectory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ActiveEntryDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.function.ToIntBiFunction;
 import java.util.stream.Collectors;
 import org.lacewingcroft.metrics.GatewayMetrics;
 
@@ -38,6 +39,7 @@
   private final InstantSource clock;
   private final GatewayMetrics metrics;
   private final Supplier<List<EntryInfo>> readyEntries;
+  private final ToIntBiFunction<String, Integer> maxInFlight;
   private final ActiveEntrySelector selector = new ActiveEntrySelector();
   private final Map<String, Instant> lastRequestAt = new HashMap<>();
   private final Map<String, SentList> sent = new HashMap<>();
@@ -51,18 +53,22 @@
    * Creates a directory without reports.
    *
    * @param readyEntries returns the entries of all regions that accept requests
+   * @param maxInFlight returns how many requests one entry of a region may have in flight at the
+   *     region's endpoints
    */
   ActiveEntryDirectory(
       FleetSettings settings,
       FleetTransport transport,
       InstantSource clock,
       GatewayMetrics metrics,
-      Supplier<List<EntryInfo>> readyEntries) {
+      Supplier<List<EntryInfo>> readyEntries,
+      ToIntBiFunction<String, Integer> maxInFlight) {
     this.settings = settings;
     this.transport = transport;
     this.clock = clock;
     this.metrics = metrics;
     this.readyEntries = readyEntries;
+    this.maxInFlight = maxInFlight;
   }
 
   private boolean isEnabled() {
@@ -77,12 +83,18 @@
     }
   }
 
-  /** Records from an entry's updates that it serves requests. */
+  /**
+   * Records from an entry's updates that it serves requests. Rate limits and the load of the region
+   * are reported without requests as well.
+   */
   void onUpdates(FleetMessage.EntryNews message) {
+    FleetMessage.News updates = message.news();
     boolean serving =
-        message.news().loads().stream()
-            .flatMap(report -> report.loads().stream())
-            .anyMatch(load -> load.running() > 0);
+        !updates.prefixes().isEmpty()
+            || !updates.quotaUsage().isEmpty()
+            || updates.loads().stream()
+                .flatMap(report -> report.loads().stream())
+                .anyMatch(load -> load.running() > 0);
     if (serving) {
       lastRequestAt.put(message.from(), clock.instant());
     }
@@ -113,7 +125,7 @@
     selectedFrom = ready;
     lastRequestAt.values().removeIf(at -> !isRecentRequest(at, now));
     Map<String, ActiveEntrySelector.Selection> previous = selections;
-    selections = selector.select(ready, now);
+    selections = selector.select(ready, maxInFlight, now);
     selections.forEach(
         (region, selection) -> recordChange(Optional.ofNullable(previous.get(region)), selection));
   }
@@ -170,7 +182,6 @@
    * repeated. Nothing is sent while no region has entries on standby and none had any before.
    */
   void sendTo(EntryInfo entry) {
-    update();
     Instant now = clock.instant();
     Optional<SentList> last = Optional.ofNullable(sent.get(entry.name()));
     boolean restricted =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.BooleanSupplier;
 import org.lacewingcroft.fleet.FleetMessage.LoadReport;
 import org.lacewingcroft.fleet.FleetMessage.News;
 import org.lacewingcroft.limit.EndpointRateLimit;
@@ -31,6 +32,7 @@
   private final FleetTransport transport;
   private final AggregatorSelector aggregatorSelector;
   private final InstantSource clock;
+  private final BooleanSupplier standby;
   private final List<FleetMessage.PrefixRead> prefixes = new ArrayList<>();
   private final Map<String, Long> quotaUsage = new HashMap<>();
   private List<ReportedLoad> lastReported = List.of();
@@ -59,11 +61,13 @@
       FleetSettings settings,
       FleetTransport transport,
       AggregatorSelector aggregatorSelector,
-      InstantSource clock) {
+      InstantSource clock,
+      BooleanSupplier standby) {
     this.settings = settings;
     this.transport = transport;
     this.aggregatorSelector = aggregatorSelector;
     this.clock = clock;
+    this.standby = standby;
   }
 
   @Override
@@ -121,7 +125,10 @@
         .select(now)
         .ifPresent(
             aggregator -> {
-              aggregatorSelector.onUpdateSent(now);
+              // An entry on standby gets a batch a second, which the selector would find overdue.
+              if (!standby.getAsBoolean()) {
+                aggregatorSelector.onUpdateSent(now);
+              }
               transport.send(aggregator, message);
             });
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -164,7 +164,15 @@
     metrics.registerPeerTraffic(transport.traffic());
     this.departures = new DepartureReplicator(vertx, settings.peerAddress(), transport);
     this.activeEntries =
-        new ActiveEntryDirectory(settings, transport, clock, metrics, this::readyEntries);
+        new ActiveEntryDirectory(
+            settings,
+            transport,
+            clock,
+            metrics,
+            this::readyEntries,
+            (region, regionEntries) ->
+                RegionConnections.maxInFlightPerEntry(
+                    roster.records(clock.instant()), settings, region, regionEntries, routes()));
     this.aggregator =
         new UpdateAggregator(
             transport,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -20,6 +20,7 @@
 import java.util.stream.Stream;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
+import org.lacewingcroft.placement.ConnectionShare;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -83,9 +84,6 @@
    */
   private static final Duration EVACUATION_END_MARGIN = Duration.ofSeconds(1);
 
-  /** Share of an endpoint's connections that all entries together use. */
-  private static final double CONNECTION_SHARE = 0.8;
-
   /**
    * Length of the state lease, as a share of the time for which a revoked key may still be
    * accepted.
@@ -173,7 +171,8 @@
     this.aggregatorSelector = new AggregatorSelector(settings.region());
     this.directChannel = new DirectUpdateChannel(settings, transport, entries::all);
     this.aggregatedChannel =
-        new AggregatedUpdateChannel(settings, transport, aggregatorSelector, clock);
+        new AggregatedUpdateChannel(
+            settings, transport, aggregatorSelector, clock, pressure::isStandby);
     this.loads =
         new LoadExchange(
             vertx,
@@ -400,7 +399,7 @@
 
   private static int maxInFlightPerEndpoint(Optional<ServiceSpec> spec, int regionEntryCount) {
     int connections = spec.map(ServiceSpec::maxConnections).orElse(1);
-    return Math.max(2, (int) (connections * CONNECTION_SHARE / regionEntryCount));
+    return ConnectionShare.maxInFlightPerEndpoint(connections, regionEntryCount);
   }
 
   /**
@@ -551,7 +550,7 @@
       others.removeAll(followed);
       transport.sendAll(others, entryReport(false, reportId));
     }
-    pressure.report(broadcast ? targets : followed, entries.regionNames().size());
+    pressure.report(followed, targets, broadcast, entries.regionNames().size());
     if (!unreachableServices.isEmpty()) {
       reportReach();
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PressureReporter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PressureReporter.java
@@ -16,6 +16,12 @@
   /** An entry on standby sends its pressure with each report whose number is divisible by this. */
   private static final int REPORTS_PER_STANDBY_PRESSURE = 2;
 
+  /**
+   * Share of a resource from which the pressure is sent to all control instances with each report,
+   * so that those of other regions let the active set grow at about the same time.
+   */
+  private static final double HIGH_PRESSURE = 0.5;
+
   private final FleetSettings settings;
   private final FleetTransport transport;
   private final InstantSource clock;
@@ -60,21 +66,26 @@
   /**
    * Reports the pressure.
    *
-   * @param controls the control instances that receive this report
+   * @param followed the control instances that this entry follows
+   * @param all all known control instances
+   * @param broadcast whether this entry's report goes to all of them
    * @param regionEntries number of entries in this region
    */
-  void report(Collection<String> controls, int regionEntries) {
+  void report(
+      Collection<String> followed, Collection<String> all, boolean broadcast, int regionEntries) {
     logChange();
     reportCount++;
     boolean needed =
         isEnabled()
             && regionEntries > ActiveSet.MAX_UNRESTRICTED_ENTRIES
-            && (!isStandby() || reportCount % REPORTS_PER_STANDBY_PRESSURE == 0);
+            && (broadcast || !isStandby() || reportCount % REPORTS_PER_STANDBY_PRESSURE == 0);
     if (needed && pressure.isPresent()) {
+      EntryPressure current = pressure.get().get();
+      boolean high = Math.max(current.eventLoop(), current.link()) > HIGH_PRESSURE;
       transport.sendAll(
-          controls,
+          broadcast || high ? all : followed,
           new FleetMessage.PressureReport(
-              settings.nodeName(), settings.capacity().orElseThrow(), pressure.get().get()));
+              settings.nodeName(), settings.capacity().orElseThrow(), current));
     }
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveEntrySelector.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveEntrySelector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToIntBiFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -44,9 +45,12 @@
    * Returns the active entries by region.
    *
    * @param ready the entries of all regions that accept requests
+   * @param maxInFlight returns how many requests one entry may have in flight, given its region and
+   *     the number of entries there
    */
-  public Map<String, Selection> select(List<EntryInfo> ready, Instant now) {
-    reports.values().removeIf(r -> !r.receivedAt().plus(ActiveSet.REPORT_TTL).isAfter(now));
+  public Map<String, Selection> select(
+      List<EntryInfo> ready, ToIntBiFunction<String, Integer> maxInFlight, Instant now) {
+    reports.values().removeIf(r -> !r.receivedAt().plus(ActiveSet.REPORT_RETENTION).isAfter(now));
     Map<String, List<EntryInfo>> byRegion =
         ready.stream().collect(Collectors.groupingBy(EntryInfo::region));
     // A region that has lost all of its entries keeps its state.
@@ -59,7 +63,9 @@
               .map(e -> new ActiveSet.Member(e, Optional.ofNullable(reports.get(e.name()))))
               .toList();
       ActiveSet.Decision decision =
-          regions.computeIfAbsent(region, r -> new ActiveSet()).update(members, now);
+          regions
+              .computeIfAbsent(region, r -> new ActiveSet())
+              .update(members, maxInFlight.applyAsInt(region, members.size()), now);
       selections.put(
           region, new Selection(region, decision.names(), members.size(), decision.cause()));
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveSet.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveSet.java
@@ -27,8 +27,18 @@
   /** Number of entries up to which all entries of a region are listed. */
   static final int MAX_UNRESTRICTED_ENTRIES = 8;
 
-  /** Time after which a pressure report is no longer used: six reports of an active entry. */
-  static final Duration REPORT_TTL = Duration.ofSeconds(3);
+  /**
+   * Time after which a pressure report counts as missing: six reports of an active entry, two at a
+   * control instance of another region.
+   */
+  private static final Duration REPORT_TTL = Duration.ofSeconds(3);
+
+  /**
+   * Time for which the last report of an entry determines its place in the order. It is as long as
+   * a control instance lists an entry that follows others, so that one late report does not change
+   * the list.
+   */
+  static final Duration REPORT_RETENTION = Duration.ofSeconds(5);
 
   /**
    * Time for which the reports must have been complete before the list is restricted. A control
@@ -113,8 +123,8 @@
    * @param report its last pressure report, if any
    */
   public record Member(EntryInfo info, Optional<ReportedPressure> report) {
-    private boolean hasReported(Instant now) {
-      return report.filter(r -> r.receivedAt().plus(REPORT_TTL).isAfter(now)).isPresent();
+    private boolean hasReportedWithin(Duration age, Instant now) {
+      return report.filter(r -> r.receivedAt().plus(age).isAfter(now)).isPresent();
     }
   }
 
@@ -130,8 +140,10 @@
    * Updates the active set.
    *
    * @param ready the entries of the region that accept requests
+   * @param maxInFlight how many requests one entry may have in flight at the region's endpoints; 0
+   *     if unknown
    */
-  public Decision update(List<Member> ready, Instant now) {
+  public Decision update(List<Member> ready, int maxInFlight, Instant now) {
     boolean suspended = lastUpdateAt.plus(MAX_UPDATE_INTERVAL).isBefore(now);
     lastUpdateAt = now;
     updateRegionSize(ready.size(), now);
@@ -142,8 +154,9 @@
       restricted = false;
       return new Decision(names(ready), unrestrictedCause.get());
     }
-    Region region = new Region(ready.stream().filter(m -> m.hasReported(now)).toList());
-    Cause cause = resize(region, now);
+    Region region =
+        new Region(ready.stream().filter(m -> m.hasReportedWithin(REPORT_RETENTION, now)).toList());
+    Cause cause = resize(region, maxInFlight, now);
     return new Decision(names(region.active(size)), cause);
   }
 
@@ -155,7 +168,7 @@
   }
 
   private void updateCompleteSince(List<Member> ready, boolean suspended, Instant now) {
-    long missing = ready.stream().filter(m -> !m.hasReported(now)).count();
+    long missing = ready.stream().filter(m -> !m.hasReportedWithin(REPORT_TTL, now)).count();
     if (suspended || missing > ready.size() * MAX_MISSING_REPORTS_SHARE) {
       completeSince = Optional.empty();
     } else if (completeSince.isEmpty()) {
@@ -175,7 +188,7 @@
     return complete ? Optional.empty() : Optional.of(Cause.REPORTS_INCOMPLETE);
   }
 
-  private Cause resize(Region region, Instant now) {
+  private Cause resize(Region region, int maxInFlight, Instant now) {
     int count = region.order.size();
     if (!restricted) {
       restricted = true;
@@ -184,7 +197,7 @@
     }
     size = Math.min(Math.max(size, region.minSize()), count);
     List<Member> active = region.active(size);
-    if (isHigh(active)) {
+    if (isHigh(active) || isNearInFlightLimit(active, maxInFlight)) {
       lowSince = Optional.empty();
       if (size < count && !lastGrowthAt.plus(GROWTH_INTERVAL).isAfter(now)) {
         int grown = Math.max((int) Math.ceil(size * GROWTH_FACTOR), region.sizeForLoad());
@@ -194,11 +207,13 @@
       }
       return Cause.ENTRIES_CHANGED;
     }
-    return shrinkIfLow(region, active, now);
+    return shrinkIfLow(region, active, maxInFlight, now);
   }
 
-  private Cause shrinkIfLow(Region region, List<Member> active, Instant now) {
-    if (!isLow(active)) {
+  private Cause shrinkIfLow(Region region, List<Member> active, int maxInFlight, Instant now) {
+    boolean manyInFlight =
+        maxInFlight > 0 && averageInFlight(active) > maxInFlight * SHRINK_AVERAGE;
+    if (manyInFlight || !isLow(active)) {
       lowSince = Optional.empty();
       return Cause.ENTRIES_CHANGED;
     }
@@ -227,6 +242,18 @@
         || overloaded >= active.size() * OVERLOADED_ENTRIES_SHARE;
   }
 
+  /**
+   * Returns whether the active entries may soon have as many requests in flight as their share of
+   * the endpoints' connections permits. The shares of entries on standby are not available to them.
+   */
+  private static boolean isNearInFlightLimit(List<Member> active, int maxInFlight) {
+    return maxInFlight > 0 && averageInFlight(active) > maxInFlight * GROWTH_AVERAGE;
+  }
+
+  private static double averageInFlight(List<Member> active) {
+    return average(active, r -> r.pressure().inFlight());
+  }
+
   private static boolean isLow(List<Member> active) {
     return average(active, ReportedPressure::callerEventLoop) < SHRINK_AVERAGE
         && average(active, r -> r.pressure().link()) < SHRINK_AVERAGE;
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/ActiveSetTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/ActiveSetTest.java
@@ -52,6 +52,8 @@
     private DoubleUnaryOperator usedCores = seconds -> 0;
     private double idleShare;
     private long listAgeMillis = 1_000;
+    private int maxInFlight;
+    private int inFlight = 3;
     private boolean reportsLost;
     private boolean frozen;
     private Set<String> current = Set.of();
@@ -92,6 +94,7 @@
                   .filter(alive)
                   .map(e -> new ActiveSet.Member(e, Optional.ofNullable(reports.get(e.name()))))
                   .toList(),
+              maxInFlight,
               now);
       if (!decision.names().equals(current)) {
         changes++;
@@ -105,7 +108,7 @@
     private void report(EntryInfo entry, Instant now) {
       double share = shares.getOrDefault(entry.name(), 0.0);
       EntryPressure pressure =
-          new EntryPressure(Math.max(idleShare, share), share / 2, 0.1, share > 0 ? 3 : 0);
+          new EntryPressure(Math.max(idleShare, share), share / 2, 0.1, share > 0 ? inFlight : 0);
       reports.put(entry.name(), new ReportedPressure(capacities.get(entry.name()), pressure, now));
     }
 
@@ -230,6 +233,7 @@
                                           new ReportedPressure(
                                               c, new EntryPressure(0, 0, 0, 0), now))))
                   .toList(),
+              0,
               now);
     }
     assertThat(decision.names().size() == 24, is(listsAll));
@@ -371,6 +375,23 @@
     assertThat("sizes " + sizes, sizes.size(), lessThanOrEqualTo(30));
   }
 
+  /**
+   * Guards against active entries that use up their share of the endpoints' connections, which is
+   * divided by all entries, while their processors are idle.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, 40, 8", "100, 40, 8", "100, 51, 24", "100, 100, 24"})
+  void growsBeforeSharesOfConnectionsAreUsedUp(int maxInFlight, int inFlight, int expected) {
+    Region region = new Region(24, 2, 0.36);
+    region.usedCores = s -> 0.02 * region.allCores();
+    region.maxInFlight = maxInFlight;
+    region.run(Duration.ofSeconds(6));
+    assertThat(region.current, hasSize(8));
+    region.inFlight = inFlight;
+    region.run(Duration.ofSeconds(5));
+    assertThat(region.current, hasSize(expected));
+  }
+
   /** Guards against a set that never shrinks after a peak. */
   @ParameterizedTest
   @ValueSource(ints = {24, 72})
