--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -16,10 +16,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
+import org.lacewingcroft.placement.ConnectionShare;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -59,6 +61,8 @@
   private static final long REACHABILITY_CHECK_INTERVAL_MILLIS =
       EventLoopLoad.CHECK_INTERVAL.toMillis();
 
+  private static final int TICKS_PER_STANDBY_REACHABILITY_CHECK = 10;
+
   /** Maximum interval between two probes of an endpoint that does not respond. */
   private static final long MAX_PROBE_INTERVAL_MILLIS = 1_500;
 
@@ -85,9 +89,6 @@
    */
   private static final Duration EVACUATION_END_MARGIN = Duration.ofSeconds(1);
 
-  /** Share of an endpoint's connections that all entries together use. */
-  private static final double CONNECTION_SHARE = 0.8;
-
   /**
    * Length of the state lease, as a share of the time for which a revoked key may still be
    * accepted.
@@ -102,6 +103,7 @@
   private final InstantSource clock;
   private final Vertx vertx;
   private final FleetTransport transport;
+  private final PressureReporter pressure;
   private final RouteDocumentParser parser;
   private final TrackedEndpoints endpoints = new TrackedEndpoints(new EndpointListener());
   private final RegionLoads regionLoads = new RegionLoads();
@@ -130,6 +132,7 @@
   private boolean controlReached;
   private Optional<String> currentAggregator = Optional.empty();
   private long reportCount;
+  private long reachabilityTicks;
   private boolean shuttingDown;
   private boolean readyReported;
 
@@ -166,15 +169,17 @@
     this.clock = clock;
     this.startedAt = clock.instant();
     this.eventLoop = new EventLoopMonitor(context, clock);
-    this.entries = new KnownEntries(self);
     this.seeds = settings.seedPeers();
     this.transport = new FleetTransport(context, settings);
+    this.pressure = new PressureReporter(settings, transport, clock);
+    this.entries = new KnownEntries(self, pressure.state());
     this.quotas = new FleetQuotas(startedAt);
     this.controlTracker = new ControlInstanceTracker(settings.region());
     this.aggregatorSelector = new AggregatorSelector(settings.region());
     this.directChannel = new DirectUpdateChannel(settings, transport, entries::all);
     this.aggregatedChannel =
-        new AggregatedUpdateChannel(settings, transport, aggregatorSelector, clock);
+        new AggregatedUpdateChannel(
+            settings, transport, aggregatorSelector, clock, pressure::isStandby);
     this.loads =
         new LoadExchange(
             vertx,
@@ -184,6 +189,7 @@
             endpoints::trackers,
             endpoints::tracker,
             this::updateChannel,
+            pressure::isStandby,
             quotas);
     this.prefixes =
         new PrefixExchange(
@@ -234,7 +240,7 @@
 
   private void runPeriodicChecks() {
     eventLoop.check();
-    checkReachability();
+    checkReachabilityIfDue();
   }
 
   /** Replaces the seed peers after the settings have changed. */
@@ -288,6 +294,21 @@
     extraSends.recordFirstSend(service, clock.instant());
   }
 
+  /** Sets the source of this entry's pressure, which is reported to the control instances. */
+  public void usePressure(Supplier<EntryPressure> source) {
+    pressure.usePressure(source);
+  }
+
+  /** Records a request of a caller or of another entry. */
+  public void requestArrived() {
+    pressure.state().onRequest(clock.instant());
+  }
+
+  /** Returns whether callers are directed to other entries and this one serves no requests. */
+  public boolean isStandby() {
+    return pressure.isStandby();
+  }
+
   /** Returns the known entries, including this one while it accepts requests. */
   public List<EntryInfo> entries() {
     return entries.all();
@@ -395,7 +416,7 @@
 
   private static int maxInFlightPerEndpoint(Optional<ServiceSpec> spec, int regionEntryCount) {
     int connections = spec.map(ServiceSpec::maxConnections).orElse(1);
-    return Math.max(2, (int) (connections * CONNECTION_SHARE / regionEntryCount));
+    return ConnectionShare.maxInFlightPerEndpoint(connections, regionEntryCount);
   }
 
   /**
@@ -424,6 +445,9 @@
 
   /** Returns the entries of other regions to which this one keeps connections open. */
   public List<EntryInfo> relayPartners() {
+    if (isStandby()) {
+      return List.of();
+    }
     Instant now = clock.instant();
     return settings.regionByDomain().values().stream()
         .distinct()
@@ -465,6 +489,14 @@
     return Duration.ofMillis(millis);
   }
 
+  /** On standby, this entry is no relay target, so fewer checks are needed. */
+  private void checkReachabilityIfDue() {
+    reachabilityTicks++;
+    if (!isStandby() || reachabilityTicks % TICKS_PER_STANDBY_REACHABILITY_CHECK == 0) {
+      checkReachability();
+    }
+  }
+
   /**
    * Determines which services of this region this entry does not reach, and reports a change
    * immediately, so that other entries neither relay requests for them to it nor expect it to.
@@ -499,7 +531,8 @@
   /** Records a request relayed to another entry, which adds to the load of another region. */
   public void requestRelayed(String region, PlacementRequest request) {
     if (!region.equals(settings.region())) {
-      regionLoads.recordRelayed(region, request, entries.regionNames().size());
+      int senders = pressure.state().activeCount(entries.regionNames(), clock.instant());
+      regionLoads.recordRelayed(region, request, senders);
     }
   }
 
@@ -528,11 +561,13 @@
     long reportId = lease.startReport(clocks());
     transport.sendAll(followed, entryReport(true, reportId));
     reportCount++;
-    if (reportCount % REPORTS_PER_BROADCAST == 0 || shuttingDown) {
+    boolean broadcast = reportCount % REPORTS_PER_BROADCAST == 0 || shuttingDown;
+    if (broadcast) {
       Set<String> others = new TreeSet<>(targets);
       others.removeAll(followed);
       transport.sendAll(others, entryReport(false, reportId));
     }
+    pressure.report(followed, targets, broadcast, entries.regionNames().size());
     if (!unreachableServices.isEmpty()) {
       reportReach();
     }
@@ -590,6 +625,8 @@
       onRosterUpdate(update);
     } else if (message instanceof FleetMessage.EntryList list) {
       onEntryList(list);
+    } else if (message instanceof FleetMessage.ActiveEntries active) {
+      pressure.onActiveEntries(active);
     } else if (message instanceof FleetMessage.EntryReach reach) {
       entries.updateReach(reach, clock.instant());
     } else if (message instanceof FleetMessage.StateOffer offer) {
@@ -820,9 +857,10 @@
 
   private void reportRegionLoad() {
     if (ready()) {
+      Instant now = clock.instant();
       loads.reportRegionLoad(
           entries.regionNames(),
-          entries.regionNamesByReach(clock.instant()),
+          pressure.state().activeFirst(entries.regionNamesByReach(now), now),
           routing.evacuatedDomains());
     }
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -72,6 +72,7 @@
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
   private final OverloadGate overload;
+  private final LinkTraffic traffic = new LinkTraffic();
   private HttpServer publicServer;
   private HttpServer relayServer;
 
@@ -95,7 +96,7 @@
         new ForwardContext(
             vertx,
             node,
-            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock),
+            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock, traffic),
             headerNames,
             new AdvertisedConditionsReader(headerNames, node),
             hopAuthenticator,
@@ -103,6 +104,17 @@
             metrics,
             clock,
             new AtomicInteger());
+    settings
+        .capacity()
+        .ifPresent(
+            capacity ->
+                node.usePressure(
+                    new PressureMeter(
+                        capacity,
+                        traffic,
+                        new EventLoopCpuShare(capacity.cores()),
+                        this::inFlight,
+                        clock)));
   }
 
   /** Binds both servers and starts to keep connections to the relay partners open. */
@@ -116,6 +128,7 @@
                   node.eventLoop().activity();
                   StrictRequestDecoder.install(
                       connection, publicOptions, this::limits, overload::onRequestHead);
+                  traffic.install(connection);
                   callerConnections.onConnectionOpened(connection);
                 })
             .requestHandler(this::handleCaller);
@@ -127,6 +140,7 @@
                     .setIdleTimeoutUnit(TimeUnit.SECONDS)
                     .setMaxHeaderSize(MAX_RELAY_HEAD_BYTES)
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
+            .connectionHandler(traffic::install)
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
     new EndpointProber(vertx, node, context.connectionPool(), clock).start();
@@ -182,6 +196,7 @@
 
   private void handleCaller(HttpServerRequest request) {
     final Instant arrivedAt = overload.arrivalOf(request);
+    node.requestArrived();
     CallerResponse response = new CallerResponse(request, false);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
@@ -344,6 +359,7 @@
 
   private void handleRelayed(HttpServerRequest request) {
     final Instant arrivedAt = overload.arrivalOf(request);
+    node.requestArrived();
     CallerResponse response = new CallerResponse(request, true);
     request.exceptionHandler(e -> {});
     try {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
@@ -195,6 +195,7 @@
             3,
             Optional.empty()),
         Optional.empty(),
+        ActiveEntriesMode.AUTO,
         Set.of(),
         "a secret of the test".getBytes());
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/route/RouteTable.java
@@ -74,8 +74,7 @@
 
   private void indexEventGap(Route route, Duration objective) {
     for (ServiceShare share : route.shares()) {
-      eventGapObjectives.merge(
-          share.service(), objective, (a, b) -> a.compareTo(b) <= 0 ? a : b);
+      eventGapObjectives.merge(share.service(), objective, (a, b) -> a.compareTo(b) <= 0 ? a : b);
     }
   }
 
