--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -38,16 +38,9 @@
 
   /** A region whose entries have selected this aggregator. */
   private static final class ServedRegion {
-    private final UpdateBuffer localBuffer = new UpdateBuffer();
-    private final UpdateBuffer standbyBuffer = UpdateBuffer.forStandbyEntries();
-    private Set<String> standbyEntries = Set.of();
+    private final RegionUpdateBuffer localBuffer = new RegionUpdateBuffer();
     private final RemoteUpdateBuffer remoteBuffer = new RemoteUpdateBuffer();
     private Instant lastUpdateAt;
-
-    private void addLocal(News updates, boolean urgent) {
-      localBuffer.add(updates, urgent);
-      standbyBuffer.add(updates, urgent);
-    }
   }
 
   /**
@@ -83,7 +76,7 @@
     Instant now = clock.instant();
     ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
     served.lastUpdateAt = now;
-    served.addLocal(message.news(), message.urgent());
+    served.localBuffer.add(message.news(), message.urgent());
     served.remoteBuffer.add(message.news(), now);
     News forOtherRegions =
         new News(
@@ -103,7 +96,7 @@
     regions.forEach(
         (region, served) -> {
           if (!region.equals(origin)) {
-            served.addLocal(updates, false);
+            served.localBuffer.add(updates, false);
           }
         });
   }
@@ -114,30 +107,15 @@
     regions.forEach((region, served) -> sendDue(region, served, now));
   }
 
-  private void sendLocal(String region, ServedRegion served, News updates) {
-    List<String> receivers =
-        entriesOfRegion.apply(region).stream()
-            .filter(peer -> !served.standbyEntries.contains(peer))
-            .toList();
-    transport.sendAll(receivers, new FleetMessage.NewsDigest(selfAddress, updates));
-  }
-
-  private void sendToStandby(ServedRegion served, News updates) {
-    transport.sendAll(served.standbyEntries, new FleetMessage.NewsDigest(selfAddress, updates));
-  }
-
   private void sendDue(String region, ServedRegion served, Instant now) {
-    Set<String> standbyEntries = idleStandbyEntriesOfRegion.apply(region);
-    if (!standbyEntries.equals(served.standbyEntries)) {
-      // Each entry receives every update once: quota usage is added up.
-      sendLocal(region, served, served.localBuffer.drain(now));
-      sendToStandby(served, served.standbyBuffer.drain(now));
-      served.standbyEntries = standbyEntries;
-    }
-    served.localBuffer.drainIfDue(now).ifPresent(updates -> sendLocal(region, served, updates));
-    if (!served.standbyEntries.isEmpty()) {
-      served.standbyBuffer.drainIfDue(now).ifPresent(updates -> sendToStandby(served, updates));
-    }
+    served
+        .localBuffer
+        .drainDue(
+            () -> entriesOfRegion.apply(region), idleStandbyEntriesOfRegion.apply(region), now)
+        .forEach(
+            batch ->
+                transport.sendAll(
+                    batch.receivers(), new FleetMessage.NewsDigest(selfAddress, batch.updates())));
     served
         .remoteBuffer
         .drainIfDue(now)
