Count the bytes of client connections by their requests and responses

Each connection to an endpoint or relay logged a ClassCastException with its stack, because Vert.x wraps client connections and gives no access to their channel; bytes and descriptors of these connections were not counted. They are counted by the requests and responses now.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -180,6 +180,7 @@
         .onSuccess(this::onResponse)
         .onFailure(e -> onNoResponse(e.getMessage()));
     requestWritten = true;
+    connection.ifPresent(c -> c.traffic().requestSent(request.body().length()));
     if (request.body().length() > 0) {
       upstreamRequest.end(request.body());
     } else {
@@ -199,11 +200,13 @@
       return;
     }
     response = Optional.of(received);
+    connection.ifPresent(c -> c.traffic().responseHeadReceived());
     target.inFlightRequest().ifPresent(r -> r.bytesReceived(clock.instant()));
     received.exceptionHandler(e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
     received.handler(
         chunk -> {
           if (!finished) {
+            connection.ifPresent(c -> c.traffic().responseReceived(chunk.length()));
             target.inFlightRequest().ifPresent(r -> r.bytesReceived(clock.instant()));
             listener.onBody(chunk);
           }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -86,9 +86,11 @@
     private PooledConnection(String address, HttpClientConnection connection) {
       this.address = address;
       this.connection = connection;
+      traffic.clientConnectionOpened();
       connection.closeHandler(
           v -> {
             closed = true;
+            traffic.clientConnectionClosed();
             removeIdle(this);
           });
       connection.exceptionHandler(e -> {});
@@ -98,6 +100,11 @@
       return connection;
     }
 
+    /** Returns the counter of the bytes of the requests and responses on this connection. */
+    LinkTraffic traffic() {
+      return traffic;
+    }
+
     boolean isClosed() {
       return closed;
     }
@@ -197,7 +204,6 @@
                 .setHost(target.host())
                 .setPort(target.port())
                 .setConnectTimeout(Math.toIntExact(timeout.toMillis())))
-        .onSuccess(traffic::install)
         .map(connection -> new PooledConnection(address, connection));
   }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PressureMeterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PressureMeterTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Instant;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.lacewingcroft.fleet.EntryCapacity;
@@ -47,4 +48,21 @@
     channel.close();
     assertThat(open - meter.get().fileDescriptors(), closeTo(0.001, 1e-9));
   }
+
+  /** Guards against connections to endpoints and relays that do not count. */
+  @Test
+  void clientConnectionsCount() {
+    PressureMeter meter = new PressureMeter(CAPACITY, traffic, () -> 0, () -> 0, () -> now);
+    double before = meter.get().fileDescriptors();
+    traffic.clientConnectionOpened();
+    traffic.requestSent(2_500);
+    traffic.responseHeadReceived();
+    traffic.responseReceived(1_500);
+    now = now.plusMillis(500);
+    EntryPressure pressure = meter.get();
+    assertThat(pressure.fileDescriptors() - before, closeTo(0.001, 1e-9));
+    assertThat(pressure.link(), closeTo(0.6, 0.01));
+    traffic.clientConnectionClosed();
+    assertThat(meter.get().fileDescriptors(), closeTo(before, 1e-9));
+  }
 }
