--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -191,16 +191,16 @@
    */
   Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
-    return startEntry(name, region, upstreamBindAddress, context);
+    return startEntryIn(context, name, region, upstreamBindAddress);
   }
 
   /** Starts an entry on an event loop of its own, so that only this entry is late if it blocks. */
   Entry startEntryOn(Vertx ownVertx, String name, String region) throws Exception {
-    return startEntry(name, region, Optional.empty(), ownVertx.getOrCreateContext());
+    return startEntryIn(ownVertx.getOrCreateContext(), name, region, Optional.empty());
   }
 
-  private Entry startEntry(
-      String name, String region, Optional<String> upstreamBindAddress, Context entryContext)
+  private Entry startEntryIn(
+      Context entryContext, String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
     FleetSettings settings =
         settings(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LateEventLoopTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LateEventLoopTest.java
@@ -363,7 +363,8 @@
 
   private static void send(Socket caller, String service, String id) throws IOException {
     String head =
-        "POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: %s\r\nX-Deadline: 10000\r\nContent-Length: 4\r\n\r\nbody"
+        ("POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: %s\r\n"
+                + "X-Deadline: 10000\r\nContent-Length: 4\r\n\r\nbody")
             .formatted(service, id);
     caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
     caller.getOutputStream().flush();
