Place requests by the load that endpoints report

Callers saw: the busiest endpoint got several times its share, and full endpoints rejected one arrival in seven to one in ten as full, four in ten at the plain service during a burst, so that requests were sent again.

Cause: an entry knew an endpoint's load only from the counts that entries tell each other, and all entries chose the same best endpoint until the next counts. For a plain service this was the first in rendezvous order.

Change: the response header X-Server-Load is read from responses of any status but 421, and passed to the other entries of the region (tag 22, at most one message per existing interval, changed reports only). The endpoint's occupancy is the newest report plus what was sent and minus what ended since. Placement uses it for waits, fullness and the balance of load, with two random choices. Without a recent report, decisions are as before.

OutputTokenTimeTest passes no pace to methods that have a new parameter; its rows are unchanged.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
@@ -97,6 +97,15 @@
     return true;
   }
 
+  @Override
+  public void sendEndpointReports(List<FleetMessage.EndpointReport> reports) {
+    FleetMessage message =
+        new FleetMessage.EndpointReports(settings.nodeName(), settings.region(), reports);
+    aggregatorSelector
+        .select(clock.instant())
+        .ifPresent(aggregator -> transport.send(aggregator, message));
+  }
+
   /** Buffers the quota usage, which is sent with the next load report. */
   @Override
   public void sendQuotaUsage(Map<String, Long> usage) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -390,6 +390,8 @@
       onEntryReach(reach);
     } else if (message instanceof FleetMessage.EntryNews news) {
       aggregator.onUpdates(news);
+    } else if (message instanceof FleetMessage.EndpointReports reports) {
+      aggregator.onEndpointReports(reports);
     } else if (message instanceof FleetMessage.RemoteNews news) {
       aggregator.onUpdates(news);
     } else if (message instanceof FleetMessage.ControlHello hello) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectUpdateChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DirectUpdateChannel.java
@@ -53,6 +53,13 @@
     send(report, this::isNeighbour);
   }
 
+  @Override
+  public void sendEndpointReports(List<FleetMessage.EndpointReport> reports) {
+    send(
+        new FleetMessage.EndpointReports(settings.nodeName(), settings.region(), reports),
+        this::isNeighbour);
+  }
+
   @Override
   public void sendQuotaUsage(Map<String, Long> usage) {
     FleetMessage.News updates =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
 import java.util.stream.Stream;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
+import org.lacewingcroft.placement.EndpointRoom;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -54,6 +56,9 @@
   /** Interval at which this entry determines which services it does not reach. */
   private static final long REACHABILITY_CHECK_INTERVAL_MILLIS = 100;
 
+  /** Minimum interval between two log lines about the endpoints' reported load. */
+  private static final long ROOM_LOG_INTERVAL_MILLIS = 5_000;
+
   /** Maximum interval between two probes of an endpoint that does not respond. */
   private static final long MAX_PROBE_INTERVAL_MILLIS = 1_500;
 
@@ -125,6 +130,7 @@
   private Optional<String> currentAggregator = Optional.empty();
   private long reportCount;
   private boolean shuttingDown;
+  private Map<EndpointRoom, Integer> loggedRoom = Map.of();
   private boolean readyReported;
 
   /** Logs endpoint changes and forwards crashes and recoveries to the quarantine. */
@@ -218,6 +224,7 @@
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> report());
     vertx.setPeriodic(REACHABILITY_CHECK_INTERVAL_MILLIS, id -> checkReachability());
+    vertx.setPeriodic(ROOM_LOG_INTERVAL_MILLIS, id -> logRoom());
     loads.start();
     return transport
         .listen(this::receive, (from, message) -> {})
@@ -432,6 +439,41 @@
     return ownRegionEndpoints().filter(t -> t.isProbeDue(now)).toList();
   }
 
+  /** Returns how many endpoints of this region report to have how much room. */
+  public Map<EndpointRoom, Integer> endpointsByRoom() {
+    Instant now = clock.instant();
+    Map<EndpointRoom, Integer> counts = new EnumMap<>(EndpointRoom.class);
+    for (EndpointRoom room : EndpointRoom.values()) {
+      counts.put(room, 0);
+    }
+    ownRegionEndpoints()
+        .filter(EndpointTracker::isAnnounced)
+        .forEach(t -> counts.merge(t.room(now), 1, Integer::sum));
+    return counts;
+  }
+
+  /** Logs the endpoints by room after a change, if any of them has ever reported its load. */
+  private void logRoom() {
+    Map<EndpointRoom, Integer> counts = endpointsByRoom();
+    boolean reported =
+        counts.entrySet().stream()
+            .anyMatch(e -> e.getKey() != EndpointRoom.UNKNOWN && e.getValue() > 0);
+    if (!counts.equals(loggedRoom) && (reported || !loggedRoom.isEmpty())) {
+      loggedRoom = counts;
+      LOG.log(
+          System.Logger.Level.INFO,
+          "endpoints.room",
+          "freeSlot",
+          counts.get(EndpointRoom.FREE_SLOT),
+          "queue",
+          counts.get(EndpointRoom.QUEUE),
+          "full",
+          counts.get(EndpointRoom.FULL),
+          "unknown",
+          counts.get(EndpointRoom.UNKNOWN));
+    }
+  }
+
   private Stream<EndpointTracker> ownRegionEndpoints() {
     return endpoints.trackers().stream()
         .filter(t -> settings.inOwnRegion(t.record().failureDomain()));
@@ -578,6 +620,8 @@
       onStateOffer(offer);
     } else if (message instanceof FleetMessage.LoadReport load) {
       loads.onLoadReport(load);
+    } else if (message instanceof FleetMessage.EndpointReports reports) {
+      loads.onEndpointReports(reports);
     } else if (message instanceof FleetMessage.PrefixRead read) {
       prefixes.onPrefixRead(read);
     } else if (message instanceof FleetMessage.RegionLoad load) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -17,6 +17,8 @@
 import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.ReportedLoad;
+import org.lacewingcroft.placement.UnsentReports;
 
 /**
  * Exchanges load reports with other entries. The entries of a region report their load at each
@@ -51,6 +53,8 @@
   /** The endpoints at which each other entry has reported load. */
   private final Map<String, Set<String>> reportedEndpoints = new HashMap<>();
 
+  private final UnsentReports unsentReports = new UnsentReports();
+
   /** Whether the last report contained load, so that a report without load has to follow. */
   private boolean loadReported;
 
@@ -90,6 +94,10 @@
     if (!usage.isEmpty()) {
       channel.get().sendQuotaUsage(usage);
     }
+    List<FleetMessage.EndpointReport> reports = unsentReports.take(trackers.get(), now);
+    if (!reports.isEmpty()) {
+      channel.get().sendEndpointReports(reports);
+    }
     boolean hasUpdates = !loads.isEmpty() || loadReported || !usage.isEmpty();
     loadReported = !loads.isEmpty();
     if (hasUpdates) {
@@ -149,6 +157,22 @@
     }
   }
 
+  /** Applies the load of endpoints that other entries of this region have received. */
+  void onEndpointReports(FleetMessage.EndpointReports message) {
+    if (!message.region().equals(settings.region())) {
+      return;
+    }
+    Instant now = clock.instant();
+    for (FleetMessage.EndpointReport report : message.reports()) {
+      ReportedLoad.fromPeer(report, now)
+          .ifPresent(
+              load ->
+                  trackerOf
+                      .apply(report.endpoint())
+                      .ifPresent(t -> t.recordPeerReportedLoad(load)));
+    }
+  }
+
   private void applyPeerLoad(String from, FleetMessage.EndpointLoad load, Instant now) {
     trackerOf
         .apply(load.endpoint())
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -37,6 +37,7 @@
   /** A region whose entries have selected this aggregator. */
   private static final class ServedRegion {
     private final UpdateBuffer localBuffer = new UpdateBuffer();
+    private final EndpointReportBuffer reportBuffer = new EndpointReportBuffer();
     private final RemoteUpdateBuffer remoteBuffer = new RemoteUpdateBuffer();
     private Instant lastUpdateAt;
   }
@@ -81,6 +82,14 @@
     addToOtherRegions(message.region(), forOtherRegions);
   }
 
+  /** Buffers the load of endpoints that an entry has received. */
+  void onEndpointReports(FleetMessage.EndpointReports message) {
+    Instant now = clock.instant();
+    ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
+    served.lastUpdateAt = now;
+    served.reportBuffer.add(message.reports(), now);
+  }
+
   /** Buffers the updates of another region, received from its aggregator. */
   void onUpdates(FleetMessage.RemoteNews message) {
     addToOtherRegions(message.region(), message.news());
@@ -110,6 +119,12 @@
                 transport.sendAll(
                     entriesOfRegion.apply(region),
                     new FleetMessage.NewsDigest(selfAddress, updates)));
+    List<FleetMessage.EndpointReport> reports = served.reportBuffer.drainIfDue(now);
+    if (!reports.isEmpty()) {
+      transport.sendAll(
+          entriesOfRegion.apply(region),
+          new FleetMessage.EndpointReports(selfAddress, region, reports));
+    }
     served
         .remoteBuffer
         .drainIfDue(now)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateChannel.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.fleet;
 
+import java.util.List;
 import java.util.Map;
 
 /** A channel through which an entry sends its updates to the other entries. */
@@ -14,6 +15,13 @@
    */
   void sendLoad(FleetMessage.LoadReport report, boolean urgent);
 
+  /**
+   * Sends load reports of endpoints to the entries of this region.
+   *
+   * @param reports the reports; not empty
+   */
+  void sendEndpointReports(List<FleetMessage.EndpointReport> reports);
+
   /**
    * Sends the quota used by callers to the entries of all regions.
    *
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/AdvertisedConditionsReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/AdvertisedConditionsReader.java
@@ -8,7 +8,8 @@
 import org.lacewingcroft.placement.EndpointTracker;
 
 /**
- * Applies the conditions that endpoints advertise in response heads: rate limit, draining, pause.
+ * Applies the conditions that endpoints advertise in response heads: load, rate limit, draining,
+ * pause.
  */
 final class AdvertisedConditionsReader {
   private static final String DRAINING = "1";
@@ -17,10 +18,13 @@
 
   private final HeaderNames headerNames;
   private final EntryNode node;
+  private final EndpointLoadReader loadReader;
 
-  AdvertisedConditionsReader(HeaderNames headerNames, EntryNode node) {
+  AdvertisedConditionsReader(
+      HeaderNames headerNames, EntryNode node, EndpointLoadReader loadReader) {
     this.headerNames = headerNames;
     this.node = node;
+    this.loadReader = loadReader;
   }
 
   /**
@@ -32,6 +36,7 @@
    * @param sentAt when the request was sent
    */
   void read(EndpointTracker endpoint, int status, HttpClientResponse response, Instant sentAt) {
+    loadReader.read(endpoint, response);
     readRateLimit(endpoint, status, response, sentAt);
     if (DRAINING.equals(response.getHeader(headerNames.draining()))) {
       node.drainAdvertised(endpoint);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
@@ -37,13 +37,19 @@
   private final Vertx vertx;
   private final EntryNode node;
   private final UpstreamConnections connections;
+  private final EndpointLoadReader loadReader;
   private final InstantSource clock;
 
   EndpointProber(
-      Vertx vertx, EntryNode node, UpstreamConnections connections, InstantSource clock) {
+      Vertx vertx,
+      EntryNode node,
+      UpstreamConnections connections,
+      EndpointLoadReader loadReader,
+      InstantSource clock) {
     this.vertx = vertx;
     this.node = node;
     this.connections = connections;
+    this.loadReader = loadReader;
     this.clock = clock;
   }
 
@@ -65,7 +71,7 @@
         .compose(
             connection ->
                 (healthPath.isPresent()
-                        ? requestHealth(connection, address, healthPath.get())
+                        ? requestHealth(connection, endpoint, healthPath.get())
                         : stayOpen(connection))
                     .eventually(
                         () -> {
@@ -75,14 +81,15 @@
         .onComplete(result -> onProbed(endpoint, result.succeeded(), result.cause()));
   }
 
-  private static Future<Void> requestHealth(
-      UpstreamConnections.PooledConnection connection, String address, String path) {
+  private Future<Void> requestHealth(
+      UpstreamConnections.PooledConnection connection, EndpointTracker endpoint, String path) {
     RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setURI(path);
-    options.putHeader("Host", address);
+    options.putHeader("Host", endpoint.record().address());
     return connection
         .connection()
         .request(options)
         .compose(request -> request.send())
+        .onSuccess(response -> loadReader.read(endpoint, response))
         .compose(HttpClientResponse::body)
         .<Void>map((Buffer body) -> null)
         .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -63,6 +63,7 @@
   private final HeaderNames headerNames;
   private final RequestReader reader;
   private final ForwardContext context;
+  private final EndpointLoadReader loadReader;
   private final InstantSource clock;
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
@@ -84,13 +85,14 @@
     this.clock = clock;
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
+    this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
         new ForwardContext(
             vertx,
             node,
             new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock),
             headerNames,
-            new AdvertisedConditionsReader(headerNames, node),
+            new AdvertisedConditionsReader(headerNames, node, loadReader),
             hopAuthenticator,
             settings.region(),
             metrics,
@@ -120,7 +122,7 @@
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
-    new EndpointProber(vertx, node, context.connectionPool(), clock).start();
+    new EndpointProber(vertx, node, context.connectionPool(), loadReader, clock).start();
     return relayServer
         .listen(relayAddress)
         .compose(s -> publicServer.listen(publicAddress))
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -120,6 +120,22 @@
           .labelNames("budget")
           .register(registry);
 
+  /** Load reports in the response heads of endpoints, by result: accepted or malformed. */
+  public final Counter endpointLoads =
+      Counter.builder()
+          .name("lwc_endpoint_load_headers_total")
+          .help("Load headers of endpoints by whether they could be read")
+          .labelNames("result")
+          .register(registry);
+
+  /** The number of endpoints of this region by the room that they report to have. */
+  public final Gauge endpointsByRoom =
+      Gauge.builder()
+          .name("lwc_endpoints_by_room")
+          .help("Endpoints by the room for another request that their reported load shows")
+          .labelNames("room")
+          .register(registry);
+
   /** Endpoint announcements received by a control instance, by whether it acknowledged them. */
   public final Counter announcements =
       Counter.builder()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LargeRegionTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/LargeRegionTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.vertx.core.Future;
 import java.nio.file.Path;
@@ -19,9 +20,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.peer.PeerTraffic;
+import org.lacewingcroft.placement.EndpointRoom;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.PromptPart;
+import org.lacewingcroft.placement.ReportedLoad;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
@@ -103,6 +106,19 @@
           });
     }
 
+    private void recordReportedLoad(FleetHarness.Entry entry, ReportedLoad load) throws Exception {
+      harness.onContext(
+          () -> {
+            endpoint(entry).recordReportedLoad(load);
+            return Future.succeededFuture();
+          });
+    }
+
+    private long sentOfKind(FleetHarness.Entry entry, String kind) {
+      PeerTraffic.Totals totals = entry.node().traffic().totals().get(kind);
+      return totals == null ? 0 : totals.sent();
+    }
+
     private long messageCount(FleetHarness.Entry entry) {
       return entry.node().traffic().totals().values().stream()
           .mapToLong(t -> t.sent() + t.received())
@@ -148,6 +164,31 @@
     }
   }
 
+  /**
+   * Guards against load reports of endpoints that reach only the entry that received them, or an
+   * entry of another region, and against more than one message per interval.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {3, LARGE_REGION_ENTRIES})
+  void allEntriesOfRegionReceiveReportedLoad(int entries) throws Exception {
+    try (Fleet fleet = new Fleet(entries)) {
+      for (int i = 0; i < 5; i++) {
+        fleet.recordReportedLoad(fleet.north.get(1), new ReportedLoad(8, i, 8, 130, Instant.now()));
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      for (FleetHarness.Entry entry : fleet.north) {
+        fleet.await(entry, e -> fleet.endpoint(e).room(Instant.now()) == EndpointRoom.QUEUE);
+      }
+      assertThat(fleet.endpoint(fleet.south).room(Instant.now()), is(EndpointRoom.UNKNOWN));
+      TimeUnit.MILLISECONDS.sleep(500);
+      int neighbours = entries - 1;
+      int maxMessages = 2 * (entries == LARGE_REGION_ENTRIES ? 1 : neighbours);
+      assertThat(
+          fleet.sentOfKind(fleet.north.get(1), "EndpointReports"),
+          lessThanOrEqualTo((long) maxMessages));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {LARGE_REGION_ENTRIES})
   void largeRegionSendsNoDirectUpdates(int entries) throws Exception {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -4,9 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
@@ -38,9 +36,6 @@
    */
   private static final long MIN_SAMPLE_TOKENS = 1_500;
 
-  /** Service time of a request at a plain service, assumed before the first measurement. */
-  private static final double INITIAL_SERVICE_TIME_MILLIS = 30;
-
   /** Weight of a new sample in the exponential moving averages, which cover about ten samples. */
   private static final double SAMPLE_WEIGHT = 0.1;
 
@@ -68,7 +63,7 @@
   private boolean replaced;
   private int inFlight;
   private final PrefillQueue prefillQueue = new PrefillQueue();
-  private final Map<String, PeerLoad> peerLoads = new HashMap<>();
+  private final EndpointOccupancy occupancy;
   private final List<InFlightRequest> openRequests = new ArrayList<>();
 
   /** Prefixes of all prompts sent to the endpoint, including those still being prefilled. */
@@ -88,7 +83,10 @@
    */
   private final double[] prefillTokensPerMilli = new double[PRIORITY_COUNT];
 
-  private double serviceTimeMillis = INITIAL_SERVICE_TIME_MILLIS;
+  /** The paces at which the prefill speeds were measured, by priority. */
+  private final PaceReference[] prefillPaces = new PaceReference[PRIORITY_COUNT];
+
+  private final ServiceTime serviceTime = new ServiceTime();
 
   /** The failure score at the time of the last failure. */
   private double scoreAtLastFailure;
@@ -102,20 +100,23 @@
   private Instant lastColdRequestAt = Instant.EPOCH;
   private Instant fullUntil = Instant.EPOCH;
 
-  private record PeerLoad(int inFlight, Instant receivedAt) {}
-
   /** A request in flight at the endpoint. */
   public final class InFlightRequest {
     private final PrefillQueue.PendingPrompt prompt;
     private final double aheadTokens;
+    private final double queuedPerSlot;
+    private final EndpointOccupancy.Tracked tracked;
     private final Instant sentAt;
     private Optional<Instant> lastEventAt = Optional.empty();
     private boolean firstByteReceived;
     private boolean finished;
 
-    private InFlightRequest(PrefillQueue.PendingPrompt prompt, double aheadTokens) {
+    private InFlightRequest(
+        PrefillQueue.PendingPrompt prompt, double aheadTokens, double queuedPerSlot) {
       this.prompt = prompt;
       this.aheadTokens = aheadTokens;
+      this.queuedPerSlot = queuedPerSlot;
+      this.tracked = occupancy.requestSent(prompt.sentAt());
       this.sentAt = prompt.sentAt();
     }
 
@@ -149,7 +150,9 @@
      */
     public void eventsReceived(long newTokens, Instant now) {
       lastEventAt.ifPresent(
-          at -> outputTokenTime.addSample(Duration.between(at, now), newTokens, now));
+          at ->
+              outputTokenTime.addSample(
+                  Duration.between(at, now), newTokens, occupancy.pace(now), now));
       lastEventAt = Optional.of(now);
     }
 
@@ -163,6 +166,7 @@
         int priority = prompt.priority();
         prefillTokensPerMilli[priority] +=
             SAMPLE_WEIGHT * (clamped - prefillTokensPerMilli[priority]);
+        prefillPaces[priority].addSample(occupancy.pace(now), SAMPLE_WEIGHT);
       }
     }
 
@@ -178,9 +182,14 @@
       if (!firstByteReceived) {
         prefillQueue.remove(prompt);
       }
+      if (outcome == Outcome.NOT_RUN) {
+        tracked.withdraw();
+      } else {
+        tracked.end(now);
+      }
       if (outcome == Outcome.ANSWERED) {
         double millis = Duration.between(sentAt, now).toMillis();
-        serviceTimeMillis += SAMPLE_WEIGHT * (millis - serviceTimeMillis);
+        serviceTime.addSample(millis, queuedPerSlot, occupancy.pace(now));
       } else if (outcome == Outcome.FAILED) {
         recordFailure(1, now);
       }
@@ -206,13 +215,16 @@
 
   /** Creates a tracker of an endpoint without advertised conditions. */
   public EndpointTracker(EndpointRecord record, Instant now) {
-    this(record, new AdvertisedConditions(), now);
+    this(record, new AdvertisedConditions(), new QueueLimit(), now);
   }
 
   /** Creates a tracker of an endpoint whose incarnation may already have advertised conditions. */
-  EndpointTracker(EndpointRecord record, AdvertisedConditions conditions, Instant now) {
+  EndpointTracker(
+      EndpointRecord record, AdvertisedConditions conditions, QueueLimit queueLimit, Instant now) {
     this.conditions = conditions;
+    this.occupancy = new EndpointOccupancy(queueLimit);
     Arrays.fill(prefillTokensPerMilli, INITIAL_PREFILL_TOKENS_PER_MILLI);
+    Arrays.setAll(prefillPaces, p -> new PaceReference());
     update(record, now);
   }
 
@@ -275,11 +287,7 @@
   /** Replaces the load that another entry last reported for this endpoint. */
   public void updatePeerLoad(
       String entry, int peerInFlight, List<FleetMessage.PendingPrompt> prompts, Instant now) {
-    if (peerInFlight == 0) {
-      peerLoads.remove(entry);
-    } else {
-      peerLoads.put(entry, new PeerLoad(peerInFlight, now));
-    }
+    occupancy.updatePeer(entry, peerInFlight, now);
     prefillQueue.updatePeer(
         entry,
         prompts.stream()
@@ -304,7 +312,9 @@
     long prefillTokens = Math.max(0, uncachedTokens(request) - fetchedTokens);
     InFlightRequest inFlightRequest =
         new InFlightRequest(
-            new PrefillQueue.PendingPrompt(priority, prefillTokens, now), aheadTokens);
+            new PrefillQueue.PendingPrompt(priority, prefillTokens, now),
+            aheadTokens,
+            queuedPerSlot(now));
     if (inFlight == 0) {
       lastByteAt = now;
     }
@@ -377,7 +387,8 @@
 
   /** Records that the endpoint rejected a request because it is full. */
   public void markFull(Instant now) {
-    fullUntil = now.plusMillis(Math.round(Math.min(500, Math.max(50, serviceTimeMillis))));
+    fullUntil = now.plusMillis(Math.round(Math.min(500, Math.max(50, serviceTime.totalMillis()))));
+    occupancy.rejectedAsFull(now);
   }
 
   private void recordFailure(double weight, Instant now) {
@@ -496,9 +507,65 @@
         && lastByteAt.isBefore(cutoff);
   }
 
-  /** Returns whether the endpoint recently rejected a request because it was full. */
+  /**
+   * Returns whether the endpoint recently rejected a request because it was full, or is full by its
+   * reported load.
+   */
   public boolean isFull(Instant now) {
-    return fullUntil.isAfter(now);
+    return fullUntil.isAfter(now) || occupancy.isFull(now);
+  }
+
+  /** Records the load that the endpoint reported in a response to this entry. */
+  public void recordReportedLoad(ReportedLoad load) {
+    occupancy.reportReceived(load);
+  }
+
+  /** Records the load that the endpoint reported in a response to another entry. */
+  public void recordPeerReportedLoad(ReportedLoad load) {
+    occupancy.reportReceivedByPeer(load);
+  }
+
+  /** Returns the last reported load if it is recent and was reported to this entry. */
+  public Optional<ReportedLoad> recentOwnReport(Instant now) {
+    return occupancy.recentOwnReport(now);
+  }
+
+  /** Returns how much room the endpoint has by its reported load. */
+  public EndpointRoom room(Instant now) {
+    return occupancy.room(now);
+  }
+
+  /** Returns whether the endpoint's load was reported recently. */
+  boolean hasRecentReport(Instant now) {
+    return occupancy.recentReport(now).isPresent();
+  }
+
+  /**
+   * Returns the number of requests that the endpoint runs and queues: by its reported load, or the
+   * number that the region's entries have in flight there if it has not reported recently.
+   */
+  int occupancy(Instant now) {
+    return occupancy.occupancy(now).orElseGet(() -> totalInFlight(now));
+  }
+
+  /** Returns the number of requests that the endpoint runs concurrently. */
+  int slots(Instant now) {
+    return Math.max(1, occupancy.recentReport(now).map(ReportedLoad::slots).orElse(record.slots()));
+  }
+
+  boolean hasFreeSlot(Instant now) {
+    return occupancy(now) < slots(now);
+  }
+
+  /** Returns how long a request occupies a slot at the endpoint's pace, in ms. */
+  double slotMillis(Instant now) {
+    return serviceTime.slotMillis(occupancy.pace(now));
+  }
+
+  /** Returns how many requests per slot a request sent now would wait for. */
+  private double queuedPerSlot(Instant now) {
+    int slots = slots(now);
+    return (double) Math.max(0, occupancy(now) + 1 - slots) / slots;
   }
 
   /** Returns how many tokens of the prompt the endpoint would have to prefill or fetch. */
@@ -525,45 +592,51 @@
   }
 
   private double tokensAhead(int priority, Instant now) {
-    return prefillQueue.tokensAhead(priority, prefillTokensPerMilli(priority), now);
+    return prefillQueue.tokensAhead(priority, prefillTokensPerMilli(priority, now), now);
   }
 
   /** Returns the number of requests in flight at the endpoint, of all entries of the region. */
   public int totalInFlight(Instant now) {
-    int total = inFlight;
-    for (PeerLoad peer : peerLoads.values()) {
-      if (peer.receivedAt.plus(PrefillQueue.PEER_REPORT_TTL).isAfter(now)) {
-        total += peer.inFlight;
-      }
-    }
-    return total;
+    return inFlight + occupancy.peersInFlight(now);
   }
 
   /** Returns the estimated time until a request of this priority starts to be processed, in ms. */
   public double waitMillis(int priority, Instant now) {
-    int slots = Math.max(1, record.slots());
-    int excess = totalInFlight(now) + 1 - slots;
-    double slotWait = excess > 0 ? serviceTimeMillis * excess / slots : 0;
-    return tokensAhead(priority, now) / prefillTokensPerMilli(priority) + slotWait;
+    double queued = queuedPerSlot(now);
+    double slotMillis = hasRecentReport(now) ? slotMillis(now) : serviceTime.totalMillis();
+    return tokensAhead(priority, now) / prefillTokensPerMilli(priority, now) + slotMillis * queued;
   }
 
   /** Returns the estimated time per output token, in ms. */
   public double tokenMillis(Instant now) {
-    return outputTokenTime.millisPerToken(now);
+    return outputTokenTime.millisPerToken(occupancy.pace(now), now);
   }
 
   /** Returns the estimated time from sending a request to the first byte of its response, in ms. */
   public double firstByteMillis(PlacementRequest request, Instant now) {
-    return waitMillis(request.priority(), now) + prefillMillis(request, uncachedTokens(request));
+    return waitMillis(request.priority(), now)
+        + prefillMillis(request, uncachedTokens(request), now);
   }
 
   /** Returns the estimated time to prefill some tokens of a request, in ms. */
-  public double prefillMillis(PlacementRequest request, long tokens) {
-    return tokens / prefillTokensPerMilli(request.priority());
+  public double prefillMillis(PlacementRequest request, long tokens, Instant now) {
+    return tokens / prefillTokensPerMilli(request.priority(), now);
   }
 
-  /** Returns the prefill speed measured for a priority, in prompt tokens per millisecond. */
-  public double prefillTokensPerMilli(int priority) {
+  /**
+   * Returns the prefill speed measured for a priority, at the endpoint's current pace, in prompt
+   * tokens per millisecond.
+   */
+  public double prefillTokensPerMilli(int priority, Instant now) {
+    int clamped = clampPriority(priority);
+    return prefillTokensPerMilli[clamped] / prefillPaces[clamped].factor(occupancy.pace(now));
+  }
+
+  /**
+   * Returns the prefill speed measured for a priority, at the average pace of the measurements, in
+   * prompt tokens per millisecond.
+   */
+  double averagePrefillTokensPerMilli(int priority) {
     return prefillTokensPerMilli[clampPriority(priority)];
   }
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/OutputTokenTime.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/OutputTokenTime.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.OptionalDouble;
 
 /**
  * Estimates an engine's time per output token from the intervals between the events of its
@@ -33,6 +34,10 @@
 
   private double weightedMillis;
   private double weightedTokens;
+
+  /** The tokens, each multiplied by the pace at which it was produced. */
+  private double weightedPaceTokens;
+
   private Instant lastSampleAt = Instant.EPOCH;
 
   /**
@@ -40,19 +45,30 @@
    *
    * @param interval the time between two events, or two groups of events, of one response
    * @param newTokens the number of tokens received at its end
+   * @param pace the engine's pace, if it is reported
    */
-  void addSample(Duration interval, long newTokens, Instant now) {
+  void addSample(Duration interval, long newTokens, OptionalDouble pace, Instant now) {
     double decay = decayFactor(now);
     weightedMillis = weightedMillis * decay + Math.min(MAX_INTERVAL_MILLIS, interval.toMillis());
     weightedTokens = weightedTokens * decay + newTokens;
+    weightedPaceTokens = weightedPaceTokens * decay + newTokens * pace.orElse(1);
     lastSampleAt = now;
   }
 
-  /** Returns the estimated time per output token, in ms. */
-  double millisPerToken(Instant now) {
+  /**
+   * Returns the estimated time per output token, in ms.
+   *
+   * @param pace the engine's current pace, if it is reported
+   */
+  double millisPerToken(OptionalDouble pace, Instant now) {
     double decay = decayFactor(now);
-    return (weightedMillis * decay + IDLE_WEIGHT_TOKENS * INITIAL_MILLIS)
-        / (weightedTokens * decay + IDLE_WEIGHT_TOKENS);
+    double weight = weightedTokens * decay + IDLE_WEIGHT_TOKENS;
+    double millis = (weightedMillis * decay + IDLE_WEIGHT_TOKENS * INITIAL_MILLIS) / weight;
+    if (pace.isEmpty()) {
+      return millis;
+    }
+    double samplePace = (weightedPaceTokens * decay + IDLE_WEIGHT_TOKENS) / weight;
+    return millis * PaceReference.lastingFactor(pace.getAsDouble() / samplePace);
   }
 
   private double decayFactor(Instant now) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -28,7 +28,8 @@
  *
  * @param coldSenders how many entries of a region may send to one cold endpoint, so that together
  *     they stay within its limit
- * @param random decides which overflow is sent to another region
+ * @param random decides which overflow is sent to another region, and between endpoints that are
+ *     about equally good by the load that they report
  */
 public record Placer(int coldSenders, RandomGenerator random) {
   /** Round trip to another region plus the processing time of the relaying entry. */
@@ -160,13 +161,6 @@
   /** An endpoint and the number of leading prompt tokens that others may fetch from it. */
   private record CacheHolder(EndpointTracker endpoint, long tokens) {}
 
-  private record ScoredEndpoint(
-      EndpointTracker endpoint,
-      double prefillMillis,
-      double firstByteMillis,
-      double score,
-      Optional<Placement.PrefixFetch> fetch) {}
-
   /** Decides where to send a request. */
   public Placement place(PlacementRequest request, Context context, Instant now) {
     Optional<ScoredEndpoint> local =
@@ -178,7 +172,9 @@
                 r -> r.best(request, context.allowedRegions(), context.excludedRegions(), now));
     double maxWait = maxWaitMillis(request, local.map(ScoredEndpoint::prefillMillis).orElse(0.0));
     boolean localAcceptable =
-        local.isPresent() && localWaitMillis(local.get(), request, now) <= maxWait;
+        local.isPresent()
+            && localWaitMillis(local.get(), request, now) <= maxWait
+            && local.get().endpoint().room(now) != EndpointRoom.FULL;
     boolean remoteAcceptable =
         remote.isPresent() && remote.get().waitMillis() + CROSS_REGION_MILLIS <= maxWait;
     boolean localResponds =
@@ -346,27 +342,43 @@
     Optional<EndpointTracker> firstRanked =
         Rendezvous.owner(candidates, e -> e.record().id(), request.sharedKey());
     List<CacheHolder> holders = cacheHolders(request, context);
-    return candidates.stream()
-        .map(e -> score(e, e == firstRanked.orElse(null), holders, request, context, now))
-        .min(
-            Comparator.comparingDouble(ScoredEndpoint::score)
-                .thenComparing(s -> s.endpoint().record().id()));
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    EndpointBalance balance = new EndpointBalance(candidates, request, now);
+    // A plain service has no prefixes that would favour the first in rendezvous order.
+    boolean unranked = balance.isActive() && request.promptTokens() == 0;
+    List<ScoredEndpoint> scored =
+        candidates.stream()
+            .map(
+                e ->
+                    score(
+                        e,
+                        unranked || e == firstRanked.orElse(null),
+                        holders,
+                        balance,
+                        request,
+                        context,
+                        now))
+            .toList();
+    return Optional.of(balance.choose(scored, random));
   }
 
   private static ScoredEndpoint score(
       EndpointTracker endpoint,
       boolean firstInRank,
       List<CacheHolder> holders,
+      EndpointBalance balance,
       PlacementRequest request,
       Context context,
       Instant now) {
     long uncached = endpoint.uncachedTokens(request);
     long sharedUncached = Math.max(0, uncached - (request.promptTokens() - request.sharedTokens()));
     Optional<Placement.PrefixFetch> fetch =
-        bestFetch(endpoint, sharedUncached, holders, request, context);
+        bestFetch(endpoint, sharedUncached, holders, request, context, now);
     long fetched = fetch.map(Placement.PrefixFetch::tokens).orElse(0L);
     long duplicateTokens = firstInRank && fetch.isEmpty() ? 0 : sharedUncached - fetched;
-    double prefillMillis = endpoint.prefillMillis(request, uncached - fetched);
+    double prefillMillis = endpoint.prefillMillis(request, uncached - fetched, now);
     double fetchMillis = context.engine().map(engine -> engine.transferMillis(fetched)).orElse(0.0);
     double firstByteMillis =
         endpoint.waitMillis(request.priority(), now) + prefillMillis + fetchMillis;
@@ -375,8 +387,8 @@
     double score =
         firstByteMillis
             + request.expectedOutputTokens() * tokenMillis
-            + DUPLICATE_PREFILL_FACTOR * endpoint.prefillMillis(request, duplicateTokens)
-            + FETCH_FACTOR * endpoint.prefillMillis(request, fetched)
+            + DUPLICATE_PREFILL_FACTOR * endpoint.prefillMillis(request, duplicateTokens, now)
+            + FETCH_FACTOR * endpoint.prefillMillis(request, fetched, now)
             + LATENESS_FACTOR
                 * Math.max(
                     0,
@@ -384,7 +396,17 @@
                         - SAFE_OBJECTIVE_SHARE * request.firstByteObjective().toMillis())
             + FAILURE_PENALTY_MILLIS * endpoint.recentFailureScore(now)
             + (firstInRank ? 0 : RANK_PENALTY_MILLIS);
-    return new ScoredEndpoint(endpoint, prefillMillis, firstByteMillis, score, fetch);
+    boolean preferred = firstInRank || sharedUncached == 0;
+    double streamMillis = request.expectedOutputTokens() * tokenMillis;
+    double rank =
+        score
+            + balance.adjustmentMillis(
+                endpoint,
+                firstByteMillis,
+                streamMillis,
+                DUPLICATE_PREFILL_FACTOR * duplicateTokens);
+    return new ScoredEndpoint(
+        endpoint, prefillMillis, firstByteMillis, score, rank, preferred, fetch);
   }
 
   /**
@@ -408,7 +430,8 @@
       long sharedUncached,
       List<CacheHolder> holders,
       PlacementRequest request,
-      Context context) {
+      Context context,
+      Instant now) {
     if (sharedUncached < MIN_FETCH_TOKENS) {
       return Optional.empty();
     }
@@ -417,7 +440,7 @@
         .filter(holder -> holder.endpoint() != target)
         .map(holder -> new Placement.PrefixFetch(holder.endpoint(), holder.tokens() - cachedTokens))
         .filter(fetch -> fetch.tokens() >= MIN_FETCH_TOKENS)
-        .filter(fetch -> isWorthFetching(fetch.tokens(), target, request, context))
+        .filter(fetch -> isWorthFetching(fetch.tokens(), target, request, context, now))
         .max(
             Comparator.comparingLong(Placement.PrefixFetch::tokens)
                 .thenComparing(fetch -> inSameDomain(fetch.source(), target))
@@ -430,9 +453,9 @@
   }
 
   private static boolean isWorthFetching(
-      long tokens, EndpointTracker target, PlacementRequest request, Context context) {
+      long tokens, EndpointTracker target, PlacementRequest request, Context context, Instant now) {
     double transferMillis = context.engine().orElseThrow().transferMillis(tokens);
-    return target.prefillMillis(request, tokens) >= MIN_FETCH_SPEEDUP * transferMillis;
+    return target.prefillMillis(request, tokens, now) >= MIN_FETCH_SPEEDUP * transferMillis;
   }
 
   private static boolean inSameDomain(EndpointTracker one, EndpointTracker other) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/TrackedEndpoints.java
@@ -43,6 +43,9 @@
   private final Map<String, AdvertisedConditions> conditions =
       BoundedMap.evictingLeastRecentlyUsed(MAX_CONDITIONS);
 
+  /** The queue limits of the services' endpoints. */
+  private final Map<String, QueueLimit> queueLimits = new HashMap<>();
+
   private final Listener listener;
 
   /** Receives changes of the endpoints. */
@@ -126,7 +129,8 @@
     if (tracker == null || current.startedAfter(tracker.record())) {
       AdvertisedConditions advertised =
           conditions.computeIfAbsent(current.incarnationId(), i -> new AdvertisedConditions());
-      trackers.put(record.id(), new EndpointTracker(current, advertised, now));
+      QueueLimit queueLimit = queueLimits.computeIfAbsent(current.service(), s -> new QueueLimit());
+      trackers.put(record.id(), new EndpointTracker(current, advertised, queueLimit, now));
       firstReportedAt.put(record.id(), now);
     } else if (current.equals(record)) {
       tracker.update(record, now);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/OutputTokenTimeTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/OutputTokenTimeTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -51,9 +52,11 @@
     Instant now = START;
     for (int interval : row.intervalsMillis()) {
       now = now.plusMillis(interval);
-      outputTokenTime.addSample(Duration.ofMillis(interval), TOKENS_PER_EVENT, now);
+      outputTokenTime.addSample(
+          Duration.ofMillis(interval), TOKENS_PER_EVENT, OptionalDouble.empty(), now);
     }
-    double estimate = outputTokenTime.millisPerToken(now.plusMillis(row.ageMillis()));
+    double estimate =
+        outputTokenTime.millisPerToken(OptionalDouble.empty(), now.plusMillis(row.ageMillis()));
     assertThat(estimate, closeTo(row.expectedMillis(), 0.1 * row.expectedMillis()));
   }
 }
