Compute once per placement whether any endpoint has a free slot

With no free slot at many of 50 endpoints, each of them was compared with all others. The methods of UpdateAggregator are reordered for the style check.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -82,6 +82,11 @@
     addToOtherRegions(message.region(), forOtherRegions);
   }
 
+  /** Buffers the updates of another region, received from its aggregator. */
+  void onUpdates(FleetMessage.RemoteNews message) {
+    addToOtherRegions(message.region(), message.news());
+  }
+
   /** Buffers the load of endpoints that an entry has received. */
   void onEndpointReports(FleetMessage.EndpointReports message) {
     Instant now = clock.instant();
@@ -90,11 +95,6 @@
     served.reportBuffer.add(message.reports(), now);
   }
 
-  /** Buffers the updates of another region, received from its aggregator. */
-  void onUpdates(FleetMessage.RemoteNews message) {
-    addToOtherRegions(message.region(), message.news());
-  }
-
   private void addToOtherRegions(String origin, News updates) {
     regions.forEach(
         (region, served) -> {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointBalance.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointBalance.java
@@ -13,9 +13,8 @@
  * has no effect unless one of the candidates has reported its load recently.
  *
  * <p>Designed for 30 to 91 entries that decide on the same reports, which are 100 to 300 ms old: if
- * each chose the best endpoint, all would choose the same one until the next reports. Of the
- * endpoints that are about as good as the best one, two are drawn at random, and the one with the
- * lower load for its capacity is chosen.
+ * each chose the best endpoint, all would choose the same one until the next reports. Each entry
+ * compares only a few endpoints that it draws at random, weighted by capacity.
  */
 final class EndpointBalance {
   /**
@@ -50,19 +49,19 @@
    */
   private static final double NEAR_EQUAL_PLAIN_MILLIS = 300;
 
-  private final List<EndpointTracker> candidates;
   private final PlacementRequest request;
   private final Instant now;
   private final boolean active;
+  private final boolean anyFreeSlot;
   private final double meanSlots;
   private final double meanOccupancy;
   private final double meanPrefillTokensPerMilli;
 
   EndpointBalance(List<EndpointTracker> candidates, PlacementRequest request, Instant now) {
-    this.candidates = candidates;
     this.request = request;
     this.now = now;
     this.active = candidates.stream().anyMatch(e -> e.hasRecentReport(now));
+    this.anyFreeSlot = active && candidates.stream().anyMatch(e -> e.hasFreeSlot(now));
     this.meanSlots =
         active ? candidates.stream().mapToInt(e -> e.slots(now)).average().orElse(1) : 1;
     this.meanPrefillTokensPerMilli =
@@ -128,9 +127,7 @@
    * for a whole response.
    */
   private double noSlotMillis(EndpointTracker endpoint) {
-    return endpoint.hasFreeSlot(now) || candidates.stream().noneMatch(e -> e.hasFreeSlot(now))
-        ? 0
-        : endpoint.slotMillis(now);
+    return !anyFreeSlot || endpoint.hasFreeSlot(now) ? 0 : endpoint.slotMillis(now);
   }
 
   /**
@@ -180,13 +177,12 @@
    * with its prefix unless another endpoint is better by more than the cost of prefilling it again.
    */
   private ScoredEndpoint choosePrompt(List<ScoredEndpoint> scored, RandomGenerator random) {
-    boolean anyFree = scored.stream().anyMatch(s -> s.endpoint().hasFreeSlot(now));
     Map<Boolean, List<ScoredEndpoint>> byPreference =
         scored.stream()
             .collect(Collectors.partitioningBy(s -> s.preferred() && request.sharedTokens() > 0));
     List<ScoredEndpoint> others =
         byPreference.get(false).stream()
-            .filter(s -> !anyFree || s.endpoint().hasFreeSlot(now))
+            .filter(s -> !anyFreeSlot || s.endpoint().hasFreeSlot(now))
             .toList();
     List<ScoredEndpoint> contenders = new ArrayList<>(drawTwo(byPreference.get(true), random));
     contenders.addAll(drawTwo(others, random));
