Merge endpoint load; urgent requests count no less urgent queue, and slow engines' pauses count

Long streams at slow engines of another deployment were late by pauses of 620 ms, which nothing in placement counted.

Where endpoints report their load with the pace: the wait for a slot leaves out less urgent queued prompts; first samples of the prefill speed weigh more than the assumed speed; an engine whose queued prompts would make its streams pause beyond the objective gets a penalty. Reports without the pace are counted only.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -407,6 +407,8 @@
       aggregator.onUpdates(news);
     } else if (message instanceof FleetMessage.PressureReport pressure) {
       activeEntries.onPressureReport(pressure);
+    } else if (message instanceof FleetMessage.EndpointReports reports) {
+      aggregator.onEndpointReports(reports);
     } else if (message instanceof FleetMessage.RemoteNews news) {
       aggregator.onUpdates(news);
     } else if (message instanceof FleetMessage.ControlHello hello) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -39,6 +39,7 @@
   /** A region whose entries have selected this aggregator. */
   private static final class ServedRegion {
     private final RegionUpdateBuffer localBuffer = new RegionUpdateBuffer();
+    private final EndpointReportBuffer reportBuffer = new EndpointReportBuffer();
     private final RemoteUpdateBuffer remoteBuffer = new RemoteUpdateBuffer();
     private Instant lastUpdateAt;
   }
@@ -92,6 +93,14 @@
     addToOtherRegions(message.region(), message.news());
   }
 
+  /** Buffers the load of endpoints that an entry has received. */
+  void onEndpointReports(FleetMessage.EndpointReports message) {
+    Instant now = clock.instant();
+    ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
+    served.lastUpdateAt = now;
+    served.reportBuffer.add(message.reports(), now);
+  }
+
   private void addToOtherRegions(String origin, News updates) {
     regions.forEach(
         (region, served) -> {
@@ -116,6 +125,13 @@
             batch ->
                 transport.sendAll(
                     batch.receivers(), new FleetMessage.NewsDigest(selfAddress, batch.updates())));
+    List<FleetMessage.EndpointReport> reports = served.reportBuffer.drainIfDue(now);
+    if (!reports.isEmpty()) {
+      Set<String> standby = idleStandbyEntriesOfRegion.apply(region);
+      List<String> receivers =
+          entriesOfRegion.apply(region).stream().filter(e -> !standby.contains(e)).toList();
+      transport.sendAll(receivers, new FleetMessage.EndpointReports(selfAddress, region, reports));
+    }
     served
         .remoteBuffer
         .drainIfDue(now)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -68,6 +68,7 @@
   private final HeaderNames headerNames;
   private final RequestReader reader;
   private final ForwardContext context;
+  private final EndpointLoadReader loadReader;
   private final InstantSource clock;
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
@@ -92,13 +93,14 @@
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
     this.overload = new OverloadGate(node.eventLoop(), headerNames, metrics, clock);
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
+    this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
         new ForwardContext(
             vertx,
             node,
             new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock, traffic),
             headerNames,
-            new AdvertisedConditionsReader(headerNames, node),
+            new AdvertisedConditionsReader(headerNames, node, loadReader),
             hopAuthenticator,
             settings.region(),
             metrics,
@@ -143,7 +145,7 @@
             .connectionHandler(traffic::install)
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
-    new EndpointProber(vertx, node, context.connectionPool(), clock).start();
+    new EndpointProber(vertx, node, context.connectionPool(), loadReader, clock).start();
     return relayServer
         .listen(relayAddress)
         .compose(s -> publicServer.listen(publicAddress))
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
@@ -99,6 +99,9 @@
 
     @Override
     public void sendRegionLoad(FleetMessage.RegionLoad load) {}
+
+    @Override
+    public void sendEndpointReports(List<FleetMessage.EndpointReport> reports) {}
   }
 
   @ParameterizedTest(name = "first start: {0}, entries: {1}, requests of each list: {2}")
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -28,7 +28,8 @@
  *
  * @param coldSenders how many entries of a region may send to one cold endpoint, so that together
  *     they stay within its limit
- * @param random decides which overflow is sent to another region
+ * @param random decides which overflow is sent to another region, and between endpoints that are
+ *     about equally good by the load that they report
  */
 public record Placer(int coldSenders, RandomGenerator random) {
   /** Round trip to another region plus the processing time of the relaying entry. */
@@ -137,6 +138,8 @@
    * @param prefixSources the service's endpoints in any region from which KV cache may be fetched
    * @param engine the service's engine; empty for a plain service
    * @param disabledMechanisms mechanisms that are not used
+   * @param eventGapObjective the shortest objective for the time between two events of a stream at
+   *     the service; empty for none
    */
   public record Context(
       Collection<EndpointTracker> endpoints,
@@ -151,7 +154,46 @@
       String region,
       Collection<EndpointTracker> prefixSources,
       Optional<ServiceSpec.Engine> engine,
-      Set<PlacementMechanism> disabledMechanisms) {
+      Set<PlacementMechanism> disabledMechanisms,
+      Optional<Duration> eventGapObjective) {
+    /** Creates the inputs of a placement without an objective for the gaps between events. */
+    public Context(
+        Collection<EndpointTracker> endpoints,
+        String entry,
+        List<String> regionEntries,
+        int maxInFlightPerEndpoint,
+        Optional<RegionLoads> regions,
+        Set<String> allowedRegions,
+        Set<String> excludedRegions,
+        boolean relayed,
+        BooleanSupplier hasNeighbour,
+        String region,
+        Collection<EndpointTracker> prefixSources,
+        Optional<ServiceSpec.Engine> engine,
+        Set<PlacementMechanism> disabledMechanisms) {
+      this(
+          endpoints,
+          entry,
+          regionEntries,
+          maxInFlightPerEndpoint,
+          regions,
+          allowedRegions,
+          excludedRegions,
+          relayed,
+          hasNeighbour,
+          region,
+          prefixSources,
+          engine,
+          disabledMechanisms,
+          Optional.empty());
+    }
+
+    private EventGap eventGap() {
+      return engine
+          .map(e -> new EventGap(eventGapObjective, e.eventTokens()))
+          .orElse(EventGap.NONE);
+    }
+
     private boolean uses(PlacementMechanism mechanism) {
       return !disabledMechanisms.contains(mechanism);
     }
@@ -160,13 +202,6 @@
   /** An endpoint and the number of leading prompt tokens that others may fetch from it. */
   private record CacheHolder(EndpointTracker endpoint, long tokens) {}
 
-  private record ScoredEndpoint(
-      EndpointTracker endpoint,
-      double prefillMillis,
-      double firstByteMillis,
-      double score,
-      Optional<Placement.PrefixFetch> fetch) {}
-
   /** Decides where to send a request. */
   public Placement place(PlacementRequest request, Context context, Instant now) {
     Optional<ScoredEndpoint> local =
@@ -178,7 +213,9 @@
                 r -> r.best(request, context.allowedRegions(), context.excludedRegions(), now));
     double maxWait = maxWaitMillis(request, local.map(ScoredEndpoint::prefillMillis).orElse(0.0));
     boolean localAcceptable =
-        local.isPresent() && localWaitMillis(local.get(), request, now) <= maxWait;
+        local.isPresent()
+            && localWaitMillis(local.get(), request, now) <= maxWait
+            && local.get().endpoint().room(now) != EndpointRoom.FULL;
     boolean remoteAcceptable =
         remote.isPresent() && remote.get().waitMillis() + CROSS_REGION_MILLIS <= maxWait;
     boolean localResponds =
@@ -346,27 +383,43 @@
     Optional<EndpointTracker> firstRanked =
         Rendezvous.owner(candidates, e -> e.record().id(), request.sharedKey());
     List<CacheHolder> holders = cacheHolders(request, context);
-    return candidates.stream()
-        .map(e -> score(e, e == firstRanked.orElse(null), holders, request, context, now))
-        .min(
-            Comparator.comparingDouble(ScoredEndpoint::score)
-                .thenComparing(s -> s.endpoint().record().id()));
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    EndpointBalance balance = new EndpointBalance(candidates, request, now);
+    // A plain service has no prefixes that would favour the first in rendezvous order.
+    boolean unranked = balance.isActive() && request.promptTokens() == 0;
+    List<ScoredEndpoint> scored =
+        candidates.stream()
+            .map(
+                e ->
+                    score(
+                        e,
+                        unranked || e == firstRanked.orElse(null),
+                        holders,
+                        balance,
+                        request,
+                        context,
+                        now))
+            .toList();
+    return Optional.of(balance.choose(scored, random));
   }
 
   private static ScoredEndpoint score(
       EndpointTracker endpoint,
       boolean firstInRank,
       List<CacheHolder> holders,
+      EndpointBalance balance,
       PlacementRequest request,
       Context context,
       Instant now) {
     long uncached = endpoint.uncachedTokens(request);
     long sharedUncached = Math.max(0, uncached - (request.promptTokens() - request.sharedTokens()));
     Optional<Placement.PrefixFetch> fetch =
-        bestFetch(endpoint, sharedUncached, holders, request, context);
+        bestFetch(endpoint, sharedUncached, holders, request, context, now);
     long fetched = fetch.map(Placement.PrefixFetch::tokens).orElse(0L);
     long duplicateTokens = firstInRank && fetch.isEmpty() ? 0 : sharedUncached - fetched;
-    double prefillMillis = endpoint.prefillMillis(request, uncached - fetched);
+    double prefillMillis = endpoint.prefillMillis(request, uncached - fetched, now);
     double fetchMillis = context.engine().map(engine -> engine.transferMillis(fetched)).orElse(0.0);
     double firstByteMillis =
         endpoint.waitMillis(request.priority(), now) + prefillMillis + fetchMillis;
@@ -375,16 +428,40 @@
     double score =
         firstByteMillis
             + request.expectedOutputTokens() * tokenMillis
-            + DUPLICATE_PREFILL_FACTOR * endpoint.prefillMillis(request, duplicateTokens)
-            + FETCH_FACTOR * endpoint.prefillMillis(request, fetched)
+            + DUPLICATE_PREFILL_FACTOR * endpoint.prefillMillis(request, duplicateTokens, now)
+            + FETCH_FACTOR * endpoint.prefillMillis(request, fetched, now)
             + LATENESS_FACTOR
                 * Math.max(
                     0,
                     firstByteMillis
                         - SAFE_OBJECTIVE_SHARE * request.firstByteObjective().toMillis())
             + FAILURE_PENALTY_MILLIS * endpoint.recentFailureScore(now)
-            + (firstInRank ? 0 : RANK_PENALTY_MILLIS);
-    return new ScoredEndpoint(endpoint, prefillMillis, firstByteMillis, score, fetch);
+            + (firstInRank ? 0 : RANK_PENALTY_MILLIS)
+            + (balance.isActive()
+                ? eventGapPenalty(endpoint, uncached - fetched, request, context, now)
+                : 0);
+    boolean preferred = firstInRank || sharedUncached == 0;
+    double streamMillis = request.expectedOutputTokens() * tokenMillis;
+    double rank =
+        score
+            + balance.adjustmentMillis(
+                endpoint,
+                firstByteMillis,
+                streamMillis,
+                DUPLICATE_PREFILL_FACTOR * duplicateTokens);
+    return new ScoredEndpoint(
+        endpoint, prefillMillis, firstByteMillis, score, rank, preferred, fetch);
+  }
+
+  private static double eventGapPenalty(
+      EndpointTracker endpoint,
+      long prefillTokens,
+      PlacementRequest request,
+      Context context,
+      Instant now) {
+    double tokensPerMilli = endpoint.prefillTokensPerMilli(request.priority(), now);
+    double queuedTokens = endpoint.pendingPrefillTokens(tokensPerMilli, now) + prefillTokens;
+    return context.eventGap().penaltyMillis(queuedTokens, tokensPerMilli);
   }
 
   /**
@@ -408,7 +485,8 @@
       long sharedUncached,
       List<CacheHolder> holders,
       PlacementRequest request,
-      Context context) {
+      Context context,
+      Instant now) {
     if (sharedUncached < MIN_FETCH_TOKENS) {
       return Optional.empty();
     }
@@ -417,7 +495,7 @@
         .filter(holder -> holder.endpoint() != target)
         .map(holder -> new Placement.PrefixFetch(holder.endpoint(), holder.tokens() - cachedTokens))
         .filter(fetch -> fetch.tokens() >= MIN_FETCH_TOKENS)
-        .filter(fetch -> isWorthFetching(fetch.tokens(), target, request, context))
+        .filter(fetch -> isWorthFetching(fetch.tokens(), target, request, context, now))
         .max(
             Comparator.comparingLong(Placement.PrefixFetch::tokens)
                 .thenComparing(fetch -> inSameDomain(fetch.source(), target))
@@ -430,9 +508,9 @@
   }
 
   private static boolean isWorthFetching(
-      long tokens, EndpointTracker target, PlacementRequest request, Context context) {
+      long tokens, EndpointTracker target, PlacementRequest request, Context context, Instant now) {
     double transferMillis = context.engine().orElseThrow().transferMillis(tokens);
-    return target.prefillMillis(request, tokens) >= MIN_FETCH_SPEEDUP * transferMillis;
+    return target.prefillMillis(request, tokens, now) >= MIN_FETCH_SPEEDUP * transferMillis;
   }
 
   private static boolean inSameDomain(EndpointTracker one, EndpointTracker other) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefillQueue.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PrefillQueue.java
@@ -108,6 +108,19 @@
     return ahead;
   }
 
+  /** Returns the number of prompts that are less urgent than a priority. */
+  int countLessUrgent(int priority, Instant now) {
+    int count = 0;
+    for (List<PendingPrompt> prompts : pendingPrompts(now)) {
+      for (PendingPrompt prompt : prompts) {
+        if (prompt.priority() > priority) {
+          count++;
+        }
+      }
+    }
+    return count;
+  }
+
   private List<List<PendingPrompt>> pendingPrompts(Instant now) {
     List<List<PendingPrompt>> pending = new ArrayList<>(1 + peerPrompts.size());
     pending.add(ownPrompts);
