Entries share a saturated service between organisations

Callers of small organisations lost most of what they asked for while two large ones sent eight times their usual load (FairSharesTest). An entry now asks FairShares after the quota and refuses an organisation beyond its share immediately: 503, not run, with Retry-After. Refusals by placement for overload make a service saturated; requests that do not run are refunded. Without organisations in the routing document, and below saturation, nothing changes.

The effect on the callers of a deployment has not been measured.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -20,6 +20,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.lacewingcroft.limit.EventLoopLoad;
+import org.lacewingcroft.limit.FairShares;
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.ConnectionShare;
@@ -126,6 +127,7 @@
   private final StateLease lease;
   private final FleetQuotas quotas;
   private final EventLoopMonitor eventLoop;
+  private final CapacitySharing sharing;
   private final InstantSource wallClock = InstantSource.system();
   private volatile List<String> seeds;
   private List<String> controls = List.of();
@@ -180,6 +182,7 @@
     this.pressure = new PressureReporter(settings, transport, clock);
     this.entries = new KnownEntries(self, pressure.state());
     this.quotas = new FleetQuotas(startedAt);
+    this.sharing = new CapacitySharing(settings.region(), clock, this::sharingPeers);
     this.controlTracker = new ControlInstanceTracker(settings.region());
     this.aggregatorSelector = new AggregatorSelector(settings.region());
     this.directChannel = new DirectUpdateChannel(settings, transport, entries::all);
@@ -196,7 +199,7 @@
             endpoints::tracker,
             this::updateChannel,
             pressure::isStandby,
-            quotas);
+            this::drainUnreportedUsage);
     this.prefixes =
         new PrefixExchange(
             settings,
@@ -346,6 +349,21 @@
     return quotas;
   }
 
+  /** Returns the sharing of scarce capacity between organisations. */
+  public CapacitySharing sharing() {
+    return sharing;
+  }
+
+  private FairShares.Peers sharingPeers() {
+    return new FairShares.Peers(entries.regionNames().size(), controlReached);
+  }
+
+  private Map<String, Long> drainUnreportedUsage() {
+    Map<String, Long> usage = new HashMap<>(quotas.drainUnreportedUsage());
+    usage.putAll(sharing.drainUnreportedUsage());
+    return usage;
+  }
+
   /** Returns the loads of the other regions. */
   public RegionLoads regionLoads() {
     return regionLoads;
@@ -684,6 +702,7 @@
       onRegionLoad(load);
     } else if (message instanceof FleetMessage.EntryNews news) {
       quotas.applyPeerUsage(news.news().quotaUsage(), clock.instant());
+      sharing.applyPeerUsage(news.news().quotaUsage(), clock.instant());
     } else if (message instanceof FleetMessage.NewsDigest batch) {
       onNewsDigest(batch);
     } else if (message instanceof FleetMessage.SuspicionUpdate update) {
@@ -706,6 +725,7 @@
     batch.news().prefixes().forEach(prefixes::onPrefixRead);
     batch.news().regionLoads().forEach(this::onRegionLoad);
     quotas.applyFleetUsage(batch.news().quotaUsage(), clock.instant());
+    sharing.applyFleetUsage(batch.news().quotaUsage(), clock.instant());
   }
 
   /**
@@ -772,6 +792,7 @@
               offer.evacuatedDomains());
       stateRequestedAt = Instant.EPOCH;
       quotas.configure(routing.table().organisations(), clock.instant());
+      sharing.configure(routing.table().organisations());
       markReadmittedEndpointsCold(previous.evacuatedDomains());
       LOG.log(
           System.Logger.Level.INFO,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -16,7 +16,6 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lacewingcroft.limit.EndpointRateLimit;
-import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ReportedLoad;
 import org.lacewingcroft.placement.UnsentReports;
@@ -53,7 +52,7 @@
   private final Function<String, Optional<EndpointTracker>> trackerOf;
   private final Supplier<UpdateChannel> channel;
   private final BooleanSupplier standby;
-  private final FleetQuotas quotas;
+  private final Supplier<Map<String, Long>> unreportedUsage;
 
   /** The endpoints at which each other entry has reported load. */
   private final Map<String, Set<String>> reportedEndpoints = new HashMap<>();
@@ -75,7 +74,7 @@
       Function<String, Optional<EndpointTracker>> trackerOf,
       Supplier<UpdateChannel> channel,
       BooleanSupplier standby,
-      FleetQuotas quotas) {
+      Supplier<Map<String, Long>> unreportedUsage) {
     this.vertx = vertx;
     this.settings = settings;
     this.self = self;
@@ -84,7 +83,7 @@
     this.trackerOf = trackerOf;
     this.channel = channel;
     this.standby = standby;
-    this.quotas = quotas;
+    this.unreportedUsage = unreportedUsage;
   }
 
   /** Starts reporting to the other entries of the region. */
@@ -103,7 +102,7 @@
             .filter(t -> t.inFlight() > 0 || t.rateLimit().report(now).isPresent())
             .map(t -> loadAt(t, now))
             .toList();
-    Map<String, Long> usage = quotas.drainUnreportedUsage();
+    Map<String, Long> usage = unreportedUsage.get();
     if (!usage.isEmpty()) {
       channel.get().sendQuotaUsage(usage);
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -24,6 +24,7 @@
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.CallerConnections;
 import org.lacewingcroft.http.StrictRequestDecoder;
+import org.lacewingcroft.limit.FairShares;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.route.Organisation;
 import org.lacewingcroft.route.RequestLimits;
@@ -283,12 +284,49 @@
             logRejected(
                 request, "the quota of " + handling.organisation().orElse("") + " is used up");
             response.sendError(429, "the organisation's quota is used up", true, retryAfter);
-          } else {
+          } else if (isWithinShare(request, response, forwardRequest, charge)) {
             new ForwardCall(context, forwardRequest, response, false, charge).start();
           }
         });
   }
 
+  /**
+   * Returns whether the organisation of a request is within its share of the service's capacity;
+   * refuses the request if it is not.
+   */
+  private boolean isWithinShare(
+      HttpServerRequest request,
+      CallerResponse response,
+      ForwardRequest forwardRequest,
+      QuotaCharge charge) {
+    Handling handling = forwardRequest.handling();
+    String service = handling.service();
+    String organisation = handling.organisation().orElse("");
+    if (organisation.isEmpty()) {
+      return true;
+    }
+    boolean engine = node.routing().table().engine(service).isPresent();
+    long tokens = forwardRequest.promptTokens() + forwardRequest.maxOutputTokens();
+    FairShares.Request shareRequest =
+        new FairShares.Request(
+            organisation,
+            service,
+            handling.priority(),
+            engine ? Math.max(1, tokens) : 1,
+            String.valueOf(request.remoteAddress()));
+    Optional<Duration> retryAfter = node.sharing().admit(shareRequest);
+    if (retryAfter.isEmpty()) {
+      charge.withShareRefund(() -> node.sharing().refund(shareRequest));
+      return true;
+    }
+    charge.refund();
+    context.metrics().shareRefusals.labelValues(service, organisation).inc();
+    logRejected(request, organisation + " exceeds its share of " + service);
+    response.sendError(
+        503, "the organisation exceeds its share of an overloaded service", true, retryAfter);
+    return false;
+  }
+
   private static String hostOf(HttpServerRequest request) {
     String host = request.getHeader("Host");
     return host == null ? "" : host.toLowerCase(Locale.ROOT);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -228,6 +228,9 @@
   }
 
   private void refuse(Placement.Refused refused) {
+    if (refused.reason() == Placement.Reason.OVERLOADED && !relayed) {
+      context.node().sharing().recordOverload(request.handling().service());
+    }
     requestLog.logRefused(refused, excludedTargets, context.node().routing().revision());
     String reason =
         switch (refused.reason()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/QuotaCharge.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/QuotaCharge.java
@@ -6,12 +6,16 @@
 import org.lacewingcroft.limit.FleetQuotas;
 import org.lacewingcroft.route.Organisation;
 
-/** The charge of one request against the quota of its organisation; refunded if it has not run. */
+/**
+ * The charge of one request against the quota of its organisation and its share of scarce capacity;
+ * refunded if it has not run.
+ */
 final class QuotaCharge {
   private final Optional<Organisation> organisation;
   private final long cost;
   private final FleetQuotas quotas;
   private boolean charged;
+  private Runnable shareRefund = () -> {};
 
   private QuotaCharge(Optional<Organisation> organisation, long cost, FleetQuotas quotas) {
     this.organisation = organisation;
@@ -48,11 +52,17 @@
     return retryAfter;
   }
 
+  /** Adds what refunds the share of capacity that the request was counted against. */
+  void withShareRefund(Runnable refund) {
+    shareRefund = refund;
+  }
+
   /** Refunds the charge; further calls have no effect. */
   void refund() {
     if (charged) {
       charged = false;
       organisation.ifPresent(o -> quotas.refund(o, cost));
+      shareRefund.run();
     }
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -126,6 +126,21 @@
           .labelNames("where")
           .register(registry);
 
+  /** Requests refused because their organisation exceeds its share of a saturated service. */
+  public final Counter shareRefusals =
+      Counter.builder()
+          .name("lwc_share_refusals_total")
+          .help("Requests refused because an organisation exceeds its share of a service")
+          .labelNames("service", "organisation")
+          .register(registry);
+
+  /** The number of services of the region that are saturated. */
+  public final Gauge saturatedServices =
+      Gauge.builder()
+          .name("lwc_saturated_services")
+          .help("Services of the region whose capacity is shared between organisations")
+          .register(registry);
+
   /** Failed attempts by kind of failure: unreachable, refused, broken or withdrawn. */
   public final Counter failedAttempts =
       Counter.builder()
