SharedCapacityTest: the neighbour applies the same shares

Guards against usage that does not reach the other entries of a region, and FairSharesTest against shares that ignore the quotas. SharedCapacityTest waits until the entries can check API keys: directly after its start an entry refused a request for that reason, and the new test failed with it once.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SharedCapacityTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SharedCapacityTest.java
@@ -32,8 +32,9 @@
 
 /**
  * Checks that an entry refuses an organisation that exceeds its share of a saturated service, that
- * it serves another organisation meanwhile, and that it refuses nobody before and after. Guards
- * against a decision that is not applied at admission, and against refusals that ran.
+ * it serves another organisation meanwhile, that it refuses nobody before and after, and that the
+ * other entries do the same. Guards against a decision that is not applied at admission, usage that
+ * does not reach other entries, and refusals that ran.
  */
 class SharedCapacityTest {
   private static final String SERVICE = "desk";
@@ -47,6 +48,7 @@
   @TempDir private Path folder;
   private FleetHarness fleet;
   private FleetHarness.Entry entry;
+  private FleetHarness.Entry neighbour;
 
   @BeforeEach
   void start() throws Exception {
@@ -60,14 +62,29 @@
             List.of(organisation("large"), organisation("small")));
     fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
     entry = fleet.startEntry("north-1", "north");
+    neighbour = fleet.startEntry("north-2", "north");
     fleet.activateRouteTable(1);
     HttpServer server =
         fleet.onContext(
             () ->
                 fleet.vertx().createHttpServer().requestHandler(this::run).listen(0, "127.0.0.1"));
     fleet.keepAnnouncing("i-1", SERVICE, "north", server.actualPort());
-    fleet.awaitReady(entry);
-    fleet.awaitEndpoints(entry, SERVICE, 1);
+    for (FleetHarness.Entry started : List.of(entry, neighbour)) {
+      fleet.awaitReady(started);
+      fleet.awaitEndpoints(started, SERVICE, 1);
+      awaitServed(started);
+    }
+  }
+
+  /** Waits until an entry can check API keys. */
+  private void awaitServed(FleetHarness.Entry started) throws Exception {
+    Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
+    int status = send(started, "small").statusCode();
+    while (status != 200 && Instant.now().isBefore(deadline)) {
+      TimeUnit.MILLISECONDS.sleep(50);
+      status = send(started, "small").statusCode();
+    }
+    assertThat(status, is(200));
   }
 
   private static Organisation organisation(String name) {
@@ -107,28 +124,44 @@
 
   @Test
   void organisationBeyondItsShareIsRefusedWhileAnotherIsServed() throws Exception {
-    assertThat(send("large").statusCode(), is(200));
+    assertThat(send(entry, "large").statusCode(), is(200));
     Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
     int runsBefore = runs.get();
     HttpResponse<String> refused = null;
     do {
       saturate();
       runsBefore = runs.get();
-      refused = send("large");
+      refused = send(entry, "large");
     } while (refused.statusCode() != 503 && Instant.now().isBefore(deadline));
     assertThat(refused.statusCode(), is(503));
     assertThat(refused.body(), containsString("share"));
     assertThat(refused.headers().firstValue("Retry-After").isPresent(), is(true));
     assertThat(runs.get(), is(runsBefore));
-    assertThat(send("small").statusCode(), is(200));
+    assertThat(send(entry, "small").statusCode(), is(200));
     TimeUnit.MILLISECONDS.sleep(2_100);
-    assertThat(send("large").statusCode(), is(200));
+    assertThat(send(entry, "large").statusCode(), is(200));
+  }
+
+  /** The other entries of the region receive the usage and apply the same shares. */
+  @Test
+  void neighbourRefusesTheSameOrganisation() throws Exception {
+    assertThat(send(neighbour, "large").statusCode(), is(200));
+    Instant deadline = Instant.now().plus(AWAIT_TIMEOUT);
+    HttpResponse<String> response = null;
+    do {
+      saturate();
+      TimeUnit.MILLISECONDS.sleep(300);
+      response = send(neighbour, "large");
+    } while (response.statusCode() != 503 && Instant.now().isBefore(deadline));
+    assertThat(response.statusCode(), is(503));
+    assertThat(response.body(), containsString("share"));
+    assertThat(send(neighbour, "small").statusCode(), is(200));
   }
 
-  private HttpResponse<String> send(String organisation) throws Exception {
+  private HttpResponse<String> send(FleetHarness.Entry to, String organisation) throws Exception {
     HttpRequest request =
         HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x"))
+                URI.create("http://127.0.0.1:" + to.publicPort() + "/" + SERVICE + "/x"))
             .POST(HttpRequest.BodyPublishers.ofString("body " + requests.incrementAndGet()))
             .header("X-Request-Id", "id-" + requests.get())
             .header("X-Deadline", Long.toString(REQUEST_TIMEOUT.toMillis()))
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FairSharesTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FairSharesTest.java
@@ -327,6 +327,33 @@
     assertThat(shares.drainUnreportedUsage(START), is(anEmptyMap()));
   }
 
+  /** Organisations that ask for the same are admitted in proportion to their quotas. */
+  @Test
+  void sharesAreWeightedByQuota() {
+    FairShares shares = new FairShares(REGION);
+    Quota large = new Quota(300, 300, Quota.Unit.TOKENS, 200);
+    Quota small = new Quota(100, 100, Quota.Unit.TOKENS, 200);
+    shares.configure(
+        List.of(
+            new Organisation("o0", Set.of(), OptionalInt.empty(), Optional.of(large), Set.of()),
+            new Organisation("o1", Set.of(), OptionalInt.empty(), Optional.of(small), Set.of())));
+    for (int i = 0; i < 200; i++) {
+      FairShares.Request request = request(i % 2, "a" + i);
+      shares.admit(request, PEERS, START);
+      if (i >= 40) {
+        shares.refund(request, START);
+      }
+    }
+    shares.recordOverload(SERVICE, START);
+    int[] admitted = new int[2];
+    for (int i = 0; i < 200; i++) {
+      boolean admits = shares.admit(request(i % 2, "b" + i), PEERS, START).isEmpty();
+      admitted[i % 2] += admits ? 1 : 0;
+    }
+    assertThat(admitted[0], greaterThan(2 * admitted[1]));
+    assertThat(admitted[1], greaterThan(0));
+  }
+
   /** The first request of an organisation that sends rarely is not refused for what others send. */
   @Test
   void rareOrganisationIsAdmitted() {
