Warm-up of the request path after a start, off by default

Seen: the first requests of an entry take several times as long as later ones.

Cause: the code of the request path is loaded, interpreted and compiled with the first requests.

Change: LWC_WARM_UP_REQUESTS (0 to 300; anything else ends the process with status 2) is the number of synthetic requests that pass, after a start, through a second entry inside the process that knows no other instance and has a responder on 127.0.0.1 as its endpoints. WarmUpPolicy (kernel, pure) decides whether to begin and when to stop: at most 3 s, not later than 9 s after the start, not while a caller's request is present, not after 3 failures. At a deployment's first start the entry is ready only afterwards. Log lines warm_up.started and warm_up.finished, metrics lwc_warm_ups_total and lwc_warm_up_requests_total.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -126,6 +126,7 @@
   private long reportCount;
   private boolean shuttingDown;
   private boolean readyReported;
+  private boolean readinessHeld;
 
   /** Logs endpoint changes and forwards crashes and recoveries to the quarantine. */
   private final class EndpointListener implements TrackedEndpoints.Listener {
@@ -238,9 +239,23 @@
 
   /** Returns whether callers may be directed to this entry. */
   public boolean ready() {
-    return !shuttingDown
-        && routing.revision() > 0
-        && (rosterComplete || !endpoints.trackers().isEmpty());
+    return !shuttingDown && !readinessHeld && hasState();
+  }
+
+  /** Returns whether this entry has received the routing state and endpoints. */
+  public boolean hasState() {
+    return routing.revision() > 0 && (rosterComplete || !endpoints.trackers().isEmpty());
+  }
+
+  /** Keeps this entry from being ready until {@link #releaseReadiness}. */
+  public void holdReadiness() {
+    readinessHeld = true;
+  }
+
+  /** Ends {@link #holdReadiness}; without effect if readiness is not held. */
+  public void releaseReadiness() {
+    readinessHeld = false;
+    reportOnceReady();
   }
 
   /**
@@ -565,7 +580,8 @@
         reportId);
   }
 
-  private void receive(FleetMessage message) {
+  /** Applies a message of another instance. */
+  void receive(FleetMessage message) {
     if (message instanceof FleetMessage.ControlPulse pulse) {
       onControlPulse(pulse);
     } else if (message instanceof FleetMessage.RosterUpdate update) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -166,6 +166,11 @@
     return node.routing().table().limits();
   }
 
+  /** Returns the port at which the public server listens. */
+  int publicPort() {
+    return publicServer.actualPort();
+  }
+
   /** Returns the number of requests in flight. */
   public int inFlight() {
     return context.inFlight().get();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -145,6 +145,22 @@
           .help("Seconds from an operator's order to its answer")
           .register(registry);
 
+  /** Requests of the warm-up after a start, by whether they were answered or failed. */
+  public final Counter warmUpRequests =
+      Counter.builder()
+          .name("lwc_warm_up_requests_total")
+          .help("Synthetic requests of the warm-up after a start by outcome")
+          .labelNames("outcome")
+          .register(registry);
+
+  /** Warm-ups by outcome: complete, timeout, caller, failed or skipped. */
+  public final Counter warmUps =
+      Counter.builder()
+          .name("lwc_warm_ups_total")
+          .help("Warm-ups of the request path by how they ended")
+          .labelNames("outcome")
+          .register(registry);
+
   /** Registers metrics for the messages between instances by kind. */
   public void registerPeerTraffic(PeerTraffic traffic) {
     exposeByDirection(
