--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -143,6 +143,7 @@
   private boolean shuttingDown;
   private Map<EndpointRoom, Integer> loggedRoom = Map.of();
   private boolean readyReported;
+  private boolean readinessHeld;
 
   /** Logs endpoint changes and forwards crashes and recoveries to the quarantine. */
   private final class EndpointListener implements TrackedEndpoints.Listener {
@@ -266,9 +267,23 @@
 
   /** Returns whether callers may be directed to this entry. */
   public boolean ready() {
-    return !shuttingDown
-        && routing.revision() > 0
-        && (rosterComplete || !endpoints.trackers().isEmpty());
+    return !shuttingDown && !readinessHeld && hasState();
+  }
+
+  /** Returns whether this entry has received the routing state and endpoints. */
+  public boolean hasState() {
+    return routing.revision() > 0 && (rosterComplete || !endpoints.trackers().isEmpty());
+  }
+
+  /** Keeps this entry from being ready until {@link #releaseReadiness}. */
+  public void holdReadiness() {
+    readinessHeld = true;
+  }
+
+  /** Ends {@link #holdReadiness}; without effect if readiness is not held. */
+  public void releaseReadiness() {
+    readinessHeld = false;
+    reportOnceReady();
   }
 
   /**
@@ -678,7 +693,8 @@
         reportId);
   }
 
-  private void receive(FleetMessage message) {
+  /** Applies a message of another instance. */
+  void receive(FleetMessage message) {
     eventLoop.activity();
     if (message instanceof FleetMessage.ControlPulse pulse) {
       onControlPulse(pulse);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PrefixExchange.java
@@ -50,6 +50,12 @@
    */
   private static final int LISTING_ENTRIES = 2;
 
+  /**
+   * Number of engines of a region up to which each entry requests all lists immediately: these few
+   * calls cost less than the requests that are placed before other entries' reports arrive.
+   */
+  private static final int MAX_ENGINES_LISTED_BY_ALL = 8;
+
   /**
    * Number of heartbeat intervals from the first known endpoint within which lists are requested. A
    * running endpoint announces itself once per interval; one may be lost.
@@ -71,6 +77,7 @@
 
   private List<String> listingEntries = List.of();
   private Optional<Instant> firstEndpointAt = Optional.empty();
+  private boolean listedByAll;
 
   PrefixExchange(
       FleetSettings settings,
@@ -138,7 +145,8 @@
    * Requests the lists of cached prefixes for which this entry is responsible, once per endpoint,
    * and reports them to the other entries. Each list is requested by {@link #LISTING_ENTRIES}
    * entries of the region, and all lists by an entry that knows of no other. At a deployment's
-   * first start no endpoint caches anything, and nothing is requested.
+   * first start no endpoint caches anything, and nothing is requested. In a region of few engines
+   * each entry requests all lists.
    *
    * <p>After all entries crash at the same time, the endpoints still cache every prefix, and an
    * entry that has not received them assumes a long prefill for each request. In one such case, 30
@@ -150,8 +158,12 @@
    */
   void requestListings(List<String> regionEntries) {
     if (settings.firstStart()
-        || settings.disabledMechanisms().contains(PlacementMechanism.PREFIX_LISTING)
-        || !isListingTime()) {
+        || settings.disabledMechanisms().contains(PlacementMechanism.PREFIX_LISTING)) {
+      return;
+    }
+    listedByAll =
+        trackers.get().stream().filter(this::isEngineOfRegion).count() <= MAX_ENGINES_LISTED_BY_ALL;
+    if (!isListingTime()) {
       return;
     }
     if (listingEntries != regionEntries) {
@@ -165,7 +177,8 @@
    * Returns whether lists are requested now: from one heartbeat interval after the first endpoint
    * is known, when the entries that started at the same time are likely to be known, until all
    * running endpoints have announced themselves. Without the wait, the first entries that are ready
-   * after a crash of all entries would each request all lists.
+   * after a crash of all entries would each request all lists. In a region of few engines there is
+   * no wait.
    */
   private boolean isListingTime() {
     Instant now = clock.instant();
@@ -174,7 +187,7 @@
     }
     Duration heartbeat = settings.endpointHeartbeat();
     return firstEndpointAt
-        .filter(at -> !at.plus(heartbeat).isAfter(now))
+        .filter(at -> listedByAll || !at.plus(heartbeat).isAfter(now))
         .filter(at -> at.plus(heartbeat.multipliedBy(DISCOVERY_HEARTBEATS)).isAfter(now))
         .isPresent();
   }
@@ -187,14 +200,18 @@
     EndpointRecord record = tracker.record();
     return !listingRequested.contains(record.id())
         && !listedByOthers.contains(record.id())
-        && settings.inOwnRegion(record.failureDomain())
         && record.state() == EndpointState.READY
+        && isEngineOfRegion(tracker)
+        && (listedByAll || isResponsibleFor(record.id()))
+        && listingRequested.add(record.id());
+  }
+
+  private boolean isEngineOfRegion(EndpointTracker tracker) {
+    return settings.inOwnRegion(tracker.record().failureDomain())
         && engineOfService
-            .apply(record.service())
+            .apply(tracker.record().service())
             .filter(ServiceSpec.Engine::supportsKvFetch)
-            .isPresent()
-        && isResponsibleFor(record.id())
-        && listingRequested.add(record.id());
+            .isPresent();
   }
 
   private boolean isResponsibleFor(String endpoint) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
@@ -49,7 +49,11 @@
     final PrefixExchange exchange;
 
     Entry(String name, boolean firstStart) {
-      for (int i = 0; i < ENDPOINTS; i++) {
+      this(name, firstStart, ENDPOINTS);
+    }
+
+    Entry(String name, boolean firstStart, int endpoints) {
+      for (int i = 0; i < endpoints; i++) {
         String id = "engine-" + i;
         EndpointRecord record =
             new EndpointRecord(
@@ -169,6 +173,17 @@
     assertThat(second.sent, empty());
   }
 
+  /**
+   * Guards against a restarted entry of a region of few engines that places its first requests
+   * without the lists, while it waits for the other entries.
+   */
+  @ParameterizedTest(name = "endpoints: {0}, requests at the first message: {1}")
+  @CsvSource({"3, 3", "8, 8", "9, 0"})
+  void listsOfFewEnginesAreRequestedByEachEntryImmediately(int endpoints, int requested) {
+    new Entry("entry-7", false, endpoints).exchange.requestListings(names(24));
+    assertThat(requests.keySet(), hasSize(requested));
+  }
+
   private static List<String> names(int count) {
     return IntStream.range(0, count).mapToObj(i -> "entry-" + i).toList();
   }
