--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingcroft.fleet.ActiveEntriesMode;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.EntryNode;
