--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -28,6 +28,7 @@
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
+import org.lacewingcroft.placement.PlacementMechanism;
 import org.lacewingcroft.placement.PlacementRequest;
 import org.lacewingcroft.placement.Placer;
 import org.lacewingcroft.placement.RegionLoads;
@@ -808,7 +809,9 @@
               offer.evacuatedDomains());
       stateRequestedAt = Instant.EPOCH;
       quotas.configure(routing.table().organisations(), clock.instant());
-      sharing.configure(routing.table().organisations());
+      if (!settings.disabledMechanisms().contains(PlacementMechanism.FAIR_SHARES)) {
+        sharing.configure(routing.table().organisations());
+      }
       markReadmittedEndpointsCold(previous.evacuatedDomains());
       LOG.log(
           System.Logger.Level.INFO,
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PlacementMechanism.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/PlacementMechanism.java
@@ -19,7 +19,9 @@
    * Endpoints that were unresponsive when a request ended are avoided for a backoff time, or until
    * they send a byte if that is earlier.
    */
-  SILENCE_MEMORY;
+  SILENCE_MEMORY,
+  /** While a service is saturated, its capacity is shared between organisations. */
+  FAIR_SHARES;
 
   /**
    * Parses a comma-separated list of names; an empty text is an empty list.
