Active entries use the measured share of busy event loop time

One measurement instead of two: EventLoopLoad replaces the thread's processor time, whose management classes each entry loaded at its start. The start is not measured apart.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -115,7 +115,7 @@
                     new PressureMeter(
                         capacity,
                         traffic,
-                        new EventLoopCpuShare(capacity.cores()),
+                        node.eventLoop().load()::utilization,
                         this::inFlight,
                         clock)));
   }
