--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndpointLoadHeaderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndpointLoadHeaderTest.java
@@ -28,11 +28,12 @@
 
 /**
  * Guards against load headers that are read from successful responses only, from another
- * incarnation's response, or that have an effect although they are malformed.
+ * incarnation's response, or that have an effect although they are malformed or lack the pace.
  */
 class EndpointLoadHeaderTest {
   private static final String ACCEPTED = "accepted";
   private static final String MALFORMED = "malformed";
+  private static final String WITHOUT_PACE = "without_pace";
   private static final String NONE = "none";
 
   @TempDir private static Path folder;
@@ -54,12 +55,17 @@
   static Stream<Row> rows() {
     String notRun = "\r\nX-Not-Run: 1";
     return Stream.of(
-        new Row("free", "200 OK", "2,0,12", EndpointRoom.FREE_SLOT, ACCEPTED),
+        new Row("free", "200 OK", "2,0,12,100", EndpointRoom.FREE_SLOT, ACCEPTED),
         new Row("paced", "200 OK", "12,3,12,140", EndpointRoom.QUEUE, ACCEPTED),
-        new Row("error", "500 Broken", "12,3,12", EndpointRoom.QUEUE, ACCEPTED),
-        new Row("full", "503 Full", "12,36,12" + notRun, EndpointRoom.FULL, ACCEPTED),
+        new Row("error", "500 Broken", "12,3,12,100", EndpointRoom.QUEUE, ACCEPTED),
+        new Row("full", "503 Full", "12,36,12,100" + notRun, EndpointRoom.FULL, ACCEPTED),
         new Row(
-            "other-incarnation", "421 Misdirected Request", "2,0,12", EndpointRoom.UNKNOWN, NONE),
+            "other-incarnation",
+            "421 Misdirected Request",
+            "2,0,12,100",
+            EndpointRoom.UNKNOWN,
+            NONE),
+        new Row("without-pace", "200 OK", "2,0,12", EndpointRoom.UNKNOWN, WITHOUT_PACE),
         new Row("malformed", "200 OK", "2,0", EndpointRoom.UNKNOWN, MALFORMED),
         new Row("negative", "200 OK", "-2,0,12", EndpointRoom.UNKNOWN, MALFORMED),
         new Row("no-slots", "200 OK", "2,0,0", EndpointRoom.UNKNOWN, MALFORMED),
@@ -115,6 +121,7 @@
             .build();
     final double acceptedBefore = count(ACCEPTED);
     final double malformedBefore = count(MALFORMED);
+    final double withoutPaceBefore = count(WITHOUT_PACE);
     HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
     Map<String, EndpointRoom> rooms =
         fleet.onContext(() -> Future.succeededFuture(roomByService()));
@@ -122,6 +129,9 @@
     assertThat(count(ACCEPTED) - acceptedBefore, is(row.countedAs().equals(ACCEPTED) ? 1.0 : 0.0));
     assertThat(
         count(MALFORMED) - malformedBefore, is(row.countedAs().equals(MALFORMED) ? 1.0 : 0.0));
+    assertThat(
+        count(WITHOUT_PACE) - withoutPaceBefore,
+        is(row.countedAs().equals(WITHOUT_PACE) ? 1.0 : 0.0));
   }
 
   private static double count(String result) {
