--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -201,6 +201,12 @@
         SECRET);
   }
 
+  /** Starts an entry on an event loop of its own, so that only this entry is late if it blocks. */
+  Entry startEntryOn(Vertx ownVertx, String name, String region) throws Exception {
+    return startEntry(
+        name, region, Optional.empty(), Optional.empty(), ownVertx.getOrCreateContext());
+  }
+
   Entry startEntry(String name, String region) throws Exception {
     return startEntry(name, region, Optional.empty());
   }
@@ -221,12 +227,6 @@
     return startEntry(name, region, Optional.empty(), Optional.of(capacity), context);
   }
 
-  /** Starts an entry on an event loop of its own, so that only this entry is late if it blocks. */
-  Entry startEntryOn(Vertx ownVertx, String name, String region) throws Exception {
-    return startEntry(
-        name, region, Optional.empty(), Optional.empty(), ownVertx.getOrCreateContext());
-  }
-
   private Entry startEntry(
       String name,
       String region,
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PressureMeterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/PressureMeterTest.java
@@ -53,7 +53,7 @@
   @Test
   void clientConnectionsCount() {
     PressureMeter meter = new PressureMeter(CAPACITY, traffic, () -> 0, () -> 0, () -> now);
-    double before = meter.get().fileDescriptors();
+    final double before = meter.get().fileDescriptors();
     traffic.clientConnectionOpened();
     traffic.requestSent(2_500);
     traffic.responseHeadReceived();
