Tests: the settings of a single entry in one place

Three tests listed all 18 settings of an entry, so that each new setting had to be added to all of them; EntrySettings holds them. Values that the tests rely on are unchanged. RequestWarmUpTest runs with the mode auto instead of all, which has no effect without limits.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -94,32 +93,13 @@
   }
 
   private static FleetSettings settings() throws Exception {
-    return new FleetSettings(
+    return EntrySettings.of(
         "entry",
-        "127.0.0.1",
-        "north",
-        "north-a",
         Map.of("north-a", "north"),
         LoopbackPorts.allocatePort(),
         LoopbackPorts.allocatePort(),
-        List.of(),
-        Optional.empty(),
         true,
-        0,
-        Optional.empty(),
         Duration.ofMillis(300),
-        new FleetBounds(
-            Duration.ofSeconds(8),
-            Duration.ofSeconds(5),
-            1,
-            100,
-            Duration.ofSeconds(10),
-            1.5,
-            3,
-            Optional.empty()),
-        Optional.empty(),
-        ActiveEntriesMode.AUTO,
-        Set.of(),
-        "a secret of the test".getBytes());
+        EntrySettings.BOUNDS);
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/PrefixExchangeTest.java
@@ -189,32 +189,7 @@
   }
 
   private static FleetSettings settings(String name, boolean firstStart) {
-    return new FleetSettings(
-        name,
-        "127.0.0.1",
-        "north",
-        "north-a",
-        Map.of("north-a", "north"),
-        1,
-        2,
-        List.of(),
-        Optional.empty(),
-        firstStart,
-        0,
-        Optional.empty(),
-        HEARTBEAT,
-        new FleetBounds(
-            Duration.ofSeconds(8),
-            Duration.ofSeconds(5),
-            1,
-            100,
-            Duration.ofSeconds(10),
-            1.5,
-            3,
-            Optional.empty()),
-        Optional.empty(),
-        ActiveEntriesMode.AUTO,
-        Set.of(),
-        "a secret of the test".getBytes());
+    return EntrySettings.of(
+        name, Map.of("north-a", "north"), 1, 2, firstStart, HEARTBEAT, EntrySettings.BOUNDS);
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
@@ -15,8 +15,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,10 +22,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.lacewingcroft.fleet.ActiveEntriesMode;
 import org.lacewingcroft.fleet.EndpointRecord;
 import org.lacewingcroft.fleet.EndpointState;
 import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.fleet.EntrySettings;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.fleet.IsolatedEntry;
 import org.lacewingcroft.fleet.WarmUpPolicy;
@@ -189,24 +187,7 @@
   }
 
   private static FleetSettings settings(boolean firstStart, Map<String, String> regions) {
-    return new FleetSettings(
-        "entry",
-        "127.0.0.1",
-        "north",
-        "north-a",
-        regions,
-        0,
-        0,
-        List.of(),
-        Optional.empty(),
-        firstStart,
-        0,
-        Optional.empty(),
-        Duration.ofMillis(300),
-        FleetHarness.BOUNDS,
-        Optional.empty(),
-        ActiveEntriesMode.ALL,
-        Set.of(),
-        FleetHarness.SECRET);
+    return EntrySettings.of(
+        "entry", regions, 0, 0, firstStart, Duration.ofMillis(300), FleetHarness.BOUNDS);
   }
 }
