No work for active entries while they are off; one parser of the deadline header

Found in reading the change. With LWC_ACTIVE_ENTRIES=all, as deployed, each connection still passed a byte counter, control instances still listed the ready entries ten times a second for the selection, and kept the time of the last request of each entry name ever seen, without removing any. These are skipped now; FleetSettings.reportsPressure is the one condition for an entry. OverloadGate parsed the deadline header a second time in its own way and uses RequestReader now; a value of several numbers is read as its first there as well, where the route's timeout applied before.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ActiveEntryDirectory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ActiveEntryDirectory.java
@@ -77,6 +77,9 @@
 
   /** Records a pressure report. */
   void onPressureReport(FleetMessage.PressureReport report) {
+    if (!isEnabled()) {
+      return;
+    }
     selector.onReport(report, clock.instant());
     if (report.pressure().inFlight() > 0) {
       lastRequestAt.put(report.entry(), clock.instant());
@@ -88,6 +91,9 @@
    * are reported without requests as well.
    */
   void onUpdates(FleetMessage.EntryNews message) {
+    if (!isEnabled()) {
+      return;
+    }
     FleetMessage.News updates = message.news();
     boolean serving =
         !updates.prefixes().isEmpty()
@@ -106,19 +112,24 @@
    */
   List<EntryInfo> entriesForCallersOf(String region) {
     List<EntryInfo> ready = readyEntries.get();
+    if (!isEnabled()) {
+      return ready;
+    }
     update(ready);
     return ready.stream().filter(e -> !e.region().equals(region) || isActive(e)).toList();
   }
 
   /** Selects the active entries again if reports or entries may have changed. */
   void update() {
-    update(readyEntries.get());
+    if (isEnabled()) {
+      update(readyEntries.get());
+    }
   }
 
   private void update(List<EntryInfo> ready) {
     Instant now = clock.instant();
     boolean current = selectedAt.plus(SELECTION_INTERVAL).isAfter(now);
-    if (!isEnabled() || (current && selectedFrom.equals(ready))) {
+    if (current && selectedFrom.equals(ready)) {
       return;
     }
     selectedAt = now;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetSettings.java
@@ -59,6 +59,11 @@
     secret = secret.clone();
   }
 
+  /** Returns whether an entry with these settings reports its pressure. */
+  public boolean reportsPressure() {
+    return activeEntriesMode == ActiveEntriesMode.AUTO && capacity.isPresent();
+  }
+
   /** Returns this instance's address on the peer transport. */
   public String peerAddress() {
     return ip + ":" + peerPort;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PressureReporter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/PressureReporter.java
@@ -37,11 +37,6 @@
     this.state = new StandbyState(settings.nodeName());
   }
 
-  private boolean isEnabled() {
-    return settings.activeEntriesMode() == ActiveEntriesMode.AUTO
-        && settings.capacity().isPresent();
-  }
-
   /** Sets the source of this entry's pressure, without which none is reported. */
   void usePressure(Supplier<EntryPressure> source) {
     pressure = Optional.of(source);
@@ -53,7 +48,7 @@
 
   /** Applies the active entries. */
   void onActiveEntries(FleetMessage.ActiveEntries message) {
-    if (isEnabled()) {
+    if (settings.reportsPressure()) {
       state.onActiveEntries(message, clock.instant());
     }
   }
@@ -76,7 +71,7 @@
     logChange();
     reportCount++;
     boolean needed =
-        isEnabled()
+        settings.reportsPressure()
             && regionEntries > ActiveSet.MAX_UNRESTRICTED_ENTRIES
             && (broadcast || !isStandby() || reportCount % REPORTS_PER_STANDBY_PRESSURE == 0);
     if (needed && pressure.isPresent()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -75,6 +76,7 @@
   private final CallerConnections callerConnections;
   private final OverloadGate overload;
   private final LinkTraffic traffic = new LinkTraffic();
+  private final boolean reportsPressure;
   private HttpServer publicServer;
   private HttpServer relayServer;
 
@@ -92,7 +94,8 @@
     this.reader = new RequestReader(headerNames);
     this.clock = clock;
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
-    this.overload = new OverloadGate(node.eventLoop(), headerNames, metrics, clock);
+    this.reportsPressure = settings.reportsPressure();
+    this.overload = new OverloadGate(node.eventLoop(), reader, metrics, clock);
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
@@ -131,7 +134,7 @@
                   node.eventLoop().activity();
                   StrictRequestDecoder.install(
                       connection, publicOptions, this::limits, overload::onRequestHead);
-                  traffic.install(connection);
+                  countTraffic(connection);
                   callerConnections.onConnectionOpened(connection);
                 })
             .requestHandler(this::handleCaller);
@@ -143,7 +146,7 @@
                     .setIdleTimeoutUnit(TimeUnit.SECONDS)
                     .setMaxHeaderSize(MAX_RELAY_HEAD_BYTES)
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
-            .connectionHandler(traffic::install)
+            .connectionHandler(this::countTraffic)
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
     new EndpointProber(vertx, node, context.connectionPool(), loadReader, clock).start();
@@ -153,6 +156,13 @@
         .mapEmpty();
   }
 
+  /** Counts the bytes of a connection if they are reported; each one passes the counter. */
+  private void countTraffic(HttpConnection connection) {
+    if (reportsPressure) {
+      traffic.install(connection);
+    }
+  }
+
   private void openRelayConnections() {
     node.relayPartners().forEach(this::ensureRelayConnection);
   }
@@ -280,10 +290,7 @@
           ForwardRequest forwardRequest =
               reader.read(request, body, handling, arrivedAt, requiresApiKeys);
           QuotaCharge charge =
-              QuotaCharge.of(
-                  organisation,
-                  forwardRequest.promptTokens() + forwardRequest.maxOutputTokens(),
-                  node.quotas());
+              QuotaCharge.of(organisation, forwardRequest.totalTokens(), node.quotas());
           Optional<Duration> retryAfter = charge.charge(clock.instant());
           if (retryAfter.isPresent()) {
             logRejected(
@@ -311,13 +318,12 @@
       return true;
     }
     boolean engine = node.routing().table().engine(service).isPresent();
-    long tokens = forwardRequest.promptTokens() + forwardRequest.maxOutputTokens();
     FairShares.Request shareRequest =
         new FairShares.Request(
             organisation,
             service,
             handling.priority(),
-            engine ? Math.max(1, tokens) : 1,
+            engine ? Math.max(1, forwardRequest.totalTokens()) : 1,
             String.valueOf(request.remoteAddress()));
     Optional<Duration> retryAfter = node.sharing().admit(shareRequest);
     if (retryAfter.isEmpty()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardRequest.java
@@ -85,6 +85,11 @@
     return timeout.isBefore(callerDeadline) ? timeout : callerDeadline;
   }
 
+  /** Returns the declared tokens of the prompt and, at most, of the response. */
+  long totalTokens() {
+    return promptTokens + maxOutputTokens;
+  }
+
   /**
    * Returns the expected number of output tokens. Callers' estimates are right in the median but
    * often too low, and the declared maximum is rarely reached.
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/OverloadGate.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/OverloadGate.java
@@ -7,7 +7,6 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.regex.Pattern;
 import org.lacewingcroft.fleet.EventLoopMonitor;
 import org.lacewingcroft.http.ReadTimes;
 import org.lacewingcroft.limit.EntryAdmission;
@@ -21,21 +20,20 @@
  */
 final class OverloadGate {
   private static final String REFUSAL = "this entry is overloaded; the request waited too long";
-  private static final Pattern MILLIS = Pattern.compile("\\d{1,15}");
 
   private final EventLoopMonitor eventLoop;
-  private final HeaderNames headerNames;
+  private final RequestReader reader;
   private final GatewayMetrics metrics;
   private final InstantSource clock;
   private final EntryAdmission admission = new EntryAdmission(new SplittableRandom());
 
   OverloadGate(
       EventLoopMonitor eventLoop,
-      HeaderNames headerNames,
+      RequestReader reader,
       GatewayMetrics metrics,
       InstantSource clock) {
     this.eventLoop = eventLoop;
-    this.headerNames = headerNames;
+    this.reader = reader;
     this.metrics = metrics;
     this.clock = clock;
   }
@@ -86,12 +84,10 @@
   }
 
   private Duration timeLimit(HttpServerRequest request, Handling handling) {
-    String header = request.getHeader(headerNames.deadlineMillis());
-    if (header == null || !MILLIS.matcher(header.trim()).matches()) {
-      return handling.timeout();
-    }
-    Duration deadline = Duration.ofMillis(Long.parseLong(header.trim()));
-    return deadline.compareTo(handling.timeout()) < 0 ? deadline : handling.timeout();
+    return reader
+        .timeoutOf(request)
+        .filter(timeout -> timeout.compareTo(handling.timeout()) < 0)
+        .orElse(handling.timeout());
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestReader.java
@@ -47,11 +47,7 @@
       Instant arrivedAt,
       boolean dropApiKey) {
     MultiMap headers = request.headers();
-    Duration timeout =
-        parseNumbers(headers.get(headerNames.deadlineMillis())).stream()
-            .findFirst()
-            .map(Duration::ofMillis)
-            .orElse(DEFAULT_TIMEOUT);
+    Duration timeout = timeoutOf(request).orElse(DEFAULT_TIMEOUT);
     List<Long> tokenUsage = parseNumbers(headers.get(headerNames.tokenUsage()));
     List<Long> lastEventId = parseNumbers(headers.get(headerNames.lastEventId()));
     List<PromptPart> parts = parsePromptParts(headers.get(headerNames.promptParts()));
@@ -74,6 +70,13 @@
         parts);
   }
 
+  /** Returns how long the sender of a request waits for the response, if the request states it. */
+  Optional<Duration> timeoutOf(HttpServerRequest request) {
+    return parseNumbers(request.getHeader(headerNames.deadlineMillis())).stream()
+        .findFirst()
+        .map(Duration::ofMillis);
+  }
+
   private static RequestFingerprints fingerprints(
       HttpServerRequest request, Buffer body, List<PromptPart> parts) {
     String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
