Placement: pauses of streams are computed where they can exceed the objective

Found in reading the change. The queue of each engine was scanned a second time for each request, also where a chunk of prefill per token stays below the objective, as on all engines of usual speed. The balance of the endpoints holds the pauses now and scans only where they can exceed it; decisions are unchanged. The buffer of endpoint reports uses ReportedLoad instead of a second record, age and lifetime, so that the aggregator drops reports out of range, which receivers dropped. The constructor of Placer.Context that repeated all inputs is removed; tests state that there is no objective. The standby entries of a region are determined once per tick. Comments: usual terms.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lacewingcroft.fleet.FleetMessage.News;
+import org.lacewingcroft.placement.EndpointReportBuffer;
 
 /**
  * The part of a control instance that collects the updates of a region's entries, sends the
@@ -117,17 +118,16 @@
   }
 
   private void sendDue(String region, ServedRegion served, Instant now) {
+    Set<String> standby = idleStandbyEntriesOfRegion.apply(region);
     served
         .localBuffer
-        .drainDue(
-            () -> entriesOfRegion.apply(region), idleStandbyEntriesOfRegion.apply(region), now)
+        .drainDue(() -> entriesOfRegion.apply(region), standby, now)
         .forEach(
             batch ->
                 transport.sendAll(
                     batch.receivers(), new FleetMessage.NewsDigest(selfAddress, batch.updates())));
     List<FleetMessage.EndpointReport> reports = served.reportBuffer.drainIfDue(now);
     if (!reports.isEmpty()) {
-      Set<String> standby = idleStandbyEntriesOfRegion.apply(region);
       List<String> receivers =
           entriesOfRegion.apply(region).stream().filter(e -> !standby.contains(e)).toList();
       transport.sendAll(receivers, new FleetMessage.EndpointReports(selfAddress, region, reports));
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveSet.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ActiveSet.java
@@ -42,7 +42,7 @@
 
   /**
    * Time for which the reports must have been complete before the list is restricted. A control
-   * instance that has just started or was suspended has not heard of every entry by then.
+   * instance that has just started or resumed has no report of some entries before.
    */
   private static final Duration COMPLETE_REPORTS_TIME = Duration.ofSeconds(3);
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointBalance.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointBalance.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -50,6 +51,7 @@
   private static final double NEAR_EQUAL_PLAIN_MILLIS = 300;
 
   private final PlacementRequest request;
+  private final EventGap eventGap;
   private final Instant now;
   private final boolean active;
   private final boolean anyFreeSlot;
@@ -57,22 +59,27 @@
   private final double meanOccupancy;
   private final double meanPrefillTokensPerMilli;
 
-  EndpointBalance(List<EndpointTracker> candidates, PlacementRequest request, Instant now) {
+  /**
+   * Creates the balance of the candidates for a request.
+   *
+   * @param eventGap the pauses between events that the service's routes allow
+   */
+  EndpointBalance(
+      List<EndpointTracker> candidates, PlacementRequest request, EventGap eventGap, Instant now) {
     this.request = request;
+    this.eventGap = eventGap;
     this.now = now;
     this.active = candidates.stream().anyMatch(e -> e.hasRecentReport(now));
     this.anyFreeSlot = active && candidates.stream().anyMatch(e -> e.hasFreeSlot(now));
-    this.meanSlots =
-        active ? candidates.stream().mapToInt(e -> e.slots(now)).average().orElse(1) : 1;
+    this.meanSlots = meanIfActive(candidates, e -> e.slots(now));
     this.meanPrefillTokensPerMilli =
-        active
-            ? candidates.stream()
-                .mapToDouble(e -> e.averagePrefillTokensPerMilli(request.priority()))
-                .average()
-                .orElse(1)
-            : 1;
-    this.meanOccupancy =
-        active ? candidates.stream().mapToInt(e -> e.occupancy(now)).average().orElse(0) : 0;
+        meanIfActive(candidates, e -> e.averagePrefillTokensPerMilli(request.priority()));
+    this.meanOccupancy = meanIfActive(candidates, e -> e.occupancy(now));
+  }
+
+  private double meanIfActive(
+      List<EndpointTracker> candidates, ToDoubleFunction<EndpointTracker> value) {
+    return active ? candidates.stream().mapToDouble(value).average().orElse(0) : 0;
   }
 
   /** Returns whether load reports are available. */
@@ -110,6 +117,23 @@
         - uncriticalMillis(firstByteMillis, streamMillis);
   }
 
+  /**
+   * Returns the penalty for pauses of the endpoint's streams, in ms.
+   *
+   * @param prefillTokens the tokens of the request that the endpoint would prefill
+   */
+  double eventGapMillis(EndpointTracker endpoint, long prefillTokens) {
+    if (!active) {
+      return 0;
+    }
+    double tokensPerMilli = endpoint.prefillTokensPerMilli(request.priority(), now);
+    if (!eventGap.isExceedable(tokensPerMilli)) {
+      return 0;
+    }
+    double queuedTokens = endpoint.pendingPrefillTokens(tokensPerMilli, now) + prefillTokens;
+    return eventGap.penaltyMillis(queuedTokens, tokensPerMilli);
+  }
+
   /**
    * Returns the penalty for load beyond the endpoint's share. Where each endpoint receives requests
    * in proportion to its speed and slots, slower ones take longer for each, so that the occupancy
@@ -131,9 +155,9 @@
   }
 
   /**
-   * Returns the difference that makes shared tokens prefilled again cost the same at all endpoints.
-   * By their own speed, they would cost least at the fastest endpoint, which would prefill the
-   * prefixes that slower ones cache.
+   * Returns the difference that makes duplicate prefill cost the same at all endpoints. By their
+   * own speed, it would cost least at the fastest endpoint, which would prefill the prefixes that
+   * slower ones cache.
    */
   private double duplicatePrefillMillis(EndpointTracker endpoint, double weightedDuplicateTokens) {
     double ownSpeed = endpoint.prefillTokensPerMilli(request.priority(), now);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointOccupancy.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointOccupancy.java
@@ -52,8 +52,8 @@
 
   /**
    * Share of the queue's limit from which it counts as full. The rest is left for requests that
-   * other entries have sent but not told yet: six in 200 ms at 29 requests per second, of a limit
-   * of 36.
+   * other entries have sent but not reported yet: six in 200 ms at 29 requests per second, of a
+   * limit of 36.
    */
   private static final double USABLE_QUEUE_SHARE = 0.8;
 
@@ -164,7 +164,7 @@
     }
   }
 
-  /** Returns the number of requests that other entries have in flight, as they last told. */
+  /** Returns the number of requests that other entries have in flight, as they last reported. */
   int peersInFlight(Instant now) {
     int total = 0;
     for (Deque<PeerCount> counts : peerCounts.values()) {
@@ -206,7 +206,7 @@
 
   /** Returns the last report if it is recent enough to be used. */
   Optional<ReportedLoad> recentReport(Instant now) {
-    return report.filter(r -> r.reportedAt().plus(REPORT_TTL).isAfter(now));
+    return report.filter(r -> r.isRecent(now));
   }
 
   /** Returns the last report if it is recent and this entry received it from the endpoint. */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/EndpointReportBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointReportBuffer.java
@@ -1,4 +1,4 @@
-package org.lacewingcroft.fleet;
+package org.lacewingcroft.placement;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -17,22 +17,20 @@
   /** Minimum interval between two messages, that of the batches of updates. */
   private static final Duration MESSAGE_INTERVAL = Duration.ofMillis(120);
 
-  /** Age from which receivers do not use a report. */
-  private static final Duration REPORT_TTL = Duration.ofMillis(1_500);
-
-  private record Buffered(EndpointReport report, Instant reportedAt) {}
-
-  private final Map<String, Buffered> newest = new TreeMap<>();
+  private final Map<String, ReportedLoad> newest = new TreeMap<>();
   private Instant lastMessageAt = Instant.EPOCH;
 
   /** Adds reports whose ages are as of now. */
   public void add(List<EndpointReport> reports, Instant now) {
     for (EndpointReport report : reports) {
-      Buffered added = new Buffered(report, now.minusMillis(report.ageMillis()));
-      newest.merge(
-          report.endpoint(),
-          added,
-          (old, latest) -> latest.reportedAt().isBefore(old.reportedAt()) ? old : latest);
+      ReportedLoad.fromPeer(report, now)
+          .ifPresent(
+              load ->
+                  newest.merge(
+                      report.endpoint(),
+                      load,
+                      (old, latest) ->
+                          latest.reportedAt().isBefore(old.reportedAt()) ? old : latest));
     }
   }
 
@@ -46,21 +44,11 @@
     }
     lastMessageAt = now;
     final List<EndpointReport> reports =
-        newest.values().stream()
-            .filter(b -> b.reportedAt().plus(REPORT_TTL).isAfter(now))
-            .map(b -> withAge(b.report(), Duration.between(b.reportedAt(), now)))
+        newest.entrySet().stream()
+            .filter(e -> e.getValue().isRecent(now))
+            .map(e -> e.getValue().toMessage(e.getKey(), now))
             .toList();
     newest.clear();
     return reports;
   }
-
-  private static EndpointReport withAge(EndpointReport report, Duration age) {
-    return new EndpointReport(
-        report.endpoint(),
-        report.running(),
-        report.waiting(),
-        report.slots(),
-        report.pacePercent(),
-        age.toMillis());
-  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -166,6 +166,7 @@
         double clamped =
             Math.max(MIN_PREFILL_TOKENS_PER_MILLI, Math.min(MAX_PREFILL_TOKENS_PER_MILLI, sample));
         int priority = prompt.priority();
+        speedSamples[priority]++;
         prefillTokensPerMilli[priority] +=
             speedSampleWeight(priority, now) * (clamped - prefillTokensPerMilli[priority]);
         prefillPaces[priority].addSample(occupancy.pace(now), SAMPLE_WEIGHT);
@@ -177,7 +178,6 @@
      * differ in speed, so that their first samples count more than the initial assumption.
      */
     private double speedSampleWeight(int priority, Instant now) {
-      speedSamples[priority]++;
       return hasRecentReport(now)
           ? Math.max(SAMPLE_WEIGHT, 1.0 / (speedSamples[priority] + 1))
           : SAMPLE_WEIGHT;
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EventGap.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EventGap.java
@@ -28,6 +28,11 @@
   /** Weight of each ms beyond it, because all streams of the engine pause. */
   private static final double PAUSE_FACTOR = 8;
 
+  /** Returns whether the streams of an engine of a prefill speed can pause for too long at all. */
+  boolean isExceedable(double prefillTokensPerMilli) {
+    return penaltyMillis(Double.MAX_VALUE, prefillTokensPerMilli) > 0;
+  }
+
   /**
    * Returns the penalty of an engine, in ms.
    *
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -156,38 +156,6 @@
       Optional<ServiceSpec.Engine> engine,
       Set<PlacementMechanism> disabledMechanisms,
       Optional<Duration> eventGapObjective) {
-    /** Creates the inputs of a placement without an objective for the gaps between events. */
-    public Context(
-        Collection<EndpointTracker> endpoints,
-        String entry,
-        List<String> regionEntries,
-        int maxInFlightPerEndpoint,
-        Optional<RegionLoads> regions,
-        Set<String> allowedRegions,
-        Set<String> excludedRegions,
-        boolean relayed,
-        BooleanSupplier hasNeighbour,
-        String region,
-        Collection<EndpointTracker> prefixSources,
-        Optional<ServiceSpec.Engine> engine,
-        Set<PlacementMechanism> disabledMechanisms) {
-      this(
-          endpoints,
-          entry,
-          regionEntries,
-          maxInFlightPerEndpoint,
-          regions,
-          allowedRegions,
-          excludedRegions,
-          relayed,
-          hasNeighbour,
-          region,
-          prefixSources,
-          engine,
-          disabledMechanisms,
-          Optional.empty());
-    }
-
     private EventGap eventGap() {
       return engine
           .map(e -> new EventGap(eventGapObjective, e.eventTokens()))
@@ -386,7 +354,7 @@
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
-    EndpointBalance balance = new EndpointBalance(candidates, request, now);
+    EndpointBalance balance = new EndpointBalance(candidates, request, context.eventGap(), now);
     // A plain service has no prefixes that would favour the first in rendezvous order.
     boolean unranked = balance.isActive() && request.promptTokens() == 0;
     List<ScoredEndpoint> scored =
@@ -437,9 +405,7 @@
                         - SAFE_OBJECTIVE_SHARE * request.firstByteObjective().toMillis())
             + FAILURE_PENALTY_MILLIS * endpoint.recentFailureScore(now)
             + (firstInRank ? 0 : RANK_PENALTY_MILLIS)
-            + (balance.isActive()
-                ? eventGapPenalty(endpoint, uncached - fetched, request, context, now)
-                : 0);
+            + balance.eventGapMillis(endpoint, uncached - fetched);
     boolean preferred = firstInRank || sharedUncached == 0;
     double streamMillis = request.expectedOutputTokens() * tokenMillis;
     double rank =
@@ -453,17 +419,6 @@
         endpoint, prefillMillis, firstByteMillis, score, rank, preferred, fetch);
   }
 
-  private static double eventGapPenalty(
-      EndpointTracker endpoint,
-      long prefillTokens,
-      PlacementRequest request,
-      Context context,
-      Instant now) {
-    double tokensPerMilli = endpoint.prefillTokensPerMilli(request.priority(), now);
-    double queuedTokens = endpoint.pendingPrefillTokens(tokensPerMilli, now) + prefillTokens;
-    return context.eventGap().penaltyMillis(queuedTokens, tokensPerMilli);
-  }
-
   /**
    * Returns the endpoints that cache a prefix of the prompt long enough to fetch; computed once per
    * request.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReportedLoad.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/ReportedLoad.java
@@ -98,6 +98,11 @@
         && pacePercent <= MAX_PACE_PERCENT;
   }
 
+  /** Returns whether the report is recent enough to be used. */
+  boolean isRecent(Instant now) {
+    return reportedAt.plus(EndpointOccupancy.REPORT_TTL).isAfter(now);
+  }
+
   /** Returns whether the reported values are the same, whenever they were reported. */
   public boolean hasSameValues(ReportedLoad other) {
     return running == other.running
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
@@ -156,7 +156,8 @@
         "here",
         List.of(),
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        Optional.empty());
   }
 
   private static String outcome(Placement placement) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/EndpointReportBufferTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/EndpointReportBufferTest.java
@@ -1,4 +1,4 @@
-package org.lacewingcroft.fleet;
+package org.lacewingcroft.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/LoadReplay.java
@@ -283,7 +283,8 @@
             "here",
             allEngines().map(e -> e.trackers.get(entry)).toList(),
             engineSpec,
-            Set.of());
+            Set.of(),
+            Optional.empty());
     Placement placement = placer.place(attempt.request(), context, now);
     if (placement instanceof Placement.Refused refused) {
       return Optional.of(refused.retryAfter());
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -110,7 +110,8 @@
         "here",
         List.of(),
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        Optional.empty());
   }
 
   @ParameterizedTest
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
@@ -270,7 +270,8 @@
         "here",
         holders,
         Optional.of(new ServiceSpec.Engine(128, KV_TOKENS, 4, 35_136, linkMbps)),
-        disabled);
+        disabled,
+        Optional.empty());
   }
 
   private static EndpointTracker tracker(String id, String domain) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
@@ -327,7 +327,8 @@
         "here",
         trackers,
         spec,
-        Set.of());
+        Set.of(),
+        Optional.empty());
   }
 
   /** Sends a call and returns whether the endpoint accepts it. */
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/StreamReplay.java
@@ -154,7 +154,8 @@
             "here",
             List.of(),
             Optional.empty(),
-            disabledMechanisms);
+            disabledMechanisms,
+            Optional.empty());
     if (placer.place(request, context, now) instanceof Placement.ToEndpoint toEndpoint) {
       Engine engine =
           engines.stream()
