The update aggregator sends through an interface and lives in the kernel

It decides which updates are due and for whom, and needs neither Vert.x nor a transport for that. A test can now connect it to entries in virtual time. No change of behaviour.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -175,7 +175,7 @@
                     roster.records(clock.instant()), settings, region, regionEntries, routes()));
     this.aggregator =
         new UpdateAggregator(
-            transport,
+            transport::sendAll,
             clock,
             settings.peerAddress(),
             this::entryPeersOfRegion,
@@ -231,7 +231,7 @@
     vertx.setPeriodic(FLUSH_INTERVAL_MILLIS, id -> flushAnnouncements());
     vertx.setPeriodic(FLUSH_INTERVAL_MILLIS, id -> activeEntries.update());
     vertx.setPeriodic(HELLO_INTERVAL_MILLIS, id -> sendHello());
-    aggregator.start(vertx);
+    vertx.setPeriodic(UpdateAggregator.TICK_INTERVAL.toMillis(), id -> aggregator.sendDue());
     return transport
         .listen(this::receive, (from, message) -> control.receive(from, message))
         .onSuccess(port -> sendHello())
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -1,6 +1,5 @@
 package org.lacewingcroft.fleet;
 
-import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -20,16 +19,16 @@
  * updates that concern other regions to the aggregators of those regions. It holds no state that
  * must survive a crash: entries report their load again within a second.
  *
- * <p>Confined to the event loop thread.
+ * <p>Not thread-safe: confined to the instance's event loop thread.
  */
-final class UpdateAggregator {
-  /** Interval at which the buffers are checked for messages that are due. */
-  private static final long TICK_INTERVAL_MILLIS = 40;
+public final class UpdateAggregator {
+  /** Interval at which {@link #sendDue} is to be called. */
+  public static final Duration TICK_INTERVAL = Duration.ofMillis(40);
 
   /** Time without updates from a region's entries after which none are sent to them. */
   private static final Duration REGION_TIMEOUT = Duration.ofSeconds(2);
 
-  private final FleetTransport transport;
+  private final MessageSender sender;
   private final InstantSource clock;
   private final String selfAddress;
   private final Function<String, Collection<String>> entriesOfRegion;
@@ -46,7 +45,7 @@
   }
 
   /**
-   * Creates the aggregator; {@link #start} begins to send collected updates.
+   * Creates an aggregator without updates.
    *
    * @param selfAddress this instance's peer address
    * @param entriesOfRegion returns the peer addresses of a region's live entries
@@ -54,14 +53,14 @@
    *     often
    * @param otherControls returns the peer addresses of the other control instances
    */
-  UpdateAggregator(
-      FleetTransport transport,
+  public UpdateAggregator(
+      MessageSender sender,
       InstantSource clock,
       String selfAddress,
       Function<String, Collection<String>> entriesOfRegion,
       Function<String, Set<String>> idleStandbyEntriesOfRegion,
       Supplier<Collection<String>> otherControls) {
-    this.transport = transport;
+    this.sender = sender;
     this.clock = clock;
     this.selfAddress = selfAddress;
     this.entriesOfRegion = entriesOfRegion;
@@ -69,12 +68,8 @@
     this.otherControls = otherControls;
   }
 
-  void start(Vertx vertx) {
-    vertx.setPeriodic(TICK_INTERVAL_MILLIS, id -> tick());
-  }
-
   /** Buffers an entry's updates. */
-  void onUpdates(FleetMessage.EntryNews message) {
+  public void onUpdates(FleetMessage.EntryNews message) {
     Instant now = clock.instant();
     ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
     served.lastUpdateAt = now;
@@ -90,12 +85,12 @@
   }
 
   /** Buffers the updates of another region, received from its aggregator. */
-  void onUpdates(FleetMessage.RemoteNews message) {
+  public void onUpdates(FleetMessage.RemoteNews message) {
     addToOtherRegions(message.region(), message.news());
   }
 
   /** Buffers the load of endpoints that an entry has received. */
-  void onEndpointReports(FleetMessage.EndpointReports message) {
+  public void onEndpointReports(FleetMessage.EndpointReports message) {
     Instant now = clock.instant();
     ServedRegion served = regions.computeIfAbsent(message.region(), r -> new ServedRegion());
     served.lastUpdateAt = now;
@@ -111,7 +106,8 @@
         });
   }
 
-  private void tick() {
+  /** Sends the updates that are due. */
+  public void sendDue() {
     Instant now = clock.instant();
     regions.values().removeIf(s -> s.lastUpdateAt.plus(REGION_TIMEOUT).isBefore(now));
     regions.forEach((region, served) -> sendDue(region, served, now));
@@ -124,20 +120,19 @@
         .drainDue(() -> entriesOfRegion.apply(region), standby, now)
         .forEach(
             batch ->
-                transport.sendAll(
+                sender.sendAll(
                     batch.receivers(), new FleetMessage.NewsDigest(selfAddress, batch.updates())));
     List<FleetMessage.EndpointReport> reports = served.reportBuffer.drainIfDue(now);
     if (!reports.isEmpty()) {
       List<String> receivers =
           entriesOfRegion.apply(region).stream().filter(e -> !standby.contains(e)).toList();
-      transport.sendAll(receivers, new FleetMessage.EndpointReports(selfAddress, region, reports));
+      sender.sendAll(receivers, new FleetMessage.EndpointReports(selfAddress, region, reports));
     }
     served
         .remoteBuffer
         .drainIfDue(now)
         .ifPresent(
             updates ->
-                transport.sendAll(
-                    otherControls.get(), new FleetMessage.RemoteNews(region, updates)));
+                sender.sendAll(otherControls.get(), new FleetMessage.RemoteNews(region, updates)));
   }
 }
