Messages for peers that do not read are bounded

What was seen: a control instance of a fleet of 88 entries ended with OutOfMemoryError seconds after all instances had started again. Messages to peers were written to their connections without a limit, so that peers which do not read for a while (starting, busy, stopped) keep every batch, list and roster sent to them in the heap: 73 of 79 MB in SlowPeerTest.

Change: 16 MB of frames may wait in all; further ones are dropped and counted (peer.frames_dropped), as on a connection that fails, which every message already has to survive. A peer without waiting frames is always sent one. SlowPeerTest fails without the limit (73,350,862 and 19,617,091 bytes waiting, allowed 16,908,288) and passes with it.

That this filled the heap in the reported case is suspected, not shown: the record holds no heap dump.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -40,12 +40,23 @@
    */
   private static final long PONG_TIMEOUT_MILLIS = 1_300;
 
+  /**
+   * Maximum size of the frames that wait for connections and for peers that read slowly, so that
+   * they do not fill the heap. Frames beyond it are dropped, as on a connection that fails.
+   */
+  private static final long MAX_QUEUED_BYTES = 16 << 20;
+
+  /** Number of dropped frames for each line in the log. */
+  private static final long FRAMES_PER_DROP_LOG = 1_000;
+
   private final Vertx vertx;
   private final FrameCodec codec;
   private final NetClient client;
   private final Map<String, Future<NetSocket>> connections = new ConcurrentHashMap<>();
   private final Map<String, LivenessCheck> livenessChecks = new ConcurrentHashMap<>();
   private final AtomicLong framesRejected = new AtomicLong();
+  private final AtomicLong framesDropped = new AtomicLong();
+  private final SendQueue queue = new SendQueue(MAX_QUEUED_BYTES);
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
   private final PeerTraffic traffic = new PeerTraffic();
@@ -90,6 +101,16 @@
     return framesRejected.get();
   }
 
+  /** Returns the number of frames dropped because too many were waiting to be sent. */
+  public long framesDropped() {
+    return framesDropped.get();
+  }
+
+  /** Returns the size of the frames that are waiting to be sent. */
+  public long queuedBytes() {
+    return queue.queuedBytes();
+  }
+
   /** Returns the message counters by kind. */
   public PeerTraffic traffic() {
     return traffic;
@@ -134,17 +155,38 @@
   }
 
   private void write(String address, byte[] frame) {
+    if (!queue.tryAdd(address, frame.length)) {
+      logDropped(address);
+      return;
+    }
     connection(address)
-        .onSuccess(
-            socket -> {
-              bytesSent.addAndGet(frame.length);
-              LivenessCheck check = livenessChecks.get(address);
-              if (check != null) {
-                check.usedSincePing = true;
-              }
-              socket.write(Buffer.buffer(frame));
-            })
-        .onFailure(e -> connectFailed(address, e));
+        .onFailure(e -> connectFailed(address, e))
+        .compose(socket -> write(socket, address, frame))
+        .onComplete(written -> queue.remove(address, frame.length));
+  }
+
+  private Future<Void> write(NetSocket socket, String address, byte[] frame) {
+    bytesSent.addAndGet(frame.length);
+    LivenessCheck check = livenessChecks.get(address);
+    if (check != null) {
+      check.usedSincePing = true;
+    }
+    return socket.write(Buffer.buffer(frame));
+  }
+
+  private void logDropped(String address) {
+    long dropped = framesDropped.incrementAndGet();
+    if (dropped % FRAMES_PER_DROP_LOG == 1) {
+      LOG.log(
+          System.Logger.Level.WARNING,
+          "peer.frames_dropped",
+          "peer",
+          address,
+          "dropped",
+          dropped,
+          "queuedBytes",
+          queue.queuedBytes());
+    }
   }
 
   private void connectFailed(String address, Throwable e) {
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/SlowPeerTest.java
@@ -0,0 +1,83 @@
+package org.lacewingcroft.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lacewingcroft.fleet.FleetMessage;
+
+/** Guards against messages for peers that do not read, which filled the heap of an instance. */
+class SlowPeerTest {
+  private static final byte[] SECRET = "0123456789abcdef".getBytes(StandardCharsets.UTF_8);
+  private static final int MESSAGE_BYTES = 1 << 16;
+  private static final long MAX_QUEUED_BYTES = 16 << 20;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final PeerTransport transport = new PeerTransport(vertx, new FrameCodec(SECRET));
+
+  @AfterEach
+  void close() {
+    transport.close();
+    vertx.close();
+  }
+
+  private String startPeerThatDoesNotRead() throws Exception {
+    int port =
+        vertx
+            .createNetServer()
+            .connectHandler(NetSocket::pause)
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(10, TimeUnit.SECONDS)
+            .actualPort();
+    return "127.0.0.1:" + port;
+  }
+
+  private static PeerMessage largeMessage() {
+    return new PeerMessage.Fleet(
+        new FleetMessage.StateOffer(1, 1, "x".repeat(MESSAGE_BYTES), Set.of()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 1200", "8, 200"})
+  void messagesForPeersThatDoNotReadAreBounded(int peers, int messagesForEach) throws Exception {
+    for (int i = 0; i < peers; i++) {
+      String peer = startPeerThatDoesNotRead();
+      IntStream.range(0, messagesForEach).forEach(m -> transport.send(peer, largeMessage()));
+      assertThat(transport.queuedBytes(), lessThanOrEqualTo(MAX_QUEUED_BYTES + 2L * MESSAGE_BYTES));
+    }
+    assertThat(transport.framesDropped(), greaterThan(0L));
+  }
+
+  @Test
+  void otherPeersAreReachedMeanwhile() throws Exception {
+    String slowPeer = startPeerThatDoesNotRead();
+    IntStream.range(0, 1_200).forEach(m -> transport.send(slowPeer, largeMessage()));
+    try (PeerTransport other = new PeerTransport(vertx, new FrameCodec(SECRET))) {
+      BlockingQueue<PeerMessage> received = new ArrayBlockingQueue<>(1);
+      int port =
+          other
+              .listen("127.0.0.1", 0, (timestamp, message) -> received.add(message))
+              .toCompletionStage()
+              .toCompletableFuture()
+              .get(10, TimeUnit.SECONDS);
+      PeerMessage message = new PeerMessage.Fleet(new FleetMessage.StateRequest("peer"));
+      transport.send("127.0.0.1:" + port, message);
+      assertThat(received.poll(10, TimeUnit.SECONDS), is(message));
+    }
+  }
+}
