--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -380,7 +380,7 @@
    * regions. The name of this message is part of metrics and logs and must not change.
    *
    * @param region the region that the updates come from
-   * @param news prefixes, the region's load and quota usage
+   * @param news prefixes, the region's load, usage of services and of quotas
    */
   record RemoteNews(String region, News news) implements FleetMessage {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/RegionUpdateBuffer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/RegionUpdateBuffer.java
@@ -11,7 +11,7 @@
 /**
  * Buffers updates for the entries of a region. Entries on standby receive about one batch a second,
  * the others several. Each entry receives every update once, also when it changes between the two
- * groups, because receivers add up quota usage.
+ * groups, because receivers add up the usage of services.
  *
  * <p>Not thread-safe: confined to the instance's event loop thread.
  */
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
@@ -437,9 +437,7 @@
     }
     boolean included = includingCounter.map(peers::get).filter(p -> p.isCurrent(now)).isPresent();
     collected &= !peers.isEmpty();
-    if (!included) {
-      current.merge(region, 1, Integer::sum);
-    }
+    current.merge(region, 1, included ? Math::max : Integer::sum);
     int knownCount = 0;
     int currentCount = 0;
     for (Map.Entry<String, Integer> entry : known.entrySet()) {
