--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/AggregatedUpdateChannel.java
@@ -87,7 +87,7 @@
       return;
     }
     List<LoadReport> changedLoads = recordIfChanged(report) ? List.of(report) : List.of();
-    News updates =
+    final News updates =
         new News(
             changedLoads,
             List.copyOf(prefixes),
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -102,7 +102,7 @@
         standbyInterval ? STANDBY_INTERVAL_MILLIS : channel.get().reportIntervalMillis();
     timer = vertx.setTimer(intervalMillis, id -> report());
     Instant now = clock.instant();
-    List<FleetMessage.EndpointLoad> loads =
+    final List<FleetMessage.EndpointLoad> loads =
         trackers.get().stream()
             .filter(t -> t.inFlight() > 0 || t.rateLimit().report(now).isPresent())
             .map(t -> loadAt(t, now))
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/UpdateAggregator.java
@@ -130,7 +130,7 @@
     regions.forEach(
         (region, served) ->
             served.usage.reportIfDue(now).ifPresent(r -> addUsageReport(region, served, r, now)));
-    regions.forEach((region, served) -> sendDue(region, served, now));
+    regions.forEach((region, served) -> sendDueTo(region, served, now));
   }
 
   private void addUsageReport(String region, ServedRegion served, UsageReport report, Instant now) {
@@ -140,7 +140,7 @@
     addToOtherRegions(region, forOtherRegions);
   }
 
-  private void sendDue(String region, ServedRegion served, Instant now) {
+  private void sendDueTo(String region, ServedRegion served, Instant now) {
     Set<String> standby = idleStandbyEntriesOfRegion.apply(region);
     served
         .localBuffer
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/UsageCollector.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/UsageCollector.java
@@ -81,7 +81,7 @@
             lastReportByEntry.values().stream()
                 .filter(at -> at.plus(ENTRY_TIMEOUT).isAfter(now))
                 .count();
-    UsageReport report =
+    final UsageReport report =
         new UsageReport(
             region,
             sum.id(),
