FleetQuotas: account, source and delay in classes of their own

One class held the bucket of an organisation, the counters of other entries, the measured delay and the view of the fleet.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
@@ -62,36 +62,6 @@
   /** Usage of the last counter that the next one repeats, since it may not have been received. */
   private static final Duration REPEATED_USAGE = Duration.ofSeconds(1);
 
-  /** Time constant over which the other entries' usage rate is averaged. */
-  private static final double RATE_AVERAGING_SECONDS = 2;
-
-  /** Minimum interval between two reports of a counter. */
-  private static final long MIN_COVERED_MILLIS = 120;
-
-  /** Minimum time that usage is assumed to take to the other entries. */
-  private static final double MIN_REPORT_DELAY_SECONDS = 0.3;
-
-  /** Time constant with which the measured delay of reports falls back to the minimum. */
-  private static final double REPORT_DELAY_DECAY_SECONDS = 5;
-
-  /** Maximum drift between the clocks of two instances, in seconds per second. */
-  private static final double MAX_CLOCK_DRIFT = 1e-3;
-
-  /** Time constant over which this entry's part of the usage is determined. */
-  private static final double PART_AVERAGING_SECONDS = 5;
-
-  /** Share of a burst below which usage is paced. */
-  private static final double PACED_BALANCE = 0.5;
-
-  /** Factor by which paced usage may grow over an entry's part of the usage. */
-  private static final double PACE_GROWTH = 1.1;
-
-  /** Minimum pace, as a share of an equal division of the quota. */
-  private static final double MIN_PACE = 1;
-
-  /** Time for which unused pace is saved up. */
-  private static final double PACE_BURST_SECONDS = 0.25;
-
   /** Retry delay returned while this entry does not know which entries there are. */
   private static final Duration DISCOVERY_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -100,8 +70,8 @@
 
   private final String region;
   private final LongSupplier counterIds;
-  private final Map<String, Account> accounts = new HashMap<>();
-  private final Map<Long, Peer> peers = new HashMap<>();
+  private final Map<String, QuotaAccount> accounts = new HashMap<>();
+  private final Map<Long, UsageSource> sources = new HashMap<>();
   private final Deque<SentReport> sentReports = new ArrayDeque<>();
   private final ReportDelay reportDelay = new ReportDelay();
   private final Deque<OwnUsage> recentUsage = new ArrayDeque<>();
@@ -119,67 +89,8 @@
 
   private record SentReport(Instant at, UsageReport report) {}
 
-  /** The time that usage takes to the other entries, as measured with this entry's reports. */
-  private static final class ReportDelay {
-    private double seconds = MIN_REPORT_DELAY_SECONDS;
-    private Instant measuredAt = Instant.EPOCH;
-
-    private void onIncluded(SentReport report, Instant now) {
-      seconds = Math.max(seconds(now), Duration.between(report.at(), now).toNanos() / 1e9);
-      measuredAt = now;
-    }
-
-    private double seconds(Instant now) {
-      double age = Duration.between(measuredAt, now).toNanos() / 1e9;
-      double decay = Math.exp(-age / REPORT_DELAY_DECAY_SECONDS);
-      return Math.max(MIN_REPORT_DELAY_SECONDS, seconds * decay);
-    }
-  }
-
   private record OwnUsage(Instant at, String organisation, long units) {}
 
-  /** A counter of the usage of other entries. */
-  private static final class Peer {
-    private final Duration timeout;
-    private final ReceivedCounter counter;
-    private UsageReport lastReport;
-
-    /** Lowest difference between the arrival of a report and its age, apart from clock drift. */
-    private double offsetSeconds = Double.POSITIVE_INFINITY;
-
-    private Instant offsetAt;
-
-    private Peer(UsageReport first, Duration timeout, Instant now) {
-      this.timeout = timeout;
-      counter = new ReceivedCounter(first.ageMillis(), now);
-      lastReport = first;
-      offsetAt = now;
-    }
-
-    private boolean isCurrentOf(UsageReport report, Instant now) {
-      return lastReport.region().equals(report.region()) && isCurrent(now);
-    }
-
-    /** Returns the time between the last report and a newer one, by the clock of the sender. */
-    private double coveredSeconds(UsageReport report) {
-      long millis = report.ageMillis() - lastReport.ageMillis();
-      return Math.max(MIN_COVERED_MILLIS, millis) / 1e3;
-    }
-
-    /** Returns by how much a report that has just arrived took longer than the fastest one. */
-    private double delaySeconds(UsageReport report, Instant now) {
-      double offset = now.toEpochMilli() / 1e3 - report.ageMillis() / 1e3;
-      double elapsed = Duration.between(offsetAt, now).toNanos() / 1e9;
-      offsetSeconds = Math.min(offset, offsetSeconds + elapsed * MAX_CLOCK_DRIFT);
-      offsetAt = now;
-      return offset - offsetSeconds;
-    }
-
-    private boolean isCurrent(Instant now) {
-      return counter.lastReportAt().plus(timeout).isAfter(now);
-    }
-  }
-
   /**
    * What this entry knows of the fleet.
    *
@@ -189,12 +100,12 @@
    */
   public record View(int entries, int current, boolean discovered) {
     /** Returns the share of a quota that the entries with known usage divide among themselves. */
-    private double currentShare() {
+    double currentShare() {
       return (double) current / entries;
     }
 
     /** Returns the share of a burst that may be saved up. */
-    private double capacityShare() {
+    double capacityShare() {
       return discovered ? currentShare() : 0;
     }
   }
@@ -214,166 +125,6 @@
       long peerUnits,
       long balanceUnits) {}
 
-  /**
-   * The usage that a report adds for an organisation.
-   *
-   * @param units units used since the previous report of the counter
-   * @param reservedUnits units that have been counted as used while the counter was silent
-   * @param seconds the time in which they were used
-   * @param delaySeconds the age of the report beyond the usual one
-   * @param counters number of counters of the region
-   */
-  private record Increase(
-      long units, double reservedUnits, double seconds, double delaySeconds, int counters) {}
-
-  /** The usage of the other entries of one region. */
-  private static final class RegionUsage {
-    private final Duration timeout;
-    private double perSecond;
-
-    /** Usage assumed since the last report and subtracted from the balance. */
-    private double assumed;
-
-    private Instant lastReportAt;
-
-    private double lastDelaySeconds;
-
-    private RegionUsage(Duration timeout, Instant now) {
-      this.timeout = timeout;
-      lastReportAt = now;
-    }
-
-    /**
-     * Averages the usage rate over the time that the reports cover rather than over the time of
-     * their arrival, which changes with the load of the event loops.
-     */
-    private void onReport(Increase increase, Instant now) {
-      double weight =
-          1 - Math.exp(-increase.seconds() / increase.counters() / RATE_AVERAGING_SECONDS);
-      double sample = increase.counters() * Math.max(0, increase.units()) / increase.seconds();
-      perSecond += weight * (sample - perSecond);
-      assumed = perSecond * increase.delaySeconds();
-      lastDelaySeconds = increase.delaySeconds();
-      lastReportAt = now;
-    }
-
-    /** Returns the time since the last report, plus the delay with which it arrived. */
-    private double ageSeconds(Instant now) {
-      return lastDelaySeconds + Duration.between(lastReportAt, now).toNanos() / 1e9;
-    }
-
-    private boolean isCurrent(Instant now) {
-      return lastReportAt.plus(timeout).isAfter(now);
-    }
-  }
-
-  /** The bucket and the recorded usage of one organisation, in the units of its quota. */
-  private static final class Account {
-    private final Map<String, RegionUsage> peerUsage = new HashMap<>();
-    private Quota quota;
-
-    /** The units available; negative while usage exceeds the quota. */
-    private double balance;
-
-    private Instant lastRefillAt;
-
-    /** Decaying sums of the usage of this entry and of the others. */
-    private double ownUsage;
-
-    private double otherUsage;
-
-    /** Units that this entry may use while usage is paced; negative after a larger request. */
-    private double paceBalance;
-
-    private long admittedUnits;
-    private long rejectedUnits;
-    private long peerUnits;
-
-    /**
-     * Creates an empty bucket, because the other entries may have used up the quota just before.
-     */
-    private Account(Quota quota, Instant now) {
-      this.quota = quota;
-      lastRefillAt = now;
-    }
-
-    private void refill(View view, Instant now) {
-      double seconds = Math.max(0, Duration.between(lastRefillAt, now).toNanos() / 1e9);
-      lastRefillAt = now;
-      double decay = Math.exp(-seconds / PART_AVERAGING_SECONDS);
-      ownUsage *= decay;
-      otherUsage *= decay;
-      balance += seconds * quota.perSecond() * view.currentShare();
-      for (RegionUsage usage : peerUsage.values()) {
-        if (usage.isCurrent(now)) {
-          double assumed = seconds * usage.perSecond;
-          usage.assumed += assumed;
-          balance -= assumed;
-          otherUsage += assumed;
-        }
-      }
-      balance = Math.min(capacity(view), balance);
-      double pace = pacePerSecond(view);
-      paceBalance = Math.min(pace * PACE_BURST_SECONDS, paceBalance + seconds * pace);
-    }
-
-    /**
-     * Returns the rate of this entry's usage while the quota is nearly used up. Without it, all
-     * entries would use what becomes available at the same time, before they hear from each other.
-     */
-    private double pacePerSecond(View view) {
-      double total = ownUsage + otherUsage;
-      double part = total > 0 ? PACE_GROWTH * ownUsage / total : 0;
-      double share = Math.max(part, MIN_PACE / view.current());
-      return Math.min(1, share) * quota.perSecond() * view.currentShare();
-    }
-
-    /**
-     * Returns whether this entry has used its part of what remains, while the other entries may
-     * have used up the rest.
-     */
-    private boolean isPaced(long cost, double reportDelaySeconds, View view, Instant now) {
-      double inTransit =
-          Math.max(PACED_BALANCE * capacity(view), usageInTransit(reportDelaySeconds, now));
-      return paceBalance < 0 && balance < Math.max(cost, inTransit);
-    }
-
-    /**
-     * Leaves the other entries their part of the balance as it was when they were last heard from.
-     *
-     * @param remaining the part that this entry keeps
-     * @param usedSince units that this entry has used since
-     */
-    private void divide(double remaining, long usedSince) {
-      balance -= (1 - remaining) * Math.max(0, balance + usedSince);
-    }
-
-    private double capacity(View view) {
-      return quota.burst() * view.capacityShare();
-    }
-
-    /** Returns the usage of other entries that is not contained in the reports received. */
-    private double usageInTransit(double reportDelaySeconds, Instant now) {
-      return peerUsage.values().stream()
-          .filter(u -> u.isCurrent(now))
-          .mapToDouble(u -> u.perSecond * (reportDelaySeconds + u.ageSeconds(now)))
-          .sum();
-    }
-
-    private void chargePeers(String region, Duration timeout, Increase increase, Instant now) {
-      RegionUsage usage = peerUsage.computeIfAbsent(region, r -> new RegionUsage(timeout, now));
-      long used = increase.units();
-      balance += usage.assumed;
-      otherUsage -= Math.min(otherUsage, usage.assumed);
-      balance -= used > 0 ? Math.max(0, used - increase.reservedUnits()) : used;
-      otherUsage += Math.max(0, used);
-      usage.onReport(increase, now);
-      balance -= usage.assumed;
-      otherUsage += usage.assumed;
-      peerUnits += used;
-    }
-  }
-
   /**
    * Creates quotas without any organisation; {@link #configure} adds them.
    *
@@ -394,9 +145,11 @@
     Map<String, Quota> quotas = new HashMap<>();
     organisations.forEach(o -> o.quota().ifPresent(q -> quotas.put(o.name(), q)));
     accounts.keySet().retainAll(quotas.keySet());
-    quotas.keySet().forEach(n -> accounts.computeIfAbsent(n, k -> new Account(quotas.get(k), now)));
+    quotas
+        .keySet()
+        .forEach(n -> accounts.computeIfAbsent(n, k -> new QuotaAccount(quotas.get(k), now)));
     refillAll(now);
-    accounts.forEach((name, account) -> account.quota = quotas.get(name));
+    accounts.forEach((name, account) -> account.setQuota(quotas.get(name)));
   }
 
   /**
@@ -427,16 +180,16 @@
     known.merge(region, 1, Math::max);
     Map<String, Integer> current = new HashMap<>();
     boolean collected = true;
-    for (Peer peer : peers.values()) {
-      UsageReport report = peer.lastReport;
+    for (UsageSource source : sources.values()) {
+      UsageReport report = source.lastReport();
       known.merge(report.region(), report.knownEntryCount(), Math::max);
-      if (peer.isCurrent(now)) {
+      if (source.isCurrent(now)) {
         current.merge(report.region(), report.entryCount(), Integer::sum);
         collected &= report.ageMillis() >= COLLECTION_TIME.toMillis();
       }
     }
-    boolean included = includingCounter.map(peers::get).filter(p -> p.isCurrent(now)).isPresent();
-    collected &= !peers.isEmpty();
+    boolean included = includingCounter.map(sources::get).filter(p -> p.isCurrent(now)).isPresent();
+    collected &= !sources.isEmpty();
     current.merge(region, 1, included ? Math::max : Integer::sum);
     int knownCount = 0;
     int currentCount = 0;
@@ -458,54 +211,37 @@
    *     be charged
    */
   public Optional<Duration> charge(Organisation organisation, long cost, Instant now) {
-    Account account = accounts.get(organisation.name());
+    QuotaAccount account = accounts.get(organisation.name());
     if (account == null) {
       return Optional.empty();
     }
     View view = currentView(now);
     account.refill(view, now);
     if (!view.discovered()) {
-      account.rejectedUnits += cost;
+      account.countRejected(cost);
       return Optional.of(DISCOVERY_RETRY_DELAY);
     }
-    double required = Math.min(cost, account.capacity(view));
-    double missing = required - account.balance;
-    if (missing > 0) {
-      account.rejectedUnits += cost;
-      return Optional.of(duration(missing / (account.quota.perSecond() * view.currentShare())));
+    Optional<Duration> retryAfter = account.reject(cost, reportDelay.seconds(now), view, now);
+    if (retryAfter.isEmpty()) {
+      chargeUnconditionally(organisation, cost, now);
     }
-    if (account.isPaced(cost, reportDelay.seconds(now), view, now)) {
-      account.rejectedUnits += cost;
-      return Optional.of(duration(-account.paceBalance / account.pacePerSecond(view)));
-    }
-    chargeUnconditionally(organisation, cost, now);
-    return Optional.empty();
-  }
-
-  private static Duration duration(double seconds) {
-    return Duration.ofMillis((long) Math.ceil(1_000 * seconds));
+    return retryAfter;
   }
 
   /** Charges a cost that has been incurred, whether or not the quota is used up. */
   public void chargeUnconditionally(Organisation organisation, long cost, Instant now) {
-    Account account = accounts.get(organisation.name());
+    QuotaAccount account = accounts.get(organisation.name());
     if (account != null) {
-      account.balance -= cost;
-      account.paceBalance -= cost;
-      account.ownUsage += cost;
-      account.admittedUnits += cost;
+      account.charge(cost);
       recordOwnUsage(organisation.name(), cost, now);
     }
   }
 
   /** Refunds the cost of a request that has not run. */
   public void refund(Organisation organisation, long cost, Instant now) {
-    Account account = accounts.get(organisation.name());
+    QuotaAccount account = accounts.get(organisation.name());
     if (account != null) {
-      account.balance += cost;
-      account.paceBalance += cost;
-      account.ownUsage -= Math.min(cost, account.ownUsage);
-      account.admittedUnits -= cost;
+      account.refund(cost);
       recordOwnUsage(organisation.name(), -cost, now);
     }
   }
@@ -571,39 +307,38 @@
   /** Applies reports of other entries and of aggregators, in the order of their arrival. */
   public void apply(Collection<UsageReport> reports, Instant now) {
     reports.forEach(report -> apply(report, now));
-    peers.values().removeIf(p -> p.counter.lastReportAt().plus(COUNTER_RETENTION).isBefore(now));
+    sources.values().removeIf(p -> p.lastReportAt().plus(COUNTER_RETENTION).isBefore(now));
   }
 
   private void apply(UsageReport report, Instant now) {
     refillAll(now);
-    Peer peer =
-        peers.computeIfAbsent(
-            report.counter(), c -> new Peer(report, timeoutOf(report.region()), now));
-    if (!peer.counter.isNew(report)) {
+    UsageSource source =
+        sources.computeIfAbsent(
+            report.counter(), c -> new UsageSource(report, timeoutOf(report.region()), now));
+    if (!source.isNew(report)) {
       return;
     }
     updateIncludedTotals(report, now);
-    final double silentSeconds = silentSeconds(peer, now);
-    final double coveredSeconds = peer.coveredSeconds(report);
+    final double silentSeconds = source.silentSeconds(now);
+    final double coveredSeconds = source.coveredSeconds(report);
     final double delaySeconds =
         Math.max(
-            peer.delaySeconds(report, now), reportDelay.seconds(now) - MIN_REPORT_DELAY_SECONDS);
+            source.delaySeconds(report, now), reportDelay.seconds(now) - ReportDelay.MIN_SECONDS);
     Map<String, Long> totals = new HashMap<>(report.totals());
     if (includingCounter.filter(c -> c == report.counter()).isPresent()) {
       includedTotals.forEach((name, own) -> totals.computeIfPresent(name, (n, t) -> t - own));
     }
-    Map<String, Long> increases = peer.counter.apply(report, totals, now);
-    peer.lastReport = report;
+    Map<String, Long> increases = source.apply(report, totals, now);
     double share = (double) report.entryCount() / view(now).entries();
-    int counters = (int) peers.values().stream().filter(p -> p.isCurrentOf(report, now)).count();
+    int counters = (int) sources.values().stream().filter(p -> p.isCurrentOf(report, now)).count();
     accounts.forEach(
         (name, account) ->
             account.chargePeers(
                 report.region(),
-                peer.timeout,
-                new Increase(
+                source.timeout(),
+                new QuotaAccount.Increase(
                     increases.getOrDefault(name, 0L),
-                    silentSeconds * share * account.quota.perSecond(),
+                    silentSeconds * share * account.perSecond(),
                     coveredSeconds,
                     delaySeconds,
                     counters),
@@ -614,12 +349,6 @@
     return reportRegion.equals(region) ? REPORT_TIMEOUT : REMOTE_REPORT_TIMEOUT;
   }
 
-  /** Returns how long the entries covered by a counter have counted as silent. */
-  private static double silentSeconds(Peer peer, Instant now) {
-    Duration silence = Duration.between(peer.counter.lastReportAt().plus(peer.timeout), now);
-    return Math.max(0, silence.toNanos() / 1e9);
-  }
-
   /** Updates which part of this entry's own usage the totals of an aggregator contain. */
   private void updateIncludedTotals(UsageReport report, Instant now) {
     Long includedAgeMillis = report.includedAgeMillis().get(counter.id());
@@ -635,7 +364,7 @@
     while (!sentReports.isEmpty() && sentReports.peek().report().ageMillis() <= includedAgeMillis) {
       SentReport sent = sentReports.remove();
       if (sent.report().ageMillis() == includedAgeMillis) {
-        reportDelay.onIncluded(sent, now);
+        reportDelay.onIncluded(sent.at(), now);
       }
       Map<String, Long> merged = new HashMap<>(includedTotals);
       merged.putAll(sent.report().totals());
@@ -669,21 +398,7 @@
    */
   public List<Summary> takeSummaries() {
     List<Summary> summaries = new ArrayList<>();
-    accounts.forEach(
-        (name, account) -> {
-          if (account.rejectedUnits > 0) {
-            summaries.add(
-                new Summary(
-                    name,
-                    account.admittedUnits,
-                    account.rejectedUnits,
-                    account.peerUnits,
-                    Math.round(account.balance)));
-          }
-          account.admittedUnits = 0;
-          account.rejectedUnits = 0;
-          account.peerUnits = 0;
-        });
+    accounts.forEach((name, account) -> account.takeSummary(name).ifPresent(summaries::add));
     return summaries;
   }
 }
