Responses that an entry ends early are counted and logged with their cause

Callers saw connections closed within a response, and the logs did not say by whom or why: request.finished gives a reason and a status, but not whether the response had been started, and a shutdown logged a number only.

An entry that shuts down ends its requests in flight itself, so that each has such a line.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -810,13 +810,12 @@
     }
     try {
       RoutingView previous = routing;
-      boolean sameDocument = offer.version() == previous.table().version();
+      boolean sameTable = offer.version() == previous.table().version() || offer.version() == 0;
       routing =
           new RoutingView(
               offer.revision(),
-              sameDocument || offer.version() == 0
-                  ? previous.table()
-                  : parser.parse(offer.document()),
+              sameTable ? previous.table() : parser.parse(offer.document()),
+              sameTable ? previous.tableSince() : clock.instant(),
               offer.evacuatedDomains());
       stateRequestedAt = Instant.EPOCH;
       quotas.configure(routing.table().organisations(), clock.instant());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 
 /**
  * The graceful shutdown of an entry: it immediately reports that it no longer accepts requests,
@@ -13,6 +12,15 @@
  * expired and no request is in flight, or shortly before the process would be killed.
  */
 public final class EntryShutdown {
+  /** The requests that an entry has started and not finished. */
+  public interface RequestsInFlight {
+    /** Returns the number of requests in flight. */
+    int inFlight();
+
+    /** Ends the requests in flight by closing the connections of their senders. */
+    void abortInFlight();
+  }
+
   private static final System.Logger LOG = System.getLogger(EntryShutdown.class.getName());
 
   /**
@@ -28,7 +36,7 @@
 
   private final Vertx vertx;
   private final EntryNode node;
-  private final IntSupplier inFlight;
+  private final RequestsInFlight requests;
   private final Duration shutdownGrace;
 
   /**
@@ -36,13 +44,14 @@
    *
    * @param vertx the Vert.x instance
    * @param node the entry
-   * @param inFlight returns the number of requests in flight
+   * @param requests the requests in flight
    * @param shutdownGrace time until the process is killed
    */
-  public EntryShutdown(Vertx vertx, EntryNode node, IntSupplier inFlight, Duration shutdownGrace) {
+  public EntryShutdown(
+      Vertx vertx, EntryNode node, RequestsInFlight requests, Duration shutdownGrace) {
     this.vertx = vertx;
     this.node = node;
-    this.inFlight = inFlight;
+    this.requests = requests;
     this.shutdownGrace = shutdownGrace;
   }
 
@@ -57,7 +66,7 @@
         CHECK_INTERVAL_MILLIS,
         id -> {
           long elapsedNanos = System.nanoTime() - startNanos;
-          boolean idle = elapsedNanos >= callerDrainNanos && inFlight.getAsInt() == 0;
+          boolean idle = elapsedNanos >= callerDrainNanos && requests.inFlight() == 0;
           if (idle || elapsedNanos >= maxNanos) {
             vertx.cancelTimer(id);
             LOG.log(
@@ -66,7 +75,8 @@
                 "millis",
                 TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
                 "cutRequests",
-                inFlight.getAsInt());
+                requests.inFlight());
+            requests.abortInFlight();
             done.tryComplete();
           }
         });
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -12,15 +12,17 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.fleet.EntryInfo;
 import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.fleet.EntryShutdown;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.CallerConnections;
@@ -35,7 +37,7 @@
  * The HTTP servers of an entry: the public server for callers, and the relay server for other
  * entries, which have already selected the service and need an endpoint of this region.
  */
-public final class EntryServer {
+public final class EntryServer implements EntryShutdown.RequestsInFlight {
   private static final System.Logger LOG = System.getLogger(EntryServer.class.getName());
 
   /**
@@ -109,7 +111,8 @@
             settings.region(),
             metrics,
             clock,
-            new AtomicInteger());
+            new AbortedResponses(node, metrics, clock),
+            ConcurrentHashMap.newKeySet());
     settings
         .capacity()
         .ifPresent(
@@ -207,9 +210,14 @@
     return publicServer.actualPort();
   }
 
-  /** Returns the number of requests in flight. */
+  @Override
   public int inFlight() {
-    return context.inFlight().get();
+    return context.inFlight().size();
+  }
+
+  @Override
+  public void abortInFlight() {
+    List.copyOf(context.inFlight()).forEach(ForwardCall::abort);
   }
 
   private void handleCaller(HttpServerRequest request) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -14,6 +14,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.forward.AbortedResponses.AbortedResponse;
+import org.lacewingcroft.forward.AbortedResponses.Cause;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 import org.lacewingcroft.placement.ExtraSendBudget;
@@ -124,7 +126,7 @@
         Duration.between(context.now(), request.responseDue()).minus(ERROR_RESPONSE_MARGIN);
     deadlineTimer =
         context.vertx().setTimer(Math.max(1, remaining.toMillis()), id -> onResponseDue());
-    context.inFlight().incrementAndGet();
+    context.inFlight().add(this);
     response.onDisconnect(this::onCallerDisconnect);
     if (!relayed) {
       context.node().recordFirstSend(request.handling().service());
@@ -239,9 +241,10 @@
           case NO_ENDPOINT -> "no endpoint that may run this is in reach";
         };
     if (mayHaveRun) {
-      finishWithError(BAD_GATEWAY, reason + "; an earlier try may have run", Optional.empty());
+      finishWithError(
+          Cause.NO_TARGET, BAD_GATEWAY, reason + "; an earlier try may have run", Optional.empty());
     } else {
-      finishWithError(UNAVAILABLE, reason, Optional.of(refused.retryAfter()));
+      finishWithError(Cause.NO_TARGET, UNAVAILABLE, reason, Optional.of(refused.retryAfter()));
     }
   }
 
@@ -251,9 +254,9 @@
     String reason =
         "endpoints that ran this content or a part of its prompt broke off, one after the other";
     if (mayHaveRun) {
-      finishWithError(BAD_GATEWAY, reason, Optional.empty());
+      finishWithError(Cause.QUARANTINED, BAD_GATEWAY, reason, Optional.empty());
     } else {
-      finishWithError(UNAVAILABLE, reason, Optional.of(remaining));
+      finishWithError(Cause.QUARANTINED, UNAVAILABLE, reason, Optional.of(remaining));
     }
   }
 
@@ -366,6 +369,7 @@
                     abandon(attempt.upstream, Outcome.FAILED);
                     handleIncompleteResponse(
                         attempt,
+                        Cause.SILENT,
                         "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1));
                   }
                 });
@@ -567,7 +571,10 @@
         handleIncompleteResponse(this, "answered " + status + " to a resumption");
       } else if (NOT_RUN_STATUSES.contains(status)) {
         finishWithError(
-            BAD_GATEWAY, "the endpoint answered " + status + " after it ran", Optional.empty());
+            Cause.ENDPOINT_FAILED,
+            BAD_GATEWAY,
+            "the endpoint answered " + status + " after it ran",
+            Optional.empty());
       } else {
         sendResponse(upstream, status, headers, body);
       }
@@ -700,9 +707,10 @@
     if (sends < MAX_SENDS && (budgetExempt ? recordExemptSend() : tryTakeExtraSend())) {
       place();
     } else if (streaming || mayHaveRun) {
-      finishWithError(BAD_GATEWAY, detail, Optional.empty());
+      finishWithError(Cause.NO_RESEND, BAD_GATEWAY, detail, Optional.empty());
     } else {
-      finishWithError(UNAVAILABLE, detail, Optional.of(context.shortRetryAfter(request)));
+      finishWithError(
+          Cause.NO_RESEND, UNAVAILABLE, detail, Optional.of(context.shortRetryAfter(request)));
     }
   }
 
@@ -730,13 +738,20 @@
 
   /** Handles an attempt whose target may have run the request but sent no complete response. */
   private void handleIncompleteResponse(Attempt attempt, String detail) {
+    boolean fromEndpoint = attempt.upstream.target().endpoint().isPresent();
+    handleIncompleteResponse(
+        attempt, fromEndpoint ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED, detail);
+  }
+
+  /** Handles such an attempt; {@code cause} is reported if the response ends with it. */
+  private void handleIncompleteResponse(Attempt attempt, Cause cause, String detail) {
     attempt.countRun();
     recordAttemptFailure(attempt.upstream, "broken", detail);
     excludeTarget(attempt.upstream);
     if (mayRunAgainAfter(attempt) && sends < MAX_SENDS && tryTakeExtraSend()) {
       place();
     } else {
-      finishWithError(BAD_GATEWAY, "the endpoint failed: " + detail, Optional.empty());
+      finishWithError(cause, BAD_GATEWAY, "the endpoint failed: " + detail, Optional.empty());
     }
   }
 
@@ -753,9 +768,9 @@
     boolean sent = mayHaveBeenReceived();
     currentAttempt.ifPresent(a -> abandon(a, Outcome.CANCELLED));
     if (sent || mayHaveRun) {
-      finishWithError(GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
+      finishWithError(Cause.DUE, GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
     } else {
-      finishWithError(UNAVAILABLE, "not sent in time", Optional.empty());
+      finishWithError(Cause.DUE, UNAVAILABLE, "not sent in time", Optional.empty());
     }
   }
 
@@ -783,9 +798,11 @@
 
   /**
    * Ends the call without a successful response: sends the retained server error of an endpoint if
-   * there is one, otherwise an error response of this entry.
+   * there is one, otherwise an error response of this entry. A response that has been started is
+   * aborted instead.
    */
-  private void finishWithError(int status, String reason, Optional<Duration> retryAfter) {
+  private void finishWithError(
+      Cause cause, int status, String reason, Optional<Duration> retryAfter) {
     if (done) {
       return;
     }
@@ -795,19 +812,47 @@
       sendResponse(retained.attempt(), retained.status(), retained.headers(), retained.body());
       return;
     }
+    if (response.isOpen() && response.isHeadWritten()) {
+      reportAborted(cause, reason);
+    }
     boolean notRun = !mayHaveRun && NOT_RUN_STATUSES.contains(status);
     response.setRefusalCount(totalRefusalCount);
     response.sendError(status, reason, notRun, retryAfter);
     recordFinished(reason, status);
   }
 
+  /** Ends the call because this entry shuts down. */
+  void abort() {
+    if (done) {
+      return;
+    }
+    currentAttempt.ifPresent(a -> a.cancel(Outcome.CANCELLED));
+    reportAborted(Cause.SHUTDOWN, "the entry shut down");
+    response.abort();
+    recordFinished("the entry shut down", BAD_GATEWAY);
+  }
+
+  private void reportAborted(Cause cause, String detail) {
+    context
+        .abortedResponses()
+        .report(
+            request,
+            new AbortedResponse(
+                cause,
+                detail,
+                currentAttempt.map(a -> a.target().name()),
+                relayed,
+                lastEventId,
+                Duration.between(request.arrivedAt(), context.now())));
+  }
+
   /** Ends the call: refunds the quota if nothing was sent, and records the outcome. */
   private void recordFinished(String outcome, int status) {
     done = true;
     if (!mayHaveRun && !mayHaveBeenReceived()) {
       quotaCharge.refund(context.now());
     }
-    context.inFlight().decrementAndGet();
+    context.inFlight().remove(this);
     Vertx vertx = context.vertx();
     vertx.cancelTimer(deadlineTimer);
     vertx.cancelTimer(responseTimer);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.EventLoopMonitor;
 import org.lacewingcroft.gateway.HopAuthenticator;
@@ -30,7 +29,8 @@
  * @param region the region of this entry
  * @param metrics the metrics
  * @param clock a monotonic clock
- * @param inFlight the number of requests in flight
+ * @param abortedResponses reports the responses that are ended before they are complete
+ * @param inFlight the calls in progress
  */
 record ForwardContext(
     Vertx vertx,
@@ -42,7 +42,8 @@
     String region,
     GatewayMetrics metrics,
     InstantSource clock,
-    AtomicInteger inFlight) {
+    AbortedResponses abortedResponses,
+    Set<ForwardCall> inFlight) {
   /** Header with the encoded {@link Handling} of a relayed request. */
   static final String HANDLING_HEADER = "X-Lacewingcroft-Handling";
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -157,6 +157,14 @@
           .labelNames("what")
           .register(registry);
 
+  /** Responses that an entry ended before they were complete, by cause. */
+  public final Counter abortedResponses =
+      Counter.builder()
+          .name("lwc_aborted_responses_total")
+          .help("Responses that were ended before they were complete, by cause")
+          .labelNames("cause")
+          .register(registry);
+
   /**
    * Repeated sends on the fleet's request path, by what the fleet-wide budget of extra sends
    * decided: granted, denied or exempt.
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -51,6 +51,13 @@
     STREAM,
     /** Streams one event and closes the connection within the next one. */
     STREAM_BREAKS,
+    /** Streams one event and never continues. */
+    STREAM_HANGS,
+    /**
+     * Streams one event and the others late; the endpoint sends nothing on other connections either
+     * meanwhile.
+     */
+    STREAM_STALLS,
     /** Streams like {@link #STREAM}, neither chunked nor with a length. */
     UNFRAMED_STREAM,
     /** Streams one event and ends the connection within the next one, neither chunked. */
@@ -61,7 +68,7 @@
     UNFRAMED_STREAM_RESET
   }
 
-  /** Delay of the response of {@link Action#SLOW}. */
+  /** Delay of the response of {@link Action#SLOW} and within {@link Action#STREAM_STALLS}. */
   static final int SLOW_RESPONSE_DELAY_MILLIS = 1_600;
 
   private static final int LAST_EVENT_ID = 3;
@@ -162,6 +169,15 @@
           socket
               .write(streamHead(signedHeaders) + chunk(event(1) + "id: 2\nda"))
               .onComplete(v -> vertx.setTimer(50, t -> socket.close()));
+      case STREAM_HANGS -> socket.write(streamHead(signedHeaders) + chunk(event(1)));
+      case STREAM_STALLS ->
+          socket
+              .write(streamHead(signedHeaders) + chunk(event(1)))
+              .onComplete(
+                  v ->
+                      vertx.setTimer(
+                          SLOW_RESPONSE_DELAY_MILLIS,
+                          t -> socket.write(chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n")));
       case UNFRAMED_STREAM -> writeUnframed(socket, signedHeaders, String.join("", events(head)));
       case UNFRAMED_STREAM_BREAKS -> writeUnframed(socket, signedHeaders, event(1) + "id: 2\nda");
       case UNFRAMED_STREAM_EMPTY -> writeUnframed(socket, signedHeaders, "");
