Only the current step of a call can act on it

Callers of resumable streams received events twice, and others an error or a closed connection although their request was about to be sent again. Cause: the response timer of an attempt was not ended with it. While the call waited for a crash probe of the endpoint, the timer fired, handled the ended attempt a second time and placed the call again: two sends, or, when no extra send was left for the second, 502 or a cut stream.

A call has steps (waiting for a target, waiting for a response, ended), and what is deferred in a step does nothing once it is over (CallSteps).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -79,13 +79,13 @@
   private final QuotaCharge quotaCharge;
   private final Set<String> excludedTargets = new HashSet<>();
   private final Set<String> excludedRegions = new HashSet<>();
+  private final CallSteps steps = new CallSteps();
   private Optional<UpstreamAttempt> currentAttempt = Optional.empty();
   private int sends;
   private int runs;
   private int totalRefusalCount;
   private boolean mayHaveRun;
   private boolean streaming;
-  private boolean done;
   private OptionalLong lastEventId;
   private Optional<EndpointError> endpointError = Optional.empty();
   private String servedBy = "none";
@@ -135,13 +135,15 @@
   }
 
   private void place() {
-    if (done || endIfDue()) {
+    if (steps.isEnded() || endIfDue()) {
       return;
     }
+    steps.next();
     Optional<Future<Void>> pendingDecision =
         context.node().quarantine().pendingDecision(request.fingerprints());
     if (pendingDecision.isPresent()) {
-      pendingDecision.get().onComplete(decided -> place());
+      Runnable placeAgain = steps.defer(this::place);
+      pendingDecision.get().onComplete(decided -> placeAgain.run());
       return;
     }
     // An endpoint that runs a quarantined content or part crashes and fails its other requests too.
@@ -163,13 +165,18 @@
       relay(toRegion, placementRequest);
     } else if (placement instanceof Placement.Refused refused) {
       if (refused.reason() == Placement.Reason.NO_ENDPOINT && mayWaitForDiscovery()) {
-        context.vertx().setTimer(DISCOVERY_POLL_INTERVAL_MILLIS, id -> place());
+        placeLater();
       } else {
         refuse(refused);
       }
     }
   }
 
+  private void placeLater() {
+    Runnable placeAgain = steps.defer(this::place);
+    context.vertx().setTimer(DISCOVERY_POLL_INTERVAL_MILLIS, id -> placeAgain.run());
+  }
+
   private void sendToEndpoint(Placement.ToEndpoint placement, PlacementRequest placementRequest) {
     EndpointTracker endpoint = placement.endpoint();
     EndpointTracker.InFlightRequest inFlightRequest =
@@ -222,7 +229,7 @@
    */
   private void handleNoRelayEntry(String region) {
     if (context.node().entriesOf(region).isEmpty() && mayWaitForDiscovery()) {
-      context.vertx().setTimer(DISCOVERY_POLL_INTERVAL_MILLIS, id -> place());
+      placeLater();
     } else {
       excludedRegions.add(region);
       place();
@@ -261,6 +268,7 @@
   }
 
   private void send(UpstreamTarget target, double expectedMillis) {
+    steps.next();
     sends++;
     Attempt attempt = new Attempt(target);
     currentAttempt = Optional.of(attempt.upstream);
@@ -279,7 +287,7 @@
   private void sendUnlessEnded(Runnable write) {
     if (!response.isConnected()) {
       onCallerDisconnect();
-    } else if (!done) {
+    } else if (!steps.isEnded()) {
       endIfDue();
     }
     write.run();
@@ -292,7 +300,7 @@
     if (!context.now().isBefore(request.responseDue())) {
       onResponseDue();
     }
-    return done;
+    return steps.isEnded();
   }
 
   private List<Map.Entry<String, String>> extraHeaders(UpstreamTarget target) {
@@ -345,34 +353,25 @@
   }
 
   private void startResponseTimer(Attempt attempt, long timeoutMillis, int periodsLeft) {
-    responseTimer =
-        context
-            .vertx()
-            .setTimer(
-                timeoutMillis,
-                id -> {
-                  boolean finished =
-                      done || currentAttempt.filter(attempt.upstream::equals).isEmpty();
-                  if (finished || !mayRunAgainAfter(attempt)) {
-                    return;
-                  }
-                  boolean respondsToOthers =
-                      attempt
-                          .upstream
-                          .target()
-                          .endpoint()
-                          .filter(e -> e.isResponding(context.now()))
-                          .isPresent();
-                  if (respondsToOthers && periodsLeft > 1) {
-                    startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
-                  } else {
-                    abandon(attempt.upstream, Outcome.FAILED);
-                    handleIncompleteResponse(
-                        attempt,
-                        Cause.SILENT,
-                        "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1));
-                  }
-                });
+    Runnable action = steps.defer(() -> onSilent(attempt, timeoutMillis, periodsLeft));
+    responseTimer = context.vertx().setTimer(timeoutMillis, id -> action.run());
+  }
+
+  /** Handles an attempt whose target has sent no data for a timeout period. */
+  private void onSilent(Attempt attempt, long timeoutMillis, int periodsLeft) {
+    if (!mayRunAgainAfter(attempt)) {
+      return;
+    }
+    UpstreamAttempt upstream = attempt.upstream;
+    boolean respondsToOthers =
+        upstream.target().endpoint().filter(e -> e.isResponding(context.now())).isPresent();
+    String detail = "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1);
+    if (respondsToOthers && periodsLeft > 1) {
+      startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
+    } else {
+      abandon(upstream, Outcome.FAILED);
+      handleIncompleteResponse(attempt, Cause.SILENT, detail);
+    }
   }
 
   /** Returns whether another endpoint may run the request if this attempt fails. */
@@ -529,7 +528,7 @@
 
     @Override
     public void onComplete() {
-      if (done) {
+      if (steps.isEnded()) {
         return;
       }
       if (eventSplitter.isPresent()) {
@@ -592,7 +591,7 @@
 
     @Override
     public void onFailure(boolean sent, String detail) {
-      if (done) {
+      if (steps.isEnded()) {
         return;
       }
       if (sent) {
@@ -605,7 +604,7 @@
 
     @Override
     public void onWithdrawn() {
-      if (!done) {
+      if (!steps.isEnded()) {
         recordAttemptFailure(upstream, "withdrawn", "the endpoint no longer accepts requests");
         excludeTarget(upstream);
         sendToAnotherTarget("the endpoint takes no work any more", true);
@@ -762,7 +761,7 @@
 
   /** Ends the call because the response is due. */
   private void onResponseDue() {
-    if (done) {
+    if (steps.isEnded()) {
       return;
     }
     boolean sent = mayHaveBeenReceived();
@@ -775,7 +774,7 @@
   }
 
   private void onCallerDisconnect() {
-    if (!done) {
+    if (!steps.isEnded()) {
       currentAttempt.ifPresent(a -> abandon(a, Outcome.CANCELLED));
       recordFinished("caller left", 0);
     }
@@ -803,7 +802,7 @@
    */
   private void finishWithError(
       Cause cause, int status, String reason, Optional<Duration> retryAfter) {
-    if (done) {
+    if (steps.isEnded()) {
       return;
     }
     currentAttempt.ifPresent(a -> a.cancel(Outcome.CANCELLED));
@@ -823,7 +822,7 @@
 
   /** Ends the call because this entry shuts down. */
   void abort() {
-    if (done) {
+    if (steps.isEnded()) {
       return;
     }
     currentAttempt.ifPresent(a -> a.cancel(Outcome.CANCELLED));
@@ -848,7 +847,7 @@
 
   /** Ends the call: refunds the quota if nothing was sent, and records the outcome. */
   private void recordFinished(String outcome, int status) {
-    done = true;
+    steps.end();
     if (!mayHaveRun && !mayHaveBeenReceived()) {
       quotaCharge.refund(context.now());
     }
