A started stream is not cut because its endpoint is silent

Callers of idempotent streams saw their connection closed 0.9 s after the last event of an endpoint that was silent for a while: an endpoint that stalls, or the entry that relays for it. Cause: the entry cancelled the running attempt first and asked then whether another target exists and an extra send is left; if not, the stream could only be cut, although the endpoint continued later. The class of fault: what one has is given up before its replacement is certain.

A started stream is moved only if a target is found and an extra send is granted; otherwise the entry keeps waiting and asks again after the next period of silence. A caller that has received nothing yet gets the error as before, after which it may send its request again.

An entry that shuts down now answers the requests in flight of which the caller has received nothing (502, or 503 if not sent) instead of closing their connections.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/AbortedResponses.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/AbortedResponses.java
@@ -24,8 +24,6 @@
     ENDPOINT_FAILED,
     /** The entry that relayed the request closed the connection or sent an invalid response. */
     RELAY_FAILED,
-    /** The endpoint or relaying entry sent no data for too long. */
-    SILENT,
     /** The attempt ended and no other target could continue the response. */
     NO_TARGET,
     /** The attempt ended and the request may not be sent again. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -368,12 +368,40 @@
     String detail = "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1);
     if (respondsToOthers && periodsLeft > 1) {
       startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
-    } else {
+    } else if (!response.isHeadWritten()) {
+      // The caller receives an error, after which it may send the request again.
+      abandon(upstream, Outcome.FAILED);
+      handleIncompleteResponse(attempt, detail);
+    } else if (sends < MAX_SENDS && hasOtherTarget(upstream) && tryTakeExtraSend()) {
       abandon(upstream, Outcome.FAILED);
-      handleIncompleteResponse(attempt, Cause.SILENT, detail);
+      recordIncompleteResponse(attempt, detail);
+      place();
+    } else {
+      // A started response could only be cut; the target may be slow and still complete it.
+      startResponseTimer(attempt, timeoutMillis, periodsLeft);
     }
   }
 
+  /** Returns whether placement finds another target for the request while an attempt runs. */
+  private boolean hasOtherTarget(UpstreamAttempt running) {
+    if (context.node().quarantine().pendingDecision(request.fingerprints()).isPresent()) {
+      return false;
+    }
+    Set<String> targets = new HashSet<>(excludedTargets);
+    targets.add(running.target().name());
+    Set<String> regions = new HashSet<>(excludedRegions);
+    regionWithoutRelay(running, targets).ifPresent(regions::add);
+    Placement placement =
+        context
+            .node()
+            .place(
+                request.toPlacementRequest(context.now(), targets),
+                relayed,
+                request.handling().allowedRegions(),
+                regions);
+    return !(placement instanceof Placement.Refused);
+  }
+
   /** Returns whether another endpoint may run the request if this attempt fails. */
   private boolean mayRunAgainAfter(Attempt attempt) {
     int totalRuns = runs + (attempt.countedAsRun ? 0 : 1);
@@ -687,13 +715,20 @@
    */
   private void excludeTarget(UpstreamAttempt attempt) {
     excludedTargets.add(attempt.target().name());
+    regionWithoutRelay(attempt, excludedTargets).ifPresent(excludedRegions::add);
+  }
+
+  /**
+   * Returns the region of the entry that an attempt was sent to, if it has no entry left to relay
+   * to.
+   */
+  private Optional<String> regionWithoutRelay(UpstreamAttempt attempt, Set<String> excluded) {
     String service = request.handling().service();
-    attempt
+    return attempt
         .target()
         .entry()
         .map(EntryInfo::region)
-        .filter(r -> context.node().relayTargets(r, service, excludedTargets).isEmpty())
-        .ifPresent(excludedRegions::add);
+        .filter(r -> context.node().relayTargets(r, service, excluded).isEmpty());
   }
 
   /**
@@ -737,21 +772,23 @@
 
   /** Handles an attempt whose target may have run the request but sent no complete response. */
   private void handleIncompleteResponse(Attempt attempt, String detail) {
-    boolean fromEndpoint = attempt.upstream.target().endpoint().isPresent();
-    handleIncompleteResponse(
-        attempt, fromEndpoint ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED, detail);
+    recordIncompleteResponse(attempt, detail);
+    if (mayRunAgainAfter(attempt) && sends < MAX_SENDS && tryTakeExtraSend()) {
+      place();
+    } else {
+      boolean fromEndpoint = attempt.upstream.target().endpoint().isPresent();
+      finishWithError(
+          fromEndpoint ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED,
+          BAD_GATEWAY,
+          "the endpoint failed: " + detail,
+          Optional.empty());
+    }
   }
 
-  /** Handles such an attempt; {@code cause} is reported if the response ends with it. */
-  private void handleIncompleteResponse(Attempt attempt, Cause cause, String detail) {
+  private void recordIncompleteResponse(Attempt attempt, String detail) {
     attempt.countRun();
     recordAttemptFailure(attempt.upstream, "broken", detail);
     excludeTarget(attempt.upstream);
-    if (mayRunAgainAfter(attempt) && sends < MAX_SENDS && tryTakeExtraSend()) {
-      place();
-    } else {
-      finishWithError(cause, BAD_GATEWAY, "the endpoint failed: " + detail, Optional.empty());
-    }
   }
 
   private void recordAttemptFailure(UpstreamAttempt attempt, String failure, String detail) {
@@ -820,15 +857,19 @@
     recordFinished(reason, status);
   }
 
-  /** Ends the call because this entry shuts down. */
+  /**
+   * Ends the call because this entry shuts down. The caller receives an error unless the response
+   * has been started.
+   */
   void abort() {
-    if (steps.isEnded()) {
-      return;
+    String reason = "the entry shut down";
+    response.closeConnectionAfterResponse();
+    if (mayHaveRun || mayHaveBeenReceived()) {
+      finishWithError(Cause.SHUTDOWN, BAD_GATEWAY, reason, Optional.empty());
+    } else {
+      finishWithError(
+          Cause.SHUTDOWN, UNAVAILABLE, reason, Optional.of(context.shortRetryAfter(request)));
     }
-    currentAttempt.ifPresent(a -> a.cancel(Outcome.CANCELLED));
-    reportAborted(Cause.SHUTDOWN, "the entry shut down");
-    response.abort();
-    recordFinished("the entry shut down", BAD_GATEWAY);
   }
 
   private void reportAborted(Cause cause, String detail) {
