--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SilentEndpointTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SilentEndpointTest.java
@@ -4,32 +4,21 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingcroft.fleet.FleetBounds;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.RouteKind;
-import org.lacewingcroft.route.RouteTable;
 
 /** Guards against streams that are cut because their endpoint is silent for a while. */
 class SilentEndpointTest {
-  private static final String EVENTS = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n";
-  private static final String SERVICE = "engine";
-
-  /** Allows one extra send. */
   private static final FleetBounds ONE_EXTRA_SEND =
       new FleetBounds(
           Duration.ofSeconds(8),
@@ -41,103 +30,51 @@
           3,
           Optional.empty());
 
+  static Stream<Arguments> testCases() {
+    FleetBounds bounds = FleetHarness.BOUNDS;
+    List<Action> stalls = List.of(Action.STREAM_STALLS);
+    List<Action> secondStalls = List.of(Action.STREAM_BREAKS, Action.STREAM, Action.STREAM_STALLS);
+    List<Action> hangs = List.of(Action.STREAM_HANGS, Action.STREAM);
+    return Stream.of(
+        Arguments.of("only endpoint stalls", bounds, "north", 1, stalls, 1, 1),
+        Arguments.of("only endpoint stalls behind a relay", bounds, "south", 1, stalls, 1, 1),
+        Arguments.of("no extra send left", ONE_EXTRA_SEND, "north", 2, secondStalls, 2, 3),
+        Arguments.of("another endpoint continues", bounds, "north", 2, hangs, 1, 2));
+  }
+
   /**
-   * A test case.
+   * Sends requests one after the other and checks the last one.
    *
-   * @param endpointRegion the region of the endpoints; callers use an entry in north
-   * @param endpointCount the number of endpoints
    * @param script what the endpoints do with the sends of the requests, in order
-   * @param requests the number of requests, one after the other; the last one is checked
    * @param sends the expected number of sends of all requests
    */
-  record TestCase(
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("testCases")
+  void startedStreamIsCompleted(
       String name,
       FleetBounds bounds,
-      String endpointRegion,
+      String region,
       int endpointCount,
       List<Action> script,
       int requests,
-      int sends) {
-    @Override
-    public String toString() {
-      return name;
-    }
-  }
-
-  static Stream<TestCase> testCases() {
-    FleetBounds bounds = FleetHarness.BOUNDS;
-    List<Action> stalls = List.of(Action.STREAM_STALLS);
-    return Stream.of(
-        new TestCase("only endpoint stalls", bounds, "north", 1, stalls, 1, 1),
-        new TestCase("only endpoint stalls behind a relay", bounds, "south", 1, stalls, 1, 1),
-        new TestCase(
-            "no extra send left",
-            ONE_EXTRA_SEND,
-            "north",
-            2,
-            List.of(Action.STREAM_BREAKS, Action.STREAM, Action.STREAM_STALLS),
-            2,
-            3),
-        new TestCase(
-            "another endpoint continues",
+      int sends,
+      @TempDir Path folder)
+      throws Exception {
+    try (OneServiceFleet fleet =
+        new OneServiceFleet(
+            folder,
             bounds,
-            "north",
-            2,
-            List.of(Action.STREAM_HANGS, Action.STREAM),
-            1,
-            2));
-  }
-
-  @ParameterizedTest
-  @MethodSource("testCases")
-  void startedStreamIsCompleted(TestCase testCase, @TempDir Path folder) throws Exception {
-    RouteTable table =
-        new RouteTable(
-            1,
-            List.of(
-                FleetHarness.routeTo(SERVICE, RouteKind.STREAM, true, 2, Duration.ofSeconds(8))),
-            List.of(FleetHarness.serviceNamed(SERVICE)),
-            RequestLimits.DEFAULT);
-    try (FleetHarness fleet = new FleetHarness(folder, Map.of(1L, table), testCase.bounds());
-        ScriptedEndpoints endpoints =
-            new ScriptedEndpoints(fleet.vertx(), testCase.endpointCount(), testCase.script())) {
-      FleetHarness.Entry entry = fleet.startEntry("north", "north");
-      FleetHarness.Entry remote = fleet.startEntry("south", "south");
-      fleet.activateRouteTable(1);
-      for (int port : endpoints.ports()) {
-        fleet.keepAnnouncing("e" + port, SERVICE, testCase.endpointRegion(), port);
-      }
-      fleet.awaitReady(entry);
-      fleet.awaitReady(remote);
-      fleet.awaitEndpoints(entry, SERVICE, testCase.endpointCount());
+            FleetHarness.routeTo(
+                OneServiceFleet.SERVICE, RouteKind.STREAM, true, 2, Duration.ofSeconds(8)),
+            region,
+            endpointCount,
+            script)) {
       String body = "";
-      for (int i = 0; i < testCase.requests(); i++) {
-        body = call(entry, "id-" + i).body();
+      for (int i = 0; i < requests; i++) {
+        body = fleet.call("id-" + i).get().body();
       }
-      assertThat(body, equalTo(EVENTS));
-      assertThat(endpoints.heads(), hasSize(testCase.sends()));
+      assertThat(body, equalTo(OneServiceFleet.EVENTS));
+      assertThat(fleet.endpoints().heads(), hasSize(sends));
     }
   }
-
-  /** Sends a request, again while the entry does not know the load of the endpoints' region. */
-  private static HttpResponse<String> call(FleetHarness.Entry entry, String id) throws Exception {
-    HttpResponse<String> response = callOnce(entry, id);
-    for (int i = 0; i < 100 && response.statusCode() == 503; i++) {
-      TimeUnit.MILLISECONDS.sleep(50);
-      response = callOnce(entry, id);
-    }
-    return response;
-  }
-
-  private static HttpResponse<String> callOnce(FleetHarness.Entry entry, String id)
-      throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x"))
-            .POST(HttpRequest.BodyPublishers.ofString("a body"))
-            .header("X-Request-Id", id)
-            .header("X-Deadline", "7000")
-            .build();
-    return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
-  }
 }
