ForwardingTest: endpoints keep their leases during a test case

The test announced its endpoints once; their lease of 1.2 s ended during a slow test case. hangs-safe needs 0.9 s of it before the second send, which then found no endpoint (502); the first case got 503 when the first request took longer. Traced: the log of a failed run (1 of 8, four of them beside 6 busy processes, load 14 to 28) shows "lease expired" before the request, and a delay of 400 ms before each request fails exactly these two cases. The response timer of an ended attempt has no part in it.

The endpoints now announce themselves at each heartbeat, as running ones do; all expectations are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ForwardingTest.java
@@ -192,7 +192,7 @@
   void respondsAndSendsAsExpected(TestCase testCase) throws Exception {
     try (ScriptedEndpoints endpoints = new ScriptedEndpoints(fleet.vertx(), 2, testCase.script())) {
       for (int port : endpoints.ports()) {
-        fleet.announce(testCase.name() + port, testCase.name(), "north", port, 1);
+        fleet.keepAnnouncing(testCase.name() + port, testCase.name(), "north", port);
       }
       fleet.awaitEndpoints(entry, testCase.name(), 2);
       int status = ABORTED;
