A started stream is not moved to a target that cannot continue it

Streams of silent endpoints were still cut after the check for another target: it did not see that the content, or a part of the prompt, had been quarantined meanwhile, nor that no entry was left in the region that placement chose. The running attempt was cancelled, the extra send taken, and the placement that followed refused the request.

The check now covers both.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -108,6 +108,11 @@
     return tried.isEmpty() ? remaining : Optional.empty();
   }
 
+  /** Returns whether the content of a request or one of its prompt parts is quarantined. */
+  public boolean isQuarantined(RequestFingerprints request) {
+    return quarantine.remaining(request, clock.instant()).isPresent();
+  }
+
   /** Returns the number of quarantined request contents and prompt parts. */
   public int size() {
     return quarantine.all(clock.instant()).size();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.fleet.RequestQuarantine;
 import org.lacewingcroft.forward.AbortedResponses.AbortedResponse;
 import org.lacewingcroft.forward.AbortedResponses.Cause;
 import org.lacewingcroft.placement.EndpointTracker;
@@ -382,24 +383,46 @@
     }
   }
 
-  /** Returns whether placement finds another target for the request while an attempt runs. */
+  /**
+   * Returns whether placement finds another target for the request while an attempt runs: an
+   * endpoint, or a region with an entry to relay to.
+   */
   private boolean hasOtherTarget(UpstreamAttempt running) {
-    if (context.node().quarantine().pendingDecision(request.fingerprints()).isPresent()) {
+    RequestQuarantine quarantine = context.node().quarantine();
+    if (quarantine.pendingDecision(request.fingerprints()).isPresent()
+        || quarantine.isQuarantined(request.fingerprints())) {
       return false;
     }
     Set<String> targets = new HashSet<>(excludedTargets);
     targets.add(running.target().name());
     Set<String> regions = new HashSet<>(excludedRegions);
     regionWithoutRelay(running, targets).ifPresent(regions::add);
-    Placement placement =
-        context
-            .node()
-            .place(
-                request.toPlacementRequest(context.now(), targets),
-                relayed,
-                request.handling().allowedRegions(),
-                regions);
-    return !(placement instanceof Placement.Refused);
+    Optional<String> regionWithoutEntry;
+    do {
+      Placement placement =
+          context
+              .node()
+              .place(
+                  request.toPlacementRequest(context.now(), targets),
+                  relayed,
+                  request.handling().allowedRegions(),
+                  regions);
+      if (placement instanceof Placement.ToEndpoint) {
+        return true;
+      }
+      regionWithoutEntry =
+          placement instanceof Placement.ToRegion toRegion
+              ? Optional.of(toRegion.region())
+              : Optional.empty();
+      if (regionWithoutEntry.filter(r -> hasRelayTarget(r, targets)).isPresent()) {
+        return true;
+      }
+    } while (regionWithoutEntry.filter(regions::add).isPresent());
+    return false;
+  }
+
+  private boolean hasRelayTarget(String region, Set<String> excluded) {
+    return !context.node().relayTargets(region, request.handling().service(), excluded).isEmpty();
   }
 
   /** Returns whether another endpoint may run the request if this attempt fails. */
@@ -723,12 +746,11 @@
    * to.
    */
   private Optional<String> regionWithoutRelay(UpstreamAttempt attempt, Set<String> excluded) {
-    String service = request.handling().service();
     return attempt
         .target()
         .entry()
         .map(EntryInfo::region)
-        .filter(r -> context.node().relayTargets(r, service, excluded).isEmpty());
+        .filter(r -> !hasRelayTarget(r, excluded));
   }
 
   /**
