An endpoint is not silent while its response is not read

A stream whose caller reads slowly was run again at another endpoint 0.9 s after the entry had paused the first one for backpressure; the endpoint was recorded as failed and an extra send was spent. Without another endpoint such streams were cut before streams were kept on silent endpoints.

The response timer stops with the pause and starts again when the caller has read. SlowCallerTest: the row with a pause failed before (2 sends, expected 1), both pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -563,12 +563,23 @@
         response.write(completeEvents);
         startResponseTimer(this, 0);
         if (response.isWriteQueueFull()) {
-          upstream.pause();
-          response.onWriteQueueDrained(upstream::resume);
+          pauseUntilDrained();
         }
       }
     }
 
+    /** Stops reading until the caller has read; the target is not silent meanwhile. */
+    private void pauseUntilDrained() {
+      upstream.pause();
+      context.vertx().cancelTimer(responseTimer);
+      response.onWriteQueueDrained(
+          steps.defer(
+              () -> {
+                upstream.resume();
+                startResponseTimer(this, 0);
+              }));
+    }
+
     /** Records the output tokens of new events in the load tracking of the endpoint. */
     private void recordEvents(long count) {
       if (count > 0) {
