A response is not silent while its body arrives

Callers of idempotent requests got 502, or the request ran again elsewhere, 2.7 s after it had been sent, though the endpoint was sending the body all the time: only complete events of a stream restarted the response timer, not the bytes of other responses, nor those of an event that arrives in parts.

Each chunk restarts it now. SlowBodyTest: the row with a body of 4 s failed before ("silent for 2700"), both pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -550,6 +550,7 @@
     @Override
     public void onBody(Buffer chunk) {
       context.eventLoop().activity();
+      startResponseTimer(this, 0);
       if (eventSplitter.isEmpty()) {
         body.appendBuffer(chunk);
         return;
@@ -561,7 +562,6 @@
       if (completeEvents.length > 0) {
         eventsReceived = true;
         response.write(completeEvents);
-        startResponseTimer(this, 0);
         if (response.isWriteQueueFull()) {
           pauseUntilDrained();
         }
