A started stream waits for a target instead of being cut

Callers of resumable streams saw their connection closed when the entry that relayed the stream was replaced and its region had no other entry: the caller's entry found no target at that instant, or only those already tried, although the same entry was back within a second.

A started stream that may run again is now placed again every 500 ms until its response is due, also at the targets tried before; a run still counts against the attempts of its route. A target that cannot be reached does not end the wait. Requests of which the caller has received nothing get the error at once, as before.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -30,8 +30,8 @@
  * <p>A request that no endpoint has run may always be sent to another target. A request that an
  * endpoint may have run is sent again only if it is idempotent, and only within the maximum number
  * of attempts of its route and the fleet-wide budget of extra sends. A stream is resumed after the
- * last complete event that the caller has received. A status that guarantees that the request has
- * not run is used only if no endpoint can have run it.
+ * last complete event that the caller has received, as soon as there is a target for it. A status
+ * that guarantees that the request has not run is used only if no endpoint can have run it.
  *
  * <p>Confined to the event loop thread.
  */
@@ -42,6 +42,9 @@
    */
   private static final long DISCOVERY_POLL_INTERVAL_MILLIS = 50;
 
+  /** Interval at which a started stream without a target is placed again. */
+  private static final long RESUMPTION_POLL_INTERVAL_MILLIS = 500;
+
   /** Maximum number of targets that a request is sent to, including those that did not run it. */
   private static final int MAX_SENDS = 4;
 
@@ -86,6 +89,7 @@
   private int totalRefusalCount;
   private boolean mayHaveRun;
   private boolean streaming;
+  private boolean awaitingResumption;
   private OptionalLong lastEventId;
   private Optional<EndpointError> endpointError = Optional.empty();
   private String servedBy = "none";
@@ -165,16 +169,44 @@
       relay(toRegion, placementRequest);
     } else if (placement instanceof Placement.Refused refused) {
       if (refused.reason() == Placement.Reason.NO_ENDPOINT && mayWaitForDiscovery()) {
-        placeLater();
+        placeAfter(DISCOVERY_POLL_INTERVAL_MILLIS);
+      } else if (mayAwaitResumption()) {
+        if (!awaitingResumption) {
+          requestLog.logRefused(refused, excludedTargets, context.node().routing().revision());
+        }
+        awaitResumption();
       } else {
         refuse(refused);
       }
     }
   }
 
-  private void placeLater() {
+  private void placeAfter(long delayMillis) {
     Runnable placeAgain = steps.defer(this::place);
-    context.vertx().setTimer(DISCOVERY_POLL_INTERVAL_MILLIS, id -> placeAgain.run());
+    context.vertx().setTimer(delayMillis, id -> placeAgain.run());
+  }
+
+  /**
+   * Returns whether a call without a target should wait for one until its response is due: its
+   * started stream may be resumed and could otherwise only be aborted.
+   */
+  private boolean mayAwaitResumption() {
+    return response.isHeadWritten()
+        && !relayed
+        && request.handling().isIdempotent()
+        && runs < request.handling().maxAttempts();
+  }
+
+  /**
+   * Places the call again after a while, also at the targets that it has been sent to: those that
+   * ended may have been replaced by then.
+   */
+  private void awaitResumption() {
+    steps.next();
+    awaitingResumption = true;
+    excludedTargets.clear();
+    excludedRegions.clear();
+    placeAfter(RESUMPTION_POLL_INTERVAL_MILLIS);
   }
 
   private void sendToEndpoint(Placement.ToEndpoint placement, PlacementRequest placementRequest) {
@@ -229,7 +261,7 @@
    */
   private void handleNoRelayEntry(String region) {
     if (context.node().entriesOf(region).isEmpty() && mayWaitForDiscovery()) {
-      placeLater();
+      placeAfter(DISCOVERY_POLL_INTERVAL_MILLIS);
     } else {
       excludedRegions.add(region);
       place();
@@ -269,6 +301,7 @@
 
   private void send(UpstreamTarget target, double expectedMillis) {
     steps.next();
+    awaitingResumption = false;
     sends++;
     Attempt attempt = new Attempt(target);
     currentAttempt = Optional.of(attempt.upstream);
@@ -740,6 +773,8 @@
   private void sendToAnotherTarget(String detail, boolean budgetExempt) {
     if (sends < MAX_SENDS && (budgetExempt ? recordExemptSend() : tryTakeExtraSend())) {
       place();
+    } else if (budgetExempt && mayAwaitResumption()) {
+      awaitResumption();
     } else if (streaming || mayHaveRun) {
       finishWithError(Cause.NO_RESEND, BAD_GATEWAY, detail, Optional.empty());
     } else {
