A partial next request does not cut the response in progress

Callers who pipeline had a running response closed when the head of their next request took longer than the header timeout: the timer of the decoder took no account of the responses in progress on the connection. It now closes a connection only once those are complete.

ConfigurationChangeUnderCallTest makes 11 changes while a stream runs, behind one entry and behind a relay: route removed, service moved, weights, timeout, organisation and limits changed, endpoint replaced, draining, gone or its failure domain evacuated, and the partial head. The 2 rows of the partial head failed before, the 20 others did not; all 22 pass. CallerFramingTest: 21 pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -3,9 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import io.vertx.core.http.HttpConnection;
@@ -24,7 +28,7 @@
  * both a {@code Content-Length} and chunked transfer encoding, by which one request can be hidden
  * inside another (request smuggling), and one whose head takes longer to arrive than the header
  * timeout. Both close the connection, since the start of the next request on it cannot be
- * determined.
+ * determined. A slow head closes it only once the responses to the requests before it are complete.
  *
  * <p>Vert.x has no setting for either, so the decoder of a connection is replaced in its pipeline
  * before the first byte is read.
@@ -35,11 +39,31 @@
   /** The name of the decoder in a connection's pipeline, assigned by Vert.x. */
   private static final String DECODER_NAME = "httpDecoder";
 
+  /** The name of the handler that passes decoded requests to Vert.x, assigned by Vert.x. */
+  private static final String HANDLER_NAME = "handler";
+
   private final Supplier<RequestLimits> limits;
   private final Consumer<Channel> onRequestHead;
   private boolean insideMessage;
+  private int requestsInProgress;
   private Optional<Future<?>> headTimer = Optional.empty();
 
+  /** Counts a request as in progress until the last part of its response is written. */
+  private final class ResponseEnds extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      if (message instanceof LastHttpContent && !isInformational(message)) {
+        requestsInProgress--;
+      }
+      ctx.write(message, promise);
+    }
+
+    private static boolean isInformational(Object message) {
+      return message instanceof HttpResponse response
+          && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+  }
+
   private StrictRequestDecoder(
       HttpServerOptions options, Supplier<RequestLimits> limits, Consumer<Channel> onRequestHead) {
     super(options);
@@ -76,10 +100,9 @@
             .setMaxHeaderSize(maxHeadBytes)
             .setMaxInitialLineLength(maxHeadBytes);
     ChannelPipeline pipeline = ((ConnectionBase) connection).channelHandlerContext().pipeline();
-    pipeline.replace(
-        DECODER_NAME,
-        DECODER_NAME,
-        new StrictRequestDecoder(boundedOptions, limits, onRequestHead));
+    StrictRequestDecoder decoder = new StrictRequestDecoder(boundedOptions, limits, onRequestHead);
+    pipeline.replace(DECODER_NAME, DECODER_NAME, decoder);
+    pipeline.addBefore(HANDLER_NAME, null, decoder.new ResponseEnds());
   }
 
   @Override
@@ -96,6 +119,7 @@
     for (Object decoded : out.subList(sizeBefore, out.size())) {
       if (decoded instanceof HttpRequest) {
         onRequestHead.accept(ctx.channel());
+        requestsInProgress++;
         insideMessage = true;
       }
       if (decoded instanceof LastHttpContent) {
@@ -112,18 +136,24 @@
     if (!partialHead) {
       cancelHeadTimer();
     } else if (headTimer.isEmpty()) {
-      long timeoutMillis = limits.get().headerTimeout().toMillis();
-      headTimer =
-          Optional.of(
-              ctx.executor()
-                  .schedule(
-                      () -> closeSlowConnection(ctx, timeoutMillis),
-                      timeoutMillis,
-                      TimeUnit.MILLISECONDS));
+      startHeadTimer(ctx);
     }
   }
 
-  private static void closeSlowConnection(ChannelHandlerContext ctx, long timeoutMillis) {
+  private void startHeadTimer(ChannelHandlerContext ctx) {
+    long timeoutMillis = limits.get().headerTimeout().toMillis();
+    headTimer =
+        Optional.of(
+            ctx.executor()
+                .schedule(
+                    () -> onSlowHead(ctx, timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS));
+  }
+
+  private void onSlowHead(ChannelHandlerContext ctx, long timeoutMillis) {
+    if (requestsInProgress > 0) {
+      startHeadTimer(ctx);
+      return;
+    }
     LOG.log(
         System.Logger.Level.INFO,
         "connection.closed",
