A request is not given up while no other target exists

Now every attempt that is silent is given up only for a target that placement finds (TargetSearch); only an answer of which the caller has nothing still ends if no extra send is left, since the caller may repeat it.

The repeated check was unbounded: 60 stalled streams wrote 72 lines in 7 s. Its period doubles now. A late event loop took data that it had not read yet for silence; the timer waits until it has been read (ResponseTimer).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -84,6 +84,8 @@
   private final Set<String> excludedTargets = new HashSet<>();
   private final Set<String> excludedRegions = new HashSet<>();
   private final CallSteps steps = new CallSteps();
+  private final ResponseTimer responseTimer;
+  private final TargetSearch targetSearch;
   private Optional<UpstreamAttempt> currentAttempt = Optional.empty();
   private int sends;
   private int runs;
@@ -96,7 +98,6 @@
   private String servedBy = "none";
   private long firstByteMillis = -1;
   private long deadlineTimer;
-  private long responseTimer;
 
   /**
    * A server error of an endpoint, sent to the caller unless another endpoint responds without one.
@@ -124,6 +125,8 @@
     this.relayed = relayed;
     this.requestLog = new RequestLog(request);
     this.lastEventId = request.lastEventId();
+    this.responseTimer = new ResponseTimer(context.vertx(), context.eventLoop(), steps);
+    this.targetSearch = new TargetSearch(context, request, relayed);
   }
 
   void start() {
@@ -377,85 +380,73 @@
    * granted {@link #MAX_TIMEOUT_PERIODS} timeout periods.
    */
   private void startResponseTimer(Attempt attempt, double expectedMillis) {
-    context.vertx().cancelTimer(responseTimer);
+    responseTimer.cancel();
     if (!request.handling().isIdempotent() || relayed) {
       return;
     }
-    long timeoutMillis =
-        MIN_RESPONSE_TIMEOUT.toMillis() + Math.round(2 * Math.min(5_000, expectedMillis));
-    startResponseTimer(attempt, timeoutMillis, MAX_TIMEOUT_PERIODS);
+    attempt.silentSince = context.now();
+    Duration timeout =
+        MIN_RESPONSE_TIMEOUT.plusMillis(Math.round(2 * Math.min(5_000, expectedMillis)));
+    startResponseTimer(attempt, timeout, MAX_TIMEOUT_PERIODS);
   }
 
-  private void startResponseTimer(Attempt attempt, long timeoutMillis, int periodsLeft) {
-    Runnable action = steps.defer(() -> onSilent(attempt, timeoutMillis, periodsLeft));
-    responseTimer = context.vertx().setTimer(timeoutMillis, id -> action.run());
+  private void startResponseTimer(Attempt attempt, Duration timeout, int periodsLeft) {
+    responseTimer.start(timeout, () -> onSilent(attempt, timeout, periodsLeft));
   }
 
-  /** Handles an attempt whose target has sent no data for a timeout period. */
-  private void onSilent(Attempt attempt, long timeoutMillis, int periodsLeft) {
+  /**
+   * Handles an attempt whose target has sent no data for a timeout period. The attempt is given up
+   * for another target only; a target that is merely slow may still complete the response.
+   */
+  private void onSilent(Attempt attempt, Duration timeout, int periodsLeft) {
     if (!mayRunAgainAfter(attempt)) {
       return;
     }
-    UpstreamAttempt upstream = attempt.upstream;
+    UpstreamTarget target = attempt.upstream.target();
     boolean respondsToOthers =
-        upstream.target().endpoint().filter(e -> e.isResponding(context.now())).isPresent();
-    String detail = "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1);
+        target.endpoint().filter(e -> e.isResponding(context.now())).isPresent();
     if (respondsToOthers && periodsLeft > 1) {
-      startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
-    } else if (!response.isHeadWritten()) {
-      // The caller receives an error, after which it may send the request again.
-      abandon(upstream, Outcome.FAILED);
-      handleIncompleteResponse(attempt, detail);
-    } else if (sends < MAX_SENDS && hasOtherTarget(upstream) && tryTakeExtraSend()) {
-      abandon(upstream, Outcome.FAILED);
-      recordIncompleteResponse(attempt, detail);
-      place();
+      startResponseTimer(attempt, timeout, periodsLeft - 1);
+    } else if (response.isHeadWritten() ? mayMoveStream(target) : mayEndUnanswered(target)) {
+      long silentMillis = Duration.between(attempt.silentSince, context.now()).toMillis();
+      abandon(attempt.upstream, Outcome.FAILED);
+      handleSilent(attempt, "silent for " + silentMillis);
     } else {
-      // A started response could only be cut; the target may be slow and still complete it.
-      startResponseTimer(attempt, timeoutMillis, periodsLeft);
+      // Longer and longer periods limit the cost of many requests at an endpoint that is down.
+      startResponseTimer(attempt, timeout.multipliedBy(2), 1);
     }
   }
 
+  /** Returns whether a started stream can continue elsewhere; takes the extra send if it can. */
+  private boolean mayMoveStream(UpstreamTarget target) {
+    return !isHeldByQuarantine()
+        && sends < MAX_SENDS
+        && targetSearch.hasOtherTarget(target, excludedTargets, excludedRegions)
+        && tryTakeExtraSend();
+  }
+
   /**
-   * Returns whether placement finds another target for the request while an attempt runs: an
-   * endpoint, or a region with an entry to relay to.
+   * Returns whether a request of which the caller has received nothing should not wait for its
+   * target any longer. The caller may then send it again, also if this entry may not.
    */
-  private boolean hasOtherTarget(UpstreamAttempt running) {
-    RequestQuarantine quarantine = context.node().quarantine();
-    if (quarantine.pendingDecision(request.fingerprints()).isPresent()
-        || quarantine.isQuarantined(request.fingerprints())) {
-      return false;
-    }
-    Set<String> targets = new HashSet<>(excludedTargets);
-    targets.add(running.target().name());
-    Set<String> regions = new HashSet<>(excludedRegions);
-    regionWithoutRelay(running, targets).ifPresent(regions::add);
-    Optional<String> regionWithoutEntry;
-    do {
-      Placement placement =
-          context
-              .node()
-              .place(
-                  request.toPlacementRequest(context.now(), targets),
-                  relayed,
-                  request.handling().allowedRegions(),
-                  regions);
-      if (placement instanceof Placement.ToEndpoint) {
-        return true;
-      }
-      regionWithoutEntry =
-          placement instanceof Placement.ToRegion toRegion
-              ? Optional.of(toRegion.region())
-              : Optional.empty();
-      if (regionWithoutEntry.filter(r -> hasRelayTarget(r, targets)).isPresent()) {
-        return true;
-      }
-    } while (regionWithoutEntry.filter(regions::add).isPresent());
-    return false;
+  private boolean mayEndUnanswered(UpstreamTarget target) {
+    return isHeldByQuarantine()
+        || targetSearch.hasOtherTarget(target, excludedTargets, excludedRegions);
   }
 
-  private boolean hasRelayTarget(String region, Set<String> excluded) {
-    return !context.node().relayTargets(region, request.handling().service(), excluded).isEmpty();
+  private void handleSilent(Attempt attempt, String detail) {
+    if (response.isHeadWritten()) {
+      recordIncompleteResponse(attempt, detail);
+      place();
+    } else {
+      handleIncompleteResponse(attempt, detail);
+    }
+  }
+
+  private boolean isHeldByQuarantine() {
+    RequestQuarantine quarantine = context.node().quarantine();
+    return quarantine.pendingDecision(request.fingerprints()).isPresent()
+        || quarantine.isQuarantined(request.fingerprints());
   }
 
   /** Returns whether another endpoint may run the request if this attempt fails. */
@@ -469,6 +460,7 @@
   /** Handles the response of one attempt. */
   private final class Attempt implements UpstreamAttempt.Listener {
     private final UpstreamAttempt upstream;
+    private Instant silentSince = Instant.EPOCH;
     private boolean countedAsRun;
     private int status;
     private List<Map.Entry<String, String>> headers = List.of();
@@ -604,7 +596,7 @@
     /** Stops reading until the caller has read; the target is not silent meanwhile. */
     private void pauseUntilDrained() {
       upstream.pause();
-      context.vertx().cancelTimer(responseTimer);
+      responseTimer.cancel();
       response.onWriteQueueDrained(
           steps.defer(
               () -> {
@@ -782,19 +774,9 @@
    */
   private void excludeTarget(UpstreamAttempt attempt) {
     excludedTargets.add(attempt.target().name());
-    regionWithoutRelay(attempt, excludedTargets).ifPresent(excludedRegions::add);
-  }
-
-  /**
-   * Returns the region of the entry that an attempt was sent to, if it has no entry left to relay
-   * to.
-   */
-  private Optional<String> regionWithoutRelay(UpstreamAttempt attempt, Set<String> excluded) {
-    return attempt
-        .target()
-        .entry()
-        .map(EntryInfo::region)
-        .filter(r -> !hasRelayTarget(r, excluded));
+    targetSearch
+        .regionWithoutRelay(attempt.target(), excludedTargets)
+        .ifPresent(excludedRegions::add);
   }
 
   /**
@@ -964,7 +946,7 @@
     context.inFlight().remove(this);
     Vertx vertx = context.vertx();
     vertx.cancelTimer(deadlineTimer);
-    vertx.cancelTimer(responseTimer);
+    responseTimer.cancel();
     long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
     context.recordFinished(status, outcome, millis, firstByteMillis);
     requestLog.logFinished(
