Log lines about errors come first, and the last lines are written at exit

What operators saw: a record that ends without the line that tells why.

Cause: the flush at exit ran beside the orderly stop and ended before it, so lines that the stop logged depended on a race with the exit; lines that were taken from the queue and not written yet were not waited for; a full queue dropped a line about an error like any other; and an exhausted heap ended the thread that writes, and with it all logging.

LogContext.flush waits, for a bounded time, until every line is written.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
@@ -77,6 +77,6 @@
     } catch (IOException e) {
       throw new IllegalStateException("writing a log line into memory failed", e);
     }
-    LogContext.write(line.toString());
+    LogContext.write(level, line.toString());
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogContext.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.logging;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
 import org.lacewingcroft.misc.HybridLogicalClock;
@@ -43,9 +44,19 @@
     writer = Optional.of(LogWriter.toStandardOutput());
   }
 
-  static void write(String line) {
+  /**
+   * Waits until the queued lines are written, or until the timeout. Must not be called on an event
+   * loop.
+   */
+  public static void flush(Duration timeout) {
+    writer.ifPresent(w -> w.flush(timeout));
+  }
+
+  static void write(System.Logger.Level level, String line) {
     Optional<LogWriter> current = writer;
-    if (current.isPresent()) {
+    if (current.isPresent() && level == System.Logger.Level.ERROR) {
+      current.get().offerFirst(line);
+    } else if (current.isPresent()) {
       current.get().offer(line);
     } else {
       System.err.println(line);
