An Error in a consensus step is reported instead of kept by the executor

What operators saw: nothing. A periodic step that ended with an Error, such as a StackOverflowError, was not run again, and no line said so.

Cause: only RuntimeExceptions were caught; ScheduledExecutorService keeps what a periodic task throws in its future and cancels the task.

Change: an Error is handled like an exception: control.stopped is logged and the owner is told, who halts or reopens the data folder.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
@@ -134,7 +134,8 @@
       output.messages().forEach(m -> listener.send(m.to(), m.message()));
       listener.onStep(member, output.committed());
       output.decisions().forEach(d -> completeProposal(d.proposalId(), d.result()));
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
+      // The executor would keep an error to itself and no longer run the periodic steps.
       LOG.log(System.Logger.Level.ERROR, "control.stopped", e);
       executor.shutdownNow();
       closeLog();
