The start line says how the previous process ended

What operators saw: all processes of a deployment started for the second time within 0.35 s, and nothing told whether they had been killed, had been stopped or had failed.

A failed start is logged as process.fatal, recorded and ends the process with status 1.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -29,6 +29,9 @@
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.StrictRequestDecoder;
+import org.lacewingcroft.lifecycle.EndMarker;
+import org.lacewingcroft.lifecycle.ErrorReporter;
+import org.lacewingcroft.lifecycle.PreviousEnd;
 import org.lacewingcroft.membership.Gossiper;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.MonotonicInstantSource;
@@ -51,6 +54,8 @@
   private static final int MIN_DRAIN_HEARTBEATS = 4;
 
   private final Settings settings;
+  private final EndMarker marker;
+  private final ErrorReporter errors;
   private final InstantSource clock = new MonotonicInstantSource();
   private final Vertx vertx;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -66,9 +71,12 @@
   private int httpPort;
   private int peerPort;
 
-  private Daemon(Settings settings) {
+  private Daemon(Settings settings, EndMarker marker, ErrorReporter errors) {
     this.settings = settings;
+    this.marker = marker;
+    this.errors = errors;
     this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+    errors.reportHandlersOf(vertx);
     configs.onApplied(this::notifyPeers);
     this.configReceiver = new ConfigReceiver(configs, settings.heartbeatInterval().multipliedBy(3));
     this.endpoints = new EndpointRegistry(clock, settings.endpointLease());
@@ -83,12 +91,22 @@
    * @throws Exception if a port cannot be bound or the data folder cannot be used
    */
   public static Daemon start(Settings settings) throws Exception {
-    Daemon daemon = new Daemon(settings);
-    daemon.startServices();
+    EndMarker marker = createMarker(settings);
+    return start(settings, marker, new ErrorReporter(marker, new MonotonicInstantSource()));
+  }
+
+  static Daemon start(Settings settings, EndMarker marker, ErrorReporter errors) throws Exception {
+    PreviousEnd previous = marker.begin(settings.bootstrap());
+    Daemon daemon = new Daemon(settings, marker, errors);
+    daemon.startServices(previous);
     return daemon;
   }
 
-  private void startServices() throws Exception {
+  static EndMarker createMarker(Settings settings) {
+    return new EndMarker(settings.dataDir(), InstantSource.system());
+  }
+
+  private void startServices(PreviousEnd previous) throws Exception {
     peerPort = await(transport.listen(settings.host(), settings.peerPort(), this::onPeerMessage));
     final long incarnation = clock.millis();
     Router router = Router.router(vertx);
@@ -162,7 +180,13 @@
         "http",
         self.httpAddress(),
         "peer",
-        self.peerAddress());
+        self.peerAddress(),
+        "previousEnd",
+        previous.cause(),
+        "previousStartedAt",
+        PreviousEnd.logged(previous.startedAt()),
+        "previousEndedAt",
+        PreviousEnd.logged(previous.endedAt()));
   }
 
   /**
@@ -188,7 +212,7 @@
             settings.bootstrap(),
             configs,
             membership,
-            failure -> Runtime.getRuntime().halt(DISK_FAILURE_EXIT_CODE));
+            failure -> errors.reportAndHalt(failure, DISK_FAILURE_EXIT_CODE));
     control.start();
   }
 
@@ -371,7 +395,14 @@
    */
   @Override
   public void close() throws Exception {
-    LOG.log(System.Logger.Level.INFO, "daemon.draining", "role", settings.role().wireName());
+    final long startNanos = System.nanoTime();
+    LOG.log(
+        System.Logger.Level.INFO,
+        "daemon.draining",
+        "role",
+        settings.role().wireName(),
+        "inFlight",
+        gateway == null ? 0 : gateway.inFlight());
     if (gateway != null) {
       gateway.beginShutdown();
       heartbeat();
@@ -383,7 +414,14 @@
     }
     transport.close();
     await(vertx.close());
-    LOG.log(System.Logger.Level.INFO, "daemon.stopped", "cutRequests", unfinished);
+    LOG.log(
+        System.Logger.Level.INFO,
+        "daemon.stopped",
+        "cutRequests",
+        unfinished,
+        "millis",
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+    marker.markStopped();
   }
 
   private void drain() throws InterruptedException {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
@@ -8,7 +8,10 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.lacewingcroft.lifecycle.EndMarker;
+import org.lacewingcroft.lifecycle.ErrorReporter;
 import org.lacewingcroft.logging.LogContext;
+import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.routing.LeastInFlightPolicy;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,6 +30,9 @@
 public final class Main implements Callable<Integer> {
   private static final System.Logger LOG = System.getLogger(Main.class.getName());
 
+  private static final int EXIT_START_FAILED = 1;
+  private static final Duration LAST_LINES_TIMEOUT = Duration.ofMillis(300);
+
   @Option(
       names = "--role",
       defaultValue = "${env:LWC_ROLE:-entry}",
@@ -169,25 +175,39 @@
     }
     LogContext.logToStandardOutput();
     LogContext.setNodeId(settings.nodeId());
-    Daemon daemon = Daemon.start(settings);
+    EndMarker marker = Daemon.createMarker(settings);
+    ErrorReporter errors = new ErrorReporter(marker, new MonotonicInstantSource());
+    errors.reportThreadEnds();
+    try {
+      return runUntilStopped(settings, marker, errors);
+    } catch (Exception | Error e) {
+      errors.reportFatal(Thread.currentThread(), e);
+      return EXIT_START_FAILED;
+    }
+  }
+
+  private static int runUntilStopped(Settings settings, EndMarker marker, ErrorReporter errors)
+      throws Exception {
+    Daemon daemon = Daemon.start(settings, marker, errors);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  try {
-                    daemon.close();
-                  } catch (Exception e) {
-                    LOG.log(System.Logger.Level.ERROR, "daemon.stop_failed", e);
-                  } finally {
-                    stopped.countDown();
-                  }
-                },
-                "graceful-shutdown"));
+        .addShutdownHook(new Thread(() -> stop(daemon, marker, stopped), "graceful-shutdown"));
     stopped.await();
     return 0;
   }
 
+  private static void stop(Daemon daemon, EndMarker marker, CountDownLatch stopped) {
+    try {
+      daemon.close();
+    } catch (Exception e) {
+      LOG.log(System.Logger.Level.ERROR, "daemon.stop_failed", e);
+      marker.markFailed(e);
+    } finally {
+      LogContext.flush(LAST_LINES_TIMEOUT);
+      stopped.countDown();
+    }
+  }
+
   Settings settings() {
     Role parsedRole;
     try {
