A fatal line is awaited by an interrupted thread too, and bounded in rate

What operators would have seen: the product daemon ends with status 3 and no line says why. ConsensusDriver shuts its executor down before it reports the error, which interrupts the reporting thread; its waits for the line and for the marker file then ended at once. And a request that exhausts the stack would have written one process.fatal line each time, without a bound.

Change: the interrupt is set aside while the line is awaited. Errors in handlers share one bound, which the first exhausted heap or stack is exempt from.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/ErrorReporter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/ErrorReporter.java
@@ -14,6 +14,7 @@
  */
 public final class ErrorReporter {
   private static final System.Logger LOG = System.getLogger(ErrorReporter.class.getName());
+  private static final String FATAL = "process.fatal";
   private static final int MAX_FRAMES = 8;
   private static final double MAX_LINES_PER_SECOND = 5;
   private static final double MAX_LINES_BURST = 20;
@@ -23,7 +24,7 @@
   private final EndMarker marker;
   private final InstantSource clock;
   private final TokenBucket handlerLines;
-  private final AtomicBoolean markedOnEventLoop = new AtomicBoolean();
+  private final AtomicBoolean handlerFailureMarked = new AtomicBoolean();
   private long unlogged;
 
   /**
@@ -53,12 +54,18 @@
    * written. Must not be called on an event loop.
    */
   public void reportFatal(Thread thread, Throwable error) {
-    logFatal(thread, error);
+    log(System.Logger.Level.ERROR, FATAL, thread, error, 0);
+    // An executor that is shut down interrupts the thread that reports why, and the waits would end
+    // at once.
+    boolean interrupted = Thread.interrupted();
     LogContext.flush(FLUSH_TIMEOUT);
     // The disk may be the cause, and must not hold up the end of the process.
     try {
       startMarking(error).join(MARK_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
+      interrupted = true;
+    }
+    if (interrupted) {
       Thread.currentThread().interrupt();
     }
   }
@@ -73,45 +80,38 @@
   }
 
   void reportHandlerFailure(Throwable error) {
-    if (error instanceof VirtualMachineError) {
-      logFatal(Thread.currentThread(), error);
-      if (markedOnEventLoop.compareAndSet(false, true)) {
-        startMarking(error);
+    boolean fatal = error instanceof VirtualMachineError;
+    boolean firstFatal = fatal && handlerFailureMarked.compareAndSet(false, true);
+    if (firstFatal) {
+      startMarking(error);
+    }
+    synchronized (handlerLines) {
+      if (!handlerLines.tryTake(clock.instant()) && !firstFatal) {
+        unlogged++;
+        return;
       }
-      return;
+      if (fatal) {
+        log(System.Logger.Level.ERROR, FATAL, Thread.currentThread(), error, unlogged);
+      } else {
+        log(System.Logger.Level.WARNING, "handler.failed", Thread.currentThread(), error, unlogged);
+      }
+      unlogged = 0;
     }
-    logHandlerFailure(error);
   }
 
-  private synchronized void logHandlerFailure(Throwable error) {
-    if (!handlerLines.tryTake(clock.instant())) {
-      unlogged++;
-      return;
-    }
+  private static void log(
+      System.Logger.Level level, String event, Thread thread, Throwable error, long unlogged) {
     LOG.log(
-        System.Logger.Level.WARNING,
-        "handler.failed",
+        level,
+        event,
         "thread",
-        Thread.currentThread().getName(),
+        thread.getName(),
         "error",
         error,
         "at",
         firstFrames(error),
         "unlogged",
         unlogged);
-    unlogged = 0;
-  }
-
-  private static void logFatal(Thread thread, Throwable error) {
-    LOG.log(
-        System.Logger.Level.ERROR,
-        "process.fatal",
-        "thread",
-        thread.getName(),
-        "error",
-        error,
-        "at",
-        firstFrames(error));
   }
 
   private Thread startMarking(Throwable error) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
@@ -18,7 +18,6 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -119,10 +118,15 @@
     assertThat(recorded, equalTo("failed: java.lang.OutOfMemoryError: Java heap space"));
   }
 
-  @Test
-  void boundsTheLinesOfHandlersThatKeepFailing() {
+  static Stream<Throwable> repeatedErrors() {
+    return Stream.of(new IllegalStateException("again"), new StackOverflowError());
+  }
+
+  @ParameterizedTest
+  @MethodSource("repeatedErrors")
+  void boundsTheLinesOfHandlersThatKeepFailing(Throwable error) {
     for (int i = 0; i < 1_000; i++) {
-      errors.reportHandlerFailure(new IllegalStateException("again"));
+      errors.reportHandlerFailure(error);
     }
     assertThat(log.toString(StandardCharsets.UTF_8).lines().count(), lessThan(50L));
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/LastLinesTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/LastLinesTest.java
@@ -35,6 +35,7 @@
       }
       switch (args[0]) {
         case "halt":
+          Thread.currentThread().interrupt();
           errors.reportAndHalt(new IOException("no space"), 3);
           break;
         case "thread":
