Silent entries get their part of a quota as of their last report

While regions were partitioned from each other, an organisation whose load rose at that moment got up to 4 % more than its quota: 153,809 and 382,912 tokens too many in 8 s at 900,000 tokens/s.

Cause: entries are found to be silent only after 1 s, or 1.6 s in the own region. The balance was divided then by what was left of it, plus this entry's own usage of the last second. The usage of the other entries of its own region was left out, and the refill of that second stayed whole. Each region spent the burst and a second of the quota, and nothing was left to divide.

Each account keeps the balance and the charges of the last 3 s and replays them with the smaller share since the last report of the silent entries. What a region has spent meanwhile becomes a debt, which is refused with the delay until it is refilled. Entries that return are charged for what they used beyond the part that was withheld for them since that report. Pacing starts at half of what an unused bucket would hold, which grows with the rate after a partition instead of at once. No message has changed.

Ruled out by reading, without a run: usage that is in transit or lost. No report crosses the cut, and totals are repeated after it.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -328,8 +329,11 @@
     if (includingCounter.filter(c -> c == report.counter()).isPresent()) {
       includedTotals.forEach((name, own) -> totals.computeIfPresent(name, (n, t) -> t - own));
     }
+    final int currentBefore = view(now).current();
     Map<String, Long> increases = source.apply(report, totals, now);
-    double share = (double) report.entryCount() / view(now).entries();
+    View view = view(now);
+    double share = (double) report.entryCount() / view.entries();
+    double returnedShare = (double) Math.max(0, view.current() - currentBefore) / view.entries();
     int counters = (int) sources.values().stream().filter(p -> p.isCurrentOf(report, now)).count();
     accounts.forEach(
         (name, account) ->
@@ -338,7 +342,9 @@
                 source.timeout(),
                 new QuotaAccount.Increase(
                     increases.getOrDefault(name, 0L),
-                    silentSeconds * share * account.perSecond(),
+                    Math.max(
+                        silentSeconds * share * account.perSecond(),
+                        account.reservedUnits(returnedShare, now)),
                     coveredSeconds,
                     delaySeconds,
                     counters),
@@ -382,16 +388,23 @@
     View view = view(now);
     double share = view.currentShare();
     if (share < dividedShare) {
-      evictRecentUsage(now);
-      Map<String, Long> recent = new HashMap<>();
-      recentUsage.forEach(u -> recent.merge(u.organisation(), u.units(), Long::sum));
       double remaining = share / dividedShare;
-      accounts.forEach((name, a) -> a.divide(remaining, recent.getOrDefault(name, 0L)));
+      Instant since = lastSilenceAt(now);
+      accounts.values().forEach(a -> a.divide(remaining, view, since, now));
     }
     dividedShare = share;
     return view;
   }
 
+  /** Returns when the source that has become silent last was heard from. */
+  private Instant lastSilenceAt(Instant now) {
+    return sources.values().stream()
+        .filter(s -> !s.isCurrent(now))
+        .map(UsageSource::lastReportAt)
+        .max(Comparator.naturalOrder())
+        .orElse(now);
+  }
+
   /**
    * Returns what has happened since the last call to the organisations of which this entry has
    * rejected requests.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/QuotaAccount.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/QuotaAccount.java
@@ -19,7 +19,7 @@
   /** Time constant over which this entry's part of the usage is determined. */
   private static final double PART_AVERAGING_SECONDS = 5;
 
-  /** Share of a burst below which usage is paced. */
+  /** Share of the balance of an unused bucket below which usage is paced. */
   private static final double PACED_BALANCE = 0.5;
 
   /** Factor by which paced usage may grow over an entry's part of the usage. */
@@ -35,7 +35,7 @@
    * The usage that a report adds for an organisation.
    *
    * @param units units used since the previous report of the counter
-   * @param reservedUnits units that have been counted as used while the counter was silent
+   * @param reservedUnits units that have been counted as used while the entries were silent
    * @param seconds the time in which they were used
    * @param delaySeconds the age of the report beyond the usual one
    * @param counters number of counters of the region
@@ -90,6 +90,12 @@
   /** The units available; negative while usage exceeds the quota. */
   private double balance;
 
+  /**
+   * The balance that an unused bucket would have. After a partition, the capacity is restored at
+   * once, but the balance only with the rate of the quota.
+   */
+  private double unusedBalance;
+
   private Instant lastRefillAt;
 
   /** Decaying sums of the usage of this entry and of the others. */
@@ -100,6 +106,16 @@
   /** Units that this entry may use while usage is paced; negative after a larger request. */
   private double paceBalance;
 
+  private final BalanceHistory history = new BalanceHistory();
+
+  /** The balance of which silent entries have their part, and since when; scaled to the quota. */
+  private double silentBalance;
+
+  private Instant silentSince;
+
+  /** Total that this entry and the others have been charged. */
+  private double chargedUnits;
+
   private long admittedUnits;
   private long rejectedUnits;
   private long peerUnits;
@@ -108,6 +124,7 @@
   QuotaAccount(Quota quota, Instant now) {
     this.quota = quota;
     lastRefillAt = now;
+    silentSince = now;
   }
 
   /** Refills the bucket, less what the other entries are assumed to have used. */
@@ -117,7 +134,9 @@
     double decay = Math.exp(-seconds / PART_AVERAGING_SECONDS);
     ownUsage *= decay;
     otherUsage *= decay;
-    balance += seconds * quota.perSecond() * view.currentShare();
+    double refill = seconds * quota.perSecond() * view.currentShare();
+    balance += refill;
+    unusedBalance = Math.min(capacity(view), unusedBalance + refill);
     for (RegionUsage usage : peerUsage.values()) {
       if (usage.isCurrent(now)) {
         double assumed = seconds * usage.perSecond;
@@ -129,6 +148,7 @@
     balance = Math.min(capacity(view), balance);
     double pace = pacePerSecond(view);
     paceBalance = Math.min(pace * PACE_BURST_SECONDS, paceBalance + seconds * pace);
+    history.record(balance, chargedUnits, now);
   }
 
   /**
@@ -149,18 +169,27 @@
   private boolean isPaced(
       long cost, double reportDelaySeconds, FleetQuotas.View view, Instant now) {
     double inTransit =
-        Math.max(PACED_BALANCE * capacity(view), usageInTransit(reportDelaySeconds, now));
+        Math.max(PACED_BALANCE * unusedBalance, usageInTransit(reportDelaySeconds, now));
     return paceBalance < 0 && balance < Math.max(cost, inTransit);
   }
 
   /**
-   * Leaves the other entries their part of the balance as it was when they were last heard from.
+   * Leaves entries that have become silent their part of the quota since they were last heard from.
    *
-   * @param remaining the part that this entry keeps
-   * @param usedSince units that this entry has used since
+   * @param remaining the part of the balance that the others keep
+   * @param view the fleet without the silent entries
+   * @param since the time of the last report of the silent entries
    */
-  void divide(double remaining, long usedSince) {
-    balance -= (1 - remaining) * Math.max(0, balance + usedSince);
+  void divide(double remaining, FleetQuotas.View view, Instant since, Instant now) {
+    BalanceHistory.Share share =
+        new BalanceHistory.Share(
+            remaining,
+            quota.perSecond() * view.currentShare(),
+            quota.burst() * view.currentShare());
+    balance = history.divide(share, since, balance, chargedUnits, lastRefillAt);
+    silentSince = since;
+    silentBalance = history.at(since) / view.currentShare();
+    peerUsage.values().stream().filter(u -> !u.isCurrent(now)).forEach(u -> u.assumed = 0);
   }
 
   /** Returns the units that may be saved up. */
@@ -182,7 +211,9 @@
     long used = increase.units();
     balance += usage.assumed;
     otherUsage -= Math.min(otherUsage, usage.assumed);
-    balance -= used > 0 ? Math.max(0, used - increase.reservedUnits()) : used;
+    double charged = used > 0 ? Math.max(0, used - increase.reservedUnits()) : used;
+    balance -= charged;
+    chargedUnits += charged;
     otherUsage += Math.max(0, used);
     usage.onReport(increase, now);
     balance -= usage.assumed;
@@ -190,6 +221,16 @@
     peerUnits += used;
   }
 
+  /**
+   * Returns what entries that were silent could use without exceeding their part of the quota.
+   *
+   * @param share their part of the entries
+   */
+  double reservedUnits(double share, Instant now) {
+    double silentSeconds = Duration.between(silentSince, now).toNanos() / 1e9;
+    return share * (silentBalance + silentSeconds * quota.perSecond());
+  }
+
   void setQuota(Quota newQuota) {
     quota = newQuota;
   }
@@ -221,6 +262,7 @@
   /** Charges the usage of this entry's callers. */
   void charge(long cost) {
     balance -= cost;
+    chargedUnits += cost;
     paceBalance -= cost;
     ownUsage += cost;
     admittedUnits += cost;
@@ -229,6 +271,7 @@
   /** Takes a charge back. */
   void refund(long cost) {
     balance += cost;
+    chargedUnits -= cost;
     paceBalance += cost;
     ownUsage -= Math.min(cost, ownUsage);
     admittedUnits -= cost;
