Silent entries that return give back the part of a quota they left

Cause: the part of the burst that is withheld for silent entries was lost when they returned, whatever they had used. Usage in the first report of a new counter was charged in full, although a part was withheld for the entries that it covers; entries start such counters whenever they select another aggregator. And usage in the last report before a silence counted as used since then, which left an isolated entry with a debt.

Entries that return give back what they have not used, at most what a division has withheld and what is refilled in the second that a new counter contains. The reservation applies to all entries that a report makes known again, also with a new counter. Charges by reports belong to the sample before them. No message has changed.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/BalanceHistory.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/BalanceHistory.java
@@ -39,6 +39,13 @@
     }
   }
 
+  /** Applies a charge by a report to the last sample, since the usage precedes the report. */
+  void amend(double balance, double charged) {
+    if (!samples.isEmpty()) {
+      samples.add(new Sample(samples.removeLast().at(), balance, charged));
+    }
+  }
+
   /**
    * Replays the history as if the share had applied since the given time, and replaces it with the
    * result, from which a later division continues.
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/FleetQuotas.java
@@ -61,7 +61,7 @@
   private static final Duration COLLECTION_TIME = Duration.ofMillis(2_500);
 
   /** Usage of the last counter that the next one repeats, since it may not have been received. */
-  private static final Duration REPEATED_USAGE = Duration.ofSeconds(1);
+  static final Duration REPEATED_USAGE = Duration.ofSeconds(1);
 
   /** Retry delay returned while this entry does not know which entries there are. */
   private static final Duration DISCOVERY_RETRY_DELAY = Duration.ofSeconds(1);
@@ -313,6 +313,7 @@
 
   private void apply(UsageReport report, Instant now) {
     refillAll(now);
+    final int currentBefore = view(now).current();
     UsageSource source =
         sources.computeIfAbsent(
             report.counter(), c -> new UsageSource(report, timeoutOf(report.region()), now));
@@ -329,7 +330,7 @@
     if (includingCounter.filter(c -> c == report.counter()).isPresent()) {
       includedTotals.forEach((name, own) -> totals.computeIfPresent(name, (n, t) -> t - own));
     }
-    final int currentBefore = view(now).current();
+    final boolean complete = source.isUsageComplete();
     Map<String, Long> increases = source.apply(report, totals, now);
     View view = view(now);
     double share = (double) report.entryCount() / view.entries();
@@ -345,6 +346,7 @@
                     Math.max(
                         silentSeconds * share * account.perSecond(),
                         account.reservedUnits(returnedShare, now)),
+                    complete ? account.unusedUnits(returnedShare, now) : 0,
                     coveredSeconds,
                     delaySeconds,
                     counters),
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/QuotaAccount.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/QuotaAccount.java
@@ -36,12 +36,18 @@
    *
    * @param units units used since the previous report of the counter
    * @param reservedUnits units that have been counted as used while the entries were silent
+   * @param unusedUnits units that entries that were silent have left if {@code units} is 0
    * @param seconds the time in which they were used
    * @param delaySeconds the age of the report beyond the usual one
    * @param counters number of counters of the region
    */
   record Increase(
-      long units, double reservedUnits, double seconds, double delaySeconds, int counters) {}
+      long units,
+      double reservedUnits,
+      double unusedUnits,
+      double seconds,
+      double delaySeconds,
+      int counters) {}
 
   /** The usage of the other entries of one region. */
   private static final class RegionUsage {
@@ -113,6 +119,9 @@
 
   private Instant silentSince;
 
+  /** Units taken from the balance for entries that are silent. */
+  private double withheldUnits;
+
   /** Total that this entry and the others have been charged. */
   private double chargedUnits;
 
@@ -137,6 +146,7 @@
     double refill = seconds * quota.perSecond() * view.currentShare();
     balance += refill;
     unusedBalance = Math.min(capacity(view), unusedBalance + refill);
+    withheldUnits = Math.min(withheldUnits, quota.burst() * (1 - view.currentShare()));
     for (RegionUsage usage : peerUsage.values()) {
       if (usage.isCurrent(now)) {
         double assumed = seconds * usage.perSecond;
@@ -186,9 +196,11 @@
             remaining,
             quota.perSecond() * view.currentShare(),
             quota.burst() * view.currentShare());
+    final double undivided = history.at(since);
     balance = history.divide(share, since, balance, chargedUnits, lastRefillAt);
     silentSince = since;
     silentBalance = history.at(since) / view.currentShare();
+    withheldUnits += undivided - history.at(since);
     peerUsage.values().stream().filter(u -> !u.isCurrent(now)).forEach(u -> u.assumed = 0);
   }
 
@@ -214,11 +226,16 @@
     double charged = used > 0 ? Math.max(0, used - increase.reservedUnits()) : used;
     balance -= charged;
     chargedUnits += charged;
+    double returned =
+        Math.min(withheldUnits, Math.max(0, increase.unusedUnits() - Math.max(0, used)));
+    withheldUnits -= returned;
+    balance += returned;
     otherUsage += Math.max(0, used);
     usage.onReport(increase, now);
     balance -= usage.assumed;
     otherUsage += usage.assumed;
     peerUnits += used;
+    history.amend(balance, chargedUnits);
   }
 
   /**
@@ -231,6 +248,17 @@
     return share * (silentBalance + silentSeconds * quota.perSecond());
   }
 
+  /**
+   * Returns what silent entries have left if they report no usage: a part of the burst, but not
+   * more than what was refilled in the time of which new counters contain the usage.
+   *
+   * @param share their part of the entries
+   */
+  double unusedUnits(double share, Instant now) {
+    double refill = quota.perSecond() * FleetQuotas.REPEATED_USAGE.toMillis() / 1e3;
+    return Math.min(share * Math.min(quota.burst(), refill), reservedUnits(share, now));
+  }
+
   void setQuota(Quota newQuota) {
     quota = newQuota;
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/ReceivedCounter.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/ReceivedCounter.java
@@ -32,6 +32,11 @@
     return lastReportAt;
   }
 
+  /** Returns whether the increases of the next report contain all usage since the last one. */
+  boolean isUsageComplete() {
+    return countedFromZero || ageMillis >= 0;
+  }
+
   /** Returns whether a report is newer than all received before. */
   boolean isNew(UsageReport report) {
     return report.ageMillis() > ageMillis;
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/UsageSource.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/limit/UsageSource.java
@@ -63,6 +63,11 @@
     return Math.max(0, silence.toNanos() / 1e9);
   }
 
+  /** Returns whether the increases of the next report contain all usage since the last one. */
+  boolean isUsageComplete() {
+    return counter.isUsageComplete();
+  }
+
   /** Returns whether a report is newer than all received before. */
   boolean isNew(UsageReport report) {
     return counter.isNew(report);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FleetQuotasTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/limit/FleetQuotasTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.route.Organisation;
@@ -289,6 +290,25 @@
     assertThat(quotas.charge(desk, 390, silent).isPresent(), is(true));
   }
 
+  /** Guards against requests refused for a part of the quota that returning entries have left. */
+  @ParameterizedTest
+  @CsvSource({"7, 7600, 0", "7, 7600, 400", "8, 0, 0", "8, 0, 400"})
+  void returningPeersLeaveWhatTheyHaveNotUsed(long counter, long ageMillis, long used) {
+    Organisation desk = organisation(1_000, 1_000);
+    FleetQuotas quotas = quotasOf(desk, 2, new Random(1)::nextLong, START);
+    Instant now = START;
+    for (int i = 1; i <= 50; i++) {
+      now = START.plusMillis(100 * i);
+      quotas.apply(List.of(peerReport(7, 100 * i, 0)), now);
+    }
+    Instant silent = now.plusMillis(2_500);
+    assertThat(quotas.view(silent).current(), is(1));
+    Instant returned = now.plusMillis(2_600);
+    quotas.apply(List.of(peerReport(counter, ageMillis, used)), returned);
+    Duration restored = quotas.charge(desk, 1_000, returned).orElse(Duration.ZERO);
+    assertThat(restored, is(Duration.ofMillis(used)));
+  }
+
   /** Guards against usage that is lost, or counted twice, with the report that contains it. */
   @ParameterizedTest
   @ValueSource(strings = {"1", "1 2 3", "3", "1 3", "3 1 2", "2 2 3 3", "1 3 2 1"})
