An entry that shuts down refuses requests that it may not complete

New requests are admitted in the first 3/8 of the time until the kill, which leaves them at least half of it to complete. Later ones are refused with 503 and Retry-After 0 on a connection that closes: they have not run, and other entries serve them now. The same holds for relayed requests.

EntryShutdownTest#requestsAreRefusedWhenLittleTimeIsLeft.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -146,6 +146,7 @@
   private long reportCount;
   private long reachabilityTicks;
   private boolean shuttingDown;
+  private boolean admissionEnded;
   private Map<EndpointRoom, Integer> loggedRoom = Map.of();
   private boolean readyReported;
   private boolean readinessHeld;
@@ -276,6 +277,16 @@
     report();
   }
 
+  /** Ends the admission of new requests; those in flight are completed. */
+  public void endAdmission() {
+    admissionEnded = true;
+  }
+
+  /** Returns whether new requests are admitted. */
+  public boolean admitsRequests() {
+    return !admissionEnded;
+  }
+
   /** Returns whether callers may be directed to this entry. */
   public boolean ready() {
     return !shuttingDown && !readinessHeld && hasState();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
@@ -8,8 +8,9 @@
 
 /**
  * The graceful shutdown of an entry: it immediately reports that it no longer accepts requests,
- * still serves callers whose directory response lists it, and finishes when those responses have
- * expired and no request is in flight, or shortly before the process would be killed.
+ * admits requests of callers whose directory response lists it for a while, and finishes when those
+ * responses have expired and no request is in flight, or shortly before the process would be
+ * killed.
  */
 public final class EntryShutdown {
   /** The requests that an entry has started and not finished. */
@@ -29,6 +30,12 @@
    */
   private static final Duration CALLER_DRAIN_PERIOD = Duration.ofMillis(4_200);
 
+  /**
+   * Part of the time until the kill in which new requests are admitted. The rest is left for them
+   * to complete; a caller whose request is refused later sends it to another entry.
+   */
+  private static final double ADMISSION_SHARE = 0.375;
+
   /** Reserved before the kill for the last responses, the last log lines and the process exit. */
   private static final Duration KILL_MARGIN = Duration.ofMillis(900);
 
@@ -61,6 +68,9 @@
     Promise<Void> done = Promise.promise();
     long startNanos = System.nanoTime();
     long callerDrainNanos = CALLER_DRAIN_PERIOD.toNanos();
+    vertx.setTimer(
+        Math.max(1, Math.round(ADMISSION_SHARE * shutdownGrace.toMillis())),
+        id -> node.endAdmission());
     long maxNanos = shutdownGrace.minus(KILL_MARGIN).toNanos();
     vertx.setPeriodic(
         CHECK_INTERVAL_MILLIS,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -60,6 +60,9 @@
    */
   private static final Duration KEY_CHECK_RETRY_AFTER = Duration.ofSeconds(1);
 
+  /** Retry delay sent while this entry shuts down: other entries can serve the request now. */
+  private static final Duration SHUTDOWN_RETRY_AFTER = Duration.ZERO;
+
   /** Retry delay sent before this entry has received its first routes. */
   private static final Duration STARTUP_RETRY_AFTER = Duration.ofMillis(500);
 
@@ -232,6 +235,9 @@
     CallerResponse response = new CallerResponse(request, false);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
+    if (refuseAtShutdown(response)) {
+      return;
+    }
     if (node.routing().revision() == 0) {
       response.sendError(503, "no routes are known yet", true, Optional.of(STARTUP_RETRY_AFTER));
       return;
@@ -273,6 +279,16 @@
     }
   }
 
+  /** Refuses a request that may not complete before this entry ends; returns whether it did. */
+  private boolean refuseAtShutdown(CallerResponse response) {
+    if (node.admitsRequests()) {
+      return false;
+    }
+    response.closeConnectionAfterResponse();
+    response.sendError(503, "this entry is shutting down", true, Optional.of(SHUTDOWN_RETRY_AFTER));
+    return true;
+  }
+
   private Handling handlingOf(Route route, CallerAccess.Granted access)
       throws CallerAccess.NoRegionException {
     String service = route.pickService(ThreadLocalRandom.current().nextDouble());
@@ -427,6 +443,9 @@
     node.requestArrived();
     CallerResponse response = new CallerResponse(request, true);
     request.exceptionHandler(e -> {});
+    if (refuseAtShutdown(response)) {
+      return;
+    }
     try {
       String id = request.getHeader(headerNames.requestId());
       boolean verified =
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
@@ -2,7 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
 
+import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -11,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.lacewingcroft.fleet.EntryShutdown;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
 import org.lacewingcroft.route.RouteKind;
@@ -53,4 +56,31 @@
       assertThat(entry.server().inFlight(), equalTo(0));
     }
   }
+
+  /** Guards against requests that are admitted late in a shutdown and cut at its end. */
+  @ParameterizedTest
+  @EnumSource(RouteKind.class)
+  void requestsAreRefusedWhenLittleTimeIsLeft(RouteKind kind, @TempDir Path folder)
+      throws Exception {
+    try (OneServiceFleet fleet =
+        new OneServiceFleet(
+            folder,
+            FleetHarness.BOUNDS,
+            FleetHarness.routeTo(OneServiceFleet.SERVICE, kind, false, 1, Duration.ofSeconds(8)),
+            "north",
+            1,
+            List.of(Action.STREAM_STALLS, Action.HANG))) {
+      final CompletableFuture<HttpResponse<String>> admitted = fleet.call("first");
+      fleet.awaitRequest();
+      FleetHarness.Entry entry = fleet.entry();
+      EntryShutdown shutdown =
+          new EntryShutdown(
+              fleet.fleet().vertx(), entry.node(), entry.server(), Duration.ofSeconds(4));
+      fleet.fleet().run(shutdown::run);
+      TimeUnit.MILLISECONDS.sleep(1_550);
+      assertThat(fleet.callOnce("second").get().statusCode(), equalTo(503));
+      assertThat(admitted.get().statusCode(), equalTo(200));
+      assertThat(fleet.endpoints().heads(), hasSize(1));
+    }
+  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/OneServiceFleet.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/OneServiceFleet.java
@@ -86,14 +86,21 @@
    * result fails if the connection is closed within the response.
    */
   CompletableFuture<HttpResponse<String>> call(String id) {
-    HttpRequest request =
-        HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x"))
-            .POST(HttpRequest.BodyPublishers.ofString(BODY))
-            .header("X-Request-Id", id)
-            .header("X-Deadline", "7000")
-            .build();
-    return sendUntilPlaced(HttpClient.newHttpClient(), request, 100);
+    return sendUntilPlaced(HttpClient.newHttpClient(), request(id), 100);
+  }
+
+  /** Sends a request once. */
+  CompletableFuture<HttpResponse<String>> callOnce(String id) {
+    return sendUntilPlaced(HttpClient.newHttpClient(), request(id), 0);
+  }
+
+  private HttpRequest request(String id) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + SERVICE + "/x"))
+        .POST(HttpRequest.BodyPublishers.ofString(BODY))
+        .header("X-Request-Id", id)
+        .header("X-Deadline", "7000")
+        .build();
   }
 
   private CompletableFuture<HttpResponse<String>> sendUntilPlaced(
