An entry daemon that stops answers its requests in flight

Callers of lacewingcroftd had their connection closed without an answer when the daemon stopped and their request outlasted the drain: the daemon closed its server only. It now ends each request itself: outcome_unknown or shutting_down if the response has not been started, an error event in a started event stream; any other started body can only be cut.

Responses that the gateway ends early are counted and logged with their cause as those of the forward path are; AbortedResponses moves to the http package for that. RequestFaultTest checks the counter for a broken stream and a broken body.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -365,9 +365,9 @@
 
   /**
    * Shuts down gracefully: stops accepting new requests, notifies peers, waits for requests in
-   * flight up to the drain timeout, then closes the servers. An entry stays up for at least a few
-   * heartbeats, so that peers and callers that still send to it receive a rejection and use another
-   * entry instead of losing their connection.
+   * flight up to the drain timeout, ends the others, then closes the servers. An entry stays up for
+   * at least a few heartbeats, so that peers and callers that still send to it receive a rejection
+   * and use another entry instead of losing their connection.
    */
   @Override
   public void close() throws Exception {
@@ -378,6 +378,9 @@
       drain();
     }
     final int unfinished = gateway == null ? 0 : gateway.inFlight();
+    if (gateway != null) {
+      await(gateway.abortInFlight());
+    }
     if (control != null) {
       control.close();
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -25,6 +25,7 @@
 import org.lacewingcroft.fleet.EntryShutdown;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.AbortedResponses;
 import org.lacewingcroft.http.CallerConnections;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.limit.FairShares;
@@ -111,7 +112,7 @@
             settings.region(),
             metrics,
             clock,
-            new AbortedResponses(node, metrics, clock),
+            new AbortedResponses(this::configuration, metrics, clock),
             ConcurrentHashMap.newKeySet());
     settings
         .capacity()
@@ -205,6 +206,11 @@
     return node.routing().table().limits();
   }
 
+  private AbortedResponses.Configuration configuration() {
+    return new AbortedResponses.Configuration(
+        node.routing().table().version(), Optional.of(node.routing().tableSince()));
+  }
+
   /** Returns the port at which the public server listens. */
   int publicPort() {
     return publicServer.actualPort();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -14,8 +14,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
-import org.lacewingcroft.forward.AbortedResponses.AbortedResponse;
-import org.lacewingcroft.forward.AbortedResponses.Cause;
+import org.lacewingcroft.http.AbortedResponses.AbortedResponse;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 import org.lacewingcroft.placement.ExtraSendBudget;
@@ -911,8 +911,9 @@
     context
         .abortedResponses()
         .report(
-            request,
             new AbortedResponse(
+                request.id(),
+                request.handling().route(),
                 cause,
                 detail,
                 currentAttempt.map(a -> a.target().name()),
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -13,6 +13,7 @@
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.EventLoopMonitor;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.AbortedResponses;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.request.CallerRequest;
 import org.lacewingcroft.route.ServiceSpec;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/CallerReply.java
@@ -4,7 +4,11 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.http.AbortedResponses;
+import org.lacewingcroft.http.AbortedResponses.AbortedResponse;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.metrics.GatewayMetrics;
 
@@ -16,10 +20,12 @@
   private static final System.Logger LOG = System.getLogger(CallerReply.class.getName());
   private final GatewayMetrics metrics;
   private final KeyOwnership keys;
+  private final AbortedResponses abortedResponses;
 
-  CallerReply(GatewayMetrics metrics, KeyOwnership keys) {
+  CallerReply(GatewayMetrics metrics, KeyOwnership keys, AbortedResponses abortedResponses) {
     this.metrics = metrics;
     this.keys = keys;
+    this.abortedResponses = abortedResponses;
   }
 
   /** Refuses a request for which no exchange has been created. */
@@ -33,8 +39,17 @@
    * may have received the request, responds that the outcome is unknown instead.
    */
   void sendNotRun(Exchange exchange, ErrorKind kind, String detail) {
+    sendNotRun(exchange, kind, Cause.NO_TARGET, detail);
+  }
+
+  /**
+   * Refuses a request as the other method does.
+   *
+   * @param cause reported if a response that has already started has to be aborted
+   */
+  void sendNotRun(Exchange exchange, ErrorKind kind, Cause cause, String detail) {
     if (exchange.mayHaveRun()) {
-      sendOutcomeUnknown(exchange, detail);
+      sendOutcomeUnknown(exchange, cause, detail);
       return;
     }
     exchange.refuse();
@@ -80,8 +95,10 @@
   /**
    * Responds that the outcome of a request is unknown, because its endpoint failed after it
    * received the request. A response that has already started is aborted.
+   *
+   * @param cause reported if the response is aborted
    */
-  void sendOutcomeUnknown(Exchange exchange, String detail) {
+  void sendOutcomeUnknown(Exchange exchange, Cause cause, String detail) {
     exchange.claimedKey().ifPresent(keys::markUnknown);
     LOG.log(
         System.Logger.Level.WARNING,
@@ -99,6 +116,16 @@
       return;
     }
     metrics.requests.labelValues(ErrorKind.OUTCOME_UNKNOWN.code()).inc();
+    abortedResponses.report(
+        new AbortedResponse(
+            exchange.requestId(),
+            exchange.context().request().path(),
+            cause,
+            detail,
+            exchange.lastTarget(),
+            exchange.hop() != HopAuthenticator.Hop.NONE,
+            OptionalLong.empty(),
+            exchange.elapsed()));
     abort(exchange, detail);
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.http.RetryAfter;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -258,7 +259,9 @@
     routeChooser.excludeTarget(exchange, attempt);
     if (!exchange.hasLiveAttempt() && !scheduleRetry(exchange)) {
       reply.sendOutcomeUnknown(
-          exchange, "the endpoint failed after it received the request: " + detail);
+          exchange,
+          Cause.ENDPOINT_FAILED,
+          "the endpoint failed after it received the request: " + detail);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.gateway;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
@@ -8,7 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.lacewingcroft.config.ConfigStore;
@@ -17,6 +21,8 @@
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.fleet.FleetMessage;
+import org.lacewingcroft.http.AbortedResponses;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.limit.AdmissionLimiter;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -73,6 +79,7 @@
   private final Dispatcher dispatcher;
   private final AdmissionLimiter admissionLimiter = new AdmissionLimiter();
   private final AtomicBoolean shuttingDown = new AtomicBoolean();
+  private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
 
   /**
    * Bounds of the request path.
@@ -116,7 +123,16 @@
     EndpointHealth health = new EndpointHealth(INITIAL_BACKOFF);
     this.regionView = new RegionView(region, endpoints, membership, inFlight, health, clock);
     this.keys = new KeyOwnership(vertx, membership, clock);
-    this.reply = new CallerReply(metrics, keys);
+    this.reply =
+        new CallerReply(
+            metrics,
+            keys,
+            new AbortedResponses(
+                () ->
+                    new AbortedResponses.Configuration(
+                        configs.current().version(), Optional.empty()),
+                metrics,
+                clock));
     this.quarantine = new ContentQuarantine(vertx, membership, endpoints, clock);
     this.dispatcher =
         new Dispatcher(
@@ -151,6 +167,41 @@
     shuttingDown.set(true);
   }
 
+  /**
+   * Ends the requests in flight because the daemon stops. A caller receives an error unless its
+   * response has been started.
+   *
+   * @return completes when the last responses have been written
+   */
+  public Future<Void> abortInFlight() {
+    return Future.join(exchanges.stream().map(this::abort).toList()).mapEmpty();
+  }
+
+  private Future<Void> abort(Exchange exchange) {
+    Promise<Void> done = Promise.promise();
+    exchange.runOnEventLoop(
+        () -> {
+          try {
+            endForShutdown(exchange);
+          } finally {
+            done.complete();
+          }
+        });
+    return done.future();
+  }
+
+  private void endForShutdown(Exchange exchange) {
+    // The response may have ended since the exchange was found in flight.
+    if (exchange.response().ended()) {
+      return;
+    }
+    exchange.refuse();
+    if (!exchange.responseCommitted()) {
+      exchange.response().putHeader("Connection", "close");
+    }
+    reply.sendNotRun(exchange, ErrorKind.SHUTTING_DOWN, Cause.SHUTDOWN, "the entry shut down");
+  }
+
   /** Returns whether the daemon is shutting down. */
   public boolean shuttingDown() {
     return shuttingDown.get();
@@ -270,6 +321,7 @@
   private void start(Exchange exchange) {
     HttpServerResponse response = exchange.response();
     metrics.inFlight.set(inFlight.requestStarted());
+    exchanges.add(exchange);
     long deadlineTimer =
         vertx.setTimer(
             Math.max(1, exchange.remaining(clock.instant()).toMillis()),
@@ -330,11 +382,12 @@
     if (exchange.claimedKey().isEmpty()) {
       exchange.cancelAttemptsExcept(Optional.empty());
     }
-    reply.sendNotRun(exchange, ErrorKind.NOT_RUN, "the caller's deadline is over");
+    reply.sendNotRun(exchange, ErrorKind.NOT_RUN, Cause.DUE, "the caller's deadline is over");
   }
 
   private void finish(Exchange exchange, long deadlineTimer) {
     if (exchange.finish()) {
+      exchanges.remove(exchange);
       vertx.cancelTimer(deadlineTimer);
       metrics.inFlight.set(inFlight.requestEnded());
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.gateway;
 
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
@@ -23,6 +25,7 @@
   private final String requestId;
   private final HopAuthenticator.Hop hop;
   private final Instant deadline;
+  private final Context eventLoop = Vertx.currentContext();
   private final long startNanos = System.nanoTime();
   private final Set<String> excludedTargets = new HashSet<>();
   private final List<Attempt> attempts = new ArrayList<>();
@@ -45,6 +48,11 @@
     this.deadline = now.plus(request.timeout());
   }
 
+  /** Runs an action on the event loop thread of this exchange. */
+  void runOnEventLoop(Runnable action) {
+    eventLoop.runOnContext(v -> action.run());
+  }
+
   RoutingContext context() {
     return context;
   }
@@ -80,6 +88,10 @@
     return (System.nanoTime() - startNanos) / 1e9;
   }
 
+  Duration elapsed() {
+    return Duration.ofNanos(System.nanoTime() - startNanos);
+  }
+
   /**
    * Returns the ids of the endpoints and the names of the regions that are excluded for this
    * request, because an attempt there failed or, for a hedge, is still in progress. The set is
@@ -102,6 +114,13 @@
     attempts.add(attempt);
   }
 
+  /** Returns the target of the latest attempt, if any was made. */
+  Optional<String> lastTarget() {
+    return attempts.isEmpty()
+        ? Optional.empty()
+        : Optional.of(attempts.get(attempts.size() - 1).target());
+  }
+
   /** Returns the number of attempts made, including live ones. */
   int attemptCount() {
     return attempts.size();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Optional;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.stream.EventSplitter;
 
@@ -132,7 +133,8 @@
       if (attempt.toEndpoint()) {
         quarantine.onConnectionLost(attempt.target(), exchange.fingerprints());
       }
-      reply.sendOutcomeUnknown(exchange, "the answer broke off in the middle");
+      Cause cause = attempt.toEndpoint() ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED;
+      reply.sendOutcomeUnknown(exchange, cause, "the answer broke off in the middle");
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/AbortedResponses.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/AbortedResponses.java
@@ -1,4 +1,4 @@
-package org.lacewingcroft.forward;
+package org.lacewingcroft.http;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,20 +6,17 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.lacewingcroft.fleet.EntryNode;
-import org.lacewingcroft.fleet.RoutingView;
+import java.util.function.Supplier;
 import org.lacewingcroft.metrics.GatewayMetrics;
 
 /**
  * Counts and logs the responses that this entry ends before they are complete, by closing the
  * connection to the caller or to the entry that relayed the request. Log lines are limited per
  * second, because many responses end together when an endpoint crashes; the counter is not.
- *
- * <p>Confined to the event loop thread.
  */
-final class AbortedResponses {
+public final class AbortedResponses {
   /** Why a response was ended. */
-  enum Cause {
+  public enum Cause {
     /** The endpoint closed the connection or sent an invalid response. */
     ENDPOINT_FAILED,
     /** The entry that relayed the request closed the connection or sent an invalid response. */
@@ -40,16 +37,26 @@
 
   private static final int MAX_LINES_PER_SECOND = 20;
 
-  private final EntryNode node;
+  private final Supplier<Configuration> configuration;
   private final GatewayMetrics metrics;
   private final InstantSource clock;
   private Instant secondStart = Instant.EPOCH;
   private int linesInSecond;
   private long unlogged;
 
+  /**
+   * The configuration in use.
+   *
+   * @param version its version
+   * @param since when it became active, by the clock of the reports, if recorded
+   */
+  public record Configuration(long version, Optional<Instant> since) {}
+
   /**
    * One response that was ended.
    *
+   * @param request the id of the request
+   * @param route the route or path of the request
    * @param cause why it was ended
    * @param detail what was observed
    * @param target the last endpoint or entry that the request was sent to, if any
@@ -57,7 +64,9 @@
    * @param lastEvent the id of the last event passed on, if the response is a stream
    * @param age the time since the request arrived
    */
-  record AbortedResponse(
+  public record AbortedResponse(
+      String request,
+      String route,
       Cause cause,
       String detail,
       Optional<String> target,
@@ -65,14 +74,20 @@
       OptionalLong lastEvent,
       Duration age) {}
 
-  AbortedResponses(EntryNode node, GatewayMetrics metrics, InstantSource clock) {
-    this.node = node;
+  /**
+   * Creates the reports of one daemon.
+   *
+   * @param configuration returns the configuration in use, for the log
+   */
+  public AbortedResponses(
+      Supplier<Configuration> configuration, GatewayMetrics metrics, InstantSource clock) {
+    this.configuration = configuration;
     this.metrics = metrics;
     this.clock = clock;
   }
 
   /** Counts a response that was ended and logs it, unless too many lines were written recently. */
-  void report(ForwardRequest request, AbortedResponse aborted) {
+  public synchronized void report(AbortedResponse aborted) {
     String cause = aborted.cause().name().toLowerCase(Locale.ROOT);
     metrics.abortedResponses.labelValues(cause).inc();
     Instant now = clock.instant();
@@ -80,14 +95,14 @@
       unlogged++;
       return;
     }
-    RoutingView routing = node.routing();
+    Configuration inUse = configuration.get();
     LOG.log(
         System.Logger.Level.WARNING,
         "response.aborted",
         "request",
-        request.id(),
+        aborted.request(),
         "route",
-        request.handling().route(),
+        aborted.route(),
         "sender",
         aborted.relayed() ? "entry" : "caller",
         "cause",
@@ -101,9 +116,9 @@
         "millis",
         aborted.age().toMillis(),
         "configVersion",
-        routing.table().version(),
+        inUse.version(),
         "configAgeMillis",
-        Duration.between(routing.tableSince(), now).toMillis(),
+        inUse.since().<Object>map(s -> Duration.between(s, now).toMillis()).orElse("none"),
         "unlogged",
         unlogged);
     unlogged = 0;
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -38,6 +38,10 @@
     CLOSES_CONNECTION_IN_STREAM,
     /** Sends a Content-Length of 100 and 10 bytes of body, and closes the connection. */
     CLOSES_CONNECTION_IN_BODY,
+    /** Sends one event of a stream and never continues. */
+    HANGS_IN_STREAM,
+    /** Sends a Content-Length of 100 and 10 bytes of body, and never continues. */
+    HANGS_IN_BODY,
     /** Responds with status 503. */
     REJECTS,
     /**
@@ -153,6 +157,8 @@
               .putHeader("Content-Length", "100")
               .write("0123456789")
               .onComplete(sent -> request.connection().close());
+      case HANGS_IN_STREAM -> stream(response).write("data: one\n\n");
+      case HANGS_IN_BODY -> response.putHeader("Content-Length", "100").write("0123456789");
       case STREAMS -> stream(response).end("data: one\n\ndata: [DONE]\n\n");
       case REQUESTS_PAUSE -> {
         if (released.isDone()) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
@@ -177,7 +177,9 @@
   @Test
   void endsBrokenStreamWithAnErrorEvent() throws Exception {
     String model = announceModel(FakeEndpoint.Behaviour.CLOSES_CONNECTION_IN_STREAM);
+    final int abortedBefore = abortedByEndpoints();
     String body = chat(model, Optional.empty(), Map.of()).response().body();
+    assertThat(abortedByEndpoints(), is(abortedBefore + 1));
     assertThat(body, containsString("data: one\n\nevent: error\n"));
     assertThat(body, containsString("outcome_unknown"));
     assertThat(body, not(containsString("[DONE]")));
@@ -186,7 +188,20 @@
   @Test
   void closesConnectionOfIncompleteBody() throws Exception {
     String model = announceModel(FakeEndpoint.Behaviour.CLOSES_CONNECTION_IN_BODY);
+    final int abortedBefore = abortedByEndpoints();
     assertThrows(IOException.class, () -> chat(model, Optional.empty(), Map.of()));
+    assertThat(abortedByEndpoints(), is(abortedBefore + 1));
+  }
+
+  /** Returns the number of responses that ended early because of their endpoint. */
+  private int abortedByEndpoints() throws Exception {
+    String metrics = cluster.send(entry, "GET", "/metrics", Map.of(), "").response().body();
+    String name = "lwc_aborted_responses_total{cause=\"endpoint_failed\"} ";
+    return metrics
+        .lines()
+        .filter(line -> line.startsWith(name))
+        .mapToInt(line -> (int) Double.parseDouble(line.substring(name.length())))
+        .sum();
   }
 
   @Test
