A response that has begun at the gateway is not hedged

Callers of lacewingcroftd received a corrupted response when the first event of a stream took longer than the hedge delay after the head: the hedge timer acted although the response had begun, a second endpoint ran the request, and its response was written with the headers of the first ("2e\r\nanswer to ..." where "data: one" is expected). The class of fault is that of the forward path: what is deferred in one step of a call acts in a later one. By the same way a hedge that waited for a crash probe and the retry after the failure of the first send could both be sent; that case was read, not reproduced.

An exchange has steps now, each of which begins with a send, the wait for a retry, or the response. CallSteps moves to the request package, so that both request paths use it. RequestFaultTest.sendsNoHedgeOnceTheResponseHasBegun failed before and passes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -21,6 +21,7 @@
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
 import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.request.CallSteps;
 import org.lacewingcroft.stream.EventSplitter;
 
 /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -110,9 +110,11 @@
     if (exchange.refused() || exchange.responseCommitted() && exchange.claimedKey().isEmpty()) {
       return;
     }
+    exchange.steps().next();
     Optional<Future<Void>> pendingDecision = quarantine.pendingDecision(exchange.fingerprints());
     if (pendingDecision.isPresent()) {
-      pendingDecision.get().onComplete(decided -> send(exchange));
+      Runnable sendAgain = exchange.steps().defer(() -> send(exchange));
+      pendingDecision.get().onComplete(decided -> sendAgain.run());
       return;
     }
     Optional<Duration> quarantined = quarantine.remainingQuarantine(exchange.fingerprints());
@@ -271,22 +273,28 @@
    */
   private boolean scheduleRetry(Exchange exchange) {
     Optional<Duration> delay = extraSends.tryTakeRetry(exchange);
-    delay.ifPresent(d -> vertx.setTimer(Math.max(1, d.toMillis()), id -> send(exchange)));
-    return delay.isPresent();
+    if (delay.isEmpty()) {
+      return false;
+    }
+    exchange.steps().next();
+    Runnable retry = exchange.steps().defer(() -> send(exchange));
+    vertx.setTimer(Math.max(1, delay.get().toMillis()), id -> retry.run());
+    return true;
   }
 
   private void scheduleHedge(Exchange exchange) {
     if (hedgeAfter.isEmpty() || !exchange.request().idempotent() || exchange.attemptCount() > 1) {
       return;
     }
-    vertx.setTimer(
-        hedgeAfter.get().toMillis(),
-        id -> {
-          if (extraSends.tryTakeHedge(exchange)) {
-            exchange.attempts().forEach(a -> exchange.excludedTargets().add(a.target()));
-            send(exchange);
-          }
-        });
+    Runnable hedge = exchange.steps().defer(() -> sendHedge(exchange));
+    vertx.setTimer(hedgeAfter.get().toMillis(), id -> hedge.run());
+  }
+
+  private void sendHedge(Exchange exchange) {
+    if (extraSends.tryTakeHedge(exchange)) {
+      exchange.attempts().forEach(a -> exchange.excludedTargets().add(a.target()));
+      send(exchange);
+    }
   }
 
   private void onResponse(
@@ -319,6 +327,7 @@
         && retryOnOtherTarget(exchange, attempt)) {
       return;
     }
+    exchange.steps().next();
     exchange.cancelAttemptsExcept(Optional.of(attempt));
     relayFactory.create(exchange, attempt, response).start();
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.lacewingcroft.request.CallSteps;
 import org.lacewingcroft.request.CallerRequest;
 import org.lacewingcroft.request.RequestFingerprints;
 
@@ -29,6 +30,7 @@
   private final long startNanos = System.nanoTime();
   private final Set<String> excludedTargets = new HashSet<>();
   private final List<Attempt> attempts = new ArrayList<>();
+  private final CallSteps steps = new CallSteps();
   private Optional<String> claimedKey = Optional.empty();
   private int possibleRuns;
   private boolean refused;
@@ -109,6 +111,11 @@
     claimedKey = Optional.of(key);
   }
 
+  /** Returns the steps of this exchange, each of which begins with a send or with the response. */
+  CallSteps steps() {
+    return steps;
+  }
+
   /** Adds an attempt to send the request to an endpoint or to another entry. */
   void addAttempt(Attempt attempt) {
     attempts.add(attempt);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -38,6 +38,8 @@
     CLOSES_CONNECTION_IN_STREAM,
     /** Sends a Content-Length of 100 and 10 bytes of body, and closes the connection. */
     CLOSES_CONNECTION_IN_BODY,
+    /** Sends a part of the first event of a stream, and the rest after {@link #PAUSE_MILLIS}. */
+    PAUSES_IN_EVENT,
     /** Sends one event of a stream and never continues. */
     HANGS_IN_STREAM,
     /** Sends a Content-Length of 100 and 10 bytes of body, and never continues. */
@@ -58,6 +60,9 @@
   /** The pause that an endpoint requests by {@code Retry-After}. */
   static final int PAUSE_SECONDS = 3;
 
+  /** Longer than the time after which the tests hedge. */
+  private static final long PAUSE_MILLIS = 700;
+
   private static final long RESTART_DELAY_MILLIS = 200;
 
   private final Vertx vertx;
@@ -157,6 +162,10 @@
               .putHeader("Content-Length", "100")
               .write("0123456789")
               .onComplete(sent -> request.connection().close());
+      case PAUSES_IN_EVENT -> {
+        stream(response).write("data: o");
+        vertx.setTimer(PAUSE_MILLIS, timer -> response.end("ne\n\n"));
+      }
       case HANGS_IN_STREAM -> stream(response).write("data: one\n\n");
       case HANGS_IN_BODY -> response.putHeader("Content-Length", "100").write("0123456789");
       case STREAMS -> stream(response).end("data: one\n\ndata: [DONE]\n\n");
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/RequestFaultTest.java
@@ -185,6 +185,16 @@
     assertThat(body, not(containsString("[DONE]")));
   }
 
+  /** Guards against a hedge for a response that is arriving, whose head would mix with its own. */
+  @Test
+  void sendsNoHedgeOnceTheResponseHasBegun() throws Exception {
+    String model =
+        announceModel(FakeEndpoint.Behaviour.PAUSES_IN_EVENT, FakeEndpoint.Behaviour.RESPONDS);
+    TestCluster.Reply reply = chat(model, Optional.empty(), Map.of());
+    assertThat(reply.response().body(), is("data: one\n\n"));
+    assertThat(totalRuns(), is(1));
+  }
+
   @Test
   void closesConnectionOfIncompleteBody() throws Exception {
     String model = announceModel(FakeEndpoint.Behaviour.CLOSES_CONNECTION_IN_BODY);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallSteps.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/request/CallSteps.java
@@ -1,4 +1,4 @@
-package org.lacewingcroft.forward;
+package org.lacewingcroft.request;
 
 /**
  * The steps of one call, of which exactly one is current: waiting for a target, waiting for the
@@ -7,27 +7,28 @@
  *
  * <p>Confined to the event loop thread.
  */
-final class CallSteps {
+public final class CallSteps {
   private long current;
   private boolean ended;
 
   /** Begins the next step, which ends the current one. */
-  void next() {
+  public void next() {
     current++;
   }
 
   /** Ends the call and its current step. */
-  void end() {
+  public void end() {
     current++;
     ended = true;
   }
 
-  boolean isEnded() {
+  /** Returns whether {@link #end} was called. */
+  public boolean isEnded() {
     return ended;
   }
 
   /** Returns an action that runs the given one unless the current step has ended by then. */
-  Runnable defer(Runnable action) {
+  public Runnable defer(Runnable action) {
     long step = current;
     return () -> {
       if (step == current) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CallStepsTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/request/CallStepsTest.java
@@ -1,4 +1,4 @@
-package org.lacewingcroft.forward;
+package org.lacewingcroft.request;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
