--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayEntryEndsTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayEntryEndsTest.java
@@ -102,7 +102,7 @@
     List<FleetHarness.Entry> relays = new ArrayList<>();
     try (FleetHarness fleet = new FleetHarness(folder, Map.of(1L, table));
         ScriptedEndpoints endpoints = new ScriptedEndpoints(fleet.vertx(), 3, script)) {
-      FleetHarness.Entry entry = fleet.startEntry("north", "north");
+      final FleetHarness.Entry entry = fleet.startEntry("north", "north");
       for (int i = 0; i < (other == Other.ENTRY ? 2 : 1); i++) {
         relayLoops.add(Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)));
         relays.add(fleet.startEntryOn(relayLoops.get(i), "south" + i, "south"));
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SilentEndpointTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/SilentEndpointTest.java
@@ -102,7 +102,7 @@
         ScriptedEndpoints endpoints =
             new ScriptedEndpoints(fleet.vertx(), testCase.endpointCount(), testCase.script())) {
       FleetHarness.Entry entry = fleet.startEntry("north", "north");
-      FleetHarness.Entry remote = fleet.startEntry("south", "south");
+      final FleetHarness.Entry remote = fleet.startEntry("south", "south");
       fleet.activateRouteTable(1);
       for (int port : endpoints.ports()) {
         fleet.keepAnnouncing("e" + port, SERVICE, testCase.endpointRegion(), port);
