--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/EntryGateway.java
@@ -178,18 +178,28 @@
   }
 
   private Future<Void> abort(Exchange exchange) {
-    Promise<Void> written = Promise.promise();
+    Promise<Void> done = Promise.promise();
     exchange.runOnEventLoop(
         () -> {
-          exchange.refuse();
-          if (!exchange.responseCommitted()) {
-            exchange.response().putHeader("Connection", "close");
+          try {
+            endForShutdown(exchange);
+          } finally {
+            done.complete();
           }
-          reply.sendNotRun(
-              exchange, ErrorKind.SHUTTING_DOWN, Cause.SHUTDOWN, "the entry shut down");
-          written.complete();
         });
-    return written.future();
+    return done.future();
+  }
+
+  private void endForShutdown(Exchange exchange) {
+    // The response may have ended since the exchange was found in flight.
+    if (exchange.response().ended()) {
+      return;
+    }
+    exchange.refuse();
+    if (!exchange.responseCommitted()) {
+      exchange.response().putHeader("Connection", "close");
+    }
+    reply.sendNotRun(exchange, ErrorKind.SHUTTING_DOWN, Cause.SHUTDOWN, "the entry shut down");
   }
 
   /** Returns whether the daemon is shutting down. */
