--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ResponseTimer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ResponseTimer.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import org.lacewingcroft.fleet.EventLoopMonitor;
+import org.lacewingcroft.request.CallSteps;
 
 /**
  * The timer of a call that fires when its target has sent no data for some time. On a late event
