--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -397,7 +397,8 @@
 
   /**
    * Handles an attempt whose target has sent no data for a timeout period. The attempt is given up
-   * for another target only; a target that is merely slow may still complete the response.
+   * only for another target, since one that is merely slow may still complete the response, or if
+   * the request is suspected of crashing endpoints and nothing has been sent to the caller.
    */
   private void onSilent(Attempt attempt, Duration timeout, int periodsLeft) {
     if (!mayRunAgainAfter(attempt)) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -41,6 +41,8 @@
     HANG,
     /** Responds late; the endpoint sends nothing on other connections either meanwhile. */
     SLOW,
+    /** Sends the head and then a body, byte by byte. */
+    SLOW_BODY,
     /** Sends a body without length that ends when the connection is closed. */
     UNFRAMED,
     /** Sends a part of a body without length and resets the connection. */
@@ -71,6 +73,9 @@
   /** Delay of the response of {@link Action#SLOW} and within {@link Action#STREAM_STALLS}. */
   static final int SLOW_RESPONSE_DELAY_MILLIS = 1_600;
 
+  /** Interval between the bytes of {@link Action#SLOW_BODY}. */
+  private static final long BYTE_INTERVAL_MILLIS = 800;
+
   private static final int LAST_EVENT_ID = 3;
 
   /** Actions that end the connection regularly, which marks the end of a body. */
@@ -152,6 +157,7 @@
           vertx.setTimer(
               SLOW_RESPONSE_DELAY_MILLIS,
               t -> socket.write("HTTP/1.1 200 OK\r\n" + signedHeaders + lengthAndBody));
+      case SLOW_BODY -> writeSlowly(socket, "HTTP/1.1 200 OK\r\n" + signedHeaders);
       case UNFRAMED ->
           socket
               .write("HTTP/1.1 200 OK\r\n" + signedHeaders + "\r\ndone")
@@ -186,6 +192,14 @@
     }
   }
 
+  private void writeSlowly(NetSocket socket, String head) {
+    socket.write(head + "Content-Length: 4\r\n\r\n");
+    for (int i = 0; i < 4; i++) {
+      String next = "done".substring(i, i + 1);
+      vertx.setTimer(BYTE_INTERVAL_MILLIS * (i + 1), t -> socket.write(next));
+    }
+  }
+
   /** Writes a stream without length or chunks and closes the connection. */
   private void writeUnframed(NetSocket socket, String signedHeaders, String events) {
     socket
