--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -25,6 +25,7 @@
 import org.lacewingcroft.fleet.EntryShutdown;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.AbortedResponses;
 import org.lacewingcroft.http.CallerConnections;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.limit.FairShares;
@@ -59,6 +60,9 @@
    */
   private static final Duration KEY_CHECK_RETRY_AFTER = Duration.ofSeconds(1);
 
+  /** Retry delay sent while this entry shuts down: other entries can serve the request now. */
+  private static final Duration SHUTDOWN_RETRY_AFTER = Duration.ZERO;
+
   /** Retry delay sent before this entry has received its first routes. */
   private static final Duration STARTUP_RETRY_AFTER = Duration.ofMillis(500);
 
@@ -111,7 +115,7 @@
             settings.region(),
             metrics,
             clock,
-            new AbortedResponses(node, metrics, clock),
+            new AbortedResponses(this::configuration, metrics, clock),
             ConcurrentHashMap.newKeySet());
     settings
         .capacity()
@@ -205,6 +209,11 @@
     return node.routing().table().limits();
   }
 
+  private AbortedResponses.Configuration configuration() {
+    return new AbortedResponses.Configuration(
+        node.routing().table().version(), Optional.of(node.routing().tableSince()));
+  }
+
   /** Returns the port at which the public server listens. */
   int publicPort() {
     return publicServer.actualPort();
@@ -226,6 +235,9 @@
     CallerResponse response = new CallerResponse(request, false);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
+    if (refuseAtShutdown(response)) {
+      return;
+    }
     if (node.routing().revision() == 0) {
       response.sendError(503, "no routes are known yet", true, Optional.of(STARTUP_RETRY_AFTER));
       return;
@@ -267,6 +279,16 @@
     }
   }
 
+  /** Refuses a request that may not complete before this entry ends; returns whether it did. */
+  private boolean refuseAtShutdown(CallerResponse response) {
+    if (node.admitsRequests()) {
+      return false;
+    }
+    response.closeConnectionAfterResponse();
+    response.sendError(503, "this entry is shutting down", true, Optional.of(SHUTDOWN_RETRY_AFTER));
+    return true;
+  }
+
   private Handling handlingOf(Route route, CallerAccess.Granted access)
       throws CallerAccess.NoRegionException {
     String service = route.pickService(ThreadLocalRandom.current().nextDouble());
@@ -421,6 +443,9 @@
     node.requestArrived();
     CallerResponse response = new CallerResponse(request, true);
     request.exceptionHandler(e -> {});
+    if (refuseAtShutdown(response)) {
+      return;
+    }
     try {
       String id = request.getHeader(headerNames.requestId());
       boolean verified =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -14,13 +14,15 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
-import org.lacewingcroft.forward.AbortedResponses.AbortedResponse;
-import org.lacewingcroft.forward.AbortedResponses.Cause;
+import org.lacewingcroft.fleet.RequestQuarantine;
+import org.lacewingcroft.http.AbortedResponses.AbortedResponse;
+import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
 import org.lacewingcroft.placement.PlacementRequest;
+import org.lacewingcroft.request.CallSteps;
 import org.lacewingcroft.stream.EventSplitter;
 
 /**
@@ -30,8 +32,8 @@
  * <p>A request that no endpoint has run may always be sent to another target. A request that an
  * endpoint may have run is sent again only if it is idempotent, and only within the maximum number
  * of attempts of its route and the fleet-wide budget of extra sends. A stream is resumed after the
- * last complete event that the caller has received. A status that guarantees that the request has
- * not run is used only if no endpoint can have run it.
+ * last complete event that the caller has received, as soon as there is a target for it. A status
+ * that guarantees that the request has not run is used only if no endpoint can have run it.
  *
  * <p>Confined to the event loop thread.
  */
@@ -42,6 +44,9 @@
    */
   private static final long DISCOVERY_POLL_INTERVAL_MILLIS = 50;
 
+  /** Interval at which a started stream without a target is placed again. */
+  private static final long RESUMPTION_POLL_INTERVAL_MILLIS = 500;
+
   /** Maximum number of targets that a request is sent to, including those that did not run it. */
   private static final int MAX_SENDS = 4;
 
@@ -80,18 +85,20 @@
   private final Set<String> excludedTargets = new HashSet<>();
   private final Set<String> excludedRegions = new HashSet<>();
   private final CallSteps steps = new CallSteps();
+  private final ResponseTimer responseTimer;
+  private final TargetSearch targetSearch;
   private Optional<UpstreamAttempt> currentAttempt = Optional.empty();
   private int sends;
   private int runs;
   private int totalRefusalCount;
   private boolean mayHaveRun;
   private boolean streaming;
+  private boolean awaitingResumption;
   private OptionalLong lastEventId;
   private Optional<EndpointError> endpointError = Optional.empty();
   private String servedBy = "none";
   private long firstByteMillis = -1;
   private long deadlineTimer;
-  private long responseTimer;
 
   /**
    * A server error of an endpoint, sent to the caller unless another endpoint responds without one.
@@ -119,6 +126,8 @@
     this.relayed = relayed;
     this.requestLog = new RequestLog(request);
     this.lastEventId = request.lastEventId();
+    this.responseTimer = new ResponseTimer(context.vertx(), context.eventLoop(), steps);
+    this.targetSearch = new TargetSearch(context, request, relayed);
   }
 
   void start() {
@@ -165,16 +174,44 @@
       relay(toRegion, placementRequest);
     } else if (placement instanceof Placement.Refused refused) {
       if (refused.reason() == Placement.Reason.NO_ENDPOINT && mayWaitForDiscovery()) {
-        placeLater();
+        placeAfter(DISCOVERY_POLL_INTERVAL_MILLIS);
+      } else if (mayAwaitResumption()) {
+        if (!awaitingResumption) {
+          requestLog.logRefused(refused, excludedTargets, context.node().routing().revision());
+        }
+        awaitResumption();
       } else {
         refuse(refused);
       }
     }
   }
 
-  private void placeLater() {
+  private void placeAfter(long delayMillis) {
     Runnable placeAgain = steps.defer(this::place);
-    context.vertx().setTimer(DISCOVERY_POLL_INTERVAL_MILLIS, id -> placeAgain.run());
+    context.vertx().setTimer(delayMillis, id -> placeAgain.run());
+  }
+
+  /**
+   * Returns whether a call without a target should wait for one until its response is due: its
+   * started stream may be resumed and could otherwise only be aborted.
+   */
+  private boolean mayAwaitResumption() {
+    return response.isHeadWritten()
+        && !relayed
+        && request.handling().isIdempotent()
+        && runs < request.handling().maxAttempts();
+  }
+
+  /**
+   * Places the call again after a while, also at the targets that it has been sent to: those that
+   * ended may have been replaced by then.
+   */
+  private void awaitResumption() {
+    steps.next();
+    awaitingResumption = true;
+    excludedTargets.clear();
+    excludedRegions.clear();
+    placeAfter(RESUMPTION_POLL_INTERVAL_MILLIS);
   }
 
   private void sendToEndpoint(Placement.ToEndpoint placement, PlacementRequest placementRequest) {
@@ -229,7 +266,7 @@
    */
   private void handleNoRelayEntry(String region) {
     if (context.node().entriesOf(region).isEmpty() && mayWaitForDiscovery()) {
-      placeLater();
+      placeAfter(DISCOVERY_POLL_INTERVAL_MILLIS);
     } else {
       excludedRegions.add(region);
       place();
@@ -269,6 +306,7 @@
 
   private void send(UpstreamTarget target, double expectedMillis) {
     steps.next();
+    awaitingResumption = false;
     sends++;
     Attempt attempt = new Attempt(target);
     currentAttempt = Optional.of(attempt.upstream);
@@ -343,63 +381,73 @@
    * granted {@link #MAX_TIMEOUT_PERIODS} timeout periods.
    */
   private void startResponseTimer(Attempt attempt, double expectedMillis) {
-    context.vertx().cancelTimer(responseTimer);
+    responseTimer.cancel();
     if (!request.handling().isIdempotent() || relayed) {
       return;
     }
-    long timeoutMillis =
-        MIN_RESPONSE_TIMEOUT.toMillis() + Math.round(2 * Math.min(5_000, expectedMillis));
-    startResponseTimer(attempt, timeoutMillis, MAX_TIMEOUT_PERIODS);
+    attempt.silentSince = context.now();
+    Duration timeout =
+        MIN_RESPONSE_TIMEOUT.plusMillis(Math.round(2 * Math.min(5_000, expectedMillis)));
+    startResponseTimer(attempt, timeout, MAX_TIMEOUT_PERIODS);
   }
 
-  private void startResponseTimer(Attempt attempt, long timeoutMillis, int periodsLeft) {
-    Runnable action = steps.defer(() -> onSilent(attempt, timeoutMillis, periodsLeft));
-    responseTimer = context.vertx().setTimer(timeoutMillis, id -> action.run());
+  private void startResponseTimer(Attempt attempt, Duration timeout, int periodsLeft) {
+    responseTimer.start(timeout, () -> onSilent(attempt, timeout, periodsLeft));
   }
 
-  /** Handles an attempt whose target has sent no data for a timeout period. */
-  private void onSilent(Attempt attempt, long timeoutMillis, int periodsLeft) {
+  /**
+   * Handles an attempt whose target has sent no data for a timeout period. The attempt is given up
+   * for another target only; a target that is merely slow may still complete the response.
+   */
+  private void onSilent(Attempt attempt, Duration timeout, int periodsLeft) {
     if (!mayRunAgainAfter(attempt)) {
       return;
     }
-    UpstreamAttempt upstream = attempt.upstream;
+    UpstreamTarget target = attempt.upstream.target();
     boolean respondsToOthers =
-        upstream.target().endpoint().filter(e -> e.isResponding(context.now())).isPresent();
-    String detail = "silent for " + timeoutMillis * (MAX_TIMEOUT_PERIODS - periodsLeft + 1);
+        target.endpoint().filter(e -> e.isResponding(context.now())).isPresent();
     if (respondsToOthers && periodsLeft > 1) {
-      startResponseTimer(attempt, timeoutMillis, periodsLeft - 1);
-    } else if (!response.isHeadWritten()) {
-      // The caller receives an error, after which it may send the request again.
-      abandon(upstream, Outcome.FAILED);
-      handleIncompleteResponse(attempt, detail);
-    } else if (sends < MAX_SENDS && hasOtherTarget(upstream) && tryTakeExtraSend()) {
-      abandon(upstream, Outcome.FAILED);
+      startResponseTimer(attempt, timeout, periodsLeft - 1);
+    } else if (response.isHeadWritten() ? mayMoveStream(target) : mayEndUnanswered(target)) {
+      long silentMillis = Duration.between(attempt.silentSince, context.now()).toMillis();
+      abandon(attempt.upstream, Outcome.FAILED);
+      handleSilent(attempt, "silent for " + silentMillis);
+    } else {
+      // Longer and longer periods limit the cost of many requests at an endpoint that is down.
+      startResponseTimer(attempt, timeout.multipliedBy(2), 1);
+    }
+  }
+
+  /** Returns whether a started stream can continue elsewhere; takes the extra send if it can. */
+  private boolean mayMoveStream(UpstreamTarget target) {
+    return !isHeldByQuarantine()
+        && sends < MAX_SENDS
+        && targetSearch.hasOtherTarget(target, excludedTargets, excludedRegions)
+        && tryTakeExtraSend();
+  }
+
+  /**
+   * Returns whether a request of which the caller has received nothing should not wait for its
+   * target any longer. The caller may then send it again, also if this entry may not.
+   */
+  private boolean mayEndUnanswered(UpstreamTarget target) {
+    return isHeldByQuarantine()
+        || targetSearch.hasOtherTarget(target, excludedTargets, excludedRegions);
+  }
+
+  private void handleSilent(Attempt attempt, String detail) {
+    if (response.isHeadWritten()) {
       recordIncompleteResponse(attempt, detail);
       place();
     } else {
-      // A started response could only be cut; the target may be slow and still complete it.
-      startResponseTimer(attempt, timeoutMillis, periodsLeft);
+      handleIncompleteResponse(attempt, detail);
     }
   }
 
-  /** Returns whether placement finds another target for the request while an attempt runs. */
-  private boolean hasOtherTarget(UpstreamAttempt running) {
-    if (context.node().quarantine().pendingDecision(request.fingerprints()).isPresent()) {
-      return false;
-    }
-    Set<String> targets = new HashSet<>(excludedTargets);
-    targets.add(running.target().name());
-    Set<String> regions = new HashSet<>(excludedRegions);
-    regionWithoutRelay(running, targets).ifPresent(regions::add);
-    Placement placement =
-        context
-            .node()
-            .place(
-                request.toPlacementRequest(context.now(), targets),
-                relayed,
-                request.handling().allowedRegions(),
-                regions);
-    return !(placement instanceof Placement.Refused);
+  private boolean isHeldByQuarantine() {
+    RequestQuarantine quarantine = context.node().quarantine();
+    return quarantine.pendingDecision(request.fingerprints()).isPresent()
+        || quarantine.isQuarantined(request.fingerprints());
   }
 
   /** Returns whether another endpoint may run the request if this attempt fails. */
@@ -413,6 +461,7 @@
   /** Handles the response of one attempt. */
   private final class Attempt implements UpstreamAttempt.Listener {
     private final UpstreamAttempt upstream;
+    private Instant silentSince = Instant.EPOCH;
     private boolean countedAsRun;
     private int status;
     private List<Map.Entry<String, String>> headers = List.of();
@@ -527,6 +576,7 @@
     @Override
     public void onBody(Buffer chunk) {
       context.eventLoop().activity();
+      startResponseTimer(this, 0);
       if (eventSplitter.isEmpty()) {
         body.appendBuffer(chunk);
         return;
@@ -538,14 +588,24 @@
       if (completeEvents.length > 0) {
         eventsReceived = true;
         response.write(completeEvents);
-        startResponseTimer(this, 0);
         if (response.isWriteQueueFull()) {
-          upstream.pause();
-          response.onWriteQueueDrained(upstream::resume);
+          pauseUntilDrained();
         }
       }
     }
 
+    /** Stops reading until the caller has read; the target is not silent meanwhile. */
+    private void pauseUntilDrained() {
+      upstream.pause();
+      responseTimer.cancel();
+      response.onWriteQueueDrained(
+          steps.defer(
+              () -> {
+                upstream.resume();
+                startResponseTimer(this, 0);
+              }));
+    }
+
     /** Records the output tokens of new events in the load tracking of the endpoint. */
     private void recordEvents(long count) {
       if (count > 0) {
@@ -715,20 +775,9 @@
    */
   private void excludeTarget(UpstreamAttempt attempt) {
     excludedTargets.add(attempt.target().name());
-    regionWithoutRelay(attempt, excludedTargets).ifPresent(excludedRegions::add);
-  }
-
-  /**
-   * Returns the region of the entry that an attempt was sent to, if it has no entry left to relay
-   * to.
-   */
-  private Optional<String> regionWithoutRelay(UpstreamAttempt attempt, Set<String> excluded) {
-    String service = request.handling().service();
-    return attempt
-        .target()
-        .entry()
-        .map(EntryInfo::region)
-        .filter(r -> context.node().relayTargets(r, service, excluded).isEmpty());
+    targetSearch
+        .regionWithoutRelay(attempt.target(), excludedTargets)
+        .ifPresent(excludedRegions::add);
   }
 
   /**
@@ -740,6 +789,8 @@
   private void sendToAnotherTarget(String detail, boolean budgetExempt) {
     if (sends < MAX_SENDS && (budgetExempt ? recordExemptSend() : tryTakeExtraSend())) {
       place();
+    } else if (budgetExempt && mayAwaitResumption()) {
+      awaitResumption();
     } else if (streaming || mayHaveRun) {
       finishWithError(Cause.NO_RESEND, BAD_GATEWAY, detail, Optional.empty());
     } else {
@@ -876,8 +927,9 @@
     context
         .abortedResponses()
         .report(
-            request,
             new AbortedResponse(
+                request.id(),
+                request.handling().route(),
                 cause,
                 detail,
                 currentAttempt.map(a -> a.target().name()),
@@ -895,7 +947,7 @@
     context.inFlight().remove(this);
     Vertx vertx = context.vertx();
     vertx.cancelTimer(deadlineTimer);
-    vertx.cancelTimer(responseTimer);
+    responseTimer.cancel();
     long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
     context.recordFinished(status, outcome, millis, firstByteMillis);
     requestLog.logFinished(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.gateway;
 
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
@@ -9,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.lacewingcroft.request.CallSteps;
 import org.lacewingcroft.request.CallerRequest;
 import org.lacewingcroft.request.RequestFingerprints;
 
@@ -23,9 +26,11 @@
   private final String requestId;
   private final HopAuthenticator.Hop hop;
   private final Instant deadline;
+  private final Context eventLoop = Vertx.currentContext();
   private final long startNanos = System.nanoTime();
   private final Set<String> excludedTargets = new HashSet<>();
   private final List<Attempt> attempts = new ArrayList<>();
+  private final CallSteps steps = new CallSteps();
   private Optional<String> claimedKey = Optional.empty();
   private int possibleRuns;
   private boolean refused;
@@ -45,6 +50,11 @@
     this.deadline = now.plus(request.timeout());
   }
 
+  /** Runs an action on the event loop thread of this exchange. */
+  void runOnEventLoop(Runnable action) {
+    eventLoop.runOnContext(v -> action.run());
+  }
+
   RoutingContext context() {
     return context;
   }
@@ -80,6 +90,10 @@
     return (System.nanoTime() - startNanos) / 1e9;
   }
 
+  Duration elapsed() {
+    return Duration.ofNanos(System.nanoTime() - startNanos);
+  }
+
   /**
    * Returns the ids of the endpoints and the names of the regions that are excluded for this
    * request, because an attempt there failed or, for a hedge, is still in progress. The set is
@@ -97,11 +111,23 @@
     claimedKey = Optional.of(key);
   }
 
+  /** Returns the steps of this exchange, each of which begins with a send or with the response. */
+  CallSteps steps() {
+    return steps;
+  }
+
   /** Adds an attempt to send the request to an endpoint or to another entry. */
   void addAttempt(Attempt attempt) {
     attempts.add(attempt);
   }
 
+  /** Returns the target of the latest attempt, if any was made. */
+  Optional<String> lastTarget() {
+    return attempts.isEmpty()
+        ? Optional.empty()
+        : Optional.of(attempts.get(attempts.size() - 1).target());
+  }
+
   /** Returns the number of attempts made, including live ones. */
   int attemptCount() {
     return attempts.size();
