--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/EndMarker.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/EndMarker.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 
 /**
- * A small file in the data folder from which the next process of an instance can tell how this one
+ * A small file in the data folder by which the next process of an instance determines how this one
  * ended: {@code running} from the start on, replaced by {@code stopped} or {@code failed}.
  *
  * <p>The file has one line: the state, the start of the process and the time of writing in Unix
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/PreviousEnd.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/PreviousEnd.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * How the previous process of an instance ended, as far as its marker file tells.
+ * How the previous process of an instance ended, as recorded in its marker file.
  *
  * @param cause {@code first_start}, {@code stopped}, {@code failed: <error>}, {@code not_recorded}
  *     after a kill, a power loss or a wiped disk, or {@code unknown}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogWriter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogWriter.java
@@ -98,7 +98,7 @@
     try {
       writeLines();
     } catch (IOException | OutOfMemoryError e) {
-      // The thread goes on: without it, the lines that tell of an exhausted heap would be lost.
+      // The thread goes on: without it, the lines that report an exhausted heap would be lost.
       dropped.addAndGet(batch.size());
     } finally {
       pending.addAndGet(-batch.size());
