--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,9 +13,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MAX_BODY_BYTES = 4194304  # limits.maxBodyBytes of the example on the pages
 BODY_BYTES = 4000000
-UPLOAD_S = 3.0  # about 10 Mbit/s for each client
+UPLOAD_S = 4.0  # 8 Mbit/s for each client
 PER_S = 16  # 18.7 a second in three regions, times 2.5 (burst)
-BURST_S = 4.0
+BURST_S = 6.0
 TIMEOUT_S = 5.0  # timeoutMs of the route
 SMALL = 40
 
