End every process that a review script has started

Seen: a control process was left over after a script was ended early.

Cause: the thread that restarts processes could start one while the script ended the others.

Result: review/1/run.sh exited with 1 as before, and no process was left.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -142,6 +142,7 @@
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL)
+            self.fleet.started.append(self.process)
 
     def start(self):
         self.wanted = True
@@ -171,6 +172,7 @@
 class Fleet:
     def __init__(self, record, controls=5, entries_per_region=1):
         self.record = record
+        self.started, self.watcher = [], None
         self.folder = tempfile.mkdtemp(prefix="review-")
         net = self._free_network(controls + 3 * entries_per_region)
         zones = list(ZONES)
@@ -204,7 +206,8 @@
     def start(self):
         for i in self.instances():
             i.start()
-        threading.Thread(target=self._watch, daemon=True).start()
+        self.watcher = threading.Thread(target=self._watch, daemon=True)
+        self.watcher.start()
 
     def _watch(self):
         while not self.closing:
@@ -223,9 +226,12 @@
 
     def close(self):
         self.closing = True
-        for i in self.instances():
-            if i.process is not None:
-                i.kill()
+        if self.watcher is not None:
+            self.watcher.join(5)
+        for process in self.started:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
