--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -20,11 +20,15 @@
 TIME_LIMIT_S = 112  # with the clean-up, a script ends within 120 s
 
 
+class TimeLimitError(Exception):
+    """The script has to end; not an OSError, so that no call takes it for a failed connection."""
+
+
 def run_case(main):
     """Runs a case and exits with its status: 0 held, 1 broken, 2 could not run. An error of the
     script or its time limit is no broken rule; the case has ended its processes by then."""
     def stop(number, frame):
-        raise TimeoutError("signal %d" % number)
+        raise TimeLimitError("signal %d" % number)
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGALRM, stop)
