Let a new control instance learn of all others from hello messages

What callers saw: after a control instance had been replaced for good, the loss of two disks ended the control group.

Cause: the settings of a new instance name the seeds only, and no instance read the addresses that a hello message carries. A leader that is not a seed never heard of the newcomer and never replicated to it, so the lost instance remained a member.

Change: ControlPeers. An instance sends a hello to each one that a hello names, at once when it learns of it. It counts an instance as known, names it to others and admits it only after that instance's own hello, so that a removed one is not remembered by hearsay.

Why it works: the seed answers the newcomer's hello with its own, which names all instances the seed hears from, the leader among them; the newcomer's hello then reaches the leader. That takes two round trips, whichever member leads.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -8,7 +8,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -94,7 +93,7 @@
   private final OrderRelay orders;
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, TrackedEntry> entries = new TreeMap<>();
-  private final Map<String, Instant> lastHelloAt = new HashMap<>();
+  private final ControlPeers peers;
   private final Map<String, EndpointRecord> pendingAnnouncements = new TreeMap<>();
   private final DepartureReplicator departures;
   private final UpdateAggregator aggregator;
@@ -161,6 +160,7 @@
     this.clock = clock;
     this.startedAt = clock.instant();
     this.seeds = settings.seedPeers();
+    this.peers = new ControlPeers(settings.peerAddress(), PEER_RETENTION);
     this.transport = new FleetTransport(context, settings);
     metrics.registerPeerTraffic(transport.traffic());
     this.departures = new DepartureReplicator(vertx, settings.peerAddress(), transport);
@@ -514,27 +514,30 @@
 
   private List<String> knownControls() {
     Set<String> known = new TreeSet<>(control.view().members());
-    known.addAll(lastHelloAt.keySet());
+    known.addAll(peers.known());
     known.add(settings.peerAddress());
     return List.copyOf(known);
   }
 
   private void sendHello() {
     Instant now = clock.instant();
-    lastHelloAt.values().removeIf(at -> at.plus(PEER_RETENTION).isBefore(now));
+    peers.expire(now);
     entries.values().removeIf(e -> e.lastReportAt.plus(PEER_RETENTION).isBefore(now));
     activeEntries.retain(entries.keySet());
     Set<String> targets = new TreeSet<>(knownControls());
+    targets.addAll(peers.contacted());
     targets.addAll(seeds);
     targets.remove(settings.peerAddress());
     suspicions.expireAndSave();
-    FleetMessage hello =
-        new FleetMessage.ControlHello(
-            settings.peerAddress(), suspicions.recurringDigest(), knownControls());
-    targets.forEach(t -> transport.send(t, hello));
+    transport.sendAll(targets, hello());
     expireLeases(now);
   }
 
+  private FleetMessage hello() {
+    return new FleetMessage.ControlHello(
+        settings.peerAddress(), suspicions.recurringDigest(), knownControls());
+  }
+
   private void expireLeases(Instant now) {
     boolean inMajority = control.view().inMajority();
     if (inMajority && !hadMajority) {
@@ -552,7 +555,11 @@
   }
 
   private void onControlHello(FleetMessage.ControlHello hello) {
-    lastHelloAt.put(hello.from(), clock.instant());
+    Set<String> learned = peers.onHello(hello.from(), hello.controls(), clock.instant());
+    if (!learned.isEmpty()) {
+      LOG.log(System.Logger.Level.INFO, "control.learned", "peers", learned, "from", hello.from());
+      transport.sendAll(learned, hello());
+    }
     control.admit(hello.from());
     suspicions.compare(hello);
   }
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ControlPeers.java
@@ -0,0 +1,82 @@
+package org.lacewingcroft.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The control instances that one control instance has learned of from hello messages ({@link
+ * FleetMessage.ControlHello}), on its own or from others.
+ *
+ * <p>An instance that starts is told the addresses of a few seeds only. It learns of the others
+ * because a hello names the instances that its sender hears from, and each instance sends a hello
+ * to those it has been told of. An instance counts as known only once it has sent a hello itself:
+ * if what others say were passed on, instances that no longer run would keep each other's memory of
+ * one that has been removed.
+ *
+ * <p>Not thread-safe: confined to the control instance's event loop thread.
+ */
+public final class ControlPeers {
+  private final String self;
+  private final Duration retention;
+  private final Map<String, Instant> lastHelloAt = new HashMap<>();
+  private final Map<String, Instant> lastNamedAt = new HashMap<>();
+
+  /**
+   * Creates a tracker that knows no instance yet.
+   *
+   * @param self the peer address of this instance
+   * @param retention time after which an instance that sends no hello, or is no longer named by
+   *     others, is forgotten
+   */
+  public ControlPeers(String self, Duration retention) {
+    this.self = self;
+    this.retention = retention;
+  }
+
+  /**
+   * Records a hello message.
+   *
+   * @param from the peer address of its sender
+   * @param named the peer addresses of the instances that it names
+   * @return the instances learned of with this message, which should be sent a hello at once
+   */
+  public Set<String> onHello(String from, Collection<String> named, Instant now) {
+    Set<String> learned = new TreeSet<>();
+    if (!contacted().contains(from)) {
+      learned.add(from);
+    }
+    lastHelloAt.put(from, now);
+    for (String address : named) {
+      if (!address.equals(self)) {
+        if (!contacted().contains(address)) {
+          learned.add(address);
+        }
+        lastNamedAt.put(address, now);
+      }
+    }
+    return learned;
+  }
+
+  /** Forgets the instances of which nothing has been heard for the retention time. */
+  public void expire(Instant now) {
+    lastHelloAt.values().removeIf(at -> at.plus(retention).isBefore(now));
+    lastNamedAt.values().removeIf(at -> at.plus(retention).isBefore(now));
+  }
+
+  /** Returns the instances that have sent a hello themselves. */
+  public Set<String> known() {
+    return new TreeSet<>(lastHelloAt.keySet());
+  }
+
+  /** Returns the instances to send hello messages to: those known and those named by others. */
+  public Set<String> contacted() {
+    Set<String> contacted = known();
+    contacted.addAll(lastNamedAt.keySet());
+    return contacted;
+  }
+}
