Limit the control group's log by its size, and start with little memory

What callers saw: after 93 to 115 acknowledged changes of a configuration of 365 KB all control instances were killed, and none started again: each ended with OutOfMemoryError, was restarted and ended again.

Cause: the log was compacted after 256 entries, whatever their size. A start held the whole file, a copy of each record, the decoded entries and their encoding at the same time, about four times the size of a log of 42 MB, in a heap of 96 MB. It also rewrote the log each time.

Evidence: LargeLogTest runs a member in a process with that heap. Before the change 4 of its 6 rows ended with OutOfMemoryError: starts on 115 entries of 365 KB and on 40 of 1 MiB, and 300 changes of either size. The row of 300 changes of 1 MiB shows that the running process was affected too, not the start alone. The rows with documents of 4 KB held, so the number of entries is ruled out.

Change: the log is compacted at 4 MiB of committed entries. A leader that cannot commit rejects changes beyond 4 MiB. DurableLog reads and writes one record at a time and rewrites only in a compaction; a start syncs what it has read.

Measured: all 6 rows pass. The smallest heap that completes 60 changes is 9 MB with 365 KB and 11 MB with 1 MiB; a start on what they leave needs 4 and 7 MB.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -17,6 +17,7 @@
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 
@@ -92,6 +93,7 @@
             nodeId,
             group,
             ConsensusTiming.DEFAULT,
+            LogLimits.DEFAULT,
             log,
             new SplittableRandom(),
             ConsensusDriver.monotonicMillis());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.control;
 
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -8,7 +10,9 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 import java.util.zip.CRC32C;
 
 /**
@@ -32,16 +36,32 @@
     void force(FileChannel channel) throws IOException;
   }
 
+  /** Receives the valid records of a file, in order. */
+  interface RecordHandler {
+    /**
+     * Called for each record.
+     *
+     * @param payload its payload
+     * @param endOffset the offset after the record, in bytes
+     */
+    void onRecord(byte[] payload, long endOffset) throws IOException;
+  }
+
   /**
-   * The valid records of a file.
-   *
-   * @param payloads the valid records, in order
-   * @param validBytes the length in bytes up to the first torn or corrupt record
+   * Provides the payloads of a file's records one by one, so that they need not be held at once.
    */
-  public record Contents(List<byte[]> payloads, long validBytes) {}
+  interface PayloadSource {
+    /** Returns the next payload, or empty after the last one. */
+    Optional<byte[]> next() throws IOException;
+  }
 
   private DurableFile() {}
 
+  /** Returns the size of the record of a payload, in bytes. */
+  static long recordBytes(byte[] payload) {
+    return HEADER_BYTES + payload.length;
+  }
+
   /** Encodes a payload as a record with its header. */
   static ByteBuffer record(byte[] payload) {
     return ByteBuffer.allocate(HEADER_BYTES + payload.length)
@@ -51,40 +71,54 @@
         .flip();
   }
 
+  /** Returns the payloads of the records of a small file; see {@link #forEach}. */
+  public static List<byte[]> read(Path file) throws IOException {
+    List<byte[]> payloads = new ArrayList<>();
+    forEach(file, (payload, endOffset) -> payloads.add(payload));
+    return payloads;
+  }
+
   /**
-   * Reads the records of a file up to the first torn or corrupt one; a file that does not exist has
-   * no records.
+   * Reads the records of a file up to the first torn or corrupt one, of which only one is held in
+   * memory at a time; a file that does not exist has no records.
+   *
+   * @return the length up to the first torn or corrupt record, in bytes
    */
-  public static Contents read(Path file) throws IOException {
-    List<byte[]> payloads = new ArrayList<>();
+  static long forEach(Path file, RecordHandler handler) throws IOException {
     if (!Files.exists(file)) {
-      return new Contents(payloads, 0);
+      return 0;
     }
-    ByteBuffer buffer = ByteBuffer.wrap(Files.readAllBytes(file));
+    long fileBytes = Files.size(file);
     long validBytes = 0;
-    while (buffer.remaining() >= HEADER_BYTES) {
-      int length = buffer.getInt();
-      int crc = buffer.getInt();
-      if (length < 0 || length > buffer.remaining()) {
-        break;
-      }
-      byte[] payload = new byte[length];
-      buffer.get(payload);
-      if (crc32c(payload) != crc) {
-        break;
+    try (DataInputStream in =
+        new DataInputStream(new BufferedInputStream(Files.newInputStream(file)))) {
+      while (fileBytes - validBytes >= HEADER_BYTES) {
+        int length = in.readInt();
+        int crc = in.readInt();
+        if (length < 0 || length > fileBytes - validBytes - HEADER_BYTES) {
+          break;
+        }
+        byte[] payload = new byte[length];
+        if (in.readNBytes(payload, 0, length) < length || crc32c(payload) != crc) {
+          break;
+        }
+        validBytes += HEADER_BYTES + length;
+        handler.onRecord(payload, validBytes);
       }
-      payloads.add(payload);
-      validBytes = buffer.position();
     }
-    return new Contents(payloads, validBytes);
+    return validBytes;
   }
 
   /** Replaces a file durably by one with the given records. */
   public static void replace(Path file, List<byte[]> payloads) throws IOException {
-    replace(file, payloads, FORCE_TO_DISK);
+    Iterator<byte[]> remaining = payloads.iterator();
+    replace(
+        file,
+        () -> remaining.hasNext() ? Optional.of(remaining.next()) : Optional.empty(),
+        FORCE_TO_DISK);
   }
 
-  static void replace(Path file, List<byte[]> payloads, Sync sync) throws IOException {
+  static void replace(Path file, PayloadSource payloads, Sync sync) throws IOException {
     Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
     try (FileChannel channel =
         FileChannel.open(
@@ -92,8 +126,10 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE)) {
-      for (byte[] payload : payloads) {
-        writeFully(channel, record(payload));
+      for (Optional<byte[]> payload = payloads.next();
+          payload.isPresent();
+          payload = payloads.next()) {
+        writeFully(channel, record(payload.get()));
       }
       sync.force(channel);
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -28,8 +29,11 @@
  * snapshot} and {@code config.log}, which hold records of {@link DurableFile}.
  *
  * <p>On open, a torn tail of the log, left by a crash between write and sync, is truncated: its
- * entries were never acknowledged. The id of the data folder is generated once and stored in the
- * hard state. A member with an empty folder is a voter only on the deployment's first start.
+ * entries were never acknowledged. The file may begin with entries that the snapshot covers, after
+ * a crash during a compaction. Records are read and written one at a time, so that a start and a
+ * compaction need little more memory than the entries themselves. The id of the data folder is
+ * generated once and stored in the hard state. A member with an empty folder is a voter only on the
+ * deployment's first start.
  *
  * <p>Not thread-safe: confined to the thread of its {@link ConsensusDriver}.
  */
@@ -45,6 +49,7 @@
   private final DurableFile.Sync sync;
   private final List<LogEntry> entries = new ArrayList<>();
   private final List<Long> endOffsets = new ArrayList<>();
+  private long startOffset;
   private HardState hardState;
   private Snapshot snapshot;
   private FileChannel channel;
@@ -104,7 +109,7 @@
   }
 
   private void recoverHardState(boolean bootstrap) throws IOException {
-    List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE)).payloads();
+    List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE));
     if (records.isEmpty()) {
       hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), bootstrap);
       writeHardState(hardState);
@@ -121,23 +126,19 @@
   }
 
   private void recoverSnapshot() throws IOException {
-    List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE)).payloads();
+    List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE));
     snapshot =
         records.isEmpty() ? Snapshot.EMPTY : decode(records.get(0), ConsensusCodec::unpackSnapshot);
   }
 
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
-    DurableFile.Contents contents = DurableFile.read(file);
-    for (byte[] payload : contents.payloads()) {
-      LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
-      if (entry.index() > snapshot.lastIndex()) {
-        entries.add(entry);
-      }
-    }
+    long validBytes = DurableFile.forEach(file, this::recoverEntry);
     openChannel(file);
-    long tornBytes = channel.size() - contents.validBytes();
+    long tornBytes = channel.size() - validBytes;
     if (tornBytes > 0) {
+      channel.truncate(validBytes);
+      channel.position(validBytes);
       LOG.log(
           System.Logger.Level.WARNING,
           "control.log_tail_cut",
@@ -146,7 +147,19 @@
           "entries",
           entries.size());
     }
-    rewrite(entries);
+    // The last entries may have been written but not synced by a process that was killed.
+    sync.force(channel);
+    DurableFile.syncFolder(dataDir, sync);
+  }
+
+  private void recoverEntry(byte[] payload, long endOffset) throws IOException {
+    LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
+    if (entry.index() > snapshot.lastIndex()) {
+      entries.add(entry);
+      endOffsets.add(endOffset);
+    } else {
+      startOffset = endOffset;
+    }
   }
 
   private void openChannel(Path file) throws IOException {
@@ -157,18 +170,24 @@
   /** Replaces the log file by one that contains only the given entries. */
   private void rewrite(List<LogEntry> retained) throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
-    List<byte[]> payloads = new ArrayList<>();
+    Iterator<LogEntry> remaining = retained.iterator();
     List<Long> offsets = new ArrayList<>();
-    long offset = 0;
-    for (LogEntry e : retained) {
-      byte[] payload = encode(p -> ConsensusCodec.packEntry(p, e));
-      payloads.add(payload);
-      offset += DurableFile.record(payload).remaining();
-      offsets.add(offset);
-    }
     channel.close();
-    DurableFile.replace(file, payloads, sync);
+    DurableFile.replace(
+        file,
+        () -> {
+          if (!remaining.hasNext()) {
+            return Optional.empty();
+          }
+          LogEntry entry = remaining.next();
+          byte[] payload = encode(p -> ConsensusCodec.packEntry(p, entry));
+          long offset = offsets.isEmpty() ? 0 : offsets.get(offsets.size() - 1);
+          offsets.add(offset + DurableFile.recordBytes(payload));
+          return Optional.of(payload);
+        },
+        sync);
     openChannel(file);
+    startOffset = 0;
     endOffsets.clear();
     endOffsets.addAll(offsets);
   }
@@ -188,6 +207,17 @@
     return List.copyOf(entries);
   }
 
+  @Override
+  public long sizeBytes(long fromIndex, long toIndex) {
+    return offsetBefore(toIndex) - offsetBefore(fromIndex);
+  }
+
+  /** Returns the offset in the log file at which the entry at an index begins. */
+  private long offsetBefore(long index) {
+    int precedingEntries = (int) (index - snapshot.lastIndex() - 1);
+    return precedingEntries == 0 ? startOffset : endOffsets.get(precedingEntries - 1);
+  }
+
   @Override
   public void save(HardState state) {
     try {
@@ -200,7 +230,7 @@
 
   private void writeHardState(HardState state) throws IOException {
     byte[] payload = encode(p -> ConsensusCodec.packHardState(p, state));
-    DurableFile.replace(dataDir.resolve(HARD_STATE_FILE), List.of(payload), sync);
+    DurableFile.replace(dataDir.resolve(HARD_STATE_FILE), once(payload), sync);
   }
 
   @Override
@@ -224,8 +254,9 @@
   public void truncateFrom(long index) {
     int retainedCount = (int) (index - snapshot.lastIndex() - 1);
     try {
-      channel.truncate(retainedCount == 0 ? 0 : endOffsets.get(retainedCount - 1));
-      channel.position(channel.size());
+      long retainedBytes = offsetBefore(index);
+      channel.truncate(retainedBytes);
+      channel.position(retainedBytes);
       sync.force(channel);
     } catch (IOException e) {
       throw new UncheckedIOException("truncating the configuration log failed", e);
@@ -238,7 +269,7 @@
   public void compact(Snapshot newSnapshot, List<LogEntry> tail) {
     try {
       byte[] payload = encode(p -> ConsensusCodec.packSnapshot(p, newSnapshot));
-      DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), List.of(payload), sync);
+      DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), once(payload), sync);
       rewrite(tail);
     } catch (IOException e) {
       throw new UncheckedIOException("compacting the configuration log failed", e);
@@ -248,6 +279,11 @@
     entries.addAll(tail);
   }
 
+  private static DurableFile.PayloadSource once(byte[] payload) {
+    Iterator<byte[]> remaining = List.of(payload).iterator();
+    return () -> remaining.hasNext() ? Optional.of(remaining.next()) : Optional.empty();
+  }
+
   private static byte[] encode(PackFunction packFunction) throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packFunction.pack(packer);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -17,6 +17,7 @@
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.GroupPolicy;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.consensus.RoutingState;
 
 /**
@@ -110,6 +111,7 @@
             self,
             List.of(),
             ConsensusTiming.DEFAULT,
+            LogLimits.DEFAULT,
             log,
             new SplittableRandom(),
             ConsensusDriver.monotonicMillis());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -19,6 +19,7 @@
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.control.ControlService;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
@@ -37,6 +38,10 @@
   private static final String CHANGE_ID_HEADER = "X-Change-Id";
   private static final String EXPECTED_VERSION_HEADER = "X-Expected-Version";
   private static final String CONTROL_HOP_HEADER = "X-Lacewingcroft-Control-Hop";
+
+  /** Bounds the ids in a snapshot, which retains those of the last changes. */
+  private static final int MAX_CHANGE_ID_CHARS = 128;
+
   private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(4);
   private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final long RELAY_TIMEOUT_MILLIS = 6_000;
@@ -130,6 +135,16 @@
           ErrorKind.MALFORMED_REQUEST,
           "a change needs headers " + CHANGE_ID_HEADER + " and " + EXPECTED_VERSION_HEADER);
     }
+    if (id.length() > MAX_CHANGE_ID_CHARS) {
+      throw new GatewayException(
+          ErrorKind.MALFORMED_REQUEST,
+          CHANGE_ID_HEADER + " has more than " + MAX_CHANGE_ID_CHARS + " characters");
+    }
+    if (ctx.body().length() > LogLimits.MAX_DOCUMENT_BYTES) {
+      throw new GatewayException(
+          ErrorKind.PAYLOAD_TOO_LARGE,
+          "the configuration exceeds " + LogLimits.MAX_DOCUMENT_BYTES + " bytes; shorten it");
+    }
     String document =
         Optional.ofNullable(ctx.body().asString(StandardCharsets.UTF_8.name())).orElse("");
     boolean isPatch = ctx.request().method().equals(HttpMethod.PATCH);
@@ -163,6 +178,9 @@
               + conflict.currentVersion()
               + " is in force; rebase on "
               + conflict.currentVersion());
+    } else if (result instanceof ChangeResult.Overloaded) {
+      sendError(
+          ctx, ErrorKind.NO_QUORUM, "too many changes are not stored by a quorum yet; retry later");
     } else if (result instanceof ChangeResult.NotLeader notLeader) {
       relayToLeader(ctx, request, notLeader.leader());
     } else {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionStore.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionStore.java
@@ -51,7 +51,7 @@
    * @throws IOException if the file cannot be read
    */
   List<Suspicion> load() throws IOException {
-    List<byte[]> records = DurableFile.read(file).payloads();
+    List<byte[]> records = DurableFile.read(file);
     if (records.size() < RECORD_COUNT || records.get(0).length != Long.BYTES) {
       return List.of();
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/ConsensusDriverTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/ConsensusDriverTest.java
@@ -16,6 +16,7 @@
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogLimits;
 
 /** Guards against a member of the control group that stops without a report. */
 class ConsensusDriverTest {
@@ -40,7 +41,13 @@
     DurableLog log = DurableLog.open(dataDir, true);
     ConsensusMember member =
         new ConsensusMember(
-            "a", List.of("a"), ConsensusTiming.DEFAULT, log, new SplittableRandom(1), 0);
+            "a",
+            List.of("a"),
+            ConsensusTiming.DEFAULT,
+            LogLimits.DEFAULT,
+            log,
+            new SplittableRandom(1),
+            0);
     CompletableFuture<Throwable> reported = new CompletableFuture<>();
     ConsensusDriver driver = new ConsensusDriver(member, log, NO_LISTENER, reported::complete);
     driver.scheduleRepeatedly(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -31,6 +31,7 @@
 import org.lacewingcroft.consensus.ConsensusMember;
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.consensus.LogStorage;
 import org.lacewingcroft.consensus.Output;
 import org.lacewingcroft.consensus.Snapshot;
@@ -187,7 +188,13 @@
   private static ConsensusMember soleMember(DurableLog log) {
     ConsensusMember member =
         new ConsensusMember(
-            "control-1", List.of("control-1"), ConsensusTiming.DEFAULT, log, new Random(1), 0);
+            "control-1",
+            List.of("control-1"),
+            ConsensusTiming.DEFAULT,
+            LogLimits.DEFAULT,
+            log,
+            new Random(1),
+            0);
     member.tick(0);
     return member;
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ChangeResult.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ChangeResult.java
@@ -27,6 +27,12 @@
    */
   record NotLeader(Optional<String> leader) implements ChangeResult {}
 
+  /**
+   * The changes that no quorum has stored yet have reached {@link LogLimits#maxUncommittedBytes};
+   * nothing was appended.
+   */
+  record Overloaded() implements ChangeResult {}
+
   /** Leadership was lost before a quorum confirmed the change; it may or may not be accepted. */
   record Unknown() implements ChangeResult {}
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -72,6 +72,7 @@
   private final String id;
   private final Set<String> configuredGroup;
   private final ConsensusTiming timing;
+  private final LogLimits limits;
   private final LogStorage storage;
   private final RandomGenerator random;
   private final long session;
@@ -94,6 +95,7 @@
    * @param group the ids of all members including this one, identical at every member; empty if the
    *     log defines them (in a {@link Command.GroupChange} or in the snapshot of the first start)
    * @param timing the intervals and timeouts
+   * @param limits the limits of the log and of messages
    * @param storage the durable storage of the log
    * @param random source of the election timeouts
    * @param nowMillis the current reading of the monotonic clock, in milliseconds
@@ -102,6 +104,7 @@
       String id,
       List<String> group,
       ConsensusTiming timing,
+      LogLimits limits,
       LogStorage storage,
       RandomGenerator random,
       long nowMillis) {
@@ -111,6 +114,7 @@
     this.id = id;
     this.configuredGroup = Set.copyOf(group);
     this.timing = timing;
+    this.limits = limits;
     this.storage = storage;
     this.random = random;
     this.session = random.nextLong();
@@ -254,6 +258,8 @@
           new ChangeResult.Accepted(version, true));
     } else if (expectedVersion != log.lastVersion()) {
       decideOnCommit(proposalId, log.lastIndex(), new ChangeResult.Conflict(log.lastVersion()));
+    } else if (isOverloaded()) {
+      out.decide(proposalId, new ChangeResult.Overloaded());
     } else {
       LogEntry entry = log.append(hardState.term(), change);
       decideOnCommit(proposalId, entry.index(), new ChangeResult.Accepted(entry.version(), false));
@@ -287,6 +293,8 @@
     if (superseded) {
       decideOnCommit(
           proposalId, log.lastIndex(), new ChangeResult.Accepted(log.lastVersion(), true));
+    } else if (command instanceof Command.RoutingChange && isOverloaded()) {
+      out.decide(proposalId, new ChangeResult.Overloaded());
     } else {
       decideOnCommit(proposalId, log.append(hardState.term(), command).index(), accepted);
       replicateNow(nowMillis, out);
@@ -295,6 +303,10 @@
     return out;
   }
 
+  private boolean isOverloaded() {
+    return log.uncommittedBytes() >= limits.maxUncommittedBytes();
+  }
+
   /**
    * Starts replication to an instance that is not yet a member (a learner), if this member leads.
    */
@@ -688,7 +700,7 @@
   private void commit(long index, Output out) {
     out.commit(log.commitUpTo(index));
     becomeVoterIfReadmitted();
-    log.compactIfLong(timing.compactAfterEntries());
+    log.compactIfLong(limits);
   }
 
   private void updateCaughtUp(long leaderCommitIndex) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusTiming.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusTiming.java
@@ -7,13 +7,11 @@
  * @param electionTimeoutMillis minimum time without a message from the leader before a follower
  *     starts an election; the actual timeout is drawn at random between this value and twice this
  *     value, so that two members rarely start elections at the same time
- * @param compactAfterEntries number of entries after the snapshot at which the log is compacted
  */
-public record ConsensusTiming(
-    long heartbeatIntervalMillis, long electionTimeoutMillis, int compactAfterEntries) {
+public record ConsensusTiming(long heartbeatIntervalMillis, long electionTimeoutMillis) {
   /**
    * Suitable for regions with tens of milliseconds of delay between them: a lost leader is replaced
    * within about 2 s.
    */
-  public static final ConsensusTiming DEFAULT = new ConsensusTiming(150, 800, 256);
+  public static final ConsensusTiming DEFAULT = new ConsensusTiming(150, 800);
 }
--- /dev/null
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogLimits.java
@@ -0,0 +1,22 @@
+package org.lacewingcroft.consensus;
+
+/**
+ * Limits of a member's log. Sizes are those of encoded entries, in bytes.
+ *
+ * @param compactAfterEntries number of entries after the snapshot at which the log is compacted
+ * @param compactAfterBytes size of the committed entries after the snapshot at which the log is
+ *     compacted
+ * @param maxUncommittedBytes size of the uncommitted entries at which a leader accepts no more
+ *     changes until some are committed
+ */
+public record LogLimits(int compactAfterEntries, long compactAfterBytes, long maxUncommittedBytes) {
+
+  /**
+   * Maximum size of a document or patch of an operator, in bytes of UTF-8. Larger ones are rejected
+   * before they are proposed.
+   */
+  public static final int MAX_DOCUMENT_BYTES = 1 << 20;
+
+  /** The limits of a daemon. */
+  public static final LogLimits DEFAULT = new LogLimits(256, 4 << 20, 4 << 20);
+}
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogStorage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogStorage.java
@@ -18,6 +18,12 @@
   /** Returns the entries after the snapshot, in order without gaps. */
   List<LogEntry> entries();
 
+  /**
+   * Returns the encoded size of the entries from one index up to but excluding another, in bytes.
+   * Both are at least the index after the snapshot and at most the one after the last entry.
+   */
+  long sizeBytes(long fromIndex, long toIndex);
+
   /** Saves the hard state. */
   void save(HardState state);
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
@@ -110,12 +110,21 @@
     return tail.get((int) (index - firstIndex()));
   }
 
+  private List<LogEntry> entriesFrom(long index) {
+    return entriesFrom(index, tail.size());
+  }
+
   /** Returns up to {@code limit} entries starting at an index. */
   List<LogEntry> entriesFrom(long index, int limit) {
     int start = (int) (index - firstIndex());
     return List.copyOf(tail.subList(start, Math.min(tail.size(), start + limit)));
   }
 
+  /** Returns the encoded size of the uncommitted entries, in bytes. */
+  long uncommittedBytes() {
+    return storage.sizeBytes(commitIndex + 1, lastIndex() + 1);
+  }
+
   /**
    * Returns whether a candidate's log, whose last entry has this term and index, is at least as up
    * to date as this log.
@@ -211,7 +220,7 @@
     }
     List<LogEntry> remaining =
         termAt(newSnapshot.lastIndex()) == newSnapshot.lastTerm()
-            ? entriesFrom(newSnapshot.lastIndex() + 1, Integer.MAX_VALUE / 2)
+            ? entriesFrom(newSnapshot.lastIndex() + 1)
             : List.of();
     replacePrefix(newSnapshot, remaining);
     state = newSnapshot.state();
@@ -219,15 +228,17 @@
   }
 
   /**
-   * Replaces the committed prefix with a snapshot if at least {@code limit} entries follow the
-   * current snapshot and at least one of them is committed.
+   * Replaces the committed prefix with a snapshot if it is not empty and the log exceeds a limit.
    */
-  void compactIfLong(int limit) {
-    if (tail.size() < limit || commitIndex < firstIndex()) {
+  void compactIfLong(LogLimits limits) {
+    boolean isLong =
+        tail.size() >= limits.compactAfterEntries()
+            || storage.sizeBytes(firstIndex(), commitIndex + 1) >= limits.compactAfterBytes();
+    if (!isLong || commitIndex < firstIndex()) {
       return;
     }
     Snapshot newSnapshot = new Snapshot(commitIndex, termAt(commitIndex), state);
-    replacePrefix(newSnapshot, entriesFrom(commitIndex + 1, Integer.MAX_VALUE / 2));
+    replacePrefix(newSnapshot, entriesFrom(commitIndex + 1));
   }
 
   private void replacePrefix(Snapshot newSnapshot, List<LogEntry> remaining) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
@@ -79,6 +79,7 @@
             LEADER,
             List.of(LEADER, VOTER, OTHER),
             ConsensusTiming.DEFAULT,
+            LogLimits.DEFAULT,
             storage,
             new Random(1),
             0);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -17,7 +17,8 @@
  * is replaced.
  */
 final class ControlGroup {
-  static final ConsensusTiming TIMING = new ConsensusTiming(50, 300, 20);
+  static final ConsensusTiming TIMING = new ConsensusTiming(50, 300);
+  private static final LogLimits LIMITS = new LogLimits(20, 4 << 20, 4 << 20);
   private static final int STEP_MILLIS = 10;
 
   private record InFlight(String from, String to, ConsensusMessage message, long deliveryMillis) {}
@@ -146,6 +147,7 @@
             id,
             policy.isPresent() ? List.of() : ids,
             timing,
+            LIMITS,
             disks.get(id),
             new Random(random.nextLong()),
             nowMillis));
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/MemoryStorage.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/MemoryStorage.java
@@ -27,6 +27,17 @@
     return snapshot;
   }
 
+  @Override
+  public long sizeBytes(long fromIndex, long toIndex) {
+    int start = (int) (fromIndex - snapshot.lastIndex() - 1);
+    int end = (int) (toIndex - snapshot.lastIndex() - 1);
+    return entries.subList(start, end).stream().mapToLong(MemoryStorage::sizeBytes).sum();
+  }
+
+  static long sizeBytes(LogEntry entry) {
+    return entry.command() instanceof Command.RoutingChange c ? c.document().length() : 1;
+  }
+
   @Override
   public List<LogEntry> entries() {
     return List.copyOf(entries);
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DeploymentProcess.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/bench/DeploymentProcess.java
@@ -11,7 +11,8 @@
 final class DeploymentProcess {
   private static final int SIGTERM_STATUS = 143;
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
-  private static final List<String> JVM_ARGS = List.of("-Xmx256m", "-XX:+UseSerialGC", "-Xss512k");
+  private static final List<String> JVM_ARGS =
+      List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError", "-Xss512k");
 
   private final String name;
   private final String mainClass;
