Replicate entries in batches of limited size, one at a time

What callers saw: after 57 to 79 changes of a configuration of 365 KB two of five control instances lost their disks, a loss that the group has to bear.

Cause: a message carried 64 entries, whatever their size. For a member with an empty disk it had 19 MB, more than the maximum frame; it was built, refused and built again every 150 ms on the event loop, so the members that were well did not hear from their leader in time.

Ruled out: the loss of disks itself, and the start of large logs (no process ended).

Change: a message carries at most 512 KiB of entries, or one larger entry. Heartbeats continue meanwhile, and large messages of the group have a connection of their own. The messages are unchanged.

Why it works: no message can exceed the frame, since a document has at most 1 MiB, and what a slow or lost member costs its leader is one message, not one every 150 ms.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -50,6 +50,7 @@
   private final List<LogEntry> entries = new ArrayList<>();
   private final List<Long> endOffsets = new ArrayList<>();
   private long startOffset;
+  private long snapshotSizeBytes;
   private HardState hardState;
   private Snapshot snapshot;
   private FileChannel channel;
@@ -129,6 +130,7 @@
     List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE));
     snapshot =
         records.isEmpty() ? Snapshot.EMPTY : decode(records.get(0), ConsensusCodec::unpackSnapshot);
+    snapshotSizeBytes = records.stream().mapToLong(r -> r.length).sum();
   }
 
   private void recoverEntries() throws IOException {
@@ -202,6 +204,11 @@
     return snapshot;
   }
 
+  @Override
+  public long snapshotSizeBytes() {
+    return snapshotSizeBytes;
+  }
+
   @Override
   public List<LogEntry> entries() {
     return List.copyOf(entries);
@@ -270,6 +277,7 @@
     try {
       byte[] payload = encode(p -> ConsensusCodec.packSnapshot(p, newSnapshot));
       DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), once(payload), sync);
+      snapshotSizeBytes = payload.length;
       rewrite(tail);
     } catch (IOException e) {
       throw new UncheckedIOException("compacting the configuration log failed", e);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -12,6 +12,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -20,7 +21,8 @@
 
 /**
  * The peer transport: TCP connections that carry frames of {@link FrameCodec}, with one outgoing
- * connection per peer address, which is reopened on demand after a failure.
+ * connection per peer address, which is reopened on demand after a failure. Large messages of the
+ * control group have a second connection, so that its heartbeats do not wait behind them.
  *
  * <p>A frame that is too large or fails authentication is logged and discarded, and its connection
  * is closed. Sends are fire-and-forget: a response, where one is needed, arrives as a separate
@@ -40,6 +42,12 @@
    */
   private static final long PONG_TIMEOUT_MILLIS = 1_300;
 
+  /** Size from which a message of the control group is sent on the second connection. */
+  private static final int BULK_FRAME_BYTES = 64 << 10;
+
+  /** Lowest throughput at which a connection for large messages does not count as dead. */
+  private static final long MIN_BULK_BYTES_PER_MILLI = 100;
+
   /**
    * Maximum size of the frames that wait for connections and for peers that read slowly, so that
    * they do not fill the heap. Frames beyond it are dropped, as on a connection that fails.
@@ -52,8 +60,8 @@
   private final Vertx vertx;
   private final FrameCodec codec;
   private final NetClient client;
-  private final Map<String, Future<NetSocket>> connections = new ConcurrentHashMap<>();
-  private final Map<String, LivenessCheck> livenessChecks = new ConcurrentHashMap<>();
+  private final Map<Link, Future<NetSocket>> connections = new ConcurrentHashMap<>();
+  private final Map<Link, LivenessCheck> livenessChecks = new ConcurrentHashMap<>();
   private final AtomicLong framesRejected = new AtomicLong();
   private final AtomicLong framesDropped = new AtomicLong();
   private final SendQueue queue = new SendQueue(MAX_QUEUED_BYTES);
@@ -63,6 +71,8 @@
   private volatile LinkFaults faults = LinkFaults.NONE;
   private NetServer server;
 
+  private record Link(String address, boolean bulk) {}
+
   /**
    * Creates a transport that does not listen yet.
    *
@@ -139,37 +149,38 @@
     long startNanos = System.nanoTime();
     byte[] frame = codec.encode(LogContext.clock().tick(), message);
     traffic.recordSent(message, addresses.size(), frame.length, System.nanoTime() - startNanos);
-    addresses.forEach(address -> sendFrame(address, frame));
+    boolean bulk = message instanceof PeerMessage.Consensus && frame.length >= BULK_FRAME_BYTES;
+    addresses.forEach(address -> sendFrame(new Link(address, bulk), frame));
   }
 
-  private void sendFrame(String address, byte[] frame) {
-    if (faults.dropsFramesTo(address)) {
+  private void sendFrame(Link link, byte[] frame) {
+    if (faults.dropsFramesTo(link.address)) {
       return;
     }
-    long delayMillis = faults.delayMillis(address);
+    long delayMillis = faults.delayMillis(link.address);
     if (delayMillis > 0) {
-      vertx.setTimer(delayMillis, id -> write(address, frame));
+      vertx.setTimer(delayMillis, id -> write(link, frame));
     } else {
-      write(address, frame);
+      write(link, frame);
     }
   }
 
-  private void write(String address, byte[] frame) {
-    if (!queue.tryAdd(address, frame.length)) {
-      logDropped(address);
+  private void write(Link link, byte[] frame) {
+    if (!queue.tryAdd(link.address, frame.length)) {
+      logDropped(link.address);
       return;
     }
-    connection(address)
-        .onFailure(e -> connectFailed(address, e))
-        .compose(socket -> write(socket, address, frame))
-        .onComplete(written -> queue.remove(address, frame.length));
+    connection(link)
+        .onFailure(e -> connectFailed(link, e))
+        .compose(socket -> write(socket, link, frame))
+        .onComplete(written -> queue.remove(link.address, frame.length));
   }
 
-  private Future<Void> write(NetSocket socket, String address, byte[] frame) {
+  private Future<Void> write(NetSocket socket, Link link, byte[] frame) {
     bytesSent.addAndGet(frame.length);
-    LivenessCheck check = livenessChecks.get(address);
+    LivenessCheck check = livenessChecks.get(link);
     if (check != null) {
-      check.usedSincePing = true;
+      check.onWrite(frame.length);
     }
     return socket.write(Buffer.buffer(frame));
   }
@@ -189,31 +200,31 @@
     }
   }
 
-  private void connectFailed(String address, Throwable e) {
-    if (connections.remove(address) != null) {
+  private void connectFailed(Link link, Throwable e) {
+    if (connections.remove(link) != null) {
       LOG.log(
           System.Logger.Level.DEBUG,
           "peer.unreachable",
           "peer",
-          address,
+          link.address,
           "error",
           String.valueOf(e.getMessage()));
     }
   }
 
-  private Future<NetSocket> connection(String address) {
+  private Future<NetSocket> connection(Link link) {
     return connections.computeIfAbsent(
-        address,
-        a -> {
-          Future<NetSocket> connecting = client.connect(SocketAddresses.parse(a));
+        link,
+        l -> {
+          Future<NetSocket> connecting = client.connect(SocketAddresses.parse(l.address));
           connecting.onSuccess(
               socket -> {
-                LivenessCheck check = new LivenessCheck(socket);
-                livenessChecks.put(a, check);
+                LivenessCheck check = new LivenessCheck(socket, l);
+                livenessChecks.put(l, check);
                 socket.closeHandler(
                     v -> {
-                      connections.remove(a, connecting);
-                      livenessChecks.remove(a, check);
+                      connections.remove(l, connecting);
+                      livenessChecks.remove(l, check);
                       check.stop();
                     });
                 socket.exceptionHandler(e -> socket.close());
@@ -226,21 +237,27 @@
   /** Pings the peer of a connection in use and closes the connection if no data arrives in time. */
   private final class LivenessCheck {
     private final NetSocket socket;
+    private final Link link;
     private final long timer;
     private long unansweredPingNanos;
+    private long bytesSincePong;
     private boolean usedSincePing;
 
-    private LivenessCheck(NetSocket socket) {
+    private LivenessCheck(NetSocket socket, Link link) {
       this.socket = socket;
+      this.link = link;
       this.timer = vertx.setPeriodic(PING_INTERVAL_MILLIS, id -> check());
     }
 
     private void check() {
       long now = System.nanoTime();
       if (unansweredPingNanos != 0
-          && TimeUnit.NANOSECONDS.toMillis(now - unansweredPingNanos) > PONG_TIMEOUT_MILLIS) {
+          && TimeUnit.NANOSECONDS.toMillis(now - unansweredPingNanos) > pongTimeoutMillis()) {
         LOG.log(System.Logger.Level.WARNING, "peer.silent", "peer", socket.remoteAddress());
         socket.close();
+        // A silent peer is noticed later on the connection for large messages.
+        Optional.ofNullable(connections.get(new Link(link.address, true)))
+            .ifPresent(connecting -> connecting.onSuccess(NetSocket::close));
       } else if (usedSincePing && unansweredPingNanos == 0) {
         usedSincePing = false;
         unansweredPingNanos = now;
@@ -249,8 +266,19 @@
       }
     }
 
+    /** Returns the time within which what was written, and the ping behind it, arrive. */
+    private long pongTimeoutMillis() {
+      return PONG_TIMEOUT_MILLIS + (link.bulk ? bytesSincePong / MIN_BULK_BYTES_PER_MILLI : 0);
+    }
+
+    private void onWrite(int bytes) {
+      usedSincePing = true;
+      bytesSincePong += bytes;
+    }
+
     private void onData() {
       unansweredPingNanos = 0;
+      bytesSincePong = 0;
     }
 
     private void stop() {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/SlowPeerTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/SlowPeerTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -17,6 +18,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.lacewingcroft.consensus.Command;
+import org.lacewingcroft.consensus.ConsensusMessage;
+import org.lacewingcroft.consensus.LogEntry;
 import org.lacewingcroft.fleet.FleetMessage;
 
 /** Guards against messages for peers that do not read, which filled the heap of an instance. */
@@ -86,4 +90,42 @@
       assertThat(received.poll(10, TimeUnit.SECONDS), is(message));
     }
   }
+
+  /**
+   * Guards against heartbeats that wait behind the entries or the snapshot sent to a slow member.
+   */
+  @Test
+  void heartbeatsOfTheControlGroupDoNotWaitBehindItsData() throws Exception {
+    BlockingQueue<Integer> smallFrames = new ArrayBlockingQueue<>(10);
+    int port =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket ->
+                    socket.handler(
+                        buffer -> {
+                          if (buffer.getInt(0) > MESSAGE_BYTES) {
+                            socket.pause();
+                          } else {
+                            smallFrames.add(buffer.getInt(0));
+                          }
+                        }))
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(10, TimeUnit.SECONDS)
+            .actualPort();
+    LogEntry entry =
+        new LogEntry(1, 1, 0, new Command.RoutingChange(1, "x".repeat(8 * MESSAGE_BYTES)));
+    for (int i = 0; i < 20; i++) {
+      transport.send("127.0.0.1:" + port, append(List.of(entry)));
+    }
+    transport.send("127.0.0.1:" + port, append(List.of()));
+    assertThat(smallFrames.poll(10, TimeUnit.SECONDS) != null, is(true));
+  }
+
+  private static PeerMessage append(List<LogEntry> entries) {
+    return new PeerMessage.Consensus(
+        "leader", new ConsensusMessage.AppendRequest(1, 0, 0, entries, 0, 0));
+  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -35,8 +35,6 @@
  * everything that a message acknowledges is on disk.
  */
 public final class ConsensusMember {
-  private static final int MAX_ENTRIES_PER_MESSAGE = 64;
-
   /**
    * Time without a response after which a leader stops replicating to an instance outside the
    * group.
@@ -313,7 +311,7 @@
   public Output addLearner(String learner, long nowMillis) {
     Output out = new Output();
     if (role == Role.LEADER && !learner.equals(id) && !followers.containsKey(learner)) {
-      Progress p = new Progress(log.lastIndex() + 1, nowMillis);
+      Progress p = new Progress(log.lastIndex() + 1, timing, nowMillis);
       followers.put(learner, p);
       replicate(learner, p, nowMillis, out);
     }
@@ -529,7 +527,7 @@
     leader = Optional.of(id);
     votes.clear();
     for (String member : others()) {
-      followers.put(member, new Progress(log.lastIndex() + 1, nowMillis));
+      followers.put(member, new Progress(log.lastIndex() + 1, timing, nowMillis));
     }
     Command first =
         configuredGroup.isEmpty() ? new Command.GroupChange(group()) : new Command.Noop();
@@ -560,31 +558,39 @@
   }
 
   private void replicateWhenDue(String member, Progress p, long nowMillis, Output out) {
-    long intervalMillis =
-        p.nextIndex < log.firstIndex()
-            ? timing.electionTimeoutMillis()
-            : timing.heartbeatIntervalMillis();
-    if (nowMillis - p.lastSentMillis >= intervalMillis) {
+    if (nowMillis - p.lastSentMillis >= timing.heartbeatIntervalMillis()) {
       replicate(member, p, nowMillis, out);
     }
   }
 
+  /** Sends the next entries or the snapshot, or a heartbeat if there is nothing to send yet. */
   private void replicate(String member, Progress p, long nowMillis, Output out) {
     p.awaitingResponse = true;
     p.lastSentMillis = nowMillis;
-    p.sentCommitIndex = log.commitIndex();
-    if (p.nextIndex < log.firstIndex()) {
-      out.send(member, new ConsensusMessage.SnapshotRequest(hardState.term(), log.snapshot()));
+    boolean needsSnapshot = p.nextIndex < log.firstIndex();
+    boolean sendsData = p.nextIndex <= log.lastIndex() && p.canSendData(nowMillis);
+    if (needsSnapshot && sendsData) {
+      Snapshot snapshot = log.snapshot();
+      p.dataSent(snapshot.lastIndex(), storage.snapshotSizeBytes(), nowMillis);
+      out.send(member, new ConsensusMessage.SnapshotRequest(hardState.term(), snapshot));
       return;
     }
-    long previous = p.nextIndex - 1;
+    // The log before the snapshot matches at index 0 only, as far as this leader knows.
+    long previous = needsSnapshot ? 0 : p.nextIndex - 1;
+    List<LogEntry> entries = List.of();
+    if (sendsData) {
+      entries = log.batchFrom(p.nextIndex, limits);
+      long sizeBytes = log.sizeBytes(p.nextIndex, entries.size());
+      p.dataSent(previous + entries.size(), sizeBytes, nowMillis);
+    }
+    p.sentCommitIndex = Math.min(log.commitIndex(), previous + entries.size());
     out.send(
         member,
         new ConsensusMessage.AppendRequest(
             hardState.term(),
             previous,
-            log.termAt(previous),
-            log.entriesFrom(p.nextIndex, MAX_ENTRIES_PER_MESSAGE),
+            needsSnapshot ? 0 : log.termAt(previous),
+            entries,
             log.commitIndex(),
             p.session));
   }
@@ -653,23 +659,14 @@
     if (response.voter() && !sameStorage) {
       return;
     }
-    p.lastResponseMillis = nowMillis;
-    p.awaitingResponse = false;
-    p.voter = response.voter();
-    p.session = response.session();
-    if (response.accepted()) {
-      p.matchIndex = Math.max(p.matchIndex, response.matchIndex());
-      p.nextIndex = p.matchIndex + 1;
-    } else {
-      p.nextIndex = Math.max(1, Math.min(p.nextIndex - 1, response.matchIndex() + 1));
-      p.matchIndex = Math.min(p.matchIndex, p.nextIndex - 1);
-    }
+    p.onResponse(response, nowMillis);
     if (!sameStorage) {
       log.append(hardState.term(), new Command.StorageRegistration(from, response.storageId()));
     }
     advanceCommit(nowMillis, out);
-    boolean behind = p.nextIndex <= log.lastIndex() || p.sentCommitIndex < log.commitIndex();
-    if (!p.awaitingResponse && behind) {
+    boolean hasData = p.nextIndex <= log.lastIndex() && p.canSendData(nowMillis);
+    boolean hasCommit = p.sentCommitIndex < Math.min(log.commitIndex(), p.matchIndex);
+    if (!p.awaitingResponse && (hasData || hasCommit)) {
       replicate(from, p, nowMillis, out);
     }
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogStorage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/LogStorage.java
@@ -15,6 +15,9 @@
   /** Returns the latest snapshot, or {@link Snapshot#EMPTY} if there is none. */
   Snapshot snapshot();
 
+  /** Returns the encoded size of the latest snapshot, in bytes. */
+  long snapshotSizeBytes();
+
   /** Returns the entries after the snapshot, in order without gaps. */
   List<LogEntry> entries();
 
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ReplicatedLog.java
@@ -111,13 +111,22 @@
   }
 
   private List<LogEntry> entriesFrom(long index) {
-    return entriesFrom(index, tail.size());
+    return List.copyOf(tail.subList((int) (index - firstIndex()), tail.size()));
   }
 
-  /** Returns up to {@code limit} entries starting at an index. */
-  List<LogEntry> entriesFrom(long index, int limit) {
+  /**
+   * Returns the entries starting at an index that fit into one message; at least one, unless the
+   * index is after the last entry.
+   */
+  List<LogEntry> batchFrom(long index, LogLimits limits) {
+    long end = index;
+    while (end <= lastIndex()
+        && end - index < limits.maxBatchEntries()
+        && (end == index || storage.sizeBytes(index, end + 1) <= limits.maxBatchBytes())) {
+      end++;
+    }
     int start = (int) (index - firstIndex());
-    return List.copyOf(tail.subList(start, Math.min(tail.size(), start + limit)));
+    return List.copyOf(tail.subList(start, start + (int) (end - index)));
   }
 
   /** Returns the encoded size of the uncommitted entries, in bytes. */
@@ -125,6 +134,11 @@
     return storage.sizeBytes(commitIndex + 1, lastIndex() + 1);
   }
 
+  /** Returns the encoded size of a number of entries starting at an index, in bytes. */
+  long sizeBytes(long index, int count) {
+    return storage.sizeBytes(index, index + count);
+  }
+
   /**
    * Returns whether a candidate's log, whose last entry has this term and index, is at least as up
    * to date as this log.
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -8,23 +8,31 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.lacewingcroft.peer.FrameCodec;
 
 /**
  * Simulates a control group whose members exchange messages through a queue that the test controls:
  * messages are delayed, dropped, duplicated or blocked by a partition, and members are killed,
- * restarted or restarted with an empty disk. After each step it checks that no two members commit
- * different entries at the same index, that a term has only one leader and that no accepted version
- * is replaced.
+ * restarted or restarted with an empty disk. Links may be slow, and carry no message that exceeds
+ * the maximum frame size. After each step it checks that no two members commit different entries at
+ * the same index, that a term has only one leader and that no accepted version is replaced.
  */
 final class ControlGroup {
   static final ConsensusTiming TIMING = new ConsensusTiming(50, 300);
-  private static final LogLimits LIMITS = new LogLimits(20, 4 << 20, 4 << 20);
+  private static final LogLimits LIMITS =
+      new LogLimits(
+          20,
+          LogLimits.DEFAULT.compactAfterBytes(),
+          LogLimits.DEFAULT.maxUncommittedBytes(),
+          LogLimits.DEFAULT.maxBatchEntries(),
+          LogLimits.DEFAULT.maxBatchBytes());
   private static final int STEP_MILLIS = 10;
 
   private record InFlight(String from, String to, ConsensusMessage message, long deliveryMillis) {}
 
   private final Random random;
   private final ConsensusTiming timing;
+  private LogLimits limits = LIMITS;
   private final List<String> ids = new ArrayList<>();
   private final Map<String, MemoryStorage> disks = new HashMap<>();
   private final Map<String, ConsensusMember> members = new HashMap<>();
@@ -37,6 +45,10 @@
   private List<InFlight> network = new ArrayList<>();
   private double dropProbability;
   private int maxDelayMillis = 1;
+  private String document = "document";
+  private final Map<String, Long> bytesPerMilli = new HashMap<>();
+  private final Map<String, Long> linkBusyUntilMillis = new HashMap<>();
+  private final Map<String, Long> dataBytesSent = new HashMap<>();
   private long nowMillis = 1_000;
   private long nextProposalId = 1;
   private final Map<String, Long> exposedVersion = new HashMap<>();
@@ -94,12 +106,52 @@
     long proposalId = nextProposalId++;
     routingVersionByProposalId.put(proposalId, version);
     if (isRunning(id)) {
-      Command change = new Command.RoutingChange(version, "document " + version);
+      Command change = new Command.RoutingChange(version, document);
       execute(id, member(id).submit(proposalId, change, nowMillis));
     }
     return proposalId;
   }
 
+  /** Sets the document that is submitted from now on. */
+  void setDocument(String newDocument) {
+    document = newDocument;
+  }
+
+  /** Sets the limits of the members that start from now on. */
+  void setLimits(LogLimits newLimits) {
+    limits = newLimits;
+  }
+
+  /** Limits the throughput of the link to a member; entries and snapshots then wait for others. */
+  void setThroughput(String id, long newBytesPerMilli) {
+    bytesPerMilli.put(id, newBytesPerMilli);
+  }
+
+  /** Returns the size of all entries and snapshots that were sent to a member, in bytes. */
+  long dataBytesSentTo(String id) {
+    return dataBytesSent.getOrDefault(id, 0L);
+  }
+
+  /** Adds an instance with an empty disk, which is not yet a member. */
+  void add(String id) {
+    ids.add(id);
+    disks.put(id, new MemoryStorage(id + "-disk-0", false));
+    restart(id);
+  }
+
+  /** Removes an instance for good. */
+  void remove(String id) {
+    kill(id);
+    ids.remove(id);
+  }
+
+  /** Returns the size of a member's log after its snapshot, in bytes. */
+  long logBytes(String id) {
+    ConsensusMember m = members.get(id);
+    MemoryStorage disk = disks.get(id);
+    return disk.sizeBytes(disk.snapshot().lastIndex() + 1, m.lastIndex() + 1);
+  }
+
   /** Returns the highest routing version that was reported as accepted. */
   long highestAcceptedRoutingVersion() {
     return results.entrySet().stream()
@@ -147,7 +199,7 @@
             id,
             policy.isPresent() ? List.of() : ids,
             timing,
-            LIMITS,
+            limits,
             disks.get(id),
             new Random(random.nextLong()),
             nowMillis));
@@ -278,9 +330,29 @@
 
   private void enqueue(String from, Output.Envelope e) {
     long deliveryMillis = nowMillis + 1 + random.nextInt(maxDelayMillis);
+    long sizeBytes = dataBytes(e.message());
+    if (sizeBytes > FrameCodec.MAX_FRAME_BYTES) {
+      return;
+    }
+    dataBytesSent.merge(e.to(), sizeBytes, Long::sum);
+    if (sizeBytes > 0 && bytesPerMilli.containsKey(e.to())) {
+      long startMillis = Math.max(nowMillis, linkBusyUntilMillis.getOrDefault(e.to(), 0L));
+      long endMillis = startMillis + sizeBytes / bytesPerMilli.get(e.to());
+      linkBusyUntilMillis.put(e.to(), endMillis);
+      deliveryMillis += endMillis - nowMillis;
+    }
     network.add(new InFlight(from, e.to(), e.message(), deliveryMillis));
   }
 
+  private static long dataBytes(ConsensusMessage message) {
+    if (message instanceof ConsensusMessage.SnapshotRequest request) {
+      return request.snapshot().state().routing().document().length();
+    }
+    return message instanceof ConsensusMessage.AppendRequest request
+        ? request.entries().stream().mapToLong(MemoryStorage::sizeBytes).sum()
+        : 0;
+  }
+
   /** Checks that the version a member exposes never decreases, also across restarts. */
   private void checkExposedVersion(String id) {
     ConsensusMember m = members.get(id);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/MemoryStorage.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/MemoryStorage.java
@@ -27,6 +27,11 @@
     return snapshot;
   }
 
+  @Override
+  public long snapshotSizeBytes() {
+    return snapshot.state().routing().document().length();
+  }
+
   @Override
   public long sizeBytes(long fromIndex, long toIndex) {
     int start = (int) (fromIndex - snapshot.lastIndex() - 1);
