Give up responses without end

With an endpoint that sends a body without end an entry held all of it until the request was due: 95 MB within 5 s, in a heap of 128 MB. A response with 102 was passed on as the final one, and the caller got no answer within 12 s for a deadline of 5 s.

Cause: a body and an incomplete event were held without a limit, and any status was taken for a final one.

Evidence: EndlessResponseTest on the code before: the rows with 102 timed out and the rows with bodies exceeded 16 MiB a send. Heads without end were refused, so the HTTP client's own limits are ruled out as a cause.

Change: what is held of one response is limited to 8 MiB and of all responses to 24 MiB; a response beyond that is given up and its connection closed. A status below 200 and more than 16 informational responses are treated as an invalid response.

Measured: all rows of EndlessResponseTest pass (each kind of response and request, and idempotent requests behind a relay), and ForwardingTest, RelayTest, SilentEndpointTest and SlowBodyTest.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -509,6 +509,10 @@
       attemptRefusalCount = refusalCountOf(upstreamResponse);
       String echoedId = upstreamResponse.getHeader(context.headerNames().requestId());
       boolean success = status >= OK && status < MULTIPLE_CHOICES;
+      if (status < OK) {
+        handleInvalidResponse("answered " + status);
+        return;
+      }
       if (echoedId != null && !echoedId.equals(request.id())) {
         handleInvalidResponse("answered request " + echoedId);
         return;
@@ -579,7 +583,15 @@
       context.eventLoop().activity();
       startResponseTimer(this, 0);
       if (eventSplitter.isEmpty()) {
-        body.appendBuffer(chunk);
+        if (upstream.tryHold(body.length() + chunk.length())) {
+          body.appendBuffer(chunk);
+        } else {
+          handleInvalidResponse("sent a body that is too large");
+        }
+        return;
+      }
+      if (!upstream.tryHold(eventSplitter.get().incompleteBytes() + chunk.length())) {
+        handleInvalidResponse("sent an event that is too large");
         return;
       }
       long lastIdBefore = lastEventId.orElse(0);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -58,12 +58,16 @@
     void run(Runnable action);
   }
 
+  /** More informational responses than any endpoint sends to one request. */
+  private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
   private final UpstreamTarget target;
   private final HeaderNames headerNames;
   private final InstantSource clock;
   private final Listener listener;
   private Optional<UpstreamConnections.PooledConnection> connection = Optional.empty();
   private Optional<HttpClientResponse> response = Optional.empty();
+  private int informationalResponses;
   private boolean requestWritten;
   private boolean finished;
 
@@ -175,6 +179,8 @@
     extraHeaders.get().forEach(h -> upstreamRequest.headers().set(h.getKey(), h.getValue()));
     upstreamRequest.exceptionHandler(
         e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
+    upstreamRequest.continueHandler(v -> onInformational());
+    upstreamRequest.earlyHintsHandler(headers -> onInformational());
     upstreamRequest
         .response()
         .onSuccess(this::onResponse)
@@ -188,6 +194,14 @@
     }
   }
 
+  private void onInformational() {
+    informationalResponses++;
+    if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+      fail(
+          true, Outcome.FAILED, "more than " + MAX_INFORMATIONAL_RESPONSES + " responses with 1xx");
+    }
+  }
+
   private void onNoResponse(String detail) {
     if (!finished) {
       connection.ifPresent(UpstreamConnections.PooledConnection::recordResetBeforeResponse);
@@ -254,6 +268,14 @@
         : Optional.empty();
   }
 
+  /**
+   * Records the size of the part of the response that is held until it is complete; false if it
+   * exceeds a limit.
+   */
+  boolean tryHold(int bytes) {
+    return connection.filter(c -> c.tryHold(bytes)).isPresent();
+  }
+
   /** Stops reading the response, for backpressure. */
   void pause() {
     response.ifPresent(HttpClientResponse::pause);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -44,6 +44,12 @@
    */
   static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
+  /** Maximum size of the part of a response that is held until it is complete. */
+  static final int MAX_HELD_BYTES = 8 << 20;
+
+  /** Maximum size of what is held of all responses. */
+  private static final long MAX_TOTAL_HELD_BYTES = 24 << 20;
+
   /** Interval at which idle connections are checked for expiry. */
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 1_000;
 
@@ -52,6 +58,7 @@
   private final LinkTraffic traffic;
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
+  private long totalHeldBytes;
 
   /**
    * Creates an empty pool.
@@ -81,6 +88,7 @@
     private Optional<Duration> fixedIdleTimeout = Optional.empty();
     private Optional<Instant> idleSince = Optional.empty();
     private Optional<Duration> idleTimeBeforeReuse = Optional.empty();
+    private int heldBytes;
     private boolean closed;
 
     private PooledConnection(String address, HttpClientConnection connection) {
@@ -90,6 +98,7 @@
       connection.closeHandler(
           v -> {
             closed = true;
+            releaseHeld();
             traffic.clientConnectionClosed();
             removeIdle(this);
           });
@@ -125,7 +134,29 @@
       returnToPool(Optional.of(idleTimeout));
     }
 
+    /**
+     * Records the size of the part of the current response that is held, which ends when the
+     * connection is released or closed.
+     *
+     * @return false if it exceeds a limit; the response must then be given up
+     */
+    boolean tryHold(int bytes) {
+      long newTotalBytes = totalHeldBytes - heldBytes + bytes;
+      if (closed || bytes > MAX_HELD_BYTES || newTotalBytes > MAX_TOTAL_HELD_BYTES) {
+        return false;
+      }
+      totalHeldBytes = newTotalBytes;
+      heldBytes = bytes;
+      return true;
+    }
+
+    private void releaseHeld() {
+      totalHeldBytes -= heldBytes;
+      heldBytes = 0;
+    }
+
     private void returnToPool(Optional<Duration> idleTimeout) {
+      releaseHeld();
       if (closed) {
         return;
       }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -67,7 +68,23 @@
     /** Sends the head of a stream without framing and ends the connection. */
     UNFRAMED_STREAM_EMPTY,
     /** Streams one event without framing and resets the connection. */
-    UNFRAMED_STREAM_RESET
+    UNFRAMED_STREAM_RESET,
+    /** Sends bytes without line ends that are no response, until the connection is closed. */
+    ENDLESS_GARBAGE,
+    /** Sends a head whose last line does not end. */
+    ENDLESS_HEADER,
+    /** Sends a head of more and more lines. */
+    ENDLESS_HEADERS,
+    /** Sends responses with 102, and never the final one. */
+    ENDLESS_PROCESSING,
+    /** Sends responses with 100, and never the final one. */
+    ENDLESS_CONTINUE,
+    /** Sends a chunked body that does not end. */
+    ENDLESS_BODY,
+    /** Sends a body without length that does not end. */
+    ENDLESS_UNFRAMED_BODY,
+    /** Streams an event that does not end. */
+    ENDLESS_EVENT
   }
 
   /** Delay of the response of {@link Action#SLOW} and within {@link Action#STREAM_STALLS}. */
@@ -78,6 +95,8 @@
 
   private static final int LAST_EVENT_ID = 3;
 
+  private static final int ENDLESS_BLOCK_CHARS = 1 << 16;
+
   /** Actions that end the connection regularly, which marks the end of a body. */
   private static final Set<Action> REGULAR_CLOSE =
       EnumSet.of(
@@ -92,6 +111,7 @@
   private final List<String> heads = new CopyOnWriteArrayList<>();
   private final List<NetServer> servers = new ArrayList<>();
   private final AtomicInteger openConnections = new AtomicInteger();
+  private final AtomicLong endlessBytes = new AtomicLong();
 
   ScriptedEndpoints(Vertx vertx, int count, List<Action> script) throws Exception {
     this.vertx = vertx;
@@ -123,6 +143,11 @@
     return openConnections.get();
   }
 
+  /** Returns the size of what was written in responses that do not end. */
+  long endlessBytes() {
+    return endlessBytes.get();
+  }
+
   private void onConnect(NetSocket socket) {
     socket.exceptionHandler(e -> {});
     openConnections.incrementAndGet();
@@ -188,10 +213,45 @@
       case UNFRAMED_STREAM_BREAKS -> writeUnframed(socket, signedHeaders, event(1) + "id: 2\nda");
       case UNFRAMED_STREAM_EMPTY -> writeUnframed(socket, signedHeaders, "");
       case UNFRAMED_STREAM_RESET -> writeUnframed(socket, signedHeaders, event(1));
+      case ENDLESS_GARBAGE -> writeEndlessly(socket, "", "x".repeat(ENDLESS_BLOCK_CHARS));
+      case ENDLESS_HEADER ->
+          writeEndlessly(socket, "HTTP/1.1 200 OK\r\nX-A: ", "x".repeat(ENDLESS_BLOCK_CHARS));
+      case ENDLESS_HEADERS ->
+          writeEndlessly(socket, "HTTP/1.1 200 OK\r\n", "X-A: x\r\n".repeat(100));
+      case ENDLESS_PROCESSING ->
+          writeEndlessly(socket, "", "HTTP/1.1 102 Processing\r\n\r\n".repeat(100));
+      case ENDLESS_CONTINUE ->
+          writeEndlessly(socket, "", "HTTP/1.1 100 Continue\r\n\r\n".repeat(100));
+      case ENDLESS_BODY ->
+          writeEndlessly(
+              socket,
+              "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n",
+              chunk("x".repeat(ENDLESS_BLOCK_CHARS)));
+      case ENDLESS_UNFRAMED_BODY ->
+          writeEndlessly(
+              socket,
+              "HTTP/1.1 200 OK\r\n" + signedHeaders + "\r\n",
+              "x".repeat(ENDLESS_BLOCK_CHARS));
+      case ENDLESS_EVENT ->
+          writeEndlessly(
+              socket,
+              streamHead(signedHeaders) + chunk(event(1)),
+              chunk("x".repeat(ENDLESS_BLOCK_CHARS)));
       default -> throw new IllegalStateException("unknown action: " + action);
     }
   }
 
+  /** Writes a block again and again, as fast as it is read, until the connection is closed. */
+  private void writeEndlessly(NetSocket socket, String first, String block) {
+    socket
+        .write(first + block)
+        .onSuccess(
+            v -> {
+              endlessBytes.addAndGet(block.length());
+              vertx.runOnContext(next -> writeEndlessly(socket, "", block));
+            });
+  }
+
   private void writeSlowly(NetSocket socket, String head) {
     socket.write(head + "Content-Length: 4\r\n\r\n");
     for (int i = 0; i < 4; i++) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/stream/EventSplitter.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/stream/EventSplitter.java
@@ -92,6 +92,11 @@
     return lastId;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  public int incompleteBytes() {
+    return current.size();
+  }
+
   /** Returns the bytes after the last complete event. */
   public byte[] incompleteEvent() {
     return current.toByteArray();
