Encode the routing state once for the entries that request it together

After a change every entry requests the state from the control instance that told it, and each request encoded and authenticated the whole document again on the event loop. The requests of 10 ms are now answered together, and the message is encoded once for all of them.

Not measured separately; the tests of the fleet and the control group's soak run with it.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -78,6 +78,9 @@
   /** Delay before the data folder is reopened after a failure. */
   private static final long REOPEN_DELAY_MILLIS = 1_000;
 
+  /** Time for which requests for the routing state are gathered. */
+  private static final long STATE_OFFER_DELAY_MILLIS = 10;
+
   /** Minimum interval between two complete rosters sent to one entry. */
   private static final Duration COMPLETE_ROSTER_INTERVAL = Duration.ofMillis(900);
 
@@ -101,6 +104,7 @@
   private final SuspicionExchange suspicions;
   private final Instant startedAt;
   private volatile List<String> seeds;
+  private final Set<String> stateRequesters = new TreeSet<>();
   private boolean hadMajority;
 
   private static final class TrackedEntry {
@@ -626,12 +630,24 @@
     transport.sendAll(entryPeers(e -> e.following), controlPulse(0));
   }
 
+  /**
+   * Sends the routing state to an entry soon, together with the others that request it after a
+   * change, so that a large document is encoded only once.
+   */
   private void sendState(String peer) {
+    if (stateRequesters.isEmpty()) {
+      vertx.setTimer(STATE_OFFER_DELAY_MILLIS, id -> sendStateToRequesters());
+    }
+    stateRequesters.add(peer);
+  }
+
+  private void sendStateToRequesters() {
     RoutingState state = control.view().routing();
-    transport.send(
-        peer,
+    transport.sendAll(
+        stateRequesters,
         new FleetMessage.StateOffer(
             state.revision(), state.version(), state.document(), state.evacuatedDomains()));
+    stateRequesters.clear();
   }
 
   @Override
