Limit the recent patches that a daemon retains by their size

A daemon retained up to 512 patches of at most 1 MiB for daemons that lag behind, and sent them in one message, which could exceed the maximum frame and the heap. Found while the messages that grow with the state were listed; not observed. At most 4 MiB are retained now, beyond which the whole document is sent, as before beyond 512 patches.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/config/ConfigStore.java
@@ -47,6 +47,9 @@
   /** Maximum number of patches retained for daemons that lag behind. */
   public static final int MAX_RECENT_PATCHES = 512;
 
+  /** Maximum size of these patches in characters, so that they fit one message between daemons. */
+  private static final long MAX_RECENT_PATCH_CHARS = 4 << 20;
+
   private static final System.Logger LOG = System.getLogger(ConfigStore.class.getName());
   private final AtomicReference<Applied> current =
       new AtomicReference<>(new Applied(GatewayConfig.EMPTY, ConfigDocument.EMPTY));
@@ -125,7 +128,9 @@
         return Outcome.STALE;
       }
       patch.ifPresentOrElse(p -> recentPatches.put(next.version(), p.text()), recentPatches::clear);
-      if (recentPatches.size() > MAX_RECENT_PATCHES) {
+      while (recentPatches.size() > MAX_RECENT_PATCHES
+          || recentPatches.values().stream().mapToLong(String::length).sum()
+              > MAX_RECENT_PATCH_CHARS) {
         recentPatches.pollFirstEntry();
       }
       current.set(next);
