--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/LargeDocumentTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/LargeDocumentTest.java
@@ -97,7 +97,7 @@
     change(group, 60);
     String leader = group.awaitLeader();
     String slow = group.ids().stream().filter(id -> !id.equals(leader)).findFirst().orElseThrow();
-    long sentBefore = group.dataBytesSentTo(slow);
+    final long sentBefore = group.dataBytesSentTo(slow);
     group.loseDisk(slow);
     group.setThroughput(slow, bytesPerMilli);
     group.run(withinMillis);
@@ -113,7 +113,7 @@
     String leader = group.awaitLeader();
     String silent = group.ids().stream().filter(id -> !id.equals(leader)).findFirst().orElseThrow();
     group.kill(silent);
-    long sentBefore = group.dataBytesSentTo(silent);
+    final long sentBefore = group.dataBytesSentTo(silent);
     change(group, 20);
     group.run(5_000);
     assertThat(
