Admit small bodies beside large ones, and bytes read before a connection closed

Found while the changes were read again. Announcements of endpoints were refused with 503 while large configurations were held; bodies of up to 64 KiB are now read regardless of the others. A response whose connection had closed while the caller read slowly was given up as too large; what was read before the close is now accepted.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CallBodyReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CallBodyReader.java
@@ -17,6 +17,9 @@
  * <p>Not thread-safe: confined to the event loop thread.
  */
 public final class CallBodyReader {
+  /** Size up to which a body is read regardless of the others, such as an announcement. */
+  private static final int SMALL_BODY_BYTES = 64 << 10;
+
   private final Vertx vertx;
   private final long maxBodyBytes;
   private final long maxTotalBytes;
@@ -35,6 +38,7 @@
    *
    * @param maxBodyBytes maximum size of a body; a larger one is answered with 413
    * @param maxTotalBytes maximum size of all bodies held; a call beyond it is answered with 503
+   *     unless its body is small
    * @param timeout maximum duration until a body is complete; a slower one is answered with 408
    * @param rejection sends these responses
    */
@@ -92,9 +96,10 @@
       if (released) {
         return;
       }
-      if (received.length() + chunk.length() > maxBodyBytes) {
+      int length = received.length() + chunk.length();
+      if (length > maxBodyBytes) {
         rejectTooLarge();
-      } else if (heldBytes + chunk.length() > maxTotalBytes) {
+      } else if (length > SMALL_BODY_BYTES && heldBytes + chunk.length() > maxTotalBytes) {
         reject(503, "too many calls with large bodies are in progress");
       } else {
         heldBytes += chunk.length();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -142,11 +142,14 @@
      */
     boolean tryHold(int bytes) {
       long newTotalBytes = totalHeldBytes - heldBytes + bytes;
-      if (closed || bytes > MAX_HELD_BYTES || newTotalBytes > MAX_TOTAL_HELD_BYTES) {
+      if (bytes > MAX_HELD_BYTES || newTotalBytes > MAX_TOTAL_HELD_BYTES) {
         return false;
       }
-      totalHeldBytes = newTotalBytes;
-      heldBytes = bytes;
+      // What was read before the connection closed may be delivered later, after a pause.
+      if (!closed) {
+        totalHeldBytes = newTotalBytes;
+        heldBytes = bytes;
+      }
       return true;
     }
 
