Admit a new member that follows closely while changes continue

What callers saw: none directly; a lost control instance was replaced late, so that the group bore fewer further losses meanwhile.

Cause: a follower counted as caught up only if it stored everything that was committed at the moment of the check, every 200 ms. A change of 400 KB takes some time to arrive, and the next one was committed before.

Ruled out: its discovery (1.0 s after the start) and the removal of the lost member (silent for longer than 1.8 s).

Change: as in the rounds of Raft's membership changes, a follower counts as caught up if it stores what had been committed when the last round of replication began, and that round and the current one are shorter than an election timeout.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -356,7 +356,7 @@
                 new FollowerView(
                     f.getKey(),
                     nowMillis - f.getValue().lastResponseMillis,
-                    f.getValue().matchIndex >= log.commitIndex(),
+                    f.getValue().isCaughtUp(nowMillis),
                     f.getValue().voter))
         .toList();
   }
@@ -659,7 +659,7 @@
     if (response.voter() && !sameStorage) {
       return;
     }
-    p.onResponse(response, nowMillis);
+    p.onResponse(response, log.commitIndex(), nowMillis);
     if (!sameStorage) {
       log.append(hardState.term(), new Command.StorageRegistration(from, response.storageId()));
     }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
@@ -7,6 +7,9 @@
  * does not carry the same data again and again. It is repeated only while the follower responds to
  * heartbeats, after a time that allows for its size. That time is doubled with each repetition and
  * halved with each message that arrives without one.
+ *
+ * <p>A follower counts as caught up if it stores what the leader had committed a short time ago. It
+ * rarely stores all of it while changes follow one another, because each takes time to arrive.
  */
 final class Progress {
   /** Lowest throughput that the first repetition allows for. */
@@ -28,11 +31,16 @@
   private boolean repeated;
   private int backoff = 1;
   private long retryMillis;
+  private long roundEndIndex;
+  private long roundStartMillis;
+  private long lastRoundMillis = Long.MAX_VALUE;
 
   Progress(long nextIndex, ConsensusTiming timing, long nowMillis) {
     this.nextIndex = nextIndex;
     this.timing = timing;
     this.lastResponseMillis = nowMillis;
+    this.roundEndIndex = nextIndex - 1;
+    this.roundStartMillis = nowMillis;
   }
 
   /** Returns whether entries or a snapshot may be sent now. */
@@ -58,8 +66,18 @@
     retryMillis = backoff * (timing.heartbeatIntervalMillis() + sizeBytes / MIN_BYTES_PER_MILLI);
   }
 
-  /** Updates the progress with a follower's response. */
-  void onResponse(ConsensusMessage.AppendResponse response, long nowMillis) {
+  /**
+   * Returns whether the follower has stored the entries that were committed when the last round of
+   * replication began, and that round and the current one are shorter than an election timeout.
+   */
+  boolean isCaughtUp(long nowMillis) {
+    return lastRoundMillis < timing.electionTimeoutMillis()
+        && nowMillis - roundStartMillis < timing.electionTimeoutMillis();
+  }
+
+  /** Updates the progress with a follower's response to a leader with the given commit index. */
+  void onResponse(
+      ConsensusMessage.AppendResponse response, long leaderCommitIndex, long nowMillis) {
     boolean wasSilent = nowMillis - lastResponseMillis >= timing.electionTimeoutMillis();
     boolean restarted = response.session() != session;
     boolean arrived = response.matchIndex() >= inFlightIndex;
@@ -80,5 +98,10 @@
       nextIndex = Math.max(1, Math.min(nextIndex - 1, response.matchIndex() + 1));
       matchIndex = Math.min(matchIndex, nextIndex - 1);
     }
+    if (matchIndex >= roundEndIndex) {
+      lastRoundMillis = nowMillis - roundStartMillis;
+      roundStartMillis = nowMillis;
+      roundEndIndex = leaderCommitIndex;
+    }
   }
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/LargeDocumentTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/LargeDocumentTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests a control group whose routing document is large and changes often: members that lost their
@@ -144,6 +145,29 @@
     assertThat(submit(group, 41).orElseThrow(), instanceOf(ChangeResult.Accepted.class));
   }
 
+  /**
+   * Guards against a successor that never joins while changes follow one another, because it stores
+   * the newest one only after the next has been committed.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1_000, 2_000})
+  void successorJoinsWhileChangesContinue(int bytesPerMilli) {
+    ControlGroup group = group(5, LogLimits.DEFAULT);
+    String leader = group.awaitLeader();
+    String lost = group.ids().stream().filter(id -> !id.equals(leader)).findFirst().orElseThrow();
+    group.remove(lost);
+    group.setThroughput("successor", bytesPerMilli);
+    group.add("successor");
+    long version = 0;
+    long millis = 0;
+    while (!group.member(leader).group().contains("successor") && millis < CATCH_UP_MILLIS) {
+      group.submitRoutingDocument(leader, ++version);
+      group.run(DOCUMENT_BYTES / bytesPerMilli);
+      millis += DOCUMENT_BYTES / bytesPerMilli;
+    }
+    assertThat(group.member(leader).group().contains("successor"), equalTo(true));
+  }
+
   static LongStream seeds() {
     return LongStream.range(0, 30);
   }
