--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -508,7 +508,6 @@
       refuser = refuserOf(upstreamResponse);
       attemptRefusalCount = refusalCountOf(upstreamResponse);
       String echoedId = upstreamResponse.getHeader(context.headerNames().requestId());
-      boolean success = status >= OK && status < MULTIPLE_CHOICES;
       if (status < OK) {
         handleInvalidResponse("answered " + status);
         return;
@@ -518,6 +517,7 @@
         return;
       }
       readAdvertisedConditions(upstreamResponse);
+      boolean success = status >= OK && status < MULTIPLE_CHOICES;
       if (success && upstreamResponse.getHeader(context.headerNames().signature()) == null) {
         handleInvalidResponse("answered " + status + " without signature");
       } else if (success && request.handling().isStream()) {
