--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -10,9 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Optional;
 import java.util.zip.CRC32C;
 
 /**
@@ -47,12 +45,16 @@
     void onRecord(byte[] payload, long endOffset) throws IOException;
   }
 
-  /**
-   * Provides the payloads of a file's records one by one, so that they need not be held at once.
-   */
-  interface PayloadSource {
-    /** Returns the next payload, or empty after the last one. */
-    Optional<byte[]> next() throws IOException;
+  /** Writes the records of a file one by one, so that they need not be held at once. */
+  interface Content {
+    /** Appends the payload of each record, in order. */
+    void writeTo(Appender file) throws IOException;
+  }
+
+  /** Appends records to a file that is being written. */
+  interface Appender {
+    /** Appends a record with the given payload. */
+    void append(byte[] payload) throws IOException;
   }
 
   private DurableFile() {}
@@ -111,14 +113,17 @@
 
   /** Replaces a file durably by one with the given records. */
   public static void replace(Path file, List<byte[]> payloads) throws IOException {
-    Iterator<byte[]> remaining = payloads.iterator();
     replace(
         file,
-        () -> remaining.hasNext() ? Optional.of(remaining.next()) : Optional.empty(),
+        appender -> {
+          for (byte[] payload : payloads) {
+            appender.append(payload);
+          }
+        },
         FORCE_TO_DISK);
   }
 
-  static void replace(Path file, PayloadSource payloads, Sync sync) throws IOException {
+  static void replace(Path file, Content content, Sync sync) throws IOException {
     Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
     try (FileChannel channel =
         FileChannel.open(
@@ -126,11 +131,7 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE)) {
-      for (Optional<byte[]> payload = payloads.next();
-          payload.isPresent();
-          payload = payloads.next()) {
-        writeFully(channel, record(payload.get()));
-      }
+      content.writeTo(payload -> writeFully(channel, record(payload)));
       sync.force(channel);
     }
     Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -172,20 +171,18 @@
   /** Replaces the log file by one that contains only the given entries. */
   private void rewrite(List<LogEntry> retained) throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
-    Iterator<LogEntry> remaining = retained.iterator();
     List<Long> offsets = new ArrayList<>();
     channel.close();
     DurableFile.replace(
         file,
-        () -> {
-          if (!remaining.hasNext()) {
-            return Optional.empty();
+        appender -> {
+          long offset = 0;
+          for (LogEntry entry : retained) {
+            byte[] payload = encode(p -> ConsensusCodec.packEntry(p, entry));
+            offset += DurableFile.recordBytes(payload);
+            offsets.add(offset);
+            appender.append(payload);
           }
-          LogEntry entry = remaining.next();
-          byte[] payload = encode(p -> ConsensusCodec.packEntry(p, entry));
-          long offset = offsets.isEmpty() ? 0 : offsets.get(offsets.size() - 1);
-          offsets.add(offset + DurableFile.recordBytes(payload));
-          return Optional.of(payload);
         },
         sync);
     openChannel(file);
@@ -237,7 +234,7 @@
 
   private void writeHardState(HardState state) throws IOException {
     byte[] payload = encode(p -> ConsensusCodec.packHardState(p, state));
-    DurableFile.replace(dataDir.resolve(HARD_STATE_FILE), once(payload), sync);
+    DurableFile.replace(dataDir.resolve(HARD_STATE_FILE), f -> f.append(payload), sync);
   }
 
   @Override
@@ -276,7 +273,7 @@
   public void compact(Snapshot newSnapshot, List<LogEntry> tail) {
     try {
       byte[] payload = encode(p -> ConsensusCodec.packSnapshot(p, newSnapshot));
-      DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), once(payload), sync);
+      DurableFile.replace(dataDir.resolve(SNAPSHOT_FILE), f -> f.append(payload), sync);
       snapshotSizeBytes = payload.length;
       rewrite(tail);
     } catch (IOException e) {
@@ -287,11 +284,6 @@
     entries.addAll(tail);
   }
 
-  private static DurableFile.PayloadSource once(byte[] payload) {
-    Iterator<byte[]> remaining = List.of(payload).iterator();
-    return () -> remaining.hasNext() ? Optional.of(remaining.next()) : Optional.empty();
-  }
-
   private static byte[] encode(PackFunction packFunction) throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packFunction.pack(packer);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ControlPeers.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/ControlPeers.java
@@ -12,11 +12,10 @@
  * The control instances that one control instance has learned of from hello messages ({@link
  * FleetMessage.ControlHello}), on its own or from others.
  *
- * <p>An instance that starts is told the addresses of a few seeds only. It learns of the others
- * because a hello names the instances that its sender hears from, and each instance sends a hello
- * to those it has been told of. An instance counts as known only once it has sent a hello itself:
- * if what others say were passed on, instances that no longer run would keep each other's memory of
- * one that has been removed.
+ * <p>The settings of an instance contain the addresses of the seeds only. A hello contains the
+ * instances that are known to its sender, and its receiver sends a hello to each of them. An
+ * instance counts as known only once its own hello has arrived; if addresses received from others
+ * were forwarded, an instance that has been removed would never expire.
  *
  * <p>Not thread-safe: confined to the control instance's event loop thread.
  */
@@ -62,7 +61,7 @@
     return learned;
   }
 
-  /** Forgets the instances of which nothing has been heard for the retention time. */
+  /** Removes the instances whose retention time has elapsed. */
   public void expire(Instant now) {
     lastHelloAt.values().removeIf(at -> at.plus(retention).isBefore(now));
     lastNamedAt.values().removeIf(at -> at.plus(retention).isBefore(now));
