Divide the time to a response's first byte into stages

Callers of a large deployment were served late, and the log told only the time to the first byte: it could not say whether a request had waited for the entry's event loop, for a connection, for a relay or for the endpoint.

Each request now has its time divided (RequestTiming). The line request.finished states the stages and the objective, a histogram for each stage is exported, and 'lacewingcroft report' counts late responses in every table, by region too, and lists them by the stage that took longest.

ServiceReportTest#lateResponsesAreListedByTheirLongestStage.

--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/OutcomeCounts.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/OutcomeCounts.java
@@ -13,6 +13,7 @@
   private final Histogram firstByteMillis = new Histogram(SIGNIFICANT_DIGITS);
   private final Histogram durationMillis = new Histogram(SIGNIFICANT_DIGITS);
   private double notServedWeight;
+  private long late;
 
   /**
    * Adds a request.
@@ -21,6 +22,7 @@
    */
   void add(RequestOutcome outcome, double weight) {
     counts.merge(outcome.result(), 1L, Long::sum);
+    late += outcome.isLate() ? 1 : 0;
     if (outcome.result() == Result.SERVED) {
       firstByteMillis.recordValue(Math.max(0, outcome.firstByteMillis()));
       durationMillis.recordValue(Math.max(0, outcome.durationMillis()));
@@ -34,6 +36,11 @@
     return counts.getOrDefault(result, 0L);
   }
 
+  /** Returns the number of requests that were served later than their objective. */
+  public long late() {
+    return late;
+  }
+
   /** Returns the number of requests. */
   public long total() {
     return counts.values().stream().mapToLong(Long::longValue).sum();
--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/RequestOutcomes.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/RequestOutcomes.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.logs;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,7 +15,10 @@
   private static final String PLACED = "request.placed";
   private static final String ATTEMPT_FAILED = "request.try_failed";
   private static final String FINISHED = "request.finished";
+  private static final String STARTED = "instance.started";
   private static final String SERVED = "served";
+  private static final List<String> STAGES =
+      List.of("queue", "placement", "connect", "endpoint", "relay");
   private static final int SERVER_ERROR = 500;
 
   /** Statuses of refused requests, provided that the request cannot have run. */
@@ -23,6 +27,7 @@
   private final List<RequestOutcome> outcomes = new ArrayList<>();
   private final Map<Handling, List<LogLine>> attemptLines = new HashMap<>();
   private final Set<Handling> relayed = new HashSet<>();
+  private final Map<String, String> regionByNode = new HashMap<>();
 
   /** Identifies the handling of one request by one entry. */
   private record Handling(String request, String node) {}
@@ -58,22 +63,33 @@
           outcomes.add(toOutcome(line, attempts));
         }
       }
+      case STARTED -> regionByNode.put(line.node(), line.text("region"));
       default -> {}
     }
   }
 
-  private static RequestOutcome toOutcome(LogLine finished, List<LogLine> attempts) {
+  private RequestOutcome toOutcome(LogLine finished, List<LogLine> attempts) {
     Result result = result(finished);
     return new RequestOutcome(
         finished.text("request"),
         finished.text("route"),
         finished.node(),
+        regionByNode.getOrDefault(finished.node(), ""),
         result,
         result == Result.SERVED ? "" : cause(finished, attempts),
         lastWithEvent(attempts, PLACED).map(line -> line.text("target")).orElse(""),
         finished.millis() - finished.number("millis", 0),
         finished.number("firstByteMillis", -1),
-        finished.number("millis", 0));
+        finished.number("millis", 0),
+        finished.number("objectiveMillis", 0),
+        longestStage(finished));
+  }
+
+  private static String longestStage(LogLine finished) {
+    return STAGES.stream()
+        .filter(stage -> finished.number(stage + "Millis", 0) > 0)
+        .max(Comparator.comparingLong(stage -> finished.number(stage + "Millis", 0)))
+        .orElse("");
   }
 
   private static Result result(LogLine finished) {
--- a/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/ServiceReport.java
+++ b/lacewingcroft-cli/src/main/java/org/lacewingcroft/logs/ServiceReport.java
@@ -10,17 +10,18 @@
 import org.lacewingcroft.logs.RequestOutcome.Result;
 
 /**
- * Counts the requests that were served and those that were not, by route, entry, last target, cause
- * and second of arrival.
+ * Counts the requests that were served and those that were not, by route, region, entry, last
+ * target, cause and second of arrival, and those served late by the stage that took longest.
  */
 public final class ServiceReport {
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final String HEADER =
-      "%-58s %8s %8s %8s %8s %8s %9s %9s %9s %9s%n"
+      "%-58s %8s %8s %8s %8s %8s %8s %9s %9s %9s %9s%n"
           .formatted(
               "",
               "all",
               "served",
+              "late",
               "refused",
               "failed",
               "left",
@@ -73,13 +74,19 @@
     List<RequestOutcome> notServed =
         outcomes.stream().filter(o -> o.result() != Result.SERVED).toList();
     ServiceReport reportOfNotServed = new ServiceReport(notServed, weightByRoute);
+    List<RequestOutcome> late = outcomes.stream().filter(RequestOutcome::isLate).toList();
+    ServiceReport reportOfLate = new ServiceReport(late, weightByRoute);
     List<Row> seconds = new ArrayList<>();
     countsBySecond().forEach((second, counts) -> seconds.add(new Row(second.toString(), counts)));
     return table("route", rowsByNotServedWeight(RequestOutcome::route))
+        + table("region", rowsByNotServedWeight(o -> o.region().isEmpty() ? "unknown" : o.region()))
         + table("entry", rowsByNotServedWeight(RequestOutcome::node))
         + table(
             "route and cause",
             reportOfNotServed.rowsByNotServedWeight(o -> o.route() + ": " + o.cause()))
+        + table(
+            "route and longest stage of late responses",
+            reportOfLate.rowsByNotServedWeight(o -> o.route() + ": " + o.longestStage()))
         + table(
             "last target", rowsByNotServedWeight(o -> o.target().isEmpty() ? "none" : o.target()))
         + table("second of arrival", seconds);
@@ -102,10 +109,11 @@
       text.append(
           String.format(
               Locale.ROOT,
-              "%-58s %8d %8d %8d %8d %8d %9.1f %9d %9d %9d%n",
+              "%-58s %8d %8d %8d %8d %8d %8d %9.1f %9d %9d %9d%n",
               row.name(),
               c.total(),
               c.count(Result.SERVED),
+              c.late(),
               c.count(Result.REFUSED),
               c.count(Result.FAILED),
               c.count(Result.LEFT),
--- a/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/ServiceReportTest.java
+++ b/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/ServiceReportTest.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.logs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -84,6 +85,48 @@
     assertThat(byEntry.lines().toList().get(2), containsString("south-1"));
   }
 
+  @Test
+  void lateResponsesAreListedByTheirLongestStage() {
+    ServiceReport report =
+        new ServiceReport(
+            outcomes(
+                SampleLog.line(0, "north-1", "instance.started", "region", "north"),
+                late(100, "r-1", 400, 700),
+                late(200, "r-2", 900, 30),
+                late(300, "r-3", 10, 20)),
+            Map.of());
+    assertThat(report.countsBy(RequestOutcome::region).get("north").late(), is(2L));
+    String byStage = report.text().substring(report.text().indexOf("longest stage"));
+    assertThat(
+        byStage.lines().skip(2).limit(2).map(row -> row.substring(0, 20).trim()).toList(),
+        containsInAnyOrder("chat: endpoint", "chat: queue"));
+  }
+
+  private static String late(long millis, String request, long queueMillis, long endpointMillis) {
+    return SampleLog.line(
+        millis,
+        "north-1",
+        "request.finished",
+        "request",
+        request,
+        "route",
+        "chat",
+        "outcome",
+        "served",
+        "status",
+        200,
+        "queueMillis",
+        queueMillis,
+        "endpointMillis",
+        endpointMillis,
+        "firstByteMillis",
+        queueMillis + endpointMillis,
+        "objectiveMillis",
+        500,
+        "millis",
+        2_000);
+  }
+
   private static List<RequestOutcome> outcomes(String... lines) {
     return RequestOutcomes.of(
         Stream.of(lines).map(text -> LogFiles.parse(text).orElseThrow()).toList());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -85,6 +85,7 @@
   private final Set<String> excludedTargets = new HashSet<>();
   private final Set<String> excludedRegions = new HashSet<>();
   private final CallSteps steps = new CallSteps();
+  private final RequestTiming timing;
   private final ResponseTimer responseTimer;
   private final TargetSearch targetSearch;
   private Optional<UpstreamAttempt> currentAttempt = Optional.empty();
@@ -125,6 +126,7 @@
     this.response = response;
     this.relayed = relayed;
     this.requestLog = new RequestLog(request);
+    this.timing = new RequestTiming(request.arrivedAt());
     this.lastEventId = request.lastEventId();
     this.responseTimer = new ResponseTimer(context.vertx(), context.eventLoop(), steps);
     this.targetSearch = new TargetSearch(context, request, relayed);
@@ -148,6 +150,7 @@
       return;
     }
     steps.next();
+    timing.begin(RequestTiming.Stage.PLACEMENT, context.now());
     Optional<Future<Void>> pendingDecision =
         context.node().quarantine().pendingDecision(request.fingerprints());
     if (pendingDecision.isPresent()) {
@@ -310,10 +313,11 @@
     sends++;
     Attempt attempt = new Attempt(target);
     currentAttempt = Optional.of(attempt.upstream);
+    timing.begin(RequestTiming.Stage.CONNECT, context.now());
     attempt.upstream.start(
         context.connectionPool(),
         request,
-        () -> extraHeaders(target),
+        () -> headersOfSend(target),
         write -> context.eventLoop().runWhenPolled(() -> sendUnlessEnded(write)));
     startResponseTimer(attempt, expectedMillis);
   }
@@ -341,6 +345,14 @@
     return steps.isEnded();
   }
 
+  /** Returns the headers added to a request that is now written to its target. */
+  private List<Map.Entry<String, String>> headersOfSend(UpstreamTarget target) {
+    timing.begin(
+        target.endpoint().isPresent() ? RequestTiming.Stage.ENDPOINT : RequestTiming.Stage.RELAY,
+        context.now());
+    return extraHeaders(target);
+  }
+
   private List<Map.Entry<String, String>> extraHeaders(UpstreamTarget target) {
     HeaderNames headerNames = context.headerNames();
     Instant now = context.now();
@@ -502,6 +514,7 @@
       status = newStatus;
       if (firstByteMillis < 0) {
         firstByteMillis = Duration.between(request.arrivedAt(), context.now()).toMillis();
+        timing.end(context.now());
       }
       headers =
           ForwardRequest.endToEndHeaders(upstreamResponse.headers(), ForwardContext.RELAY_HEADERS);
@@ -962,9 +975,18 @@
     vertx.cancelTimer(deadlineTimer);
     responseTimer.cancel();
     long millis = Duration.between(request.arrivedAt(), context.now()).toMillis();
-    context.recordFinished(status, outcome, millis, firstByteMillis);
+    timing.end(context.now());
+    context.recordFinished(status, outcome, millis, firstByteMillis, timing);
     requestLog.logFinished(
         new RequestLog.Summary(
-            outcome, status, servedBy, sends, mayHaveRun, lastEventId, firstByteMillis, millis));
+            outcome,
+            status,
+            servedBy,
+            sends,
+            mayHaveRun,
+            lastEventId,
+            firstByteMillis,
+            millis,
+            timing));
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.EventLoopMonitor;
+import org.lacewingcroft.forward.RequestTiming.Stage;
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.AbortedResponses;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -125,8 +126,10 @@
    * @param status the status sent to the caller, 0 if the caller has disconnected
    * @param outcome {@link #SERVED} or the reason of the failure
    * @param firstByteMillis the time to the response head, negative if none was received
+   * @param timing the stages of the time to the response head, or to the end without one
    */
-  void recordFinished(int status, String outcome, long millis, long firstByteMillis) {
+  void recordFinished(
+      int status, String outcome, long millis, long firstByteMillis, RequestTiming timing) {
     String label = "own_" + status;
     if (status == 0) {
       label = "caller_left";
@@ -138,5 +141,10 @@
     if (firstByteMillis >= 0) {
       metrics.firstByteSeconds.observe(firstByteMillis / 1000.0);
     }
+    metrics.requestQueueSeconds.observe(timing.millis(Stage.QUEUE) / 1000.0);
+    metrics.requestPlacementSeconds.observe(timing.millis(Stage.PLACEMENT) / 1000.0);
+    metrics.requestConnectSeconds.observe(timing.millis(Stage.CONNECT) / 1000.0);
+    metrics.requestEndpointSeconds.observe(timing.millis(Stage.ENDPOINT) / 1000.0);
+    metrics.requestRelaySeconds.observe(timing.millis(Stage.RELAY) / 1000.0);
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -33,6 +36,7 @@
    * @param lastEvent the id of the last event passed on, if the response is a stream
    * @param firstByteMillis the time from arrival to the response head, -1 if none was received
    * @param millis the time from arrival until the request finished
+   * @param timing the stages of the time to the response head, or to the end without one
    */
   record Summary(
       String outcome,
@@ -42,7 +46,8 @@
       boolean mayHaveRun,
       OptionalLong lastEvent,
       long firstByteMillis,
-      long millis) {}
+      long millis,
+      RequestTiming timing) {}
 
   RequestLog(ForwardRequest request) {
     this.request = request;
@@ -218,8 +223,15 @@
 
   /** Logs the end of the request: the response was sent or aborted, or the caller disconnected. */
   void logFinished(Summary summary) {
-    write(
-        "request.finished",
+    List<Object> fields = new ArrayList<>();
+    for (RequestTiming.Stage stage : RequestTiming.Stage.values()) {
+      fields.add(stage.fieldName());
+      fields.add(summary.timing().millis(stage));
+    }
+    Collections.addAll(
+        fields,
+        "objectiveMillis",
+        request.handling().firstByteObjective().toMillis(),
         "promptParts",
         request.fingerprints().promptPartsText(),
         "outcome",
@@ -244,6 +256,7 @@
         summary.firstByteMillis(),
         "millis",
         summary.millis());
+    write("request.finished", fields.toArray());
   }
 
   /** Writes a line that starts with the request id and the route. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -110,6 +110,30 @@
           .help("Seconds from request to the first answer byte relayed")
           .register(registry);
 
+  /** Seconds for which a request waited for the event loop and its body was received. */
+  public final Histogram requestQueueSeconds =
+      stageHistogram("lwc_request_queue_seconds", "Seconds until a request was read");
+
+  /** Seconds for which a request waited until it was placed. */
+  public final Histogram requestPlacementSeconds =
+      stageHistogram("lwc_request_placement_seconds", "Seconds until a request was placed");
+
+  /** Seconds for which a request waited for a connection and for being written to it. */
+  public final Histogram requestConnectSeconds =
+      stageHistogram("lwc_request_connect_seconds", "Seconds until a placed request was written");
+
+  /** Seconds from writing a request to an endpoint to the head of its response. */
+  public final Histogram requestEndpointSeconds =
+      stageHistogram("lwc_request_endpoint_seconds", "Seconds for which an endpoint was awaited");
+
+  /** Seconds from writing a request to another entry to the head of its response. */
+  public final Histogram requestRelaySeconds =
+      stageHistogram("lwc_request_relay_seconds", "Seconds for which another entry was awaited");
+
+  private Histogram stageHistogram(String name, String help) {
+    return Histogram.builder().name(name).help(help).register(registry);
+  }
+
   /** Seconds from the receipt of a request until it is finished, by outcome. */
   public final Histogram requestSeconds =
       Histogram.builder()
