Relay requests of a crowded region before its slots are taken

Callers of a region with 31 entries were refused or served late while the endpoints of other regions were nearly idle.

Cause: two of the same class, an estimate that was right for four entries. RegionLoads multiplied each relay by the number of entries and kept it until the next report, so that with 31 entries two relays closed a region (207 ms each, of 310). And a request was relayed only once this region was slower by 120 ms: by then long responses held its slots, each for several times as long, since an engine's streams wait for its prefills.

Change: a region reports its capacity (prefill speed, spare part of it, slots, occupied slots), in the array of waits, whose further elements earlier builds ignore. Own relays count once; those of the other entries are estimated from this entry's rate over a second, and are worked off at the reported spare speed. A request whose first byte is expected from another region within a quarter of its objective is relayed as soon as most slots here are occupied, and more of them than there. A refusal logs the slots and how many are free.

RegionOverflowTest replays two regions of 24 engines with 4 and 31 entries.

RegionLoadsTest: the row "relays of the region's other entries are estimated" expected that one relay of four entries counts four times at once, which is the fault. It is replaced by rows for one and two relays of 4 and 31 entries, with and without capacity to spare, of which two exceed the capacity.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -623,8 +623,9 @@
   /** Records a request relayed to another entry, which adds to the load of another region. */
   public void requestRelayed(String region, PlacementRequest request) {
     if (!region.equals(settings.region())) {
-      int senders = pressure.state().activeCount(entries.regionNames(), clock.instant());
-      regionLoads.recordRelayed(region, request, senders);
+      Instant now = clock.instant();
+      int senders = pressure.state().activeCount(entries.regionNames(), now);
+      regionLoads.recordRelayed(region, request, senders, now);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/LoadExchange.java
@@ -19,6 +19,7 @@
 import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.limit.UsageReport;
 import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.placement.RegionLoadSummary;
 import org.lacewingcroft.placement.ReportedLoad;
 import org.lacewingcroft.placement.UnsentReports;
 
@@ -244,7 +245,7 @@
     List<FleetMessage.ServiceLoad> services = new ArrayList<>();
     byService.forEach(
         (service, available) ->
-            services.add(serviceLoad(service, preferUnlimited(available), now)));
+            services.add(RegionLoadSummary.of(service, preferUnlimited(available), now)));
     channel.get().sendRegionLoad(new FleetMessage.RegionLoad(settings.region(), services));
   }
 
@@ -258,18 +259,4 @@
         available.stream().filter(t -> t.rateLimit().perSecond().isEmpty()).toList();
     return unlimited.isEmpty() ? available : unlimited;
   }
-
-  private static FleetMessage.ServiceLoad serviceLoad(
-      String service, List<EndpointTracker> available, Instant now) {
-    long[] waits = new long[EndpointTracker.PRIORITY_COUNT];
-    for (int p = 0; p < waits.length; p++) {
-      int priority = p;
-      waits[p] =
-          Math.round(
-              available.stream().mapToDouble(t -> t.waitMillis(priority, now)).average().orElse(0));
-    }
-    double tokenMillis =
-        available.stream().mapToDouble(t -> t.tokenMillis(now)).average().orElse(0);
-    return new FleetMessage.ServiceLoad(service, available.size(), waits, tokenMillis);
-  }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -310,8 +310,25 @@
    * @param endpoints number of endpoints that accept requests
    * @param waitMillis the expected wait there in ms, indexed by priority
    * @param tokenMillis the time per output token there, in ms
+   * @param capacity the capacity of the endpoints; empty if an earlier build reports
    */
-  record ServiceLoad(String service, int endpoints, long[] waitMillis, double tokenMillis) {}
+  record ServiceLoad(
+      String service,
+      int endpoints,
+      long[] waitMillis,
+      double tokenMillis,
+      Optional<ServiceCapacity> capacity) {}
+
+  /**
+   * The capacity of the endpoints of a service in a region, all together.
+   *
+   * @param prefillTokensPerMilli their prefill speed, in prompt tokens per millisecond
+   * @param spareTokensPerMilli the prefill speed of those of them that have no prompt to prefill
+   * @param slots the number of requests that they run concurrently
+   * @param occupiedSlots the number of requests that they run and queue
+   */
+  record ServiceCapacity(
+      double prefillTokensPerMilli, double spareTokensPerMilli, int slots, int occupiedSlots) {}
 
   /**
    * A batch of updates that entries exchange, of one entry or merged from several. It is named
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -17,9 +18,11 @@
 import org.lacewingcroft.fleet.FleetMessage.PrefixPart;
 import org.lacewingcroft.fleet.FleetMessage.PrefixRead;
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
+import org.lacewingcroft.fleet.FleetMessage.ServiceCapacity;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.limit.UsageReport;
+import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.EndpointCrash;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
@@ -34,6 +37,11 @@
   /** Maximum initial capacity of a list, regardless of the length that its sender claims. */
   private static final int MAX_INITIAL_CAPACITY = 1_024;
 
+  /** Number of fields of a {@link ServiceCapacity} on the wire. */
+  private static final int CAPACITY_FIELDS = 4;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private FleetRecordCodec() {}
 
   /** Packs one element of a list. */
@@ -267,21 +275,51 @@
     return new RegionLoad(u.unpackString(), unpackAll(u, FleetRecordCodec::unpackServiceLoad));
   }
 
+  /**
+   * Packs the capacity after the waits of all priorities, in the same array: earlier builds read
+   * the wait of a request's priority and ignore the rest.
+   */
   private static void packServiceLoad(MessagePacker p, ServiceLoad l) throws IOException {
     p.packString(l.service()).packInt(l.endpoints());
-    p.packArrayHeader(l.waitMillis().length);
+    Optional<ServiceCapacity> capacity =
+        l.capacity().filter(c -> l.waitMillis().length == EndpointTracker.PRIORITY_COUNT);
+    p.packArrayHeader(l.waitMillis().length + (capacity.isPresent() ? CAPACITY_FIELDS : 0));
     for (long wait : l.waitMillis()) {
       p.packLong(wait);
     }
+    if (capacity.isPresent()) {
+      ServiceCapacity c = capacity.get();
+      p.packLong(Math.round(c.prefillTokensPerMilli() * MILLIS_PER_SECOND));
+      p.packLong(Math.round(c.spareTokensPerMilli() * MILLIS_PER_SECOND));
+      p.packLong(c.slots()).packLong(c.occupiedSlots());
+    }
     p.packDouble(l.tokenMillis());
   }
 
   private static ServiceLoad unpackServiceLoad(MessageUnpacker u) throws IOException {
     String service = u.unpackString();
     int endpoints = u.unpackInt();
-    long[] waits =
+    long[] numbers =
         unpackAll(u, MessageUnpacker::unpackLong).stream().mapToLong(Long::longValue).toArray();
-    return new ServiceLoad(service, endpoints, waits, u.unpackDouble());
+    int waitCount = Math.min(numbers.length, EndpointTracker.PRIORITY_COUNT);
+    long[] waits = Arrays.copyOf(numbers, waitCount);
+    long[] capacity = Arrays.copyOfRange(numbers, waitCount, numbers.length);
+    return new ServiceLoad(service, endpoints, waits, u.unpackDouble(), serviceCapacity(capacity));
+  }
+
+  private static Optional<ServiceCapacity> serviceCapacity(long[] fields) throws IOException {
+    if (fields.length < CAPACITY_FIELDS) {
+      return Optional.empty();
+    }
+    if (Arrays.stream(fields).anyMatch(f -> f < 0 || f > Integer.MAX_VALUE)) {
+      throw new IOException("capacity of a service out of range: " + Arrays.toString(fields));
+    }
+    return Optional.of(
+        new ServiceCapacity(
+            fields[0] / MILLIS_PER_SECOND,
+            fields[1] / MILLIS_PER_SECOND,
+            (int) fields[2],
+            (int) fields[3]));
   }
 
   static void packNews(MessagePacker p, News news) throws IOException {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -673,6 +673,14 @@
     return prefillTokensPerMilli[clampPriority(priority)];
   }
 
+  /**
+   * Returns the highest prefill speed measured for any priority, in prompt tokens per millisecond.
+   * Short prompts yield lower speeds, because they include the time on the network.
+   */
+  double fastestPrefillTokensPerMilli() {
+    return Arrays.stream(prefillTokensPerMilli).max().orElseThrow();
+  }
+
   private static int clampPriority(int priority) {
     return Math.max(0, Math.min(PRIORITY_COUNT - 1, priority));
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placement.java
@@ -65,9 +65,16 @@
    * @param remoteWaitMillis the wait in the other region with the lowest estimated response time,
    *     if one is usable
    * @param maxWaitMillis the longest wait with which the request would have been accepted
+   * @param slots the number of requests that the service's endpoints of this region run
+   *     concurrently
+   * @param freeSlots how many of these slots are estimated to be free
    */
   record RefusalDetails(
-      OptionalLong localWaitMillis, OptionalLong remoteWaitMillis, long maxWaitMillis) {}
+      OptionalLong localWaitMillis,
+      OptionalLong remoteWaitMillis,
+      long maxWaitMillis,
+      int slots,
+      int freeSlots) {}
 
   /** The reason why a request is refused. */
   enum Reason {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/Placer.java
@@ -113,6 +113,15 @@
    */
   private static final double REMOTE_FETCHABLE_SHARE = 0.95;
 
+  /**
+   * Share of the objective up to which a first byte from another region is early enough to relay a
+   * request before this region is full.
+   */
+  private static final double TOLERANT_OBJECTIVE_SHARE = 0.25;
+
+  /** Share of occupied slots from which a region relays requests that other regions serve early. */
+  private static final double CROWDED_SLOT_SHARE = 0.7;
+
   /** Minimum retry delay returned to a refused caller. */
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -194,7 +203,9 @@
     boolean preferRemote =
         remoteAcceptable
             && localAcceptable
-            && (!localResponds || isClearlyFaster(local.get(), remote.get(), request, context));
+            && (!localResponds
+                || isClearlyFaster(local.get(), remote.get(), request, context)
+                || balancesRegions(remote.get(), request, context, now));
     if (localAcceptable && !preferRemote) {
       ScoredEndpoint best = local.get();
       double tokenMillis = best.endpoint().tokenMillis(now);
@@ -281,6 +292,53 @@
     return gain > 0 && random.nextDouble() < OVERFLOW_SHARE;
   }
 
+  /**
+   * Returns whether to relay a request that another region can still serve early, because most
+   * slots of this region are occupied and more of them than there. The slots that remain are left
+   * for requests with shorter objectives, before any of them has to wait.
+   */
+  private boolean balancesRegions(
+      RegionLoads.Candidate remote, PlacementRequest request, Context context, Instant now) {
+    if (remote.occupiedShare().isEmpty()
+        || remoteFirstByteMillis(remote, request, context)
+            > TOLERANT_OBJECTIVE_SHARE * request.firstByteObjective().toMillis()) {
+      return false;
+    }
+    double busierBy =
+        Slots.of(context, now).occupiedShare()
+            - Math.max(CROWDED_SLOT_SHARE, remote.occupiedShare().getAsDouble());
+    return random.nextDouble() < busierBy / (1 - CROWDED_SLOT_SHARE);
+  }
+
+  /**
+   * The slots of endpoints.
+   *
+   * @param total the number of requests that they run concurrently
+   * @param occupied the number of requests that they run and queue
+   * @param free the number of slots that are not taken
+   */
+  private record Slots(int total, int occupied, int free) {
+    private static Slots of(Context context, Instant now) {
+      int total = 0;
+      int occupied = 0;
+      int free = 0;
+      for (EndpointTracker endpoint : context.endpoints()) {
+        if (endpoint.acceptsRequests(now)) {
+          int slots = endpoint.slots(now);
+          int occupancy = endpoint.occupancy(now);
+          total += slots;
+          occupied += occupancy;
+          free += Math.max(0, slots - occupancy);
+        }
+      }
+      return new Slots(total, occupied, free);
+    }
+
+    private double occupiedShare() {
+      return total == 0 ? 0 : (double) occupied / total;
+    }
+  }
+
   private Placement refuse(
       PlacementRequest request,
       Context context,
@@ -294,8 +352,14 @@
             : OptionalDouble.empty();
     OptionalDouble remoteWait =
         remote.isPresent() ? OptionalDouble.of(remote.get().waitMillis()) : OptionalDouble.empty();
+    Slots slots = Slots.of(context, now);
     Placement.RefusalDetails details =
-        new Placement.RefusalDetails(rounded(localWait), rounded(remoteWait), Math.round(maxWait));
+        new Placement.RefusalDetails(
+            rounded(localWait),
+            rounded(remoteWait),
+            Math.round(maxWait),
+            slots.total(),
+            slots.free());
     if (local.isEmpty() && remote.isEmpty()) {
       Optional<Duration> retryDelay =
           allowsThisRegion(context) ? localRetryDelay(request, context, now) : Optional.empty();
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -28,9 +28,11 @@
 import org.lacewingcroft.fleet.FleetMessage.PrefixPart;
 import org.lacewingcroft.fleet.FleetMessage.PrefixRead;
 import org.lacewingcroft.fleet.FleetMessage.RegionLoad;
+import org.lacewingcroft.fleet.FleetMessage.ServiceCapacity;
 import org.lacewingcroft.fleet.FleetMessage.ServiceLoad;
 import org.lacewingcroft.limit.EndpointRateLimit;
 import org.lacewingcroft.limit.UsageReport;
+import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.EndpointCrash;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
@@ -61,7 +63,16 @@
   private static final PrefixRead PREFIX =
       new PrefixRead("i-1", List.of(new PrefixPart("5c1e07a2", 800), new PrefixPart("", 0)));
   private static final RegionLoad REGION =
-      new RegionLoad("north", List.of(new ServiceLoad("model", 9, new long[] {1, 250}, 8.25)));
+      new RegionLoad(
+          "north",
+          List.of(
+              new ServiceLoad("model", 9, new long[] {1, 250}, 8.25, Optional.empty()),
+              new ServiceLoad(
+                  "desk",
+                  6,
+                  new long[EndpointTracker.PRIORITY_COUNT],
+                  0.5,
+                  Optional.of(new ServiceCapacity(606.5, 101.25, 72, 80)))));
   private static final Suspicion SUSPICION =
       new Suspicion(
           new RequestFingerprint(-1),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
@@ -141,7 +141,7 @@
   private static Placer.Context context(List<EndpointTracker> endpoints, Row row) {
     RegionLoads loads = new RegionLoads();
     if (row.others() == Others.REGION || row.others() == Others.NEIGHBOUR_AND_REGION) {
-      loads.update("there", new ServiceLoad("s", 2, new long[] {0, 0}, 10), NOW);
+      loads.update("there", new ServiceLoad("s", 2, new long[] {0, 0}, 10, Optional.empty()), NOW);
     }
     return new Placer.Context(
         endpoints,
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PlacerTest.java
@@ -124,7 +124,7 @@
     RegionLoads loads = new RegionLoads();
     if (row.remoteWaitMillis() >= 0) {
       long[] waits = {row.remoteWaitMillis(), row.remoteWaitMillis()};
-      loads.update("there", new ServiceLoad("s", 2, waits, 10), NOW);
+      loads.update("there", new ServiceLoad("s", 2, waits, 10, Optional.empty()), NOW);
     }
     Placement placement =
         new Placer(3, new Random(1))
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
@@ -25,11 +25,16 @@
  * Replays requests of many entries through {@link Placer} against simulated endpoints with slots, a
  * bounded queue, different speeds, and a pace that changes every 600 ms. Entries tell each other
  * their own load and the reports of the endpoints every 120 ms, through an aggregator that passes
- * them on every 120 ms. Time is simulated; equal seeds give equal results.
+ * them on every 120 ms. Two replays can be connected as regions that report their load to each
+ * other twice a second and relay requests, 55 ms each way. Time is simulated; equal seeds give
+ * equal results.
  */
 final class ReportedLoadReplay {
   private static final int EXCHANGE_INTERVAL_MILLIS = 120;
   private static final int PACE_INTERVAL_MILLIS = 600;
+  private static final int REGION_REPORT_INTERVAL_MILLIS = 500;
+  private static final int REGION_REPORTERS = 2;
+  private static final int CROSS_REGION_MILLIS = 55;
   private static final int MAX_SENDS = 3;
   private static final String SERVICE = "service";
 
@@ -40,6 +45,8 @@
    * @param variablePace whether the pace changes every 600 ms
    * @param prefillTokensPerMilli prefill speed of an engine; 0 for a plain service
    * @param tokenMillis time per output token of an engine, or per request of a plain service
+   * @param chunkTokens prompt tokens that an engine prefills in each step, which all its streams
+   *     wait for; 0 if streams do not wait for prefills
    */
   record Endpoints(
       List<Double> speeds,
@@ -47,7 +54,24 @@
       int slots,
       int queueLimit,
       double prefillTokensPerMilli,
-      double tokenMillis) {}
+      double tokenMillis,
+      long chunkTokens) {
+    Endpoints(
+        List<Double> speeds,
+        boolean variablePace,
+        int slots,
+        int queueLimit,
+        double prefillTokensPerMilli,
+        double tokenMillis) {
+      this(speeds, variablePace, slots, queueLimit, prefillTokensPerMilli, tokenMillis, 0);
+    }
+
+    /** Returns the share of a step that its chunk of a prompt takes, for chunks that share it. */
+    private double chunkShare() {
+      double chunkMillis = chunkTokens / prefillTokensPerMilli;
+      return chunkMillis / (chunkMillis + tokenMillis);
+    }
+  }
 
   /** A kind of request. Requests of plain services have no prompt and one output token. */
   record Kind(
@@ -78,6 +102,13 @@
     int refusedToCaller;
     int arrivals;
     int refusedAsFull;
+    int relayed;
+    final Map<String, Integer> sentByKind = new TreeMap<>();
+    final Map<String, Integer> onTimeByKind = new TreeMap<>();
+
+    /** Requests and those in time, by second of arrival. */
+    private final Map<Long, int[]> bySecond = new TreeMap<>();
+
     long sharedTokensPrefilled;
     int[] arrivalsByEndpoint;
     double[] capacityShares;
@@ -98,14 +129,30 @@
       return (double) onTime / sent;
     }
 
+    /** Returns the share of the requests in time of those that arrived in a second. */
+    double onTimeShareOfSecond(long second) {
+      int[] counts = bySecond.get(second);
+      return (double) counts[1] / counts[0];
+    }
+
+    private int[] ofSecondAt(long arrivedAtMillis) {
+      return bySecond.computeIfAbsent(arrivedAtMillis / 1_000, second -> new int[2]);
+    }
+
+    double onTimeShare(String kind) {
+      return (double) onTimeByKind.getOrDefault(kind, 0) / sentByKind.get(kind);
+    }
+
     @Override
     public String toString() {
       return String.format(
-          "sent %d, on time %.3f, refused to callers %.3f, busiest %.2f, refused as full %.4f,"
-              + " shared tokens %d",
-          sent,
+          "sent %s, on time %.3f %s, refused to callers %.3f, relayed %d, busiest %.2f,"
+              + " refused as full %.4f, shared tokens %d",
+          sentByKind,
           onTimeShare(),
+          onTimeByKind,
           (double) refusedToCaller / sent,
+          relayed,
           busiest(),
           refusedShare(),
           sharedTokensPrefilled);
@@ -118,6 +165,8 @@
     private final long arrivedAt;
     private final Set<String> excluded = new HashSet<>();
     private boolean retried;
+    private Optional<ReportedLoadReplay> origin = Optional.empty();
+    private final Set<String> excludedRegions = new HashSet<>();
     private EndpointTracker.InFlightRequest inFlightRequest;
     private int entry;
     private double remainingPrefillMillis;
@@ -151,6 +200,7 @@
     }
   }
 
+  private final String region;
   private final Endpoints endpoints;
   private final int entryCount;
   private final Silence silence;
@@ -159,13 +209,21 @@
   private final Instant start = Instant.parse("2030-01-01T00:00:00Z");
   private final List<Engine> engines = new ArrayList<>();
   private final Results results = new Results();
-  private final TreeMap<Long, List<Call>> retries = new TreeMap<>();
+  private final TreeMap<Long, List<Runnable>> events = new TreeMap<>();
+  private final List<RegionLoads> regionLoads = new ArrayList<>();
+  private Optional<ReportedLoadReplay> otherRegion = Optional.empty();
   private final List<Consumer<Instant>> held = new ArrayList<>();
   private final List<Map<String, ReportedLoad>> lastTold = new ArrayList<>();
   private final Set<String> toldLoads = new HashSet<>();
   private final Optional<ServiceSpec.Engine> spec;
 
   ReportedLoadReplay(Endpoints endpoints, int entryCount, Silence silence, long seed) {
+    this("here", endpoints, entryCount, silence, seed);
+  }
+
+  ReportedLoadReplay(
+      String region, Endpoints endpoints, int entryCount, Silence silence, long seed) {
+    this.region = region;
     this.endpoints = endpoints;
     this.entryCount = entryCount;
     this.silence = silence;
@@ -202,6 +260,7 @@
                   .toList()));
     }
     IntStream.range(0, entryCount).forEach(e -> lastTold.add(new HashMap<>()));
+    IntStream.range(0, entryCount).forEach(e -> regionLoads.add(new RegionLoads()));
     double total = endpoints.speeds().stream().mapToDouble(s -> s).sum();
     results.capacityShares = endpoints.speeds().stream().mapToDouble(s -> s / total).toArray();
     results.arrivalsByEndpoint = new int[engines.size()];
@@ -219,42 +278,87 @@
   Results run(List<Kind> kinds, Duration duration, double burstFactor) {
     long millis = duration.toMillis();
     for (long ms = 0; ms < millis; ms++) {
-      final Instant now = start.plusMillis(ms);
-      if (endpoints.variablePace() && ms % PACE_INTERVAL_MILLIS == 0) {
-        engines.forEach(e -> e.pace = (0.7 + 0.7 * random.nextDouble()) / e.speed);
-      }
       boolean burst = ms >= millis / 3 && ms < millis * 2 / 3;
-      for (Kind kind : kinds) {
-        double rate = kind.perSecond() * (burst ? burstFactor : 1) / 1_000;
-        for (double due = rate; due > 0; due--) {
-          if (random.nextDouble() < due) {
-            arrive(kind, ms);
-          }
-        }
-      }
-      while (!retries.isEmpty() && retries.firstKey() <= ms) {
-        for (Call call : retries.pollFirstEntry().getValue()) {
-          send(call, ms);
+      step(kinds, burst ? burstFactor : 1, ms);
+    }
+    return results;
+  }
+
+  /** Connects two regions, whose replays then have to be stepped in turn. */
+  static void connect(ReportedLoadReplay one, ReportedLoadReplay other) {
+    one.otherRegion = Optional.of(other);
+    other.otherRegion = Optional.of(one);
+  }
+
+  Results results() {
+    return results;
+  }
+
+  /**
+   * Runs one millisecond.
+   *
+   * @param rateFactor the factor by which the rates of all kinds are multiplied
+   */
+  void step(List<Kind> kinds, double rateFactor, long ms) {
+    final Instant now = start.plusMillis(ms);
+    if (endpoints.variablePace() && ms % PACE_INTERVAL_MILLIS == 0) {
+      engines.forEach(e -> e.pace = (0.7 + 0.7 * random.nextDouble()) / e.speed);
+    }
+    for (Kind kind : kinds) {
+      double rate = kind.perSecond() * rateFactor / 1_000;
+      for (double due = rate; due > 0; due--) {
+        if (random.nextDouble() < due) {
+          arrive(kind, ms);
         }
       }
-      for (Engine engine : engines) {
-        advance(engine, ms);
-      }
-      for (int entry = 0; entry < entryCount; entry++) {
-        if ((ms + 37L * entry) % EXCHANGE_INTERVAL_MILLIS == 0) {
-          tell(entry, now);
-        }
+    }
+    while (!events.isEmpty() && events.firstKey() <= ms) {
+      events.pollFirstEntry().getValue().forEach(Runnable::run);
+    }
+    for (Engine engine : engines) {
+      advance(engine, ms);
+    }
+    for (int entry = 0; entry < entryCount; entry++) {
+      if ((ms + 37L * entry) % EXCHANGE_INTERVAL_MILLIS == 0) {
+        tell(entry, now);
       }
-      if (ms % EXCHANGE_INTERVAL_MILLIS == 0) {
-        held.forEach(h -> h.accept(now));
-        held.clear();
+    }
+    if (ms % EXCHANGE_INTERVAL_MILLIS == 0) {
+      held.forEach(h -> h.accept(now));
+      held.clear();
+    }
+    for (int entry = 0; entry < Math.min(REGION_REPORTERS, entryCount); entry++) {
+      if ((ms + 190L * entry) % REGION_REPORT_INTERVAL_MILLIS == 0) {
+        reportToOtherRegion(entry, ms);
       }
     }
-    return results;
+  }
+
+  private void schedule(long atMillis, Runnable event) {
+    events.computeIfAbsent(atMillis, at -> new ArrayList<>()).add(event);
+  }
+
+  private void reportToOtherRegion(int entry, long ms) {
+    otherRegion.ifPresent(
+        other -> {
+          FleetMessage.ServiceLoad load =
+              RegionLoadSummary.of(
+                  SERVICE,
+                  engines.stream().map(e -> e.trackers.get(entry)).toList(),
+                  start.plusMillis(ms));
+          long receivedAt = ms + CROSS_REGION_MILLIS;
+          other.schedule(
+              receivedAt,
+              () ->
+                  other.regionLoads.forEach(
+                      loads -> loads.update(region, load, start.plusMillis(receivedAt))));
+        });
   }
 
   private void arrive(Kind kind, long ms) {
     results.sent++;
+    results.sentByKind.merge(kind.name(), 1, Integer::sum);
+    results.ofSecondAt(ms)[0]++;
     List<PromptPart> parts =
         kind.sharedTokens() == 0
             ? List.of()
@@ -281,22 +385,52 @@
     Instant now = start.plusMillis(ms);
     call.entry = random.nextInt(entryCount);
     for (int i = 0; i < MAX_SENDS; i++) {
-      Placement placement = placer.place(requestAt(call, ms), context(call.entry), now);
-      if (!(placement instanceof Placement.ToEndpoint target)) {
-        if (call.retried) {
-          results.refusedToCaller++;
-        } else {
-          call.retried = true;
-          long delay = ((Placement.Refused) placement).retryAfter().toMillis();
-          retries.computeIfAbsent(ms + Math.max(1, delay), t -> new ArrayList<>()).add(call);
-        }
+      PlacementRequest request = requestAt(call, ms);
+      Placement placement = placer.place(request, context(call), now);
+      if (placement instanceof Placement.ToRegion target) {
+        regionLoads.get(call.entry).recordRelayed(target.region(), request, entryCount, now);
+        relay(call, ms);
+        return;
+      }
+      if (placement instanceof Placement.Refused refused) {
+        refuse(call, refused.retryAfter(), ms);
         return;
       }
-      if (sendTo(call, target, ms)) {
+      if (sendTo(call, (Placement.ToEndpoint) placement, ms)) {
         return;
       }
     }
-    results.refusedToCaller++;
+    refuseToCaller(call);
+  }
+
+  private void relay(Call call, long ms) {
+    ReportedLoadReplay other = otherRegion.orElseThrow();
+    results.relayed++;
+    call.origin = Optional.of(this);
+    long arrivesAt = ms + CROSS_REGION_MILLIS;
+    other.schedule(arrivesAt, () -> other.send(call, arrivesAt));
+  }
+
+  /** Returns a relayed call to its origin; lets the caller of another one retry once. */
+  private void refuse(Call call, Duration retryAfter, long ms) {
+    if (call.origin.isPresent()) {
+      ReportedLoadReplay origin = call.origin.get();
+      call.origin = Optional.empty();
+      call.excludedRegions.add(region);
+      long returnsAt = ms + CROSS_REGION_MILLIS;
+      origin.schedule(returnsAt, () -> origin.send(call, returnsAt));
+    } else if (call.retried) {
+      refuseToCaller(call);
+    } else {
+      call.retried = true;
+      call.excludedRegions.clear();
+      long returnsAt = ms + Math.max(1, retryAfter.toMillis());
+      schedule(returnsAt, () -> send(call, returnsAt));
+    }
+  }
+
+  private void refuseToCaller(Call call) {
+    call.origin.orElse(this).results.refusedToCaller++;
   }
 
   private PlacementRequest requestAt(Call call, long ms) {
@@ -312,19 +446,20 @@
         call.excluded);
   }
 
-  private Placer.Context context(int entry) {
-    List<EndpointTracker> trackers = engines.stream().map(e -> e.trackers.get(entry)).toList();
+  private Placer.Context context(Call call) {
+    List<EndpointTracker> trackers = engines.stream().map(e -> e.trackers.get(call.entry)).toList();
+    boolean relayed = call.origin.isPresent();
     return new Placer.Context(
         trackers,
-        "entry-" + entry,
+        "entry-" + call.entry,
         IntStream.range(0, entryCount).mapToObj(e -> "entry-" + e).toList(),
         50,
-        Optional.empty(),
-        Set.of(),
+        relayed ? Optional.empty() : otherRegion.map(other -> regionLoads.get(call.entry)),
         Set.of(),
-        /* relayed= */ false,
+        call.excludedRegions,
+        relayed,
         /* hasNeighbour= */ () -> false,
-        "here",
+        region,
         trackers,
         spec,
         Set.of(),
@@ -383,18 +518,24 @@
             .min(
                 Comparator.comparingInt((Call c) -> c.kind.priority())
                     .thenComparingLong(c -> c.arrivedAt));
-    prefilling.ifPresent(c -> c.remainingPrefillMillis -= work);
+    boolean stepsShared = prefilling.isPresent() && endpoints.chunkTokens() > 0;
+    double prefillWork = stepsShared ? work * endpoints.chunkShare() : work;
+    double decodeWork = stepsShared ? work * (1 - endpoints.chunkShare()) : work;
+    prefilling.ifPresent(c -> c.remainingPrefillMillis -= prefillWork);
     prefilling.filter(c -> c.remainingPrefillMillis <= 0).ifPresent(c -> firstByte(engine, c, ms));
     List<Call> ended = new ArrayList<>();
     for (Call call : engine.running) {
       if (call.remainingPrefillMillis <= 0) {
-        call.remainingMillis -= work;
+        call.remainingMillis -= decodeWork;
         if (call.remainingMillis <= 0) {
           ended.add(call);
         }
       }
     }
     for (Call call : ended) {
+      if (endpoints.chunkTokens() > 0) {
+        call.inFlightRequest.eventsReceived(call.kind.outputTokens(), now);
+      }
       if (isPlain()) {
         firstByte(engine, call, ms);
       }
@@ -424,10 +565,19 @@
     Instant now = start.plusMillis(ms);
     report(engine, call.entry, ms);
     call.inFlightRequest.bytesReceived(now);
+    if (endpoints.chunkTokens() > 0) {
+      call.inFlightRequest.eventsReceived(0, now);
+    }
     if (!isPlain()) {
       engine.trackers.forEach(t -> t.recordPrefix(call.request.sharedParts(), 468_000));
     }
-    results.onTime += ms - call.arrivedAt <= call.kind.objective().toMillis() ? 1 : 0;
+    long receivedAt = call.origin.isPresent() ? ms + CROSS_REGION_MILLIS : ms;
+    if (receivedAt - call.arrivedAt <= call.kind.objective().toMillis()) {
+      Results origin = call.origin.orElse(this).results;
+      origin.onTime++;
+      origin.ofSecondAt(call.arrivedAt)[1]++;
+      origin.onTimeByKind.merge(call.kind.name(), 1, Integer::sum);
+    }
   }
 
   /** Sends an entry's load and its endpoints' changed reports to the aggregator. */
