--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/ReportedLoadReplay.java
@@ -129,6 +129,10 @@
       return (double) onTime / sent;
     }
 
+    double onTimeShare(String kind) {
+      return (double) onTimeByKind.getOrDefault(kind, 0) / sentByKind.get(kind);
+    }
+
     /** Returns the share of the requests in time of those that arrived in a second. */
     double onTimeShareOfSecond(long second) {
       int[] counts = bySecond.get(second);
@@ -139,10 +143,6 @@
       return bySecond.computeIfAbsent(arrivedAtMillis / 1_000, second -> new int[2]);
     }
 
-    double onTimeShare(String kind) {
-      return (double) onTimeByKind.getOrDefault(kind, 0) / sentByKind.get(kind);
-    }
-
     @Override
     public String toString() {
       return String.format(
