Keep a reference to the client of UnknownMessageTest

Cause: the test drops its net client, and Vert.x closes the connections of a client that is collected as garbage; the message that the test sends 200 ms later is then never written. The check and its bound are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/UnknownMessageTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/UnknownMessageTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -31,6 +32,10 @@
   private static final int FLEET_TYPE = 12;
 
   private final Vertx vertx = Vertx.vertx();
+
+  /** Referenced here because a client without references closes its connections. */
+  private final NetClient client = vertx.createNetClient();
+
   private final FrameCodec codec = new FrameCodec(SECRET);
   private final PeerTransport transport = new PeerTransport(vertx, codec);
 
@@ -52,8 +57,7 @@
             .get(10, TimeUnit.SECONDS);
     PeerMessage known = new PeerMessage.Fleet(new FleetMessage.StateRequest("peer"));
     byte[] unknownFrame = unknownFrame(fleetMessage);
-    vertx
-        .createNetClient()
+    client
         .connect(port, "127.0.0.1")
         .onSuccess(
             socket -> {
