Share the endpoint of the tests of truncated heads, and the sample of a finished request

Both TruncatedHeadTest classes started the same raw server and left it open when a check failed. TruncatedHeadEndpoint now serves both and is closed by try-with-resources. ServiceReportTest wrote the fields of SampleLog#finished again; that method takes further fields instead.

--- a/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/SampleLog.java
+++ b/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/SampleLog.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
+import java.util.stream.Stream;
 
 /** Creates log lines in the format that instances write. */
 public final class SampleLog {
@@ -39,28 +41,41 @@
         millis, node, "request.placed", "request", request, "target", entry, "region", "south");
   }
 
-  /** Returns the log line of a finished request. */
+  /**
+   * Returns the log line of a finished request.
+   *
+   * @param moreFields alternating names and values of fields that are added or replaced
+   */
   public static String finished(
-      long millis, String node, String request, String outcome, int status, boolean mayHaveRun) {
+      long millis,
+      String node,
+      String request,
+      String outcome,
+      int status,
+      boolean mayHaveRun,
+      Object... moreFields) {
+    Object[] fields = {
+      "request",
+      request,
+      "route",
+      "chat",
+      "outcome",
+      outcome,
+      "status",
+      status,
+      "mayHaveRun",
+      mayHaveRun,
+      "lastEvent",
+      "none",
+      "firstByteMillis",
+      20,
+      "millis",
+      100
+    };
     return line(
         millis,
         node,
         "request.finished",
-        "request",
-        request,
-        "route",
-        "chat",
-        "outcome",
-        outcome,
-        "status",
-        status,
-        "mayHaveRun",
-        mayHaveRun,
-        "lastEvent",
-        "none",
-        "firstByteMillis",
-        20,
-        "millis",
-        100);
+        Stream.of(fields, moreFields).flatMap(Arrays::stream).toArray());
   }
 }
--- a/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/ServiceReportTest.java
+++ b/lacewingcroft-cli/src/test/java/org/lacewingcroft/logs/ServiceReportTest.java
@@ -103,18 +103,13 @@
   }
 
   private static String late(long millis, String request, long queueMillis, long endpointMillis) {
-    return SampleLog.line(
+    return SampleLog.finished(
         millis,
         "north-1",
-        "request.finished",
-        "request",
         request,
-        "route",
-        "chat",
-        "outcome",
         "served",
-        "status",
         200,
+        true,
         "queueMillis",
         queueMillis,
         "endpointMillis",
@@ -122,9 +117,7 @@
         "firstByteMillis",
         queueMillis + endpointMillis,
         "objectiveMillis",
-        500,
-        "millis",
-        2_000);
+        500);
   }
 
   private static List<RequestOutcome> outcomes(String... lines) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/TruncatedHeadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/TruncatedHeadTest.java
@@ -5,7 +5,6 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -13,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -21,6 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.forward.TruncatedHeadEndpoint;
 
 /**
  * Guards against a response that is relayed as complete although its endpoint closed the connection
@@ -30,7 +29,6 @@
 class TruncatedHeadTest {
   private static final String REGION = "uusimaa";
   private static final String OTHER_REGION = "pirkanmaa";
-  private static final long CLOSE_DELAY_MILLIS = 50;
   private static final String NO_SUCCESS = "no success";
 
   private final Vertx vertx = Vertx.vertx();
@@ -87,39 +85,23 @@
   @ParameterizedTest
   @MethodSource("testCases")
   void truncatedHeadIsNoSuccess(TestCase testCase) throws Exception {
-    AtomicInteger received = new AtomicInteger();
-    NetServer endpoint =
-        vertx
-            .createNetServer()
-            .connectHandler(
-                socket ->
-                    socket.handler(
-                        bytes -> {
-                          received.incrementAndGet();
-                          socket
-                              .write(testCase.head())
-                              .onComplete(
-                                  sent -> vertx.setTimer(CLOSE_DELAY_MILLIS, t -> socket.close()));
-                        }))
-            .listen(0, "127.0.0.1")
-            .toCompletionStage()
-            .toCompletableFuture()
-            .get(10, TimeUnit.SECONDS);
-    cluster.announce(
-        testCase.region().equals(REGION) ? entry : otherEntry,
-        testCase.model(),
-        testCase.region(),
-        testCase.model(),
-        endpoint.actualPort(),
-        false);
-    String result = "not sent";
-    for (int i = 0; i < 200 && received.get() == 0; i++) {
-      result = call(testCase, i);
-      TimeUnit.MILLISECONDS.sleep(25);
+    try (TruncatedHeadEndpoint endpoint =
+        new TruncatedHeadEndpoint(vertx, testCase.head(), /* reset= */ false)) {
+      cluster.announce(
+          testCase.region().equals(REGION) ? entry : otherEntry,
+          testCase.model(),
+          testCase.region(),
+          testCase.model(),
+          endpoint.port(),
+          false);
+      String result = "not sent";
+      for (int i = 0; i < 200 && endpoint.requests() == 0; i++) {
+        result = call(testCase, i);
+        TimeUnit.MILLISECONDS.sleep(25);
+      }
+      assertThat(result, equalTo(NO_SUCCESS));
+      assertThat("requests at the endpoint", endpoint.requests(), greaterThanOrEqualTo(1));
     }
-    assertThat(result, equalTo(NO_SUCCESS));
-    assertThat("requests at the endpoint", received.get(), greaterThanOrEqualTo(1));
-    endpoint.close();
   }
 
   private String call(TestCase testCase, int attempt) throws Exception {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/TruncatedHeadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/TruncatedHeadTest.java
@@ -4,9 +4,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
-import io.vertx.core.net.NetSocket;
+import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -35,8 +32,7 @@
  * in the middle of the response's head.
  */
 class TruncatedHeadTest {
-  private static final long CLOSE_DELAY_MILLIS = 50;
-  private static final String BAD_GATEWAY_OR_BROKEN_OFF = "no success";
+  private static final String NO_SUCCESS = "no success";
 
   @TempDir private static Path folder;
   private static FleetHarness fleet;
@@ -111,39 +107,18 @@
   @ParameterizedTest
   @MethodSource("testCases")
   void truncatedHeadIsNoSuccess(TestCase testCase) throws Exception {
-    AtomicInteger received = new AtomicInteger();
-    NetServer endpoint =
-        fleet
-            .vertx()
-            .createNetServer(new NetServerOptions().setSoLinger(testCase.reset() ? 0 : -1))
-            .connectHandler(
-                socket ->
-                    RawRequests.read(
-                        socket,
-                        (head, body) -> {
-                          received.incrementAndGet();
-                          respond(socket, testCase, RawRequests.header(head, "x-request-id"));
-                        }))
-            .listen(0, "127.0.0.1")
-            .toCompletionStage()
-            .toCompletableFuture()
-            .get(10, TimeUnit.SECONDS);
-    fleet.keepAnnouncing(
-        testCase.name() + "-1", testCase.name(), testCase.region(), endpoint.actualPort());
-    String result = "not sent";
-    for (int i = 0; i < 200 && received.get() == 0; i++) {
-      result = call(testCase, "id-" + testCase.name() + "-" + i);
-      TimeUnit.MILLISECONDS.sleep(25);
+    try (TruncatedHeadEndpoint endpoint =
+        new TruncatedHeadEndpoint(fleet.vertx(), testCase.head(), testCase.reset())) {
+      fleet.keepAnnouncing(
+          testCase.name() + "-1", testCase.name(), testCase.region(), endpoint.port());
+      String result = "not sent";
+      for (int i = 0; i < 200 && endpoint.requests() == 0; i++) {
+        result = call(testCase, "id-" + testCase.name() + "-" + i);
+        TimeUnit.MILLISECONDS.sleep(25);
+      }
+      assertThat(result, equalTo(NO_SUCCESS));
+      assertThat("requests at the endpoint", endpoint.requests(), greaterThanOrEqualTo(1));
     }
-    assertThat(result, equalTo(BAD_GATEWAY_OR_BROKEN_OFF));
-    assertThat("requests at the endpoint", received.get(), greaterThanOrEqualTo(1));
-    endpoint.close();
-  }
-
-  private static void respond(NetSocket socket, TestCase testCase, String id) {
-    socket
-        .write(testCase.head().replace("ID", id))
-        .onComplete(sent -> fleet.vertx().setTimer(CLOSE_DELAY_MILLIS, timer -> socket.close()));
   }
 
   private static String call(TestCase testCase, String id) throws InterruptedException {
@@ -159,10 +134,10 @@
       HttpResponse<String> response =
           HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
       return response.statusCode() >= 500
-          ? BAD_GATEWAY_OR_BROKEN_OFF
+          ? NO_SUCCESS
           : response.statusCode() + " '" + response.body() + "'";
-    } catch (java.io.IOException brokenOff) {
-      return BAD_GATEWAY_OR_BROKEN_OFF;
+    } catch (IOException brokenOff) {
+      return NO_SUCCESS;
     }
   }
 }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/RegionOverflowTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/RegionOverflowTest.java
@@ -27,7 +27,7 @@
    * A test case.
    *
    * @param entries the number of entries of each region
-   * @param burstFactor the rate of long prompts during a burst in the middle, relative to the rest
+   * @param burstFactor the factor of the rate of long prompts during a burst in the middle
    */
   record Row(int entries, double burstFactor, long seed) {}
 
