Write the stages of a request without a list, and derive the fallback capacity once

RequestLog built a list, an array and a name in lower case for each stage of each finished request; it names the fields now, in the same order. RegionLoads handled a report without capacity in two places; the report answers it. No behaviour changes: RequestTimingTest, RegionLoadsTest, FleetCodecTest, RelayTest and the linter pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -2,16 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.fleet.EntryInfo;
+import org.lacewingcroft.forward.RequestTiming.Stage;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.ExtraSendBudget;
 import org.lacewingcroft.placement.Placement;
@@ -227,13 +225,19 @@
 
   /** Logs the end of the request: the response was sent or aborted, or the caller disconnected. */
   void logFinished(Summary summary) {
-    List<Object> fields = new ArrayList<>();
-    for (RequestTiming.Stage stage : RequestTiming.Stage.values()) {
-      fields.add(stage.fieldName());
-      fields.add(summary.timing().millis(stage));
-    }
-    Collections.addAll(
-        fields,
+    RequestTiming timing = summary.timing();
+    write(
+        "request.finished",
+        "queueMillis",
+        timing.millis(Stage.QUEUE),
+        "placementMillis",
+        timing.millis(Stage.PLACEMENT),
+        "connectMillis",
+        timing.millis(Stage.CONNECT),
+        "endpointMillis",
+        timing.millis(Stage.ENDPOINT),
+        "relayMillis",
+        timing.millis(Stage.RELAY),
         "objectiveMillis",
         request.handling().firstByteObjective().toMillis(),
         "promptParts",
@@ -260,7 +264,6 @@
         summary.firstByteMillis(),
         "millis",
         summary.millis());
-    write("request.finished", fields.toArray());
   }
 
   /** Writes a line that starts with the request id and the route. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestTiming.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestTiming.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -24,12 +23,7 @@
     /** Its target is an endpoint and has not sent the head of its response. */
     ENDPOINT,
     /** Its target is another entry and has not sent the head of its response. */
-    RELAY;
-
-    /** Returns the field of the stage in the log. */
-    String fieldName() {
-      return name().toLowerCase(Locale.ROOT) + "Millis";
-    }
+    RELAY
   }
 
   private final Map<Stage, Duration> durations = new EnumMap<>(Stage.class);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetRecordCodec.java
@@ -277,7 +277,7 @@
 
   /**
    * Packs the capacity after the waits of all priorities, in the same array: earlier builds read
-   * the wait of a request's priority and ignore the rest.
+   * only the wait of a request's priority.
    */
   private static void packServiceLoad(MessagePacker p, ServiceLoad l) throws IOException {
     p.packString(l.service()).packInt(l.endpoints());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/RegionLoads.java
@@ -37,6 +37,13 @@
     private double ageMillis(Instant now) {
       return Duration.between(receivedAt, now).toMillis();
     }
+
+    /** Returns the reported capacity; without a report, one without slots and nothing to spare. */
+    private ServiceCapacity capacity() {
+      return load.capacity()
+          .orElse(
+              new ServiceCapacity(ASSUMED_PREFILL_TOKENS_PER_MILLI * load.endpoints(), 0, 0, 0));
+    }
   }
 
   private record ServiceKey(String region, String service) {}
@@ -165,15 +172,15 @@
   }
 
   private OptionalDouble occupiedShare(ServiceKey key, Report report, Instant now) {
-    Optional<ServiceCapacity> capacity = report.load.capacity().filter(c -> c.slots() > 0);
-    if (capacity.isEmpty()) {
+    ServiceCapacity capacity = report.capacity();
+    if (capacity.slots() == 0) {
       return OptionalDouble.empty();
     }
     double relayed =
         Optional.ofNullable(relayedRequests.get(key))
             .map(r -> r.requests.ofRegion(report.ageMillis(now), now))
             .orElse(0.0);
-    return OptionalDouble.of((capacity.get().occupiedSlots() + relayed) / capacity.get().slots());
+    return OptionalDouble.of((capacity.occupiedSlots() + relayed) / capacity.slots());
   }
 
   /**
@@ -181,17 +188,13 @@
    * exceeds the capacity that the region had to spare.
    */
   private double waitMillis(ServiceKey key, Report report, int priority, Instant now) {
-    ServiceLoad load = report.load;
-    long[] waits = load.waitMillis();
+    long[] waits = report.load.waitMillis();
     double reportedMillis = waits.length == 0 ? 0 : waits[Math.min(priority, waits.length - 1)];
     RelayedRequests relayed = relayedRequests.get(key);
     if (relayed == null) {
       return reportedMillis;
     }
-    ServiceCapacity capacity =
-        load.capacity()
-            .orElse(
-                new ServiceCapacity(ASSUMED_PREFILL_TOKENS_PER_MILLI * load.endpoints(), 0, 0, 0));
+    ServiceCapacity capacity = report.capacity();
     double ageMillis = report.ageMillis(now);
     double queuedTokens =
         relayed.tokens.ofRegion(ageMillis, now) - capacity.spareTokensPerMilli() * ageMillis;
