--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.net.SocketAddress;
@@ -43,6 +44,10 @@
   private static final int REQUESTS = 40;
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+  /** Referenced here because a client without references closes its connections. */
+  private final HttpClient caller = vertx.createHttpClient();
+
   private final Context context = vertx.getOrCreateContext();
   private final MonotonicInstantSource clock = new MonotonicInstantSource();
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -87,8 +92,7 @@
   void doesNotBeginWhileCallersRequestIsPresent() throws Exception {
     FleetSettings settings = settings(false, Map.of("north-a", "north"));
     startEntry(settings);
-    vertx
-        .createHttpClient()
+    caller
         .request(HttpMethod.POST, server.publicPort(), "127.0.0.1", "/s/1")
         .compose(request -> request.putHeader("X-Request-Id", "1").send());
     for (int i = 0; i < 400 && server.inFlight() == 0; i++) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
@@ -7,6 +7,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -71,16 +73,16 @@
                     .createHttpServer()
                     .requestHandler(request -> fail(e))
                     .listen(0, "127.0.0.1")
-                    .onSuccess(
-                        server ->
-                            vertx
-                                .createHttpClient()
-                                .request(
-                                    io.vertx.core.http.HttpMethod.GET,
-                                    server.actualPort(),
-                                    "127.0.0.1",
-                                    "/")
-                                .onSuccess(request -> request.send()))));
+                    .onSuccess(server -> sendRequest(vertx, server.actualPort()))));
+  }
+
+  private static void sendRequest(Vertx vertx, int port) {
+    HttpClient client = vertx.createHttpClient();
+    // The handlers reference the client, because one without references closes its connections.
+    client
+        .request(HttpMethod.GET, port, "127.0.0.1", "/")
+        .compose(request -> request.send())
+        .onComplete(response -> client.close());
   }
 
   private static void fail(Error error) {
