Report bytes and heads that may not belong to a request's response

Callers got a success where the endpoint had answered a failure. Nothing in the logs tells whether bytes outside of a response were on the connection, whether the response echoed the id, or which connection and attempt it came from, so the possible causes cannot be told apart.

The decoder of each connection to endpoints and other entries now reports bytes after the end of a response and on an idle connection, heads that are not those of one response, and responses with another id or none (response.anomaly, lwc_response_anomalies_total). request.finished and request.try_failed name the connection and the number of the request on it. What is relayed does not change. The decoder replaces that of Vert.x in the pipeline, as on the server's side; Vert.x wraps an unpooled connection and has no accessor for the wrapped one, which is read by a variable handle.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -108,7 +108,8 @@
         new ForwardContext(
             vertx,
             node,
-            new UpstreamConnections(vertx, settings.upstreamBindAddress(), clock, traffic),
+            new UpstreamConnections(
+                vertx, settings.upstreamBindAddress(), clock, traffic, headerNames, metrics),
             headerNames,
             new AdvertisedConditionsReader(headerNames, node, loadReader),
             hopAuthenticator,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -97,7 +97,7 @@
   private boolean awaitingResumption;
   private OptionalLong lastEventId;
   private Optional<EndpointError> endpointError = Optional.empty();
-  private String servedBy = "none";
+  private Optional<UpstreamAttempt> servedBy = Optional.empty();
   private long firstByteMillis = -1;
   private long deadlineTimer;
 
@@ -755,7 +755,7 @@
   }
 
   private void recordServed(UpstreamAttempt attempt, int status) {
-    servedBy = attempt.target().name();
+    servedBy = Optional.of(attempt);
     if (attempt.target().endpoint().isPresent() && status < SERVER_ERROR) {
       boolean successful = status >= OK && status < MULTIPLE_CHOICES;
       context.node().quarantine().recordCompletion(request.fingerprints(), successful);
@@ -870,7 +870,8 @@
 
   private void recordAttemptFailure(UpstreamAttempt attempt, String failure, String detail) {
     context.metrics().failedAttempts.labelValues(failure).inc();
-    requestLog.logAttemptFailed(attempt.target(), failure, detail, lastEventId, context.now());
+    requestLog.logAttemptFailed(
+        attempt.target(), attempt.connectionUse(), failure, detail, lastEventId, context.now());
   }
 
   /** Ends the call because the response is due. */
@@ -981,7 +982,10 @@
         new RequestLog.Summary(
             outcome,
             status,
-            servedBy,
+            servedBy.map(a -> a.target().name()).orElse("none"),
+            servedBy
+                .map(UpstreamAttempt::connectionUse)
+                .orElse(UpstreamConnections.ConnectionUse.NONE),
             sends,
             mayHaveRun,
             lastEventId,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestLog.java
@@ -29,6 +29,7 @@
    * @param outcome a short description of the result
    * @param status the status sent to the caller, 0 if the caller had disconnected
    * @param servedBy the endpoint or entry whose response was sent, {@code none} if there was none
+   * @param connectionUse the place of the request on the connection of that response
    * @param sends how many times the request was sent
    * @param mayHaveRun whether an endpoint may have run it
    * @param lastEvent the id of the last event passed on, if the response is a stream
@@ -40,6 +41,7 @@
       String outcome,
       int status,
       String servedBy,
+      UpstreamConnections.ConnectionUse connectionUse,
       int sends,
       boolean mayHaveRun,
       OptionalLong lastEvent,
@@ -172,13 +174,19 @@
   /**
    * Logs an attempt without a complete response.
    *
+   * @param connectionUse the place of the request on its connection
    * @param failure the class of the failure, as in the metric of failed attempts
    * @param detail what was observed
    * @param lastEvent the id of the last event passed on, if the response is a stream
    * @param now the time for which the endpoint's load is logged
    */
   void logAttemptFailed(
-      UpstreamTarget target, String failure, String detail, OptionalLong lastEvent, Instant now) {
+      UpstreamTarget target,
+      UpstreamConnections.ConnectionUse connectionUse,
+      String failure,
+      String detail,
+      OptionalLong lastEvent,
+      Instant now) {
     Optional<EndpointTracker> endpoint = target.endpoint();
     write(
         "request.try_failed",
@@ -188,6 +196,10 @@
         request.fingerprints().promptPartsText(),
         "target",
         target.name(),
+        "connection",
+        connectionUse.localPort(),
+        "requestOnConnection",
+        connectionUse.requestNumber(),
         "what",
         failure,
         "detail",
@@ -248,6 +260,10 @@
         summary.status(),
         "endpoint",
         summary.servedBy(),
+        "connection",
+        summary.connectionUse().localPort(),
+        "requestOnConnection",
+        summary.connectionUse().requestNumber(),
         "targets",
         summary.sends(),
         "mayHaveRun",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -67,6 +67,7 @@
   private final Listener listener;
   private Optional<UpstreamConnections.PooledConnection> connection = Optional.empty();
   private Optional<HttpClientResponse> response = Optional.empty();
+  private UpstreamConnections.ConnectionUse connectionUse = UpstreamConnections.ConnectionUse.NONE;
   private int informationalResponses;
   private boolean requestWritten;
   private boolean finished;
@@ -83,6 +84,11 @@
     return target;
   }
 
+  /** Returns where the request was written. */
+  UpstreamConnections.ConnectionUse connectionUse() {
+    return connectionUse;
+  }
+
   /** Returns whether the request may have reached the target. */
   boolean isRequestWritten() {
     return requestWritten;
@@ -186,7 +192,11 @@
         .onSuccess(this::onResponse)
         .onFailure(e -> onNoResponse(e.getMessage()));
     requestWritten = true;
-    connection.ifPresent(c -> c.traffic().requestSent(request.body().length()));
+    connection.ifPresent(
+        c -> {
+          connectionUse = c.recordRequest();
+          c.traffic().requestSent(request.body().length());
+        });
     if (request.body().length() > 0) {
       upstreamRequest.end(request.body());
     } else {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -17,6 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.lacewingcroft.http.MonitoredResponseDecoder;
+import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.KeepAlivePolicy;
 
@@ -56,6 +59,7 @@
   private final HttpClientAgent client;
   private final InstantSource clock;
   private final LinkTraffic traffic;
+  private final MonitoredResponseDecoder.Rules responseRules;
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
   private long totalHeldBytes;
@@ -65,9 +69,16 @@
    *
    * @param bindAddress the local address of new connections, empty for the system's choice
    * @param traffic counts the bytes of the connections
+   * @param headerNames the headers of responses
+   * @param metrics counts the anomalies of responses
    */
   UpstreamConnections(
-      Vertx vertx, Optional<String> bindAddress, InstantSource clock, LinkTraffic traffic) {
+      Vertx vertx,
+      Optional<String> bindAddress,
+      InstantSource clock,
+      LinkTraffic traffic,
+      HeaderNames headerNames,
+      GatewayMetrics metrics) {
     this.clock = clock;
     this.traffic = traffic;
     HttpClientOptions options =
@@ -76,10 +87,32 @@
             .setTcpNoDelay(true)
             .setDecompressionSupported(false);
     bindAddress.ifPresent(options::setLocalAddress);
+    this.responseRules =
+        new MonitoredResponseDecoder.Rules(
+            options,
+            headerNames.requestId(),
+            Set.of(
+                headerNames.requestId(),
+                headerNames.signature(),
+                headerNames.notRun(),
+                "Content-Type",
+                "Keep-Alive"),
+            anomaly -> metrics.responseAnomalies.labelValues(anomaly.label()).inc());
     this.client = vertx.httpClientBuilder().with(options).with(new PoolOptions()).build();
     vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, id -> closeExpired());
   }
 
+  /**
+   * The place of a request on its connection.
+   *
+   * @param localPort the port of this entry, which identifies the connection in logs
+   * @param requestNumber the number of the request on the connection, from 1
+   */
+  record ConnectionUse(int localPort, int requestNumber) {
+    /** Stands for no connection. */
+    static final ConnectionUse NONE = new ConnectionUse(0, 0);
+  }
+
   /** A connection that is either in use for one request or idle in the pool. */
   final class PooledConnection {
     private final String address;
@@ -89,11 +122,13 @@
     private Optional<Instant> idleSince = Optional.empty();
     private Optional<Duration> idleTimeBeforeReuse = Optional.empty();
     private int heldBytes;
+    private int requests;
     private boolean closed;
 
     private PooledConnection(String address, HttpClientConnection connection) {
       this.address = address;
       this.connection = connection;
+      MonitoredResponseDecoder.install(connection, responseRules);
       traffic.clientConnectionOpened();
       connection.closeHandler(
           v -> {
@@ -109,6 +144,12 @@
       return connection;
     }
 
+    /** Counts a request that is now written, and returns its place on the connection. */
+    ConnectionUse recordRequest() {
+      requests++;
+      return new ConnectionUse(connection.localAddress().port(), requests);
+    }
+
     /** Returns the counter of the bytes of the requests and responses on this connection. */
     LinkTraffic traffic() {
       return traffic;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -181,6 +181,14 @@
           .labelNames("what")
           .register(registry);
 
+  /** What servers sent that may not be the response to a request, by kind. */
+  public final Counter responseAnomalies =
+      Counter.builder()
+          .name("lwc_response_anomalies_total")
+          .help("What servers sent that may not be the response to a request, by kind")
+          .labelNames("anomaly")
+          .register(registry);
+
   /** Responses that an entry ended before they were complete, by cause. */
   public final Counter abortedResponses =
       Counter.builder()
