Never use a connection again that held bytes of no request

Callers got a success, with their own request's id, signature and body, where the endpoint had answered a failure, or the other way round; directly and over a relay.

Cause: an endpoint may send bytes after a complete response. The decoder of the HTTP client keeps them, and nothing knows of them until a whole head has arrived. The connection went back to the pool, and the response to the next request on it continued those bytes: 'HTTP/1.1 200 ' and then 'HTTP/1.1 500 S' are read as one status line of 200, whose headers and body are those of the 500. The class of fault: a pooled connection was not known to be clean, and a head made up of two was accepted. A comparison of ids cannot see it, as the id comes from the second head. In the reproduction the logs show one attempt, the own id and no missing id for each such request; for the cases reported this is the likely cause, not a proved one, as their record shows no bytes.

Change: bytes that arrive while no response is outstanding, also those left in the read that ends a response, retire the connection: it is closed and never handed out, and a request that waits to be written to it goes to another one. Bytes that arrive after the next request was written can only be told by the head. It is rejected if it begins with other bytes, has a header line without a colon after its name, or states both framings; after another response on the connection also if a status line stands in its reason phrase or in a header, if a header that a response has once is repeated, or if it has no id. The first response on a connection cannot follow another one, so there the last three only end the use of the connection. Entries of earlier versions omit the id in error responses and are not held to it. What is rejected counts as an invalid response, no longer as a connection that broke, which is evidence against the content of the request.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
@@ -67,7 +67,7 @@
             .service(endpoint.record().service())
             .flatMap(ServiceSpec::healthPath);
     connections
-        .acquireNew(address, UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT)
+        .acquireNew(address, UpstreamConnections.Peer.ENDPOINT)
         .compose(
             connection ->
                 (healthPath.isPresent()
@@ -100,7 +100,7 @@
         .timer(MIN_OPEN_MILLIS)
         .compose(
             elapsed ->
-                connection.isClosed()
+                connection.isUnusable()
                     ? Future.failedFuture(new TimeoutException("the connection was closed"))
                     : Future.succeededFuture());
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -520,15 +520,10 @@
           ForwardRequest.endToEndHeaders(upstreamResponse.headers(), ForwardContext.RELAY_HEADERS);
       refuser = refuserOf(upstreamResponse);
       attemptRefusalCount = refusalCountOf(upstreamResponse);
-      String echoedId = upstreamResponse.getHeader(context.headerNames().requestId());
       if (status < OK) {
         handleInvalidResponse("answered " + status);
         return;
       }
-      if (echoedId != null && !echoedId.equals(request.id())) {
-        handleInvalidResponse("answered request " + echoedId);
-        return;
-      }
       readAdvertisedConditions(upstreamResponse);
       boolean success = status >= OK && status < MULTIPLE_CHOICES;
       if (success && upstreamResponse.getHeader(context.headerNames().signature()) == null) {
@@ -703,6 +698,13 @@
       }
     }
 
+    @Override
+    public void onInvalidResponse(String detail) {
+      if (!steps.isEnded()) {
+        handleIncompleteResponse(this, detail);
+      }
+    }
+
     @Override
     public void onFailure(boolean sent, String detail) {
       if (steps.isEnded()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.lacewingcroft.http.InvalidResponseException;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.placement.EndpointTracker.Outcome;
 
@@ -24,8 +25,9 @@
   private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
 
   /**
-   * Receives the response of an attempt. Exactly one of {@link #onComplete}, {@link #onFailure} and
-   * {@link #onWithdrawn} is called, as the last call, unless the attempt is cancelled.
+   * Receives the response of an attempt. Exactly one of {@link #onComplete}, {@link
+   * #onInvalidResponse}, {@link #onFailure} and {@link #onWithdrawn} is called, as the last call,
+   * unless the attempt is cancelled.
    */
   interface Listener {
     /** Called when the response head has arrived. */
@@ -37,6 +39,13 @@
     /** Called when the response is complete. */
     void onComplete();
 
+    /**
+     * Called when the target sent something that is not the response to this request.
+     *
+     * @param detail a description of what it sent
+     */
+    void onInvalidResponse(String detail);
+
     /**
      * Called when the attempt failed.
      *
@@ -112,25 +121,25 @@
       ForwardRequest request,
       Supplier<List<Map.Entry<String, String>>> extraHeaders,
       SendGate sendGate) {
-    Duration connectTimeout =
+    UpstreamConnections.Peer peer =
         target.endpoint().isPresent()
-            ? UpstreamConnections.ENDPOINT_CONNECT_TIMEOUT
-            : UpstreamConnections.RELAY_CONNECT_TIMEOUT;
+            ? UpstreamConnections.Peer.ENDPOINT
+            : UpstreamConnections.Peer.ENTRY;
     // An unconfirmed endpoint has sent no byte since it was last unresponsive, so that connections
     // opened earlier may be dead: a new connection is used.
     boolean unconfirmed = target.endpoint().filter(EndpointTracker::isUnconfirmed).isPresent();
     Future<UpstreamConnections.PooledConnection> connecting =
         unconfirmed
-            ? connectionPool.acquireNew(target.address(), connectTimeout)
-            : connectionPool.acquire(target.address(), connectTimeout);
+            ? connectionPool.acquireNew(target.address(), peer)
+            : connectionPool.acquire(target.address(), peer);
     connecting
         .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
         .onSuccess(
             acquired -> {
-              boolean closedBefore = acquired.isClosed();
+              boolean unusableBefore = acquired.isUnusable();
               sendGate.run(
                   () -> {
-                    if (!finished && !closedBefore && acquired.isClosed()) {
+                    if (!finished && !unusableBefore && acquired.isUnusable()) {
                       // Closed by the peer while the request waited for the event loop.
                       start(connectionPool, request, extraHeaders, sendGate);
                     } else {
@@ -187,10 +196,7 @@
         e -> fail(true, Outcome.FAILED, "broke off: " + e.getMessage()));
     upstreamRequest.continueHandler(v -> onInformational());
     upstreamRequest.earlyHintsHandler(headers -> onInformational());
-    upstreamRequest
-        .response()
-        .onSuccess(this::onResponse)
-        .onFailure(e -> onNoResponse(e.getMessage()));
+    upstreamRequest.response().onSuccess(this::onResponse).onFailure(this::onNoResponse);
     requestWritten = true;
     connection.ifPresent(
         c -> {
@@ -212,11 +218,17 @@
     }
   }
 
-  private void onNoResponse(String detail) {
-    if (!finished) {
-      connection.ifPresent(UpstreamConnections.PooledConnection::recordResetBeforeResponse);
+  private void onNoResponse(Throwable cause) {
+    if (finished) {
+      return;
+    }
+    if (cause instanceof InvalidResponseException) {
+      cancel(Outcome.FAILED);
+      listener.onInvalidResponse(cause.getMessage());
+      return;
     }
-    fail(true, Outcome.FAILED, "no answer: " + detail);
+    connection.ifPresent(UpstreamConnections.PooledConnection::recordResetBeforeResponse);
+    fail(true, Outcome.FAILED, "no answer: " + cause.getMessage());
   }
 
   private void onResponse(HttpClientResponse received) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -13,12 +13,13 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.lacewingcroft.http.MonitoredResponseDecoder;
+import org.lacewingcroft.http.StrictResponseDecoder;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.KeepAlivePolicy;
@@ -39,13 +40,13 @@
   static final Duration RELAY_IDLE_TIMEOUT = Duration.ofSeconds(20);
 
   /** Connect timeout of connections to other entries: several round trips between regions. */
-  static final Duration RELAY_CONNECT_TIMEOUT = Duration.ofMillis(900);
+  private static final Duration RELAY_CONNECT_TIMEOUT = Duration.ofMillis(900);
 
   /**
    * Connect timeout of connections to endpoints, which are in this region. A lost SYN packet is
    * repeated after one second, so a longer time helps only if the network is congested.
    */
-  static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(400);
+  private static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
   /** Maximum size of the part of a response that is held until it is complete. */
   static final int MAX_HELD_BYTES = 8 << 20;
@@ -56,10 +57,26 @@
   /** Interval at which idle connections are checked for expiry. */
   private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 1_000;
 
+  /** The kinds of server to which connections are opened. */
+  enum Peer {
+    /** An endpoint of this region. */
+    ENDPOINT(ENDPOINT_CONNECT_TIMEOUT, true),
+    /** Another entry; earlier versions omit the id in error responses. */
+    ENTRY(RELAY_CONNECT_TIMEOUT, false);
+
+    private final Duration connectTimeout;
+    private final boolean requiresId;
+
+    Peer(Duration connectTimeout, boolean requiresId) {
+      this.connectTimeout = connectTimeout;
+      this.requiresId = requiresId;
+    }
+  }
+
   private final HttpClientAgent client;
   private final InstantSource clock;
   private final LinkTraffic traffic;
-  private final MonitoredResponseDecoder.Rules responseRules;
+  private final Map<Peer, StrictResponseDecoder.Rules> responseRules = new EnumMap<>(Peer.class);
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
   private long totalHeldBytes;
@@ -70,7 +87,7 @@
    * @param bindAddress the local address of new connections, empty for the system's choice
    * @param traffic counts the bytes of the connections
    * @param headerNames the headers of responses
-   * @param metrics counts the anomalies of responses
+   * @param metrics counts the connections that are retired
    */
   UpstreamConnections(
       Vertx vertx,
@@ -87,21 +104,24 @@
             .setTcpNoDelay(true)
             .setDecompressionSupported(false);
     bindAddress.ifPresent(options::setLocalAddress);
-    this.responseRules =
-        new MonitoredResponseDecoder.Rules(
-            options,
-            headerNames.requestId(),
-            Set.of(
-                headerNames.requestId(),
-                headerNames.signature(),
-                headerNames.notRun(),
-                "Content-Type",
-                "Keep-Alive"),
-            anomaly -> metrics.responseAnomalies.labelValues(anomaly.label()).inc());
+    for (Peer peer : Peer.values()) {
+      responseRules.put(peer, responseRules(options, headerNames, metrics, peer));
+    }
     this.client = vertx.httpClientBuilder().with(options).with(new PoolOptions()).build();
     vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, id -> closeExpired());
   }
 
+  private static StrictResponseDecoder.Rules responseRules(
+      HttpClientOptions options, HeaderNames headerNames, GatewayMetrics metrics, Peer peer) {
+    return new StrictResponseDecoder.Rules(
+        options,
+        headerNames.requestId(),
+        Set.of(
+            headerNames.requestId(), headerNames.signature(), headerNames.notRun(), "Content-Type"),
+        peer.requiresId,
+        reason -> metrics.retiredConnections.labelValues(reason.label()).inc());
+  }
+
   /**
    * The place of a request on its connection.
    *
@@ -117,6 +137,7 @@
   final class PooledConnection {
     private final String address;
     private final HttpClientConnection connection;
+    private final StrictResponseDecoder responses;
     private Optional<Duration> advertisedKeepAlive = Optional.empty();
     private Optional<Duration> fixedIdleTimeout = Optional.empty();
     private Optional<Instant> idleSince = Optional.empty();
@@ -125,10 +146,10 @@
     private int requests;
     private boolean closed;
 
-    private PooledConnection(String address, HttpClientConnection connection) {
+    private PooledConnection(String address, HttpClientConnection connection, Peer peer) {
       this.address = address;
       this.connection = connection;
-      MonitoredResponseDecoder.install(connection, responseRules);
+      this.responses = StrictResponseDecoder.install(connection, responseRules.get(peer));
       traffic.clientConnectionOpened();
       connection.closeHandler(
           v -> {
@@ -155,8 +176,9 @@
       return traffic;
     }
 
-    boolean isClosed() {
-      return closed;
+    /** Returns whether the connection is closed, or is about to be because it is retired. */
+    boolean isUnusable() {
+      return closed || !responses.isReusable();
     }
 
     /**
@@ -201,7 +223,7 @@
 
     private void returnToPool(Optional<Duration> idleTimeout) {
       releaseHeld();
-      if (closed) {
+      if (isUnusable()) {
         return;
       }
       fixedIdleTimeout = idleTimeout;
@@ -213,7 +235,8 @@
       Duration idleTimeout =
           fixedIdleTimeout.orElseGet(
               () -> keepAlivePolicy.idleTimeout(address, advertisedKeepAlive, now));
-      return !closed && idleSince.filter(since -> since.plus(idleTimeout).isAfter(now)).isPresent();
+      return !isUnusable()
+          && idleSince.filter(since -> since.plus(idleTimeout).isAfter(now)).isPresent();
     }
 
     /** Records that the connection was reset before any byte of a response. */
@@ -235,14 +258,14 @@
    * a request written to an old connection may or may not run, whereas a failure to connect proves
    * that it has not.
    */
-  Future<PooledConnection> acquireNew(String address, Duration connectTimeout) {
+  Future<PooledConnection> acquireNew(String address, Peer peer) {
     List.copyOf(idle.getOrDefault(address, new ArrayDeque<>())).forEach(PooledConnection::close);
     idle.remove(address);
-    return connect(address, connectTimeout);
+    return connect(address, peer);
   }
 
   /** Returns an idle connection, or opens a new one if there is none. */
-  Future<PooledConnection> acquire(String address, Duration connectTimeout) {
+  Future<PooledConnection> acquire(String address, Peer peer) {
     Deque<PooledConnection> idleConnections = idle.getOrDefault(address, new ArrayDeque<>());
     Instant now = clock.instant();
     while (!idleConnections.isEmpty()) {
@@ -253,11 +276,11 @@
       }
       pooled.close();
     }
-    return connect(address, connectTimeout);
+    return connect(address, peer);
   }
 
   /**
-   * Opens an idle connection unless there is one already.
+   * Opens an idle connection to another entry unless there is one already.
    *
    * @param idleTimeout the idle timeout of a new connection
    * @return fails if the connection cannot be established
@@ -266,20 +289,20 @@
     if (!idle.getOrDefault(address, new ArrayDeque<>()).isEmpty()) {
       return Future.succeededFuture();
     }
-    return connect(address, RELAY_CONNECT_TIMEOUT)
+    return connect(address, Peer.ENTRY)
         .onSuccess(pooled -> pooled.releaseWithIdleTimeout(idleTimeout))
         .mapEmpty();
   }
 
-  private Future<PooledConnection> connect(String address, Duration timeout) {
+  private Future<PooledConnection> connect(String address, Peer peer) {
     SocketAddress target = SocketAddresses.parse(address);
     return client
         .connect(
             new HttpConnectOptions()
                 .setHost(target.host())
                 .setPort(target.port())
-                .setConnectTimeout(Math.toIntExact(timeout.toMillis())))
-        .map(connection -> new PooledConnection(address, connection));
+                .setConnectTimeout(Math.toIntExact(peer.connectTimeout.toMillis())))
+        .map(connection -> new PooledConnection(address, connection, peer));
   }
 
   private void removeIdle(PooledConnection pooled) {
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -0,0 +1,324 @@
+package org.lacewingcroft.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.AttributeKey;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+
+/**
+ * Decodes responses as Vert.x does, but accepts as the response to a request only what cannot
+ * belong to another one. A server may send bytes after a complete response, also late; the decoder
+ * of Vert.x keeps them and reads the next response as their continuation.
+ *
+ * <p>A connection is retired, which means that it is closed and never used for another request:
+ *
+ * <ul>
+ *   <li>if bytes arrive on it while no response is outstanding;
+ *   <li>if a response has the id of another request, or cannot be parsed;
+ *   <li>if the head of a response may consist of two, or has no id. Such a response is accepted
+ *       only as the first one on its connection, where no bytes of another one can precede it.
+ * </ul>
+ *
+ * <p>A response that is not accepted fails its request with an {@link InvalidResponseException}.
+ * There must be at most one request at a time on a connection.
+ *
+ * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
+ * before the first request is written.
+ */
+public final class StrictResponseDecoder extends HttpResponseDecoder {
+  private static final System.Logger LOG = System.getLogger(StrictResponseDecoder.class.getName());
+
+  /** The name of the codec in a connection's pipeline, assigned by Vert.x. */
+  private static final String CODEC_NAME = "codec";
+
+  private static final AttributeKey<StrictResponseDecoder> DECODER =
+      AttributeKey.valueOf(StrictResponseDecoder.class, "decoder");
+
+  private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
+  private static final Pattern STATUS_CODE = Pattern.compile("\\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}");
+
+  /** Why a connection is retired. */
+  public enum Retirement {
+    /** Bytes followed the end of a response in the same read. */
+    TRAILING_BYTES,
+    /** Bytes arrived while the connection was idle. */
+    IDLE_BYTES,
+    /** The head of a response cannot be parsed, or may consist of two. */
+    MALFORMED_HEAD,
+    /** A response had the id of another request. */
+    OTHER_ID,
+    /** A response had no id. */
+    NO_ID;
+
+    /** Returns the name in logs and metrics. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /**
+   * What holds for the responses on a connection.
+   *
+   * @param options the options of the client
+   * @param requestIdHeader the header with the id of the request, which a response echoes
+   * @param singleHeaders headers of which a response has at most one
+   * @param requiresId whether a response without an id may belong to another request
+   * @param onRetired called once for each connection that is retired
+   */
+  public record Rules(
+      HttpClientOptions options,
+      String requestIdHeader,
+      Set<String> singleHeaders,
+      boolean requiresId,
+      Consumer<Retirement> onRetired) {}
+
+  /** Encodes requests, and announces each one to the decoder of its response. */
+  private static final class RequestEncoder extends HttpRequestEncoder {
+    private final StrictResponseDecoder decoder;
+
+    private RequestEncoder(StrictResponseDecoder decoder) {
+      this.decoder = decoder;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
+        throws Exception {
+      if (message instanceof HttpRequest request) {
+        decoder.onRequest(request);
+      }
+      super.write(ctx, message, promise);
+    }
+  }
+
+  private final Rules rules;
+  private Optional<String> requestId = Optional.empty();
+  private HttpMethod requestMethod = HttpMethod.GET;
+  private boolean awaitingResponse;
+  private boolean informational;
+  private int completeResponses;
+  private Optional<Retirement> retirement = Optional.empty();
+
+  /** Whether bytes that arrive are ignored, because the start of a response cannot be found. */
+  private boolean ignoringBytes;
+
+  private StrictResponseDecoder(Rules rules) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(rules.options().getMaxInitialLineLength())
+            .setMaxHeaderSize(rules.options().getMaxHeaderSize())
+            .setMaxChunkSize(rules.options().getMaxChunkSize())
+            .setInitialBufferSize(rules.options().getDecoderInitialBufferSize()));
+    this.rules = rules;
+  }
+
+  /**
+   * Returns the decoder of an HTTP/1.1 client connection, which replaces that of Vert.x at the
+   * first call for the connection. That call must precede the first request.
+   */
+  public static StrictResponseDecoder install(HttpConnection connection, Rules rules) {
+    ChannelHandlerContext context = ClientChannels.contextOf(connection);
+    StrictResponseDecoder installed = context.channel().attr(DECODER).get();
+    if (installed != null) {
+      return installed;
+    }
+    StrictResponseDecoder decoder = new StrictResponseDecoder(rules);
+    context.channel().attr(DECODER).set(decoder);
+    ChannelPipeline pipeline = context.pipeline();
+    pipeline.replace(
+        CODEC_NAME,
+        CODEC_NAME,
+        new CombinedChannelDuplexHandler<>(decoder, new RequestEncoder(decoder)));
+    return decoder;
+  }
+
+  /** Returns whether another request may be written to the connection, as far as is known. */
+  public boolean isReusable() {
+    return retirement.isEmpty();
+  }
+
+  private void onRequest(HttpRequest request) {
+    awaitingResponse = true;
+    requestId = Optional.ofNullable(request.headers().get(rules.requestIdHeader()));
+    requestMethod = request.method();
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return HttpMethod.HEAD.equals(requestMethod) || super.isContentAlwaysEmpty(message);
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("response has both a Content-Length and chunks");
+  }
+
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    if (!VERSIONS.contains(statusLine[0]) || !STATUS_CODE.matcher(statusLine[1]).matches()) {
+      throw new IllegalArgumentException("response begins with bytes that are no status line");
+    }
+    return super.createMessage(statusLine);
+  }
+
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    int end = start + length;
+    // Netty skips what is between the name and the colon, and a status line could be in it.
+    if (end >= line.length || line[end] != ':') {
+      throw new IllegalArgumentException("header line without a colon after its name");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    if (!awaitingResponse && !ignoringBytes) {
+      ignoringBytes = true;
+      retire(ctx, Retirement.IDLE_BYTES, buffer.readableBytes() + " bytes");
+      closeLater(ctx);
+    }
+    if (ignoringBytes) {
+      buffer.skipBytes(buffer.readableBytes());
+      return;
+    }
+    int sizeBefore = out.size();
+    super.decode(ctx, buffer, out);
+    for (int i = sizeBefore; i < out.size() && !ignoringBytes; i++) {
+      inspect(ctx, out.get(i), buffer);
+    }
+  }
+
+  private void inspect(ChannelHandlerContext ctx, Object message, ByteBuf buffer) {
+    if (message instanceof HttpResponse head) {
+      informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      checkHead(ctx, head);
+    }
+    if (message instanceof LastHttpContent && !informational) {
+      onResponseEnd(ctx, buffer);
+    }
+  }
+
+  private void checkHead(ChannelHandlerContext ctx, HttpResponse head) {
+    if (head.decoderResult().isFailure()) {
+      String cause = String.valueOf(head.decoderResult().cause().getMessage());
+      reject(ctx, head, Retirement.MALFORMED_HEAD, "no response: " + cause);
+      return;
+    }
+    Optional<String> ambiguity = ambiguityOf(head);
+    if (ambiguity.isPresent()) {
+      acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, ambiguity.get());
+    } else if (!informational && requestId.isPresent()) {
+      checkId(ctx, head);
+    }
+  }
+
+  private void checkId(ChannelHandlerContext ctx, HttpResponse head) {
+    String echoedId = head.headers().get(rules.requestIdHeader());
+    if (echoedId == null) {
+      if (rules.requiresId()) {
+        acceptOnlyAsFirst(ctx, head, Retirement.NO_ID, "response without an id");
+      }
+    } else if (!echoedId.equals(requestId.get())) {
+      reject(ctx, head, Retirement.OTHER_ID, "response to request " + echoedId);
+    }
+  }
+
+  private void acceptOnlyAsFirst(
+      ChannelHandlerContext ctx, HttpResponse head, Retirement reason, String detail) {
+    if (completeResponses > 0) {
+      reject(ctx, head, reason, detail);
+    } else {
+      retire(ctx, reason, detail);
+    }
+  }
+
+  /** Returns why a head may consist of the heads of two responses; empty if it cannot. */
+  private Optional<String> ambiguityOf(HttpResponse head) {
+    if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+      return Optional.of("status line within a status line");
+    }
+    for (Map.Entry<String, String> header : head.headers()) {
+      if (STATUS_LINE.matcher(header.getValue()).find()) {
+        return Optional.of("status line within the header " + header.getKey());
+      }
+    }
+    return rules.singleHeaders().stream()
+        .filter(name -> head.headers().getAll(name).size() > 1)
+        .findFirst()
+        .map(name -> "more than one header " + name);
+  }
+
+  /** Lets the request of a response fail, and ignores the rest of what arrives. */
+  private void reject(
+      ChannelHandlerContext ctx, HttpResponse head, Retirement reason, String detail) {
+    head.setDecoderResult(DecoderResult.failure(new InvalidResponseException(detail)));
+    ignoringBytes = true;
+    retire(ctx, reason, detail);
+    closeLater(ctx);
+  }
+
+  private void onResponseEnd(ChannelHandlerContext ctx, ByteBuf buffer) {
+    awaitingResponse = false;
+    completeResponses++;
+    if (buffer.isReadable()) {
+      ignoringBytes = true;
+      retire(ctx, Retirement.TRAILING_BYTES, buffer.readableBytes() + " bytes");
+    }
+    if (!isReusable()) {
+      closeLater(ctx);
+    }
+  }
+
+  /** Retires the connection; it is closed at the end of the response if one is in progress. */
+  private void retire(ChannelHandlerContext ctx, Retirement reason, String detail) {
+    if (!isReusable()) {
+      return;
+    }
+    retirement = Optional.of(reason);
+    rules.onRetired().accept(reason);
+    LOG.log(
+        System.Logger.Level.INFO,
+        "connection.retired",
+        "request",
+        requestId.orElse("none"),
+        "reason",
+        reason.label(),
+        "detail",
+        detail,
+        "responses",
+        completeResponses,
+        "local",
+        String.valueOf(ctx.channel().localAddress()),
+        "remote",
+        String.valueOf(ctx.channel().remoteAddress()));
+  }
+
+  /** Closes the connection once what was decoded before has been handled. */
+  private static void closeLater(ChannelHandlerContext ctx) {
+    ctx.executor().execute(ctx::close);
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -181,12 +181,12 @@
           .labelNames("what")
           .register(registry);
 
-  /** What servers sent that may not be the response to a request, by kind. */
-  public final Counter responseAnomalies =
+  /** Connections to servers that are not used again, by reason. */
+  public final Counter retiredConnections =
       Counter.builder()
-          .name("lwc_response_anomalies_total")
-          .help("What servers sent that may not be the response to a request, by kind")
-          .labelNames("anomaly")
+          .name("lwc_connections_retired_total")
+          .help("Connections not used again because of what a server sent on them, by reason")
+          .labelNames("reason")
           .register(registry);
 
   /** Responses that an entry ended before they were complete, by cause. */
