Accept only a request's own response on the product's interface

Cause: as on the other interface, a pooled connection was not known to be clean; the pool there is the library's.

Change: connections to endpoints and to other entries get the decoder that retires them. A connection from the pool that is retired but not closed yet is given back, and the request takes another one. Endpoints and entries have clients of their own, since an engine's response without an id is accepted only as the first one on its connection, which is then closed: a stock engine that echoes no id costs one connection a request, and never another's response.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -15,12 +15,15 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.http.AbortedResponses.Cause;
+import org.lacewingcroft.http.InvalidResponseException;
 import org.lacewingcroft.http.RetryAfter;
+import org.lacewingcroft.http.StrictResponseDecoder;
 import org.lacewingcroft.membership.Member;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.LinkFaults;
@@ -42,6 +45,12 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MAX_CONNECTIONS_PER_TARGET = 256;
   private static final String CONTENT_TYPE = "Content-Type";
+  private static final Set<String> SINGLE_RESPONSE_HEADERS =
+      Set.of(
+          EntryGateway.REQUEST_ID_HEADER,
+          EntryGateway.RUN_HEADER,
+          EntryGateway.REPLAY_HEADER,
+          CONTENT_TYPE);
 
   private final Vertx vertx;
   private final RouteChooser routeChooser;
@@ -56,7 +65,8 @@
   private final Optional<Duration> hedgeAfter;
   private final ExtraSends extraSends;
   private final ContentQuarantine quarantine;
-  private final HttpClient client;
+  private final HttpClient endpointClient;
+  private final HttpClient entryClient;
   private volatile LinkFaults faults = LinkFaults.NONE;
 
   Dispatcher(
@@ -85,13 +95,34 @@
     this.clock = clock;
     this.hedgeAfter = hedgeAfter;
     this.extraSends = new ExtraSends(clock, metrics);
-    this.client =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setKeepAlive(true)
-                .setTcpNoDelay(true)
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
-            new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET));
+    this.endpointClient = createClient(/* requiresId= */ true);
+    this.entryClient = createClient(/* requiresId= */ false);
+  }
+
+  private HttpClient createClient(boolean requiresId) {
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setKeepAlive(true)
+            .setTcpNoDelay(true)
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    StrictResponseDecoder.Rules responseRules =
+        new StrictResponseDecoder.Rules(
+            options,
+            EntryGateway.REQUEST_ID_HEADER,
+            SINGLE_RESPONSE_HEADERS,
+            requiresId,
+            reason -> metrics.retiredConnections.labelValues(reason.label()).inc());
+    return vertx
+        .httpClientBuilder()
+        .with(options)
+        .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET))
+        .withConnectHandler(
+            connection -> {
+              StrictResponseDecoder.install(connection, responseRules);
+              // The failure is handled for the request, and is no error of the connection.
+              connection.exceptionHandler(e -> {});
+            })
+        .build();
   }
 
   void setFaults(LinkFaults injected) {
@@ -170,15 +201,20 @@
    */
   private void connect(
       Exchange exchange, Attempt attempt, String url, Consumer<HttpClientRequest> onConnected) {
+    HttpClient client = attempt.toEndpoint() ? endpointClient : entryClient;
     client
         .request(requestOptions(exchange, url))
         .onFailure(e -> onConnectFailure(exchange, attempt, e))
         .onSuccess(
             upstream -> {
-              if (attempt.live()) {
-                onConnected.accept(upstream);
-              } else {
+              if (!attempt.live()) {
                 upstream.reset();
+              } else if (!StrictResponseDecoder.of(upstream.connection()).isReusable()) {
+                upstream.exceptionHandler(e -> {}).reset();
+                // The connection leaves the pool once it is closed, in a later task.
+                vertx.runOnContext(v -> connect(exchange, attempt, url, onConnected));
+              } else {
+                onConnected.accept(upstream);
               }
             });
   }
@@ -213,7 +249,7 @@
     upstream
         .send(Buffer.buffer(request.body()))
         .onFailure(e -> onRequestFailure(exchange, attempt, e))
-        .onSuccess(response -> onResponse(exchange, attempt, upstream, response));
+        .onSuccess(response -> onResponse(exchange, attempt, response));
   }
 
   /** Handles a failure to connect to a target, which therefore has not received the request. */
@@ -248,7 +284,9 @@
   }
 
   private void onRequestFailure(Exchange exchange, Attempt attempt, Throwable e) {
-    if (attempt.live() && attempt.toEndpoint() && !(e instanceof TimeoutException)) {
+    boolean connectionLost =
+        !(e instanceof TimeoutException) && !(e instanceof InvalidResponseException);
+    if (attempt.live() && attempt.toEndpoint() && connectionLost) {
       quarantine.onConnectionLost(attempt.target(), exchange.fingerprints());
     }
     handleFailureAfterSend(exchange, attempt, String.valueOf(e.getMessage()));
@@ -297,19 +335,12 @@
     }
   }
 
-  private void onResponse(
-      Exchange exchange, Attempt attempt, HttpClientRequest upstream, HttpClientResponse response) {
+  private void onResponse(Exchange exchange, Attempt attempt, HttpClientResponse response) {
     // With a claimed key, the response is recorded even if it can no longer be sent to the caller.
     if (!attempt.live() || exchange.responseCommitted() && exchange.claimedKey().isEmpty()) {
       attempt.cancel();
       return;
     }
-    String echoedRequestId = response.getHeader(EntryGateway.REQUEST_ID_HEADER);
-    if (echoedRequestId != null && !echoedRequestId.equals(exchange.requestId())) {
-      upstream.connection().close();
-      handleFailureAfterSend(exchange, attempt, "it answered another request");
-      return;
-    }
     routeChooser.recordResponse(
         attempt, response.statusCode(), RetryAfter.parse(response.getHeader(RetryAfter.HEADER)));
     if (EntryGateway.RUN_NO.equals(response.getHeader(EntryGateway.RUN_HEADER))) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -119,7 +119,7 @@
   private boolean awaitingResponse;
   private boolean informational;
   private int completeResponses;
-  private Optional<Retirement> retirement = Optional.empty();
+  private volatile Optional<Retirement> retirement = Optional.empty();
 
   /** Whether bytes that arrive are ignored, because the start of a response cannot be found. */
   private boolean ignoringBytes;
@@ -135,15 +135,10 @@
   }
 
   /**
-   * Returns the decoder of an HTTP/1.1 client connection, which replaces that of Vert.x at the
-   * first call for the connection. That call must precede the first request.
+   * Replaces the decoder of a new HTTP/1.1 client connection, on which no request has been written.
    */
   public static StrictResponseDecoder install(HttpConnection connection, Rules rules) {
     ChannelHandlerContext context = ClientChannels.contextOf(connection);
-    StrictResponseDecoder installed = context.channel().attr(DECODER).get();
-    if (installed != null) {
-      return installed;
-    }
     StrictResponseDecoder decoder = new StrictResponseDecoder(rules);
     context.channel().attr(DECODER).set(decoder);
     ChannelPipeline pipeline = context.pipeline();
@@ -154,7 +149,15 @@
     return decoder;
   }
 
-  /** Returns whether another request may be written to the connection, as far as is known. */
+  /** Returns the decoder that was installed for a connection. */
+  public static StrictResponseDecoder of(HttpConnection connection) {
+    return ClientChannels.contextOf(connection).channel().attr(DECODER).get();
+  }
+
+  /**
+   * Returns whether another request may be written to the connection, as far as is known; may be
+   * called by any thread.
+   */
   public boolean isReusable() {
     return retirement.isEmpty();
   }
