--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.forward;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
@@ -63,6 +64,8 @@
   private final Vertx vertx;
   private final Script script;
   private final Set<String> receivedIds = ConcurrentHashMap.newKeySet();
+  private final Set<NetSocket> openConnections = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger requestsOnUsedConnections = new AtomicInteger();
   private final AtomicInteger unwrittenPieces = new AtomicInteger();
   private final NetServer server;
 
@@ -105,8 +108,10 @@
   }
 
   private void onConnect(NetSocket socket) {
-    Connection connection = new Connection(socket);
+    openConnections.add(socket);
+    socket.closeHandler(closed -> openConnections.remove(socket));
     socket.exceptionHandler(e -> {});
+    Connection connection = new Connection(socket);
     RawRequests.read(socket, (head, body) -> connection.onRequest(head));
   }
 
@@ -123,9 +128,12 @@
     private void onRequest(String head) {
       String id = RawRequests.header(head, "x-request-id");
       requests++;
+      if (requests > 1) {
+        requestsOnUsedConnections.incrementAndGet();
+      }
+      receivedIds.add(id);
       List<Piece> pieces = script.piecesFor(new ReceivedRequest(id, requests, previousId));
       previousId = Optional.of(id);
-      receivedIds.add(id);
       unwrittenPieces.addAndGet(pieces.size());
       write(pieces);
     }
@@ -166,6 +174,19 @@
     return receivedIds.contains(id);
   }
 
+  /** Returns the number of requests that were not the first one on their connection. */
+  public int requestsOnUsedConnections() {
+    return requestsOnUsedConnections.get();
+  }
+
+  /** Closes all connections and waits until they are closed. */
+  public void closeConnections() throws Exception {
+    Future.join(openConnections.stream().map(NetSocket::close).toList())
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(10, TimeUnit.SECONDS);
+  }
+
   /** Returns the port on which it listens. */
   public int port() {
     return server.actualPort();
