--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawCaller.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawCaller.java
@@ -86,8 +86,18 @@
     return String.join("\r\n", lines) + "\r\n";
   }
 
+  /** Writes bytes; bytes that can no longer be written are dropped. */
   void write(String bytes) throws IOException {
-    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    try {
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    } catch (SocketException closed) {
+      // Reading reports the end of the connection.
+    }
+  }
+
+  /** Returns the number of bytes that have arrived and were not read as part of a response. */
+  int unreadBytes() throws IOException {
+    return socket.getInputStream().available();
   }
 
   /**
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawResponse.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawResponse.java
@@ -16,9 +16,9 @@
   public enum Framing {
     /** By {@code Content-Length}. */
     LENGTH("text/plain"),
-    /** By the last one of two chunks or more. */
+    /** By the last one of its chunks. */
     CHUNKS("text/plain"),
-    /** By chunks; the body consists of events. */
+    /** By the last one of its chunks; the body consists of events. */
     EVENT_STREAM("text/event-stream");
 
     private final String contentType;
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
@@ -0,0 +1,46 @@
+package org.lacewingcroft.forward;
+
+import org.lacewingcroft.forward.StutteringEndpoint.Moment;
+import org.lacewingcroft.forward.StutteringEndpoint.Script;
+
+/**
+ * What a {@link StutteringEndpoint} does with pairs of requests: after its response to the first
+ * one, it repeats a part of that response. The repeated bytes belong to no request.
+ */
+public interface Stutter {
+  /** Returns the unique name of the service of the endpoint. */
+  String name();
+
+  /** Returns the region of the endpoint. */
+  String region();
+
+  /** Returns when the repeated part is written. */
+  Moment moment();
+
+  /** Returns the response to the request with an id. */
+  RawResponse responseTo(String id);
+
+  /** Returns the repeated part, empty after the response to a second request. */
+  String strayBytesAfter(String id);
+
+  /** Returns whether stray bytes may cost the next request, which was sent before them. */
+  default boolean mayCostNextRequest() {
+    return moment() == Moment.AFTER_NEXT_REQUEST;
+  }
+
+  /** Returns the id of a request. */
+  default String id(int pair, boolean first) {
+    return String.format("%s-%03d-%s", name(), pair, first ? "a" : "b");
+  }
+
+  /** Returns whether an id is that of the first request of a pair. */
+  default boolean isFirst(String id) {
+    return id.endsWith("-a");
+  }
+
+  /** Returns the script of the endpoint. */
+  default Script script() {
+    return StutteringEndpoint.answeringWithStrayBytes(
+        moment(), id -> responseTo(id).bytes(), this::strayBytesAfter);
+  }
+}
