Number calls between daemons from a random start

A daemon that restarts at the same address numbered its calls to others from 1 again. A late reply to a call of the process before, for example of a peer that was suspended meanwhile, was taken for the reply to another call of the new process: an order reported as committed, a departure as replicated, a key claim as granted or denied, a report of suspicions as confirmed. Found by reading; shown by a test for departures. CallIds starts at a random number and replaces the four counters (OrderRelay, DepartureReplicator, RequestQuarantine, KeyOwnership).

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DepartureReplicator.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/DepartureReplicator.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.lacewingcroft.misc.CallIds;
 
 /**
  * Replicates an endpoint's draining or deregistration to a majority of the control group before it
@@ -29,7 +30,7 @@
   private final FleetTransport transport;
   private final Map<Long, PendingDeparture> pending = new HashMap<>();
   private final Set<String> replicated = new HashSet<>();
-  private long nextCallId = 1;
+  private final CallIds callIds = new CallIds();
 
   private static final class PendingDeparture {
     private final Promise<Boolean> done = Promise.promise();
@@ -61,7 +62,7 @@
     }
     Set<String> others = new TreeSet<>(members);
     others.remove(selfAddress);
-    long callId = nextCallId++;
+    long callId = callIds.next();
     PendingDeparture departure = new PendingDeparture(others, requiredConfirmations);
     pending.put(callId, departure);
     FleetMessage update =
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -16,6 +16,7 @@
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.fleet.FleetMessage.ControlOrder;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.misc.CallIds;
 
 /**
  * Forwards operator orders and reads from the instance that received them to the leader of the
@@ -41,7 +42,7 @@
   private final FleetTransport transport;
   private final GatewayMetrics metrics;
   private final Map<Long, Promise<Outcome>> pendingCalls = new HashMap<>();
-  private long nextCallId = 1;
+  private final CallIds callIds = new CallIds();
 
   /**
    * The outcome of an order.
@@ -190,7 +191,7 @@
 
   private Future<Outcome> callLeader(String leader, Order order) {
     Promise<Outcome> promise = Promise.promise();
-    long callId = nextCallId++;
+    long callId = callIds.next();
     pendingCalls.put(callId, promise);
     transport.send(
         leader,
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/RequestQuarantine.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.lacewingcroft.misc.BoundedMap;
+import org.lacewingcroft.misc.CallIds;
 import org.lacewingcroft.peer.SocketAddresses;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.quarantine.IncompleteRuns;
@@ -53,7 +54,7 @@
   private final PendingCrashProbes pendingProbes = new PendingCrashProbes();
   private final List<Suspicion> nextBatch = new ArrayList<>();
   private final Map<Long, Batch> unconfirmed = BoundedMap.evictingOldest(MAX_UNCONFIRMED);
-  private long nextCallId = 1;
+  private final CallIds callIds = new CallIds();
 
   /**
    * A batch of suspicions and the instant to which their ages refer; a later resend has to increase
@@ -231,7 +232,7 @@
   }
 
   private void sendBatch() {
-    long callId = nextCallId++;
+    long callId = callIds.next();
     unconfirmed.put(callId, new Batch(List.copyOf(nextBatch), clock.instant()));
     nextBatch.clear();
     send(callId);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/KeyOwnership.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/KeyOwnership.java
@@ -12,10 +12,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import org.lacewingcroft.idempotency.Claimant;
 import org.lacewingcroft.idempotency.IdempotencyTable;
 import org.lacewingcroft.membership.Member;
+import org.lacewingcroft.misc.CallIds;
 import org.lacewingcroft.misc.Rendezvous;
 import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
@@ -49,7 +49,7 @@
   private final InstantSource clock;
   private final Claimant self;
   private final IdempotencyTable table = new IdempotencyTable(RECORD_RETENTION);
-  private final AtomicLong lastCallId = new AtomicLong();
+  private final CallIds callIds = new CallIds();
   private final Map<Long, PendingClaim> pendingClaims = new ConcurrentHashMap<>();
   private Set<String> knownPeerIncarnations = Set.of();
 
@@ -124,7 +124,7 @@
     if (replicas.isEmpty()) {
       return Future.succeededFuture(new KeyAdmission.Run());
     }
-    long callId = lastCallId.incrementAndGet();
+    long callId = callIds.next();
     Set<String> ids = new HashSet<>();
     replicas.forEach(r -> ids.add(r.nodeId()));
     PendingClaim claim = new PendingClaim(key, ids);
