Relay each configuration change on a connection of its own

An operator whose change went through a control instance that does not lead could get the outcome of another one: with bytes waiting on the kept connection to the leader, such as a cut second head, the next change was reported as a conflict (409) or as unknown (504) although the leader had accepted it, and a failure could be reported as a success. Cause: the client of ConfigApi keeps its connections, and responses carry no change id. It uses each connection for one call now; changes are rare.

StrayLeaderResponseTest: 4 of 4 cases failed before, all pass. ConfigPatchApiTest (1) passes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -61,7 +62,8 @@
   ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
     this.configs = configs;
     this.membership = membership;
-    this.client = vertx.createHttpClient();
+    // Responses carry no change id: on a connection of its own, a call cannot get another's.
+    this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
   }
 
   /**
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawEndpoint.java
@@ -11,9 +11,9 @@
  * An endpoint that responds to its first request with given bytes and to all others correctly. It
  * uses a raw socket, because an HTTP server only sends what its status and method allow.
  */
-final class RawEndpoint implements AutoCloseable {
+public final class RawEndpoint implements AutoCloseable {
   /** The body of the correct responses, which is also a stream of one event. */
-  static final String OWN_BODY = "id: 1\ndata: own\n\n";
+  public static final String OWN_BODY = "id: 1\ndata: own\n\n";
 
   /** Time between the response and the bytes that follow it late. */
   static final long LATE_MILLIS = 40;
@@ -30,7 +30,7 @@
    * @param response the response to the first request, {@code ID} for its id
    * @param lateBytes bytes that follow it some time later, empty for none
    */
-  RawEndpoint(Vertx vertx, String response, String lateBytes) throws Exception {
+  public RawEndpoint(Vertx vertx, String response, String lateBytes) throws Exception {
     this.vertx = vertx;
     this.response = response;
     this.lateBytes = lateBytes;
@@ -62,7 +62,7 @@
   }
 
   /** Returns a complete response with the id {@code ID}, signed if it is a success. */
-  static String ownResponse(int status, String body) {
+  public static String ownResponse(int status, String body) {
     return "HTTP/1.1 "
         + status
         + " Status\r\nX-Request-Id: ID\r\nX-Proof: signed\r\nContent-Length: "
@@ -71,16 +71,18 @@
         + body;
   }
 
-  int port() {
+  /** Returns the port on which it listens. */
+  public int port() {
     return server.actualPort();
   }
 
-  int requests() {
+  /** Returns the number of complete requests received. */
+  public int requests() {
     return connectionOfRequest.size();
   }
 
   /** Returns whether the first two requests arrived on the same connection. */
-  boolean isFirstConnectionReused() {
+  public boolean isFirstConnectionReused() {
     return connectionOfRequest.get(0) == connectionOfRequest.get(1);
   }
 
