--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -204,7 +204,22 @@
   /** Starts an entry on an event loop of its own, so that only this entry is late if it blocks. */
   Entry startEntryOn(Vertx ownVertx, String name, String region) throws Exception {
     return startEntry(
-        name, region, Optional.empty(), Optional.empty(), ownVertx.getOrCreateContext());
+        name,
+        region,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        ownVertx.getOrCreateContext());
+  }
+
+  /**
+   * Starts an entry to which other entries relay at another port than its own.
+   *
+   * @param relayPort the port at which the other entries expect its relay server
+   */
+  Entry startEntryRelayedAt(String name, String region, int relayPort) throws Exception {
+    return startEntry(
+        name, region, Optional.empty(), Optional.empty(), Optional.of(relayPort), context);
   }
 
   Entry startEntry(String name, String region) throws Exception {
@@ -219,12 +234,14 @@
    */
   Entry startEntry(String name, String region, Optional<String> upstreamBindAddress)
       throws Exception {
-    return startEntry(name, region, upstreamBindAddress, Optional.empty(), context);
+    return startEntry(
+        name, region, upstreamBindAddress, Optional.empty(), Optional.empty(), context);
   }
 
   /** Starts an entry on a machine of known capacity. */
   Entry startEntry(String name, String region, EntryCapacity capacity) throws Exception {
-    return startEntry(name, region, Optional.empty(), Optional.of(capacity), context);
+    return startEntry(
+        name, region, Optional.empty(), Optional.of(capacity), Optional.empty(), context);
   }
 
   private Entry startEntry(
@@ -232,6 +249,7 @@
       String region,
       Optional<String> upstreamBindAddress,
       Optional<EntryCapacity> capacity,
+      Optional<Integer> relayPort,
       Context entryContext)
       throws Exception {
     FleetSettings settings =
@@ -250,7 +268,7 @@
             region + "-a",
             "127.0.0.1:" + publicPort,
             settings.peerAddress(),
-            settings.relayAddress());
+            relayPort.map(port -> "127.0.0.1:" + port).orElseGet(settings::relayAddress));
     MonotonicInstantSource clock = new MonotonicInstantSource();
     EntryNode node =
         new EntryNode(
