--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
@@ -124,7 +125,7 @@
   /** Whether bytes that arrive are ignored, because the start of a response cannot be found. */
   private boolean ignoringBytes;
 
-  private StrictResponseDecoder(Rules rules) {
+  StrictResponseDecoder(Rules rules) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(rules.options().getMaxInitialLineLength())
@@ -142,13 +143,15 @@
     StrictResponseDecoder decoder = new StrictResponseDecoder(rules);
     context.channel().attr(DECODER).set(decoder);
     ChannelPipeline pipeline = context.pipeline();
-    pipeline.replace(
-        CODEC_NAME,
-        CODEC_NAME,
-        new CombinedChannelDuplexHandler<>(decoder, new RequestEncoder(decoder)));
+    pipeline.replace(CODEC_NAME, CODEC_NAME, decoder.codec());
     return decoder;
   }
 
+  /** Returns a codec with this decoder and the encoder of the requests. */
+  ChannelHandler codec() {
+    return new CombinedChannelDuplexHandler<>(this, new RequestEncoder(this));
+  }
+
   /** Returns the decoder that was installed for a connection. */
   public static StrictResponseDecoder of(HttpConnection connection) {
     return ClientChannels.contextOf(connection).channel().attr(DECODER).get();
