--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
@@ -28,11 +28,16 @@
     return moment() == Moment.AFTER_NEXT_REQUEST;
   }
 
-  /** Returns the id of a request. */
+  /** Returns the id of the first or the second request of a pair. */
   default String id(int pair, boolean first) {
     return String.format("%s-%03d-%s", name(), pair, first ? "a" : "b");
   }
 
+  /** Returns the number of the pair of the request with an id. */
+  default int pairOf(String id) {
+    return Integer.parseInt(id.substring(name().length() + 1, id.lastIndexOf('-')));
+  }
+
   /** Returns whether an id is that of the first request of a pair. */
   default boolean isFirst(String id) {
     return id.endsWith("-a");
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
@@ -127,7 +127,7 @@
 
   @Override
   public String strayBytesAfter(String id) {
-    return isFirst(id) ? repeatedResponse(id).substring(0, Integer.parseInt(id.split("-")[1])) : "";
+    return isFirst(id) ? repeatedResponse(id).substring(0, pairOf(id)) : "";
   }
 
   private String repeatedResponse(String id) {
