Read nothing after a rejected frame

A peer connection that sent a frame of wrong length or with a wrong tag is closed, but what had arrived with it was still read as frames: a valid frame behind it was handled, and 32 KiB of garbage were counted and logged as 512 rejected frames. Cause: the parser goes on with the bytes that it holds until the close takes effect. PeerTransport drops them now.

RejectedFrameTest: 3 of 3 cases failed before, all pass. UnknownMessageTest (2), SlowPeerTest (4), MembershipTest (6) and OrganisationKeysTest (9) pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/PeerTransport.java
@@ -322,6 +322,8 @@
                 socket.remoteAddress(),
                 "reason",
                 e.getMessage());
+            // Where the next frame begins is not known; the parser goes on with what it holds.
+            parser.handler(rest -> {});
             socket.close();
           }
         });
