Read the local port of a connection when it is opened

A request written to a connection that had just been closed would have failed without a response, as a closed connection may have no local address any more. Found by reading, not by a run; the port is now read once, when the connection is opened.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -125,7 +125,8 @@
   /**
    * The place of a request on its connection.
    *
-   * @param localPort the port of this entry, which identifies the connection in logs
+   * @param localPort the port of this entry, which identifies the connection in logs; 0 if the
+   *     connection was closed as soon as it was open
    * @param requestNumber the number of the request on the connection, from 1
    */
   record ConnectionUse(int localPort, int requestNumber) {
@@ -138,6 +139,7 @@
     private final String address;
     private final HttpClientConnection connection;
     private final StrictResponseDecoder responses;
+    private final int localPort;
     private Optional<Duration> advertisedKeepAlive = Optional.empty();
     private Optional<Duration> fixedIdleTimeout = Optional.empty();
     private Optional<Instant> idleSince = Optional.empty();
@@ -150,6 +152,8 @@
       this.address = address;
       this.connection = connection;
       this.responses = StrictResponseDecoder.install(connection, responseRules.get(peer));
+      this.localPort =
+          Optional.ofNullable(connection.localAddress()).map(SocketAddress::port).orElse(0);
       traffic.clientConnectionOpened();
       connection.closeHandler(
           v -> {
@@ -168,7 +172,7 @@
     /** Counts a request that is now written, and returns its place on the connection. */
     ConnectionUse recordRequest() {
       requests++;
-      return new ConnectionUse(connection.localAddress().port(), requests);
+      return new ConnectionUse(localPort, requests);
     }
 
     /** Returns the counter of the bytes of the requests and responses on this connection. */
