Check the id also of a first response whose head may consist of two

A caller could have got the response with the id of another request, if it was the first one on its connection and repeated a header or held a status line in one: it was accepted as ambiguous without a look at its id. Found by reading.

StrictResponseDecoderTest: two new rows failed before, all 106 pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -234,10 +234,9 @@
       reject(ctx, head, Retirement.MALFORMED_HEAD, "no response: " + cause);
       return;
     }
-    Optional<String> ambiguity = ambiguityOf(head);
-    if (ambiguity.isPresent()) {
-      acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, ambiguity.get());
-    } else if (!informational && requestId.isPresent()) {
+    ambiguityOf(head)
+        .ifPresent(detail -> acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, detail));
+    if (!ignoringBytes && !informational && requestId.isPresent()) {
       checkId(ctx, head);
     }
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -93,6 +93,8 @@
         cases.add(rejected(number, requiresId, "stray" + OK + HEADERS));
         cases.add(rejected(number, requiresId, "HTTP/1.1 2000 OK\r\n" + HEADERS));
         cases.add(rejected(number, requiresId, OK + HEADERS.replace("ID", "other")));
+        cases.add(
+            rejected(number, requiresId, OK + "X-Proof: sig\r\n" + HEADERS.replace("ID", "other")));
         cases.add(rejected(number, requiresId, OK + "Transfer-Encoding: chunked\r\n" + HEADERS));
         cases.add(new TestCase(number, requiresId, OK + HEADERS + "x", List.of("200"), false));
       }
