--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -42,8 +42,9 @@
  *       only as the first one on its connection, where no bytes of another one can precede it.
  * </ul>
  *
- * <p>A response that is not accepted fails its request with an {@link InvalidResponseException}.
- * There must be at most one request at a time on a connection.
+ * <p>A missing id counts only where the {@link Rules} require one. A response that is not accepted
+ * fails its request with an {@link InvalidResponseException}. There must be at most one request at
+ * a time on a connection.
  *
  * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
  * before the first request is written.
@@ -277,7 +278,7 @@
         .map(name -> "more than one header " + name);
   }
 
-  /** Lets the request of a response fail, and ignores the rest of what arrives. */
+  /** Fails the request that awaits this response, and ignores the rest of what arrives. */
   private void reject(
       ChannelHandlerContext ctx, HttpResponse head, Retirement reason, String detail) {
     head.setDecoderResult(DecoderResult.failure(new InvalidResponseException(detail)));
