Stop a process in order if the signal arrives as it starts

What operators saw: an instance that was stopped right after it had logged instance.started ended with process.fatal ("Shutdown in progress") and without instance.stopped; its next start reported that it had failed. An entry ended so tells nobody that it leaves, and cuts its requests.

Cause: the shutdown hook was registered after the start. A signal before that found no hook, and the registration threw in the main thread, which reported it as an error of the process. The daemon's command line, the stand-ins and the hook of the log writer had the same order.

Ruled out: a slow log, since the line before is written and the fatal error names the registration.

Change: ServiceRunner registers the hook first. A log writer that is created while the process ends has no hook.

Why it works: from the registration on there is no moment at which a signal finds no hook, and before it nothing has started.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Main.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import org.lacewingcroft.lifecycle.EndMarker;
 import org.lacewingcroft.lifecycle.ErrorReporter;
+import org.lacewingcroft.lifecycle.ServiceRunner;
 import org.lacewingcroft.logging.LogContext;
 import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.routing.LeastInFlightPolicy;
@@ -28,11 +28,6 @@
     description =
         "Runs one lacewingcroft daemon: an entry (callers, endpoints) or control (config).")
 public final class Main implements Callable<Integer> {
-  private static final System.Logger LOG = System.getLogger(Main.class.getName());
-
-  private static final int EXIT_START_FAILED = 1;
-  private static final Duration LAST_LINES_TIMEOUT = Duration.ofMillis(300);
-
   @Option(
       names = "--role",
       defaultValue = "${env:LWC_ROLE:-entry}",
@@ -178,34 +173,7 @@
     EndMarker marker = Daemon.createMarker(settings);
     ErrorReporter errors = new ErrorReporter(marker, new MonotonicInstantSource());
     errors.reportThreadEnds();
-    try {
-      return runUntilStopped(settings, marker, errors);
-    } catch (Exception | Error e) {
-      errors.reportFatal(Thread.currentThread(), e);
-      return EXIT_START_FAILED;
-    }
-  }
-
-  private static int runUntilStopped(Settings settings, EndMarker marker, ErrorReporter errors)
-      throws Exception {
-    Daemon daemon = Daemon.start(settings, marker, errors);
-    CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime()
-        .addShutdownHook(new Thread(() -> stop(daemon, marker, stopped), "graceful-shutdown"));
-    stopped.await();
-    return 0;
-  }
-
-  private static void stop(Daemon daemon, EndMarker marker, CountDownLatch stopped) {
-    try {
-      daemon.close();
-    } catch (Exception e) {
-      LOG.log(System.Logger.Level.ERROR, "daemon.stop_failed", e);
-      marker.markFailed(e);
-    } finally {
-      LogContext.flush(LAST_LINES_TIMEOUT);
-      stopped.countDown();
-    }
+    return new ServiceRunner(marker, errors).run(() -> Daemon.start(settings, marker, errors));
   }
 
   Settings settings() {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogWriter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/LogWriter.java
@@ -55,7 +55,13 @@
     Thread thread = new Thread(this::run, "log-writer");
     thread.setDaemon(true);
     thread.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> flush(EXIT_FLUSH_TIMEOUT), "log-flush"));
+    try {
+      Runtime.getRuntime()
+          .addShutdownHook(new Thread(() -> flush(EXIT_FLUSH_TIMEOUT), "log-flush"));
+    } catch (IllegalStateException e) {
+      // The process is ending already, and no line has been queued.
+      return;
+    }
   }
 
   /** Queues a line, or drops and counts it if the queue is full; never blocks. */
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
@@ -7,15 +7,20 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.lacewingcroft.endpoint.EndpointKind;
+import org.lacewingcroft.lifecycle.EndMarker;
+import org.lacewingcroft.lifecycle.ErrorReporter;
+import org.lacewingcroft.lifecycle.ServiceRunner;
 import org.lacewingcroft.logging.LogContext;
+import org.lacewingcroft.misc.MonotonicInstantSource;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -105,6 +110,12 @@
   @Override
   public Integer call() throws Exception {
     LogContext.setNodeId(idPrefix);
+    EndMarker marker = new EndMarker(Optional.empty(), InstantSource.system());
+    ErrorReporter errors = new ErrorReporter(marker, new MonotonicInstantSource());
+    return new ServiceRunner(marker, errors).run(this::startRunners);
+  }
+
+  private AutoCloseable startRunners() throws Exception {
     EndpointKind endpointKind = EndpointKind.valueOf(kind.toUpperCase(java.util.Locale.ROOT));
     Vertx vertx = Vertx.vertx();
     List<StandinRunner> started = new ArrayList<>();
@@ -136,17 +147,10 @@
       Files.move(temporary, portFile, StandardCopyOption.ATOMIC_MOVE);
     }
     LOG.log(System.Logger.Level.INFO, "standin.started", "runners", runners, "kind", kind);
-    CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  started.parallelStream().forEach(Main::stop);
-                  LOG.log(System.Logger.Level.INFO, "standin.stopped", "runners", runners);
-                  vertx.close();
-                  stopped.countDown();
-                }));
-    stopped.await();
-    return 0;
+    return () -> {
+      started.parallelStream().forEach(Main::stop);
+      LOG.log(System.Logger.Level.INFO, "standin.stopped", "runners", runners);
+      vertx.close();
+    };
   }
 }
