Await the response behind a complete one to another request

What callers saw: a request that may run once ended with 502 although its endpoint had served it, where an extra response to the request before it arrived after it was written.

Cause: the decoder fails the request at the first head with another id and closes the connection, on which its own response comes next.

Ruled out: a wait for each request with a fixed limit, tried before; it answered too early for a slow response, and a request that can be sent again is served sooner elsewhere.

Change: a request that no other endpoint may run skips one response that has another id and states its end, by a length or chunks. The connection is retired as before. A skipped response that has no end within 500 ms, or whose body cannot be parsed, fails the request as before; the response itself has the time that the request has. Relayed requests are included, since the receiving entry sends them once.

Why it works: the end of the extra response is known from its own framing, and what follows has to pass the checks of a response after another one: one head, the id of the request.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -413,7 +413,7 @@
    * the request is suspected of crashing endpoints and nothing has been sent to the caller.
    */
   private void onSilent(Attempt attempt, Duration timeout, int periodsLeft) {
-    if (!mayRunAgainAfter(attempt)) {
+    if (!attempt.mayRunAgain()) {
       return;
     }
     UpstreamTarget target = attempt.upstream.target();
@@ -463,14 +463,6 @@
         || quarantine.isQuarantined(request.fingerprints());
   }
 
-  /** Returns whether another endpoint may run the request if this attempt fails. */
-  private boolean mayRunAgainAfter(Attempt attempt) {
-    int totalRuns = runs + (attempt.countedAsRun ? 0 : 1);
-    return request.handling().isIdempotent()
-        && !relayed
-        && totalRuns < request.handling().maxAttempts();
-  }
-
   /** Handles the response of one attempt. */
   private final class Attempt implements UpstreamAttempt.Listener {
     private final UpstreamAttempt upstream;
@@ -496,6 +488,14 @@
       upstream = new UpstreamAttempt(target, context.headerNames(), context.clock(), this);
     }
 
+    @Override
+    public boolean mayRunAgain() {
+      int totalRuns = runs + (countedAsRun ? 0 : 1);
+      return request.handling().isIdempotent()
+          && !relayed
+          && totalRuns < request.handling().maxAttempts();
+    }
+
     /** Counts this attempt as a run; further calls have no effect. */
     private void countRun() {
       if (!countedAsRun) {
@@ -671,7 +671,7 @@
     private void completeBuffered() {
       countRun();
       boolean serverError = status >= SERVER_ERROR;
-      if (serverError && mayRunAgainAfter(this) && tryTakeExtraSend()) {
+      if (serverError && mayRunAgain() && tryTakeExtraSend()) {
         retainError();
         excludedTargets.add(upstream.target().name());
         place();
@@ -852,7 +852,7 @@
   /** Handles an attempt whose target may have run the request but sent no complete response. */
   private void handleIncompleteResponse(Attempt attempt, String detail) {
     recordIncompleteResponse(attempt, detail);
-    if (mayRunAgainAfter(attempt) && sends < MAX_SENDS && tryTakeExtraSend()) {
+    if (attempt.mayRunAgain() && sends < MAX_SENDS && tryTakeExtraSend()) {
       place();
     } else {
       boolean fromEndpoint = attempt.upstream.target().endpoint().isPresent();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -59,6 +59,9 @@
      * the connection was being established.
      */
     void onWithdrawn();
+
+    /** Returns whether another endpoint may run the request if this attempt fails. */
+    boolean mayRunAgain();
   }
 
   /** Determines when a request may be written to its connection. */
@@ -201,6 +204,9 @@
     connection.ifPresent(
         c -> {
           connectionUse = c.recordRequest();
+          if (!listener.mayRunAgain()) {
+            c.skipOtherResponse();
+          }
           c.traffic().requestSent(request.body().length());
         });
     if (request.body().length() > 0) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -169,6 +169,11 @@
       return connection;
     }
 
+    /** Lets the next request await its response behind a complete one to another request. */
+    void skipOtherResponse() {
+      responses.skipOtherResponse();
+    }
+
     /** Counts a request that is now written, and returns its place on the connection. */
     ConnectionUse recordRequest() {
       requests++;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -237,6 +237,9 @@
     CallerRequest request = exchange.request();
     exchange.addPossibleRun();
     attempt.connected(upstream);
+    if (!request.idempotent()) {
+      StrictResponseDecoder.of(upstream.connection()).skipOtherResponse();
+    }
     String contentType = exchange.context().request().getHeader(CONTENT_TYPE);
     upstream.putHeader(CONTENT_TYPE, contentType != null ? contentType : "application/json");
     upstream.putHeader(EntryGateway.REQUEST_ID_HEADER, exchange.requestId());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -10,14 +10,17 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
 import java.util.List;
@@ -25,6 +28,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
@@ -43,8 +47,9 @@
  * </ul>
  *
  * <p>A missing id counts only where the {@link Rules} require one. A response that is not accepted
- * fails its request with an {@link InvalidResponseException}. There must be at most one request at
- * a time on a connection.
+ * fails its request with an {@link InvalidResponseException}, unless it is a complete one with the
+ * id of another request and the request cannot be sent again: then it is skipped, and the response
+ * to the request is awaited. There must be at most one request at a time on a connection.
  *
  * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
  * before the first request is written.
@@ -62,6 +67,12 @@
   private static final Pattern STATUS_CODE = Pattern.compile("\\d{3}");
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}");
 
+  /**
+   * Time in which a response that is skipped has to be complete. A server sends an extra response
+   * at once, so that one without an end was cut, and what follows cannot be told from its body.
+   */
+  private static final long SKIP_TIMEOUT_MILLIS = 500;
+
   /** Why a connection is retired. */
   public enum Retirement {
     /** Bytes followed the end of a response in the same read. */
@@ -120,6 +131,14 @@
   private HttpMethod requestMethod = HttpMethod.GET;
   private boolean awaitingResponse;
   private boolean informational;
+  private volatile boolean skipNext;
+
+  /** Whether a complete response to another request may be skipped before the awaited one. */
+  private boolean maySkip;
+
+  /** The head of the response to another request that is being skipped. */
+  private Optional<HttpResponse> skipped = Optional.empty();
+
   private int completeResponses;
   private volatile Optional<Retirement> retirement = Optional.empty();
 
@@ -166,8 +185,18 @@
     return retirement.isEmpty();
   }
 
+  /**
+   * Lets the next request on the connection await its response behind a complete one to another
+   * request. For requests that cannot be sent again; others are served sooner by another server.
+   */
+  public void skipOtherResponse() {
+    skipNext = true;
+  }
+
   private void onRequest(HttpRequest request) {
     awaitingResponse = true;
+    maySkip = skipNext;
+    skipNext = false;
     requestId = Optional.ofNullable(request.headers().get(rules.requestIdHeader()));
     requestMethod = request.method();
   }
@@ -212,19 +241,68 @@
       buffer.skipBytes(buffer.readableBytes());
       return;
     }
-    int sizeBefore = out.size();
+    int next = out.size();
     super.decode(ctx, buffer, out);
-    for (int i = sizeBefore; i < out.size() && !ignoringBytes; i++) {
-      inspect(ctx, out.get(i), buffer);
+    while (next < out.size() && !ignoringBytes) {
+      Object message = out.get(next);
+      inspect(ctx, message, buffer);
+      if (skipped.isPresent()) {
+        out.remove(next);
+        skip(ctx, message, out);
+      } else {
+        next++;
+      }
     }
   }
 
+  /** Drops a part of the response that is being skipped. */
+  private void skip(ChannelHandlerContext ctx, Object message, List<Object> out) {
+    ReferenceCountUtil.release(message);
+    if (((HttpObject) message).decoderResult().isFailure()) {
+      out.add(abandonSkipped(ctx, "its body cannot be parsed"));
+    } else if (message instanceof LastHttpContent) {
+      skipped = Optional.empty();
+      completeResponses++;
+    }
+  }
+
+  /** Fails the request that awaits its response behind one that has no end. */
+  private HttpResponse abandonSkipped(ChannelHandlerContext ctx, String detail) {
+    HttpResponse head = skipped.orElseThrow();
+    skipped = Optional.empty();
+    String text = "response to request " + head.headers().get(rules.requestIdHeader());
+    reject(ctx, head, Retirement.OTHER_ID, text + ": " + detail);
+    return head;
+  }
+
+  private void beginSkipping(ChannelHandlerContext ctx, HttpResponse head, String echoedId) {
+    maySkip = false;
+    skipped = Optional.of(head);
+    retire(ctx, Retirement.OTHER_ID, "skipped the response to request " + echoedId);
+    ctx.executor()
+        .schedule(
+            () -> {
+              if (skipped.filter(h -> h == head).isPresent()) {
+                ctx.fireChannelRead(abandonSkipped(ctx, "incomplete"));
+              }
+            },
+            SKIP_TIMEOUT_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns whether the end of a response can be found, and another one may follow it. */
+  private boolean isDelimited(HttpResponse head) {
+    return !HttpMethod.HEAD.equals(requestMethod)
+        && HttpUtil.isKeepAlive(head)
+        && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+  }
+
   private void inspect(ChannelHandlerContext ctx, Object message, ByteBuf buffer) {
     if (message instanceof HttpResponse head) {
       informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       checkHead(ctx, head);
     }
-    if (message instanceof LastHttpContent && !informational) {
+    if (message instanceof LastHttpContent && !informational && skipped.isEmpty()) {
       onResponseEnd(ctx, buffer);
     }
   }
@@ -248,7 +326,11 @@
       if (rules.requiresId()) {
         acceptOnlyAsFirst(ctx, head, Retirement.NO_ID, "response without an id");
       }
-    } else if (!echoedId.equals(requestId.get())) {
+    } else if (echoedId.equals(requestId.get())) {
+      return;
+    } else if (maySkip && isReusable() && isDelimited(head)) {
+      beginSkipping(ctx, head, echoedId);
+    } else {
       reject(ctx, head, Retirement.OTHER_ID, "response to request " + echoedId);
     }
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
@@ -23,8 +23,11 @@
   /** Returns the repeated part, empty after the response to a second request. */
   String strayBytesAfter(String id);
 
-  /** Returns whether stray bytes may cost the next request, which was sent before them. */
-  default boolean mayCostNextRequest() {
+  /**
+   * Returns whether the stray bytes of a pair may cost the second request, which was sent before
+   * them.
+   */
+  default boolean mayCostNextRequest(int pair) {
     return moment() == Moment.AFTER_NEXT_REQUEST;
   }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterCaller.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterCaller.java
@@ -50,9 +50,10 @@
       throws Exception {
     String firstId = stutter.id(pair, true);
     String secondId = stutter.id(pair, false);
+    boolean mayCost = stutter.mayCostNextRequest(pair);
     for (int i = 0; i < MAX_TRIES; i++) {
       String first = call(stutter, firstId);
-      if (stutter.mayCostNextRequest() && NOT_SERVED.contains(first)) {
+      if (mayCost && NOT_SERVED.contains(first)) {
         TimeUnit.MILLISECONDS.sleep(TRY_INTERVAL_MILLIS);
         continue;
       }
@@ -64,10 +65,10 @@
       String second = call(stutter, secondId);
       boolean received = endpoint.hasReceived(secondId);
       if (second.equals(describe(stutter.responseTo(secondId)))
-          || stutter.mayCostNextRequest() && second.equals(ERROR_OF_ENTRY) && received) {
+          || mayCost && second.equals(ERROR_OF_ENTRY) && received) {
         return Optional.empty();
       }
-      if (!stutter.mayCostNextRequest() || !second.equals(REFUSED_BY_ENTRY) || received) {
+      if (!mayCost || !second.equals(REFUSED_BY_ENTRY) || received) {
         return Optional.of("second request: " + second);
       }
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
@@ -130,6 +130,13 @@
     return isFirst(id) ? repeatedResponse(id).substring(0, pairOf(id)) : "";
   }
 
+  @Override
+  public boolean mayCostNextRequest(int pair) {
+    boolean identified = ids.inRepeatedResponse != IdPosition.NONE;
+    boolean whole = pair == repeatedResponse(id(0, true)).length();
+    return Stutter.super.mayCostNextRequest(pair) && !(identified && whole);
+  }
+
   private String repeatedResponse(String id) {
     return responseTo(id).withIdPosition(ids.inRepeatedResponse).bytes();
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -16,8 +16,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -126,14 +128,7 @@
   @MethodSource("testCases")
   void acceptsOnlyTheResponseToTheRequest(TestCase testCase) {
     for (int pieceBytes : List.of(1, 7, testCase.received().length())) {
-      StrictResponseDecoder decoder =
-          new StrictResponseDecoder(
-              new StrictResponseDecoder.Rules(
-                  new HttpClientOptions(),
-                  "X-Request-Id",
-                  Set.of("X-Request-Id", "X-Proof"),
-                  testCase.requiresId(),
-                  reason -> {}));
+      StrictResponseDecoder decoder = newDecoder(testCase.requiresId());
       EmbeddedChannel channel = new EmbeddedChannel(decoder.codec());
       for (int number = 1; number < testCase.requestNumber(); number++) {
         assertThat(exchange(channel, number, OK + HEADERS, 1_000), equalTo(List.of("200")));
@@ -147,6 +142,56 @@
     }
   }
 
+  private static StrictResponseDecoder newDecoder(boolean requiresId) {
+    return new StrictResponseDecoder(
+        new StrictResponseDecoder.Rules(
+            new HttpClientOptions(),
+            "X-Request-Id",
+            Set.of("X-Request-Id", "X-Proof"),
+            requiresId,
+            reason -> {}));
+  }
+
+  static Stream<Arguments> responsesBehindAnother() {
+    String other = FAILED.replace("ID", "other");
+    String chunked =
+        other.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n");
+    String cut = other.replace("Length: 2", "Length: 9");
+    String withoutId = HEADERS.replace("X-Request-Id: ID\r\n", "");
+    return Stream.of(
+        Arguments.of(other + OK + HEADERS, "200"),
+        Arguments.of(other.replace(": 2\r\n\r\nab", ": 0\r\n\r\n") + OK + HEADERS, "200"),
+        Arguments.of(chunked + "1\r\na\r\n0\r\n\r\n" + OK + HEADERS, "200"),
+        Arguments.of(chunked + "z\r\n" + OK + HEADERS, REJECTED),
+        Arguments.of(other + other + OK + HEADERS, REJECTED),
+        Arguments.of(other + OK + withoutId, REJECTED),
+        Arguments.of(other + OK + "X-Proof: sig\r\n" + HEADERS, REJECTED),
+        Arguments.of(other.replace("X-Proof", "Connection: close\r\nX-Proof"), REJECTED),
+        Arguments.of(other.replace("Content-Length: 2\r\n", ""), REJECTED),
+        Arguments.of(cut + OK + HEADERS, REJECTED),
+        Arguments.of(cut.replace("Length: 9", "Length: 999") + OK + HEADERS, REJECTED));
+  }
+
+  @ParameterizedTest
+  @MethodSource("responsesBehindAnother")
+  void awaitsTheResponseBehindTheOneToAnotherRequest(String received, String expected) {
+    for (int pieceBytes : List.of(1, 7, received.length())) {
+      StrictResponseDecoder decoder = newDecoder(/* requiresId= */ true);
+      EmbeddedChannel channel = new EmbeddedChannel(decoder.codec());
+      decoder.skipOtherResponse();
+      List<String> statuses = exchange(channel, 1, received, pieceBytes);
+      if (statuses.isEmpty()) {
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+        channel.runPendingTasks();
+        statuses = statuses(channel);
+      }
+      assertThat(statuses, equalTo(List.of(expected)));
+      assertThat("open", channel.isOpen(), equalTo(false));
+      channel.finishAndReleaseAll();
+    }
+  }
+
   /** Writes a request and receives bytes in pieces; returns the statuses of the responses. */
   private static List<String> exchange(
       EmbeddedChannel channel, int number, String received, int pieceBytes) {
@@ -159,6 +204,10 @@
       int length = Math.min(pieceBytes, bytes.length - start);
       channel.writeInbound(Unpooled.copiedBuffer(bytes, start, length));
     }
+    return statuses(channel);
+  }
+
+  private static List<String> statuses(EmbeddedChannel channel) {
     List<String> statuses = new ArrayList<>();
     for (Object message = channel.readInbound(); message != null; message = channel.readInbound()) {
       if (message instanceof HttpResponse head) {
