--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/Stutter.java
@@ -46,9 +46,16 @@
     return id.endsWith("-a");
   }
 
+  /**
+   * Returns the rest of the repeated response, which follows the response to the second request.
+   */
+  default String strayRestAfter(String id) {
+    return "";
+  }
+
   /** Returns the script of the endpoint. */
   default Script script() {
     return StutteringEndpoint.answeringWithStrayBytes(
-        moment(), id -> responseTo(id).bytes(), this::strayBytesAfter);
+        moment(), id -> responseTo(id).bytes(), this::strayBytesAfter, this::strayRestAfter);
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutterSweep.java
@@ -24,6 +24,8 @@
  *
  * @param firstStatus the status of the response to the first request of each pair
  * @param secondStatus the status of the response to the second request of each pair
+ * @param sendsRest whether the rest of the repeated response follows the response to the second
+ *     request
  */
 public record StutterSweep(
     String name,
@@ -32,7 +34,8 @@
     int secondStatus,
     Moment moment,
     Framing framing,
-    Ids ids)
+    Ids ids,
+    boolean sendsRest)
     implements Stutter {
   /** Which responses contain the id of their request, and where. */
   public enum Ids {
@@ -55,7 +58,7 @@
   }
 
   /** Sweeps that run beside each other: each region and framing. */
-  public record Group(Moment moment, Ids ids, List<StutterSweep> sweeps) {
+  public record Group(Moment moment, Ids ids, boolean sendsRest, List<StutterSweep> sweeps) {
     /**
      * Sends all pairs and checks that each response is the expected one.
      *
@@ -87,7 +90,7 @@
 
     @Override
     public String toString() {
-      return moment + ", ids " + ids;
+      return moment + ", ids " + ids + (sendsRest ? ", in two pieces" : "");
     }
   }
 
@@ -96,24 +99,39 @@
     List<Group> groups = new ArrayList<>();
     for (Moment moment : Moment.values()) {
       for (Ids groupIds : ids) {
-        List<StutterSweep> sweeps = new ArrayList<>();
-        for (String region : regions) {
-          for (Framing framing : Framing.values()) {
-            String name = "g" + groups.size() + sweeps.size();
-            boolean failsFirst = sweeps.size() % 2 == 1;
-            int firstStatus = failsFirst ? 500 : 200;
-            int secondStatus = failsFirst ? 200 : 500;
-            sweeps.add(
-                new StutterSweep(
-                    name, region, firstStatus, secondStatus, moment, framing, groupIds));
-          }
+        String name = "g" + groups.size();
+        groups.add(group(name, regions, moment, groupIds, /* sendsRest= */ false));
+        if (moment == Moment.AFTER_NEXT_REQUEST) {
+          groups.add(group(name + "r", regions, moment, groupIds, /* sendsRest= */ true));
         }
-        groups.add(new Group(moment, groupIds, sweeps));
       }
     }
     return groups.stream();
   }
 
+  private static Group group(
+      String name, List<String> regions, Moment moment, Ids ids, boolean sendsRest) {
+    List<StutterSweep> sweeps = new ArrayList<>();
+    for (String region : regions) {
+      for (Framing framing : Framing.values()) {
+        boolean failsFirst = sweeps.size() % 2 == 1;
+        int firstStatus = failsFirst ? 500 : 200;
+        int secondStatus = failsFirst ? 200 : 500;
+        sweeps.add(
+            new StutterSweep(
+                name + "-" + sweeps.size(),
+                region,
+                firstStatus,
+                secondStatus,
+                moment,
+                framing,
+                ids,
+                sendsRest));
+      }
+    }
+    return new Group(moment, ids, sendsRest, sweeps);
+  }
+
   @Override
   public RawResponse responseTo(String id) {
     return new RawResponse(
@@ -130,6 +148,11 @@
     return isFirst(id) ? repeatedResponse(id).substring(0, pairOf(id)) : "";
   }
 
+  @Override
+  public String strayRestAfter(String id) {
+    return sendsRest && isFirst(id) ? repeatedResponse(id).substring(pairOf(id)) : "";
+  }
+
   @Override
   public boolean mayCostNextRequest(int pair) {
     boolean identified = ids.inRepeatedResponse != IdPosition.NONE;
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
@@ -88,11 +88,13 @@
    *
    * @param responseTo returns the bytes of the response to the request with an id
    * @param strayBytesAfter returns the bytes that follow that response, empty for none
+   * @param strayRestAfter returns the bytes that follow the response after that one, empty for none
    */
   public static Script answeringWithStrayBytes(
       Moment moment,
       Function<String, String> responseTo,
-      Function<String, String> strayBytesAfter) {
+      Function<String, String> strayBytesAfter,
+      Function<String, String> strayRestAfter) {
     return request -> {
       String response = responseTo.apply(request.id());
       return switch (moment) {
@@ -102,7 +104,9 @@
                 Piece.of(response), new Piece(IDLE_MILLIS, strayBytesAfter.apply(request.id())));
         case AFTER_NEXT_REQUEST ->
             List.of(
-                Piece.of(request.previousId().map(strayBytesAfter).orElse("")), Piece.of(response));
+                Piece.of(request.previousId().map(strayBytesAfter).orElse("")),
+                Piece.of(response),
+                Piece.of(request.previousId().map(strayRestAfter).orElse("")));
       };
     };
   }
