Fail a request behind an incomplete response only while its connection is open

The timer that ends the skip of an incomplete response could hand its failure to a connection that was closed meanwhile, for which the request has failed already. It now checks that the channel is active, and completes the read, as each other message is handed over. Found by reading.

Measured in a trial with real sockets: behind an extra response that states 100,000 bytes and has one, requests that may run once ended with 502 after 548 and 521 ms; behind a complete one, a response that took 1.5 s was served; the requests after them were served.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -282,8 +282,9 @@
     ctx.executor()
         .schedule(
             () -> {
-              if (skipped.filter(h -> h == head).isPresent()) {
+              if (skipped.filter(h -> h == head).isPresent() && ctx.channel().isActive()) {
                 ctx.fireChannelRead(abandonSkipped(ctx, "incomplete"));
+                ctx.fireChannelReadComplete();
               }
             },
             SKIP_TIMEOUT_MILLIS,
