Build route tables and start entries of the fleet tests in FleetHarness

Five test classes filled a list of routes and one of services side by side. Four of them then activated the table, announced an endpoint of another service and waited for each entry in the same lines. A sixth class built such a table for its one route.

FleetHarness now derives the services and the table from the routes (servicesOf, routeTable), and activateAndAwaitReady does the rest. ResponseOfAnotherRequestTest keeps its own order, since its endpoints are announced before its entries are ready. Rows, bounds and assertions are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -30,6 +30,7 @@
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.peer.LoopbackPorts;
+import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
@@ -341,6 +342,16 @@
     return new ServiceSpec(name, 100, Duration.ZERO, 0, Optional.empty(), Optional.empty());
   }
 
+  /** Returns the services of routes that are named after their service, without warm-up. */
+  static List<ServiceSpec> servicesOf(List<Route> routes) {
+    return routes.stream().map(route -> serviceNamed(route.name())).toList();
+  }
+
+  /** Returns a table of version 1 of routes that are named after their service. */
+  static RouteTable routeTable(List<Route> routes) {
+    return new RouteTable(1, routes, servicesOf(routes), RequestLimits.DEFAULT);
+  }
+
   /** Makes a route table active and waits until it is committed. */
   void activateRouteTable(long version) throws Exception {
     for (int i = 0; i < 20; i++) {
@@ -422,6 +433,19 @@
     return control;
   }
 
+  /**
+   * Makes a route table active, announces an endpoint of a service without routes, and waits until
+   * the given entries are ready.
+   */
+  void activateAndAwaitReady(long version, List<Entry> entries) throws Exception {
+    activateRouteTable(version);
+    // An entry that knows any endpoint is ready without a complete list of them.
+    announce("anywhere", "other", "north", 1, 1);
+    for (Entry entry : entries) {
+      awaitReady(entry);
+    }
+  }
+
   void awaitReady(Entry entry) throws InterruptedException {
     for (int i = 0; i < 400 && !entry.node().ready(); i++) {
       TimeUnit.MILLISECONDS.sleep(25);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RelayTest.java
@@ -16,7 +16,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,11 +28,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
-import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceSpec;
 
 /**
  * Checks requests whose only endpoint is in another region: they are relayed by exactly one hop,
@@ -86,31 +82,18 @@
 
   @BeforeAll
   static void start() throws Exception {
-    List<Route> routes = new ArrayList<>();
-    List<ServiceSpec> services = new ArrayList<>();
-    testCases()
-        .forEach(
-            testCase -> {
-              Set<String> homeRegions =
-                  testCase.homeRegion().isEmpty() ? Set.of() : Set.of(testCase.homeRegion());
-              routes.add(
-                  FleetHarness.routeTo(
-                      testCase.name(),
-                      testCase.kind(),
-                      false,
-                      1,
-                      Duration.ofSeconds(6),
-                      homeRegions));
-              services.add(FleetHarness.serviceNamed(testCase.name()));
-            });
-    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
-    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    List<Route> routes = testCases().map(RelayTest::routeOf).toList();
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, FleetHarness.routeTable(routes)));
     north = fleet.startEntry("north", "north");
     south = fleet.startEntry("south", "south");
-    fleet.activateRouteTable(1);
-    fleet.announce("anywhere", "other", "north", 1, 1);
-    fleet.awaitReady(north);
-    fleet.awaitReady(south);
+    fleet.activateAndAwaitReady(1, List.of(north, south));
+  }
+
+  private static Route routeOf(TestCase testCase) {
+    Set<String> homeRegions =
+        testCase.homeRegion().isEmpty() ? Set.of() : Set.of(testCase.homeRegion());
+    return FleetHarness.routeTo(
+        testCase.name(), testCase.kind(), false, 1, Duration.ofSeconds(6), homeRegions);
   }
 
   @AfterAll
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseOfAnotherRequestTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseOfAnotherRequestTest.java
@@ -24,11 +24,8 @@
 import org.lacewingcroft.forward.RawResponse.Framing;
 import org.lacewingcroft.forward.RawResponse.IdPosition;
 import org.lacewingcroft.forward.StutteringEndpoint.Moment;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
-import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceSpec;
 
 /**
  * Guards against a response that is made up of bytes that an endpoint sent after its response to
@@ -112,16 +109,8 @@
     List<Stutter> stutters =
         Stream.<Stutter>concat(testCases(), sweepGroups().flatMap(g -> g.sweeps().stream()))
             .toList();
-    List<Route> routes = new ArrayList<>();
-    List<ServiceSpec> services = new ArrayList<>();
-    for (Stutter s : stutters) {
-      boolean stream = s.responseTo(s.id(0, true)).framing() == Framing.EVENT_STREAM;
-      RouteKind kind = stream ? RouteKind.STREAM : RouteKind.AT_MOST_ONCE;
-      routes.add(FleetHarness.routeTo(s.name(), kind, false, 1, Duration.ofSeconds(6)));
-      services.add(FleetHarness.serviceNamed(s.name()));
-    }
-    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
-    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    List<Route> routes = stutters.stream().map(ResponseOfAnotherRequestTest::routeOf).toList();
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, FleetHarness.routeTable(routes)));
     entry = fleet.startEntry("north", "north");
     final FleetHarness.Entry relay = fleet.startEntry("south", "south");
     fleet.activateRouteTable(1);
@@ -134,6 +123,12 @@
     fleet.awaitReady(relay);
   }
 
+  private static Route routeOf(Stutter stutter) {
+    boolean stream = stutter.responseTo(stutter.id(0, true)).framing() == Framing.EVENT_STREAM;
+    RouteKind kind = stream ? RouteKind.STREAM : RouteKind.AT_MOST_ONCE;
+    return FleetHarness.routeTo(stutter.name(), kind, false, 1, Duration.ofSeconds(6));
+  }
+
   @AfterAll
   static void stop() throws Exception {
     ENDPOINTS.values().forEach(StutteringEndpoint::close);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseWithoutRequestIdTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseWithoutRequestIdTest.java
@@ -25,7 +25,6 @@
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceSpec;
 
 /** Guards against responses of an entry that cannot be matched to their request by its id. */
 class ResponseWithoutRequestIdTest {
@@ -114,29 +113,21 @@
 
   @BeforeAll
   static void start() throws Exception {
-    List<Route> routes = new ArrayList<>();
-    List<ServiceSpec> services = new ArrayList<>();
-    testCases()
-        .forEach(
-            c -> {
-              routes.add(FleetHarness.routeTo(c.name(), c.kind(), false, 1, TIMEOUT));
-              services.add(FleetHarness.serviceNamed(c.name()));
-            });
+    List<Route> routes =
+        testCases().map(c -> FleetHarness.routeTo(c.name(), c.kind(), false, 1, TIMEOUT)).toList();
     Quota nothing = new Quota(0.001, 0.5, Quota.Unit.REQUESTS, 0);
     RouteTable table =
         new RouteTable(
             1,
             routes,
-            services,
+            FleetHarness.servicesOf(routes),
             new RequestLimits(16_384, MAX_BODY_BYTES, TIMEOUT, Duration.ofSeconds(15)),
             List.of(
                 organisation("key", Optional.empty()),
                 organisation("small", Optional.of(nothing))));
     fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
     entry = fleet.startEntry("entry", "north");
-    fleet.activateRouteTable(1);
-    fleet.announce("anywhere", "other", "north", 1, 1);
-    fleet.awaitReady(entry);
+    fleet.activateAndAwaitReady(1, List.of(entry));
   }
 
   private static Organisation organisation(String key, Optional<Quota> quota) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StrayBodyTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StrayBodyTest.java
@@ -6,7 +6,6 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,11 +16,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
-import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceSpec;
 
 /**
  * Guards against bytes after a response that has no body, by its status or the method of its
@@ -158,23 +154,14 @@
 
   @BeforeAll
   static void start() throws Exception {
-    List<Route> routes = new ArrayList<>();
-    List<ServiceSpec> services = new ArrayList<>();
-    Stream.concat(responsesWithoutBody(), responsesWithStrayBody())
-        .forEach(
-            c -> {
-              RouteKind kind = c.first().kind();
-              routes.add(FleetHarness.routeTo(c.service(), kind, false, 1, TIMEOUT));
-              services.add(FleetHarness.serviceNamed(c.service()));
-            });
-    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
-    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    List<Route> routes =
+        Stream.concat(responsesWithoutBody(), responsesWithStrayBody())
+            .map(c -> FleetHarness.routeTo(c.service(), c.first().kind(), false, 1, TIMEOUT))
+            .toList();
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, FleetHarness.routeTable(routes)));
     entry = fleet.startEntry("north", "north");
     FleetHarness.Entry relay = fleet.startEntry("south", "south");
-    fleet.activateRouteTable(1);
-    fleet.announce("anywhere", "other", "north", 1, 1);
-    fleet.awaitReady(entry);
-    fleet.awaitReady(relay);
+    fleet.activateAndAwaitReady(1, List.of(entry, relay));
   }
 
   @AfterAll
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StrayRelayBytesTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StrayRelayBytesTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.RouteKind;
 import org.lacewingcroft.route.RouteTable;
 
@@ -61,11 +60,8 @@
   void nextRelayedRequestGetsItsOwnResponse(TestCase testCase, @TempDir Path folder)
       throws Exception {
     RouteTable table =
-        new RouteTable(
-            1,
-            List.of(FleetHarness.routeTo(SERVICE, RouteKind.AT_MOST_ONCE, false, 1, TIMEOUT)),
-            List.of(FleetHarness.serviceNamed(SERVICE)),
-            RequestLimits.DEFAULT);
+        FleetHarness.routeTable(
+            List.of(FleetHarness.routeTo(SERVICE, RouteKind.AT_MOST_ONCE, false, 1, TIMEOUT)));
     try (FleetHarness fleet = new FleetHarness(folder, Map.of(1L, table));
         RawEndpoint relay =
             new RawEndpoint(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/TruncatedHeadTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/TruncatedHeadTest.java
@@ -21,11 +21,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
-import org.lacewingcroft.route.RouteTable;
-import org.lacewingcroft.route.ServiceSpec;
 
 /**
  * Guards against a response that is relayed as complete although its endpoint closed the connection
@@ -80,23 +77,13 @@
 
   @BeforeAll
   static void start() throws Exception {
-    List<Route> routes = new ArrayList<>();
-    List<ServiceSpec> services = new ArrayList<>();
-    testCases()
-        .forEach(
-            testCase -> {
-              Duration timeout = Duration.ofSeconds(6);
-              routes.add(FleetHarness.routeTo(testCase.name(), testCase.kind(), false, 1, timeout));
-              services.add(FleetHarness.serviceNamed(testCase.name()));
-            });
-    RouteTable table = new RouteTable(1, routes, services, RequestLimits.DEFAULT);
-    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, table));
+    Duration timeout = Duration.ofSeconds(6);
+    List<Route> routes =
+        testCases().map(c -> FleetHarness.routeTo(c.name(), c.kind(), false, 1, timeout)).toList();
+    fleet = new FleetHarness(folder.resolve("data"), Map.of(1L, FleetHarness.routeTable(routes)));
     entry = fleet.startEntry("north", "north");
     FleetHarness.Entry relay = fleet.startEntry("south", "south");
-    fleet.activateRouteTable(1);
-    fleet.announce("anywhere", "other", "north", 1, 1);
-    fleet.awaitReady(entry);
-    fleet.awaitReady(relay);
+    fleet.activateAndAwaitReady(1, List.of(entry, relay));
   }
 
   @AfterAll
