Make RawEndpoint a script of StutteringEndpoint

Both endpoints listened on a raw socket, read requests from it and wrote given bytes, some of them late. RawEndpoint now is a script of StutteringEndpoint; whether the second request came on the connection of the first is read from its number on its connection. Late bytes are timed from the end of the write before them.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawEndpoint.java
@@ -1,16 +1,12 @@
 package org.lacewingcroft.forward;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetSocket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
+import org.lacewingcroft.forward.StutteringEndpoint.Piece;
+import org.lacewingcroft.forward.StutteringEndpoint.ReceivedRequest;
 
-/**
- * An endpoint that responds to its first request with given bytes and to all others correctly. It
- * uses a raw socket, because an HTTP server only sends what its status and method allow.
- */
+/** An endpoint that responds to its first request with given bytes and to all others correctly. */
 public final class RawEndpoint implements AutoCloseable {
   /** The body of the correct responses, which is also a stream of one event. */
   public static final String OWN_BODY = "id: 1\ndata: own\n\n";
@@ -18,11 +14,10 @@
   /** Time between the response and the bytes that follow it late. */
   static final long LATE_MILLIS = 40;
 
-  private final Vertx vertx;
   private final String response;
   private final String lateBytes;
-  private final List<NetSocket> connectionOfRequest = new CopyOnWriteArrayList<>();
-  private final NetServer server;
+  private final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
+  private final StutteringEndpoint endpoint;
 
   /**
    * Starts the endpoint.
@@ -31,34 +26,19 @@
    * @param lateBytes bytes that follow it some time later, empty for none
    */
   public RawEndpoint(Vertx vertx, String response, String lateBytes) throws Exception {
-    this.vertx = vertx;
     this.response = response;
     this.lateBytes = lateBytes;
-    this.server =
-        vertx
-            .createNetServer()
-            .connectHandler(
-                socket -> {
-                  socket.exceptionHandler(e -> {});
-                  RawRequests.read(socket, (head, body) -> respond(socket, head));
-                })
-            .listen(0, "127.0.0.1")
-            .toCompletionStage()
-            .toCompletableFuture()
-            .get(10, TimeUnit.SECONDS);
+    this.endpoint = new StutteringEndpoint(vertx, this::piecesFor);
   }
 
-  private void respond(NetSocket socket, String head) {
-    connectionOfRequest.add(socket);
-    String id = RawRequests.header(head, "x-request-id");
-    if (connectionOfRequest.size() > 1) {
-      socket.write(ownResponse(200, OWN_BODY).replace("ID", id));
-      return;
-    }
-    socket.write(response.replace("ID", id));
-    if (!lateBytes.isEmpty()) {
-      vertx.setTimer(LATE_MILLIS, timer -> socket.write(lateBytes.replace("ID", id)));
+  private List<Piece> piecesFor(ReceivedRequest request) {
+    requests.add(request);
+    if (requests.size() > 1) {
+      return List.of(Piece.of(ownResponse(200, OWN_BODY).replace("ID", request.id())));
     }
+    return List.of(
+        Piece.of(response.replace("ID", request.id())),
+        new Piece(LATE_MILLIS, lateBytes.replace("ID", request.id())));
   }
 
   /** Returns a complete response with the id {@code ID}, signed if it is a success. */
@@ -73,21 +53,21 @@
 
   /** Returns the port on which it listens. */
   public int port() {
-    return server.actualPort();
+    return endpoint.port();
   }
 
   /** Returns the number of complete requests received. */
   public int requests() {
-    return connectionOfRequest.size();
+    return requests.size();
   }
 
   /** Returns whether the first two requests arrived on the same connection. */
   public boolean isFirstConnectionReused() {
-    return connectionOfRequest.get(0) == connectionOfRequest.get(1);
+    return requests.get(1).numberOnConnection() > 1;
   }
 
   @Override
   public void close() {
-    server.close();
+    endpoint.close();
   }
 }
