Send requests and check the id of the response in one place

Three of the four tests of ResponseWithoutRequestIdTest chose the port of the entry by the sender, and all four connected, wrote a request and checked the response in the same lines. assertResponse does this now. A sender connects after the endpoints have reached the entry, no longer before.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseWithoutRequestIdTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ResponseWithoutRequestIdTest.java
@@ -143,15 +143,14 @@
   @MethodSource("testCases")
   void responseHasTheIdOfItsRequest(TestCase testCase) throws Exception {
     List<Action> script = testCase.action().stream().toList();
-    try (ScriptedEndpoints endpoints = new ScriptedEndpoints(fleet.vertx(), script.size(), script);
-        RawCaller sender =
-            new RawCaller(testCase.relayed() ? entry.relayPort() : entry.publicPort())) {
+    try (ScriptedEndpoints endpoints =
+        new ScriptedEndpoints(fleet.vertx(), script.size(), script)) {
       for (int port : endpoints.ports()) {
         fleet.keepAnnouncing("e" + port, testCase.name(), "north", port);
       }
       fleet.awaitEndpoints(entry, testCase.name(), script.size());
-      sender.write(testCase.bytes());
-      assertHasId(sender.readResponse(false), testCase.status(), Optional.of(testCase.id()));
+      assertResponse(
+          testCase.relayed(), testCase.bytes(), testCase.status(), Optional.of(testCase.id()));
     }
   }
 
@@ -165,23 +164,18 @@
   @ParameterizedTest
   @MethodSource("requestsWithoutRoute")
   void refusalHasTheIdOfItsRequest(TestCase testCase) throws Exception {
-    try (RawCaller sender =
-        new RawCaller(testCase.relayed() ? entry.relayPort() : entry.publicPort())) {
-      sender.write(
-          RawCaller.head("POST", "/" + testCase.name() + "/x", testCase.id(), TIMEOUT)
-              + testCase.headers()
-              + testCase.body());
-      assertHasId(sender.readResponse(false), testCase.status(), Optional.of(testCase.id()));
-    }
+    String request =
+        RawCaller.head("POST", "/" + testCase.name() + "/x", testCase.id(), TIMEOUT)
+            + testCase.headers()
+            + testCase.body();
+    assertResponse(testCase.relayed(), request, testCase.status(), Optional.of(testCase.id()));
   }
 
   @ParameterizedTest
   @ValueSource(strings = {"a\tb", "é", "a, b"})
   void refusalEchoesUnusualIds(String id) throws Exception {
-    try (RawCaller sender = new RawCaller(entry.publicPort())) {
-      sender.write(RawCaller.head("POST", "/unknown/x", id, TIMEOUT) + BODY);
-      assertHasId(sender.readResponse(false), 404, Optional.of(id));
-    }
+    String request = RawCaller.head("POST", "/unknown/x", id, TIMEOUT) + BODY;
+    assertResponse(/* relayed= */ false, request, 404, Optional.of(id));
   }
 
   static Stream<TestCase> requestsWithoutId() {
@@ -193,21 +187,23 @@
   @ParameterizedTest
   @MethodSource("requestsWithoutId")
   void refusalOfRequestWithoutIdHasNone(TestCase testCase) throws Exception {
-    try (RawCaller sender =
-        new RawCaller(testCase.relayed() ? entry.relayPort() : entry.publicPort())) {
-      sender.write(
-          RawCaller.head("POST", "/caller-served/x", "", TIMEOUT)
-                  .replaceFirst("X-Request-Id: \r\n", "")
-              + testCase.headers()
-              + testCase.body());
-      assertHasId(sender.readResponse(false), testCase.status(), Optional.empty());
-    }
+    String request =
+        RawCaller.head("POST", "/caller-served/x", "", TIMEOUT)
+                .replaceFirst("X-Request-Id: \r\n", "")
+            + testCase.headers()
+            + testCase.body();
+    assertResponse(testCase.relayed(), request, testCase.status(), Optional.empty());
   }
 
-  private static void assertHasId(
-      Optional<RawCaller.Response> response, int status, Optional<String> id) {
-    RawCaller.Response received = response.orElseThrow();
-    assertThat(received.toString(), received.status(), equalTo(status));
-    assertThat(received.toString(), received.header("X-Request-Id"), equalTo(id));
+  /** Sends a request to the entry and checks the status and the id of the response. */
+  private static void assertResponse(
+      boolean relayed, String request, int status, Optional<String> id) throws Exception {
+    int port = relayed ? entry.relayPort() : entry.publicPort();
+    try (RawCaller sender = new RawCaller(port)) {
+      sender.write(request);
+      RawCaller.Response response = sender.readResponse(false).orElseThrow();
+      assertThat(response.toString(), response.status(), equalTo(status));
+      assertThat(response.toString(), response.header("X-Request-Id"), equalTo(id));
+    }
   }
 }
