Make the settings of single entries on free ports in EntrySettings

CutOffQuarantineTest and ReplyToEarlierProcessTest had the same method for the settings of an entry of a new fleet on free ports. EntrySettings.onFreePorts serves both.

Measured: CutOffQuarantineTest 2 and ReplyToEarlierProcessTest 2, all pass before and after; PrefixExchangeTest, which uses EntrySettings, 13 pass after.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CutOffQuarantineTest.java
@@ -8,10 +8,8 @@
 import io.vertx.core.VertxOptions;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -47,7 +45,7 @@
   @CsvSource({"true, 1", "false, 0"})
   void refusedConnectionsAreEvidenceOnlyIfAnotherEndpointAcceptsThem(
       boolean anotherAccepts, int quarantined) throws Exception {
-    FleetTransport transport = new FleetTransport(context, settings());
+    FleetTransport transport = new FleetTransport(context, EntrySettings.onFreePorts("entry"));
     RequestQuarantine quarantine =
         new RequestQuarantine(
             vertx, "entry", "127.0.0.1:1", transport, clock, Set::of, () -> List.of("entry"));
@@ -91,15 +89,4 @@
         });
     done.get(10, TimeUnit.SECONDS);
   }
-
-  private static FleetSettings settings() throws Exception {
-    return EntrySettings.of(
-        "entry",
-        Map.of("north-a", "north"),
-        LoopbackPorts.allocatePort(),
-        LoopbackPorts.allocatePort(),
-        true,
-        Duration.ofMillis(300),
-        EntrySettings.BOUNDS);
-  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/EntrySettings.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/EntrySettings.java
@@ -1,10 +1,12 @@
 package org.lacewingcroft.fleet;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lacewingcroft.peer.LoopbackPorts;
 
 /** Settings of a single entry for tests: in the region north, without seeds and a data folder. */
 public final class EntrySettings {
@@ -22,6 +24,18 @@
 
   private EntrySettings() {}
 
+  /** Creates the settings of an entry of a new fleet of one failure domain, on free ports. */
+  static FleetSettings onFreePorts(String name) throws IOException {
+    return of(
+        name,
+        Map.of("north-a", "north"),
+        LoopbackPorts.allocatePort(),
+        LoopbackPorts.allocatePort(),
+        true,
+        Duration.ofMillis(300),
+        BOUNDS);
+  }
+
   /** Creates the settings of an entry in the failure domain north-a. */
   public static FleetSettings of(
       String name,
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/ReplyToEarlierProcessTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/ReplyToEarlierProcessTest.java
@@ -7,10 +7,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -19,7 +17,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.lacewingcroft.peer.LoopbackPorts;
 
 /**
  * Guards against a reply to a call of an instance before its restart that is taken for the reply to
@@ -41,8 +38,8 @@
   @CsvSource({"false, false", "true, true"})
   void departureIsConfirmedByReplyToItsOwnCall(boolean ownCall, boolean confirmed)
       throws Exception {
-    FleetSettings peer = settings("peer");
-    FleetSettings restarted = settings("restarted");
+    FleetSettings peer = EntrySettings.onFreePorts("peer");
+    FleetSettings restarted = EntrySettings.onFreePorts("restarted");
     FleetTransport peerTransport = transport(peer);
     await(
         onContext(
@@ -92,15 +89,4 @@
     return new EndpointRecord(
         id, 0, "service", "127.0.0.1:1", "north-a", 1, EndpointState.GONE, 1, 0);
   }
-
-  private static FleetSettings settings(String name) throws Exception {
-    return EntrySettings.of(
-        name,
-        Map.of("north-a", "north"),
-        LoopbackPorts.allocatePort(),
-        LoopbackPorts.allocatePort(),
-        true,
-        Duration.ofMillis(300),
-        EntrySettings.BOUNDS);
-  }
 }
