Fail a request at once if no response follows a skipped one

What callers saw: a request that may run once could stay without a response until it was due (504), where 502 was known, if an extra response to another request was cut in its body or its last chunk.

Cause: the stated length of a cut response may cover the head of the awaited one and end within its body. The rest is then read as a status line, which never ends if the body has no end of a line, and the time limit of the skip is over. After "0" and CR of the last chunk, the head of the awaited response is read as trailers, with the same effect.

Evidence: both are rows of StrictResponseDecoderTest; on the code before, each request has no result a second after the bytes (2 of 120 rows fail).

Change: the bytes behind a skipped response have to begin a status line, as far as they have arrived; a skipped response with trailers fails the request.

Why it works: the check needs no complete line, and a response that was cut leaves either a rest that begins differently, or trailers, or no end in time.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -23,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -66,6 +67,7 @@
   private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
   private static final Pattern STATUS_CODE = Pattern.compile("\\d{3}");
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}");
+  private static final String RESPONSE_START = "HTTP/1.";
 
   /**
    * Time in which a response that is skipped has to be complete. A server sends an extra response
@@ -139,6 +141,9 @@
   /** The head of the response to another request that is being skipped. */
   private Optional<HttpResponse> skipped = Optional.empty();
 
+  /** The head of the response that was skipped, until another response begins behind it. */
+  private Optional<HttpResponse> skippedBefore = Optional.empty();
+
   private int completeResponses;
   private volatile Optional<Retirement> retirement = Optional.empty();
 
@@ -237,6 +242,9 @@
       retire(ctx, Retirement.IDLE_BYTES, buffer.readableBytes() + " bytes");
       closeLater(ctx);
     }
+    if (skippedBefore.isPresent() && buffer.isReadable()) {
+      checkStartBehindSkipped(ctx, buffer, out);
+    }
     if (ignoringBytes) {
       buffer.skipBytes(buffer.readableBytes());
       return;
@@ -259,17 +267,42 @@
   private void skip(ChannelHandlerContext ctx, Object message, List<Object> out) {
     ReferenceCountUtil.release(message);
     if (((HttpObject) message).decoderResult().isFailure()) {
-      out.add(abandonSkipped(ctx, "its body cannot be parsed"));
-    } else if (message instanceof LastHttpContent) {
-      skipped = Optional.empty();
-      completeResponses++;
+      out.add(abandonSkipped(ctx, skipped.orElseThrow(), "its body cannot be parsed"));
+    } else if (message instanceof LastHttpContent last) {
+      if (last.trailingHeaders().isEmpty()) {
+        skippedBefore = skipped;
+        skipped = Optional.empty();
+        completeResponses++;
+      } else {
+        // If the last chunk was cut, they may be the headers of the awaited response.
+        out.add(abandonSkipped(ctx, skipped.orElseThrow(), "it has trailers"));
+      }
+    }
+  }
+
+  /**
+   * Checks that a response begins behind the skipped one. If that one was cut, its stated length
+   * covers the head of the awaited response, whose rest need not contain the end of a line.
+   */
+  private void checkStartBehindSkipped(
+      ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) {
+    int start = buffer.forEachByte(b -> Character.isWhitespace(b) || Character.isISOControl(b));
+    if (start < 0) {
+      return;
+    }
+    int length = Math.min(RESPONSE_START.length(), buffer.writerIndex() - start);
+    String text = buffer.toString(start, length, StandardCharsets.ISO_8859_1);
+    if (!RESPONSE_START.startsWith(text)) {
+      out.add(abandonSkipped(ctx, skippedBefore.orElseThrow(), "no response follows it"));
+    } else if (length == RESPONSE_START.length()) {
+      skippedBefore = Optional.empty();
     }
   }
 
-  /** Fails the request that awaits its response behind one that has no end. */
-  private HttpResponse abandonSkipped(ChannelHandlerContext ctx, String detail) {
-    HttpResponse head = skipped.orElseThrow();
+  /** Fails the request that awaits its response behind one whose end is not certain. */
+  private HttpResponse abandonSkipped(ChannelHandlerContext ctx, HttpResponse head, String detail) {
     skipped = Optional.empty();
+    skippedBefore = Optional.empty();
     String text = "response to request " + head.headers().get(rules.requestIdHeader());
     reject(ctx, head, Retirement.OTHER_ID, text + ": " + detail);
     return head;
@@ -283,7 +316,7 @@
         .schedule(
             () -> {
               if (skipped.filter(h -> h == head).isPresent() && ctx.channel().isActive()) {
-                ctx.fireChannelRead(abandonSkipped(ctx, "incomplete"));
+                ctx.fireChannelRead(abandonSkipped(ctx, head, "incomplete"));
                 ctx.fireChannelReadComplete();
               }
             },
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -158,6 +158,7 @@
         other.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n");
     String cut = other.replace("Length: 2", "Length: 9");
     String withoutId = HEADERS.replace("X-Request-Id: ID\r\n", "");
+    String longOwn = OK + HEADERS.replace(": 2\r\n\r\nab", ": 200\r\n\r\n" + "a".repeat(200));
     return Stream.of(
         Arguments.of(other + OK + HEADERS, "200"),
         Arguments.of(other.replace(": 2\r\n\r\nab", ": 0\r\n\r\n") + OK + HEADERS, "200"),
@@ -169,6 +170,10 @@
         Arguments.of(other.replace("X-Proof", "Connection: close\r\nX-Proof"), REJECTED),
         Arguments.of(other.replace("Content-Length: 2\r\n", ""), REJECTED),
         Arguments.of(cut + OK + HEADERS, REJECTED),
+        // The cut body ends within that of the awaited response, which has no end of a line.
+        Arguments.of(cut.replace("Length: 9", "Length: 90") + longOwn, REJECTED),
+        Arguments.of(chunked + "0\r" + OK + HEADERS, REJECTED),
+        Arguments.of(other + "\r\n" + OK + HEADERS, "200"),
         Arguments.of(cut.replace("Length: 9", "Length: 999") + OK + HEADERS, REJECTED));
   }
 
