Start no file cache in processes that may be stopping

What operators saw: a daemon that received SIGTERM before it had created Vert.x logged process.fatal, and its next start reported the previous end as "failed: java.lang.IllegalStateException: Shutdown in progress".

Cause: Vert.x registers a shutdown hook for its file cache, which throws once the process is ending. The platform's instances have no such cache; the daemon and the stand-in had it, and use it for nothing.

Evidence: a daemon that is started after the signal, in StopDuringStartTest; on the code before, that row fails (1 of 5).

Change: both create Vert.x without the cache, as the platform does.

Why it works: no other shutdown hook is registered during the start, so the start completes and the service is then closed in order.

Measured: StopDuringStartTest passes (5 rows). The stand-in was only compiled.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
@@ -49,6 +50,10 @@
  * role, the configuration log. Closing it shuts it down gracefully.
  */
 public final class Daemon implements AutoCloseable {
+  /** The cache of files, which nothing uses, cannot be opened once the process is stopping. */
+  private static final FileSystemOptions FILES =
+      new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
+
   private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
   private static final int DISK_FAILURE_EXIT_CODE = 3;
   private static final int MIN_DRAIN_HEARTBEATS = 4;
@@ -75,7 +80,8 @@
     this.settings = settings;
     this.marker = marker;
     this.errors = errors;
-    this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+    this.vertx =
+        Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4).setFileSystemOptions(FILES));
     errors.reportHandlersOf(vertx);
     configs.onApplied(this::notifyPeers);
     this.configReceiver = new ConfigReceiver(configs, settings.heartbeatInterval().multipliedBy(3));
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/StopDuringStartTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/StopDuringStartTest.java
@@ -8,6 +8,7 @@
 import java.io.BufferedReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -15,7 +16,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.lacewingcroft.daemon.Daemon;
+import org.lacewingcroft.daemon.Role;
+import org.lacewingcroft.daemon.Settings;
 import org.lacewingcroft.logging.LogContext;
+import org.lacewingcroft.routing.LeastInFlightPolicy;
 
 /** Guards against a process that fails, or is not stopped, if the signal arrives as it starts. */
 class StopDuringStartTest {
@@ -38,7 +43,7 @@
                   () -> {
                     marker.begin(true);
                     for (int i = 1; i < args.length; i++) {
-                      runStep(args[i]);
+                      runStep(args[i], Path.of(args[0]));
                     }
                     return () -> {
                       LOG.log(System.Logger.Level.INFO, "service.closed");
@@ -47,7 +52,7 @@
                   }));
     }
 
-    private static void runStep(String step) throws Exception {
+    private static void runStep(String step, Path dataDir) throws Exception {
       switch (step) {
         case "signal":
           LOG.log(System.Logger.Level.INFO, SIGNAL_EVENT);
@@ -57,11 +62,39 @@
           break;
         case "fail":
           throw new IllegalStateException("no port");
+        case "daemon":
+          Daemon.start(settings(dataDir));
+          break;
         default:
           TimeUnit.MILLISECONDS.sleep(Long.parseLong(step));
       }
     }
 
+    private static Settings settings(Path dataDir) {
+      return new Settings(
+          Role.CONTROL,
+          "control-1",
+          "region-1",
+          "region-1-a",
+          "127.0.0.1",
+          /* httpPort= */ 0,
+          /* peerPort= */ 0,
+          /* peers= */ List.of(),
+          Optional.of(dataDir),
+          /* controlGroup= */ List.of(),
+          /* bootstrap= */ true,
+          /* faultInjection= */ false,
+          "a secret of the test".getBytes(StandardCharsets.UTF_8),
+          LeastInFlightPolicy.NAME,
+          /* maxBodyBytes= */ 1 << 20,
+          /* maxInFlight= */ 100,
+          /* hedgeAfter= */ Duration.ZERO,
+          /* endpointLease= */ Duration.ofSeconds(3),
+          /* heartbeatInterval= */ Duration.ofMillis(200),
+          /* drainTimeout= */ Duration.ofSeconds(1),
+          /* portFile= */ Optional.empty());
+    }
+
     private static boolean isEnding() {
       Thread hook = new Thread(() -> {});
       try {
@@ -77,6 +110,7 @@
   @CsvSource({
     "signal 0, service.closed, stopped",
     "signal 500, service.closed, stopped",
+    "signal daemon, service.closed, stopped",
     "signal 60000, process.stop_failed, failed: java.util.concurrent.TimeoutException",
     "signal fail, process.fatal, failed: java.lang.IllegalStateException: no port"
   })
--- a/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
+++ b/lacewingcroft-standins/src/main/java/org/lacewingcroft/standin/Main.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -35,6 +37,10 @@
     mixinStandardHelpOptions = true,
     description = "Runs stand-in engines or a stand-in plain service that announce themselves.")
 public final class Main implements Callable<Integer> {
+  /** The cache of files, which nothing uses, cannot be opened once the process is stopping. */
+  private static final FileSystemOptions FILES =
+      new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
+
   private static final System.Logger LOG = System.getLogger(Main.class.getName());
 
   @Option(names = "--kind", defaultValue = "engine", description = "engine or service")
@@ -117,7 +123,7 @@
 
   private AutoCloseable startRunners() throws Exception {
     EndpointKind endpointKind = EndpointKind.valueOf(kind.toUpperCase(java.util.Locale.ROOT));
-    Vertx vertx = Vertx.vertx();
+    Vertx vertx = Vertx.vertx(new VertxOptions().setFileSystemOptions(FILES));
     List<StandinRunner> started = new ArrayList<>();
     ArrayNode urls = new ObjectMapper().createArrayNode();
     for (int i = 1; i <= runners; i++) {
