Skip only the response to the request before on the connection

What callers saw: an endpoint that answers with an id that the connection has not carried got a request that may run once to wait until it was due, where its response had been rejected at once.

Cause: the skip accepted any other id. An extra response can only repeat one that the connection has carried.

Change: a response is skipped only if it has the id of the request before on its connection; the method is named so.

The new row of StrictResponseDecoderTest has the id of no request before. 121 rows of it, 52 of ResponseOfAnotherRequestTest, 12 of StutteringEngineTest, 54 of StrayBodyTest, 9 of StrayRelayBytesTest and 5 of StopDuringStartTest pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -205,7 +205,7 @@
         c -> {
           connectionUse = c.recordRequest();
           if (!listener.mayRunAgain()) {
-            c.skipOtherResponse();
+            c.skipPreviousResponse();
           }
           c.traffic().requestSent(request.body().length());
         });
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -169,9 +169,9 @@
       return connection;
     }
 
-    /** Lets the next request await its response behind a complete one to another request. */
-    void skipOtherResponse() {
-      responses.skipOtherResponse();
+    /** Lets the next request await its response behind a complete one to the request before. */
+    void skipPreviousResponse() {
+      responses.skipPreviousResponse();
     }
 
     /** Counts a request that is now written, and returns its place on the connection. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -238,7 +238,7 @@
     exchange.addPossibleRun();
     attempt.connected(upstream);
     if (!request.idempotent()) {
-      StrictResponseDecoder.of(upstream.connection()).skipOtherResponse();
+      StrictResponseDecoder.of(upstream.connection()).skipPreviousResponse();
     }
     String contentType = exchange.context().request().getHeader(CONTENT_TYPE);
     upstream.putHeader(CONTENT_TYPE, contentType != null ? contentType : "application/json");
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -49,8 +49,8 @@
  *
  * <p>A missing id counts only where the {@link Rules} require one. A response that is not accepted
  * fails its request with an {@link InvalidResponseException}, unless it is a complete one with the
- * id of another request and the request cannot be sent again: then it is skipped, and the response
- * to the request is awaited. There must be at most one request at a time on a connection.
+ * id of the request before and the request cannot be sent again: then it is skipped, and the
+ * response to the request is awaited. There must be at most one request at a time on a connection.
  *
  * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
  * before the first request is written.
@@ -130,15 +130,16 @@
 
   private final Rules rules;
   private Optional<String> requestId = Optional.empty();
+  private Optional<String> previousRequestId = Optional.empty();
   private HttpMethod requestMethod = HttpMethod.GET;
   private boolean awaitingResponse;
   private boolean informational;
   private volatile boolean skipNext;
 
-  /** Whether a complete response to another request may be skipped before the awaited one. */
+  /** Whether a complete response to the request before may be skipped. */
   private boolean maySkip;
 
-  /** The head of the response to another request that is being skipped. */
+  /** The head of the response that is being skipped. */
   private Optional<HttpResponse> skipped = Optional.empty();
 
   /** The head of the response that was skipped, until another response begins behind it. */
@@ -191,10 +192,10 @@
   }
 
   /**
-   * Lets the next request on the connection await its response behind a complete one to another
-   * request. For requests that cannot be sent again; others are served sooner by another server.
+   * Lets the next request on the connection await its response behind a complete one to the request
+   * before. For requests that cannot be sent again; others are served sooner by another server.
    */
-  public void skipOtherResponse() {
+  public void skipPreviousResponse() {
     skipNext = true;
   }
 
@@ -202,6 +203,7 @@
     awaitingResponse = true;
     maySkip = skipNext;
     skipNext = false;
+    previousRequestId = requestId;
     requestId = Optional.ofNullable(request.headers().get(rules.requestIdHeader()));
     requestMethod = request.method();
   }
@@ -362,7 +364,10 @@
       }
     } else if (echoedId.equals(requestId.get())) {
       return;
-    } else if (maySkip && isReusable() && isDelimited(head)) {
+    } else if (maySkip
+        && previousRequestId.equals(Optional.of(echoedId))
+        && isReusable()
+        && isDelimited(head)) {
       beginSkipping(ctx, head, echoedId);
     } else {
       reject(ctx, head, Retirement.OTHER_ID, "response to request " + echoedId);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -153,7 +153,7 @@
   }
 
   static Stream<Arguments> responsesBehindAnother() {
-    String other = FAILED.replace("ID", "other");
+    String other = FAILED.replace("ID", "id-1");
     String chunked =
         other.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n");
     String cut = other.replace("Length: 2", "Length: 9");
@@ -164,6 +164,7 @@
         Arguments.of(other.replace(": 2\r\n\r\nab", ": 0\r\n\r\n") + OK + HEADERS, "200"),
         Arguments.of(chunked + "1\r\na\r\n0\r\n\r\n" + OK + HEADERS, "200"),
         Arguments.of(chunked + "z\r\n" + OK + HEADERS, REJECTED),
+        Arguments.of(FAILED.replace("ID", "id-0") + OK + HEADERS, REJECTED),
         Arguments.of(other + other + OK + HEADERS, REJECTED),
         Arguments.of(other + OK + withoutId, REJECTED),
         Arguments.of(other + OK + "X-Proof: sig\r\n" + HEADERS, REJECTED),
@@ -179,12 +180,13 @@
 
   @ParameterizedTest
   @MethodSource("responsesBehindAnother")
-  void awaitsTheResponseBehindTheOneToAnotherRequest(String received, String expected) {
+  void awaitsTheResponseBehindTheOneToTheRequestBefore(String received, String expected) {
     for (int pieceBytes : List.of(1, 7, received.length())) {
       StrictResponseDecoder decoder = newDecoder(/* requiresId= */ true);
       EmbeddedChannel channel = new EmbeddedChannel(decoder.codec());
-      decoder.skipOtherResponse();
-      List<String> statuses = exchange(channel, 1, received, pieceBytes);
+      exchange(channel, 1, OK + HEADERS, 1_000);
+      decoder.skipPreviousResponse();
+      List<String> statuses = exchange(channel, 2, received, pieceBytes);
       if (statuses.isEmpty()) {
         channel.advanceTimeBy(1, TimeUnit.SECONDS);
         channel.runScheduledPendingTasks();
