Keep a crash when an outdated report of the incarnation arrives

Callers saw requests fail that ran beside content that crashes endpoints: entries that had held the evidence to refuse this content sent it to further endpoints, and each of them crashed.

Cause: a ledger merged two reports of the same incarnation, kept the earlier time, and then dropped the crash if that time was before the incarnation had been seen alive (or the content had been cleared). An outdated report, from an instance that had not seen the incarnation return, therefore removed the evidence of a later, real crash.

Change: a report that is already outdated is left out before it is merged with what the ledger holds.

Why it works: what remains in the ledger is newer than the return and the clearing, and the earliest of such times is too.

Measured: both rows of outdatedReportLeavesLaterCrash fail before and pass now, as do the other 70 tests of the package (jqwik's included). An instance that merges both reports before it learns of the return still keeps one time only.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/quarantine/SuspicionLedger.java
@@ -152,13 +152,14 @@
         existingClearedAt.isAfter(receivedClearedAt) ? existingClearedAt : receivedClearedAt;
     Map<String, CrashRecord> crashes =
         new TreeMap<>(existing.map(StoredEvidence::crashes).orElse(Map.of()));
+    crashes.entrySet().removeIf(e -> isInvalidated(e.getKey(), e.getValue(), clearedAt));
     for (EndpointCrash crash : suspicion.crashes()) {
-      crashes.merge(
-          crash.incarnation(),
-          new CrashRecord(now.minus(crash.age()), crash.detectedByTimeout()),
-          CrashRecord::mergedWith);
+      CrashRecord received = new CrashRecord(now.minus(crash.age()), crash.detectedByTimeout());
+      // Merged first, an outdated report would invalidate a later crash of the incarnation too.
+      if (!isInvalidated(crash.incarnation(), received, clearedAt)) {
+        crashes.merge(crash.incarnation(), received, CrashRecord::mergedWith);
+      }
     }
-    crashes.entrySet().removeIf(e -> isInvalidated(e.getKey(), e.getValue(), clearedAt));
     evictCrashes(content, crashes, now);
     StoredEvidence merged = StoredEvidence.of(content, crashes, clearedAt, now);
     if (merged.isEmpty() || !merged.isRetained(now)) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/quarantine/SuspicionLedgerTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
@@ -130,6 +131,32 @@
     assertThat(ledger.remainingQuarantine(CONTENT, NOW.plusSeconds(3)).isPresent(), is(true));
   }
 
+  /** Events after which earlier reports of a crash of "b" no longer count. */
+  static Stream<Arguments> invalidations() {
+    Consumer<SuspicionLedger> incarnationReturned = l -> l.retractCrash("b", NOW.plusSeconds(1));
+    Consumer<SuspicionLedger> contentCleared =
+        l -> l.merge(Suspicion.cleared(CONTENT), NOW.plusSeconds(1));
+    return Stream.of(
+        Arguments.of("the incarnation returned", incarnationReturned),
+        Arguments.of("the content was cleared", contentCleared));
+  }
+
+  /** Guards against an outdated report that removes the evidence of a later, real crash. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("invalidations")
+  void outdatedReportLeavesLaterCrash(String name, Consumer<SuspicionLedger> invalidation) {
+    SuspicionLedger ledger = ledger("b");
+    invalidation.accept(ledger);
+    Instant now = NOW;
+    for (String endpoint : List.of("b", "c", "d")) {
+      now = now.plus(CRASH_INTERVAL);
+      ledger.merge(suspicion(CONTENT, endpoint), now);
+    }
+    Duration sinceOutdated = Duration.between(NOW, now);
+    ledger.merge(suspicion(CONTENT, "b").agedBy(sinceOutdated), now);
+    assertThat(ledger.remainingQuarantine(CONTENT, now).isPresent(), is(true));
+  }
+
   @Test
   void removesExpiredEvidence() {
     SuspicionLedger ledger = ledger("a", "b", "c");
