Keep allocated loopback ports reserved until the process ends

OrganisationKeysTest#disconnectedEntriesAcceptNoKeys once failed with "Address already in use" when it restarted the control instance.

Cause: LoopbackPorts probed a port and released it. While the control instance was stopped, or before a listener was started, the allocation of another process could return the same port.

In an undisturbed run only connections in TIME_WAIT were left at the port. That the recorded failure had this cause is not shown.

Change: an allocated port is reserved by a bound socket that does not listen. It is bound without SO_REUSEADDR, which fails if another process reserves the port, and gets the option afterwards, so that listeners can bind the port and bind it again.

The new test fails on the former code and passes now.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/LoopbackPorts.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/peer/LoopbackPorts.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.net.BindException;
-import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -14,6 +17,11 @@
  * <p>The ports are below the ephemeral range, from which the kernel assigns ports to outgoing
  * connections. A port obtained by binding port 0 and releasing it is in that range, so an outgoing
  * connection may take it before its listener does.
+ *
+ * <p>An allocated port stays reserved until the process ends, so that no other process allocates it
+ * before its listener is started or while its listener is restarted. The reservation is a bound
+ * socket that does not listen: it refuses connections, and listeners with {@code SO_REUSEADDR} can
+ * bind the port.
  */
 public final class LoopbackPorts {
   /** The lowest port allocated, above most ports that are registered for well-known services. */
@@ -23,7 +31,9 @@
   static final int MAX_PORT_EXCLUSIVE = 32_000;
 
   private static final int MAX_ATTEMPTS = 1_000;
-  private static final Set<Integer> ALLOCATED = new HashSet<>();
+
+  /** The sockets that reserve the allocated ports; they are closed when the process ends. */
+  private static final List<SocketChannel> RESERVATIONS = new ArrayList<>();
 
   private LoopbackPorts() {}
 
@@ -46,10 +56,9 @@
   public static synchronized int allocateConsecutivePorts(int count) throws IOException {
     for (int i = 0; i < MAX_ATTEMPTS; i++) {
       int first = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT_EXCLUSIVE - count + 1);
-      if (areFree(first, count)) {
-        for (int port = first; port < first + count; port++) {
-          ALLOCATED.add(port);
-        }
+      Optional<List<SocketChannel>> reserved = tryReserve(first, count);
+      if (reserved.isPresent()) {
+        RESERVATIONS.addAll(reserved.get());
         return first;
       }
     }
@@ -62,20 +71,33 @@
             + (MAX_PORT_EXCLUSIVE - 1));
   }
 
-  private static boolean areFree(int first, int count) {
+  private static Optional<List<SocketChannel>> tryReserve(int first, int count) throws IOException {
+    List<SocketChannel> reserved = new ArrayList<>();
     for (int port = first; port < first + count; port++) {
-      if (ALLOCATED.contains(port) || !isFree(port)) {
-        return false;
+      Optional<SocketChannel> reservation = tryReserve(port);
+      if (reservation.isEmpty()) {
+        for (SocketChannel socket : reserved) {
+          socket.close();
+        }
+        return Optional.empty();
       }
+      reserved.add(reservation.get());
     }
-    return true;
+    return Optional.of(reserved);
   }
 
-  private static boolean isFree(int port) {
-    try (ServerSocket socket = new ServerSocket(port)) {
-      return socket.isBound();
+  private static Optional<SocketChannel> tryReserve(int port) throws IOException {
+    SocketChannel socket = SocketChannel.open();
+    try {
+      // Without SO_REUSEADDR, the bind fails if any socket is bound to the port, also one that only
+      // reserves it. Set afterwards, the option lets the listener bind.
+      socket.setOption(StandardSocketOptions.SO_REUSEADDR, false);
+      socket.bind(new InetSocketAddress(port));
+      socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      return Optional.of(socket);
     } catch (IOException e) {
-      return false;
+      socket.close();
+      return Optional.empty();
     }
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/LoopbackPortsTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/LoopbackPortsTest.java
@@ -6,9 +6,12 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -73,4 +76,19 @@
       assertThat(allocated.contains(inUse.getLocalPort()), is(false));
     }
   }
+
+  /** Guards against another process that allocates a port while its listener is restarted. */
+  @ParameterizedTest
+  @ValueSource(strings = {"0.0.0.0", "127.0.0.1"})
+  void portStaysReservedWhileItsListenerIsRestarted(String host) throws IOException {
+    int port = LoopbackPorts.allocatePort();
+    InetAddress address = InetAddress.getByName(host);
+    for (int i = 0; i < 2; i++) {
+      new ServerSocket(port, 1, address).close();
+      try (ServerSocket other = new ServerSocket()) {
+        other.setReuseAddress(false);
+        assertThrows(BindException.class, () -> other.bind(new InetSocketAddress(address, port)));
+      }
+    }
+  }
 }
