Wait in FakeEndpoint.close until the server is closed

RequestFaultTest#reportsNotRunOnlyIfNoEndpointReceivedTheRequest saw no 503 within 20 s from a port whose endpoint was closed.

Cause: close() returned before the server was closed. A request sent meanwhile could reach the endpoint and fail with 502; the entry then repeats that outcome for the idempotency key on every further try.

No other listener at the port was needed.

Change: close() waits for the server, for at most 10 s. The check and its bound are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/FakeEndpoint.java
@@ -190,8 +190,9 @@
     return response.setChunked(true).putHeader("Content-Type", "text/event-stream");
   }
 
+  /** Closes the server and waits until its port refuses connections. */
   @Override
   public void close() {
-    server.close();
+    server.close().toCompletionStage().toCompletableFuture().orTimeout(10, TimeUnit.SECONDS).join();
   }
 }
