Count refusals by what shows that they belong to their request

Callers saw a request that must run once run twice. The logs could not tell whether a refusal, which permits another send, had the id of its request, or came from bytes of another response.

Change: lwc_refusals_total{evidence} counts each response that states that its request was not run, as own_id, no_id, other_id or ambiguous_head, on both interfaces. connection.retired states the status of the response and whether it is a refusal. Decisions are unchanged.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.forward;
 
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -19,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lacewingcroft.http.ResponseMetrics;
 import org.lacewingcroft.http.StrictResponseDecoder;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.SocketAddresses;
@@ -119,7 +122,15 @@
         Set.of(
             headerNames.requestId(), headerNames.signature(), headerNames.notRun(), "Content-Type"),
         peer.requiresId,
-        reason -> metrics.retiredConnections.labelValues(reason.label()).inc());
+        head -> isRefusal(head, headerNames, peer),
+        new ResponseMetrics(metrics));
+  }
+
+  private static boolean isRefusal(HttpResponse head, HeaderNames headerNames, Peer peer) {
+    return peer == Peer.ENTRY
+        ? head.headers().contains(CallerResponse.NOT_RUN_HEADER)
+        : head.headers().contains(headerNames.notRun())
+            || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -22,6 +22,7 @@
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.http.AbortedResponses.Cause;
 import org.lacewingcroft.http.InvalidResponseException;
+import org.lacewingcroft.http.ResponseMetrics;
 import org.lacewingcroft.http.RetryAfter;
 import org.lacewingcroft.http.StrictResponseDecoder;
 import org.lacewingcroft.membership.Member;
@@ -111,7 +112,8 @@
             EntryGateway.REQUEST_ID_HEADER,
             SINGLE_RESPONSE_HEADERS,
             requiresId,
-            reason -> metrics.retiredConnections.labelValues(reason.label()).inc());
+            head -> EntryGateway.RUN_NO.equals(head.headers().get(EntryGateway.RUN_HEADER)),
+            new ResponseMetrics(metrics));
     return vertx
         .httpClientBuilder()
         .with(options)
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -30,7 +30,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
 /**
@@ -94,6 +94,32 @@
     }
   }
 
+  /** What shows that a refusal belongs to the request that awaits its response. */
+  public enum RefusalEvidence {
+    /** It has the id of the request, in a head that can only be that of one response. */
+    OWN_ID,
+    /** It has no id. */
+    NO_ID,
+    /** It has the id of another request. */
+    OTHER_ID,
+    /** Its head may consist of those of two responses. */
+    AMBIGUOUS_HEAD;
+
+    /** Returns the name in metrics. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /** Observes the responses on connections. */
+  public interface Observer {
+    /** Called once for each connection that is retired. */
+    void onRetired(Retirement reason);
+
+    /** Called for each response that states that its request was not run. */
+    void onRefusal(RefusalEvidence evidence);
+  }
+
   /**
    * What holds for the responses on a connection.
    *
@@ -101,14 +127,16 @@
    * @param requestIdHeader the header with the id of the request, which a response echoes
    * @param singleHeaders headers of which a response has at most one
    * @param requiresId whether a response without an id may belong to another request
-   * @param onRetired called once for each connection that is retired
+   * @param refusals returns whether a response states that its request was not run
+   * @param observer observes the responses
    */
   public record Rules(
       HttpClientOptions options,
       String requestIdHeader,
       Set<String> singleHeaders,
       boolean requiresId,
-      Consumer<Retirement> onRetired) {}
+      Predicate<HttpResponse> refusals,
+      Observer observer) {}
 
   /** Encodes requests, and announces each one to the decoder of its response. */
   private static final class RequestEncoder extends HttpRequestEncoder {
@@ -241,7 +269,7 @@
       throws Exception {
     if (!awaitingResponse && !ignoringBytes) {
       ignoringBytes = true;
-      retire(ctx, Retirement.IDLE_BYTES, buffer.readableBytes() + " bytes");
+      retire(ctx, Retirement.IDLE_BYTES, buffer.readableBytes() + " bytes", Optional.empty());
       closeLater(ctx);
     }
     if (skippedBefore.isPresent() && buffer.isReadable()) {
@@ -313,7 +341,8 @@
   private void beginSkipping(ChannelHandlerContext ctx, HttpResponse head, String echoedId) {
     maySkip = false;
     skipped = Optional.of(head);
-    retire(ctx, Retirement.OTHER_ID, "skipped the response to request " + echoedId);
+    String detail = "skipped the response to request " + echoedId;
+    retire(ctx, Retirement.OTHER_ID, detail, Optional.of(head));
     ctx.executor()
         .schedule(
             () -> {
@@ -349,6 +378,9 @@
       reject(ctx, head, Retirement.MALFORMED_HEAD, "no response: " + cause);
       return;
     }
+    if (isRefusal(head)) {
+      rules.observer().onRefusal(evidenceOf(head));
+    }
     ambiguityOf(head)
         .ifPresent(detail -> acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, detail));
     if (!ignoringBytes && !informational && requestId.isPresent()) {
@@ -356,6 +388,22 @@
     }
   }
 
+  /** Returns whether a response states that the request was not run. */
+  private boolean isRefusal(HttpResponse head) {
+    return !informational && requestId.isPresent() && rules.refusals().test(head);
+  }
+
+  private RefusalEvidence evidenceOf(HttpResponse refusal) {
+    if (ambiguityOf(refusal).isPresent()) {
+      return RefusalEvidence.AMBIGUOUS_HEAD;
+    }
+    Optional<String> echoedId = Optional.ofNullable(refusal.headers().get(rules.requestIdHeader()));
+    if (echoedId.isEmpty()) {
+      return RefusalEvidence.NO_ID;
+    }
+    return echoedId.equals(requestId) ? RefusalEvidence.OWN_ID : RefusalEvidence.OTHER_ID;
+  }
+
   private void checkId(ChannelHandlerContext ctx, HttpResponse head) {
     String echoedId = head.headers().get(rules.requestIdHeader());
     if (echoedId == null) {
@@ -379,7 +427,7 @@
     if (completeResponses > 0) {
       reject(ctx, head, reason, detail);
     } else {
-      retire(ctx, reason, detail);
+      retire(ctx, reason, detail, Optional.of(head));
     }
   }
 
@@ -404,7 +452,7 @@
       ChannelHandlerContext ctx, HttpResponse head, Retirement reason, String detail) {
     head.setDecoderResult(DecoderResult.failure(new InvalidResponseException(detail)));
     ignoringBytes = true;
-    retire(ctx, reason, detail);
+    retire(ctx, reason, detail, Optional.of(head));
     closeLater(ctx);
   }
 
@@ -413,20 +461,26 @@
     completeResponses++;
     if (buffer.isReadable()) {
       ignoringBytes = true;
-      retire(ctx, Retirement.TRAILING_BYTES, buffer.readableBytes() + " bytes");
+      String detail = buffer.readableBytes() + " bytes";
+      retire(ctx, Retirement.TRAILING_BYTES, detail, Optional.empty());
     }
     if (!isReusable()) {
       closeLater(ctx);
     }
   }
 
-  /** Retires the connection; it is closed at the end of the response if one is in progress. */
-  private void retire(ChannelHandlerContext ctx, Retirement reason, String detail) {
+  /**
+   * Retires the connection; it is closed at the end of the response if one is in progress.
+   *
+   * @param head the response that is the reason, if its head is
+   */
+  private void retire(
+      ChannelHandlerContext ctx, Retirement reason, String detail, Optional<HttpResponse> head) {
     if (!isReusable()) {
       return;
     }
     retirement = Optional.of(reason);
-    rules.onRetired().accept(reason);
+    rules.observer().onRetired(reason);
     LOG.log(
         System.Logger.Level.INFO,
         "connection.retired",
@@ -436,6 +490,10 @@
         reason.label(),
         "detail",
         detail,
+        "status",
+        head.map(h -> Integer.toString(h.status().code())).orElse("none"),
+        "refusal",
+        head.filter(this::isRefusal).isPresent(),
         "responses",
         completeResponses,
         "local",
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -189,6 +189,14 @@
           .labelNames("reason")
           .register(registry);
 
+  /** Responses stating that their request was not run, by what shows that they belong to it. */
+  public final Counter refusals =
+      Counter.builder()
+          .name("lwc_refusals_total")
+          .help("Responses of servers stating that the request was not run, by their evidence")
+          .labelNames("evidence")
+          .register(registry);
+
   /** Responses that an entry ended before they were complete, by cause. */
   public final Counter abortedResponses =
       Counter.builder()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.metrics.GatewayMetrics;
 
 /**
  * Guards against a head made up of two being accepted as a response, and against responses being
@@ -149,7 +150,8 @@
             "X-Request-Id",
             Set.of("X-Request-Id", "X-Proof"),
             requiresId,
-            reason -> {}));
+            head -> head.headers().contains("X-Not-Run"),
+            new ResponseMetrics(new GatewayMetrics())));
   }
 
   static Stream<Arguments> responsesBehindAnother() {
