Accept a refusal only with the id of its request in an unambiguous head

Callers saw a request that must run once run twice; in the cases here they also got 503, which states that it has not run, and with a 421 all endpoints of the service counted as replaced.

Cause: a response that permits another send of its request was accepted on weaker evidence than a success. A success needs the signature of the endpoint; a 421, or any response with the not-run header, needed neither the id of the request nor a head that can only be that of one response, if it was the first on its connection. Endpoints that run a request and send other bytes before their response had it sent to the next endpoint.

Ruled out by reading: a send taken for not sent. The request counts as written before its first byte is, a connection is only replaced before that, and an attempt that may have reached a target counts as a run until the target refuses it.

Change: StrictResponseDecoder rejects a refusal without the id of its request, or with a head that may consist of two, wherever it arrives, also from other entries. The request then ends as one whose response is invalid: sent again if it is idempotent, otherwise 502.

Why it works: endpoints and entries echo the id in every response, refusals included, so that only a response to this request can permit another send.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -47,10 +47,15 @@
  *       only as the first one on its connection, where no bytes of another one can precede it.
  * </ul>
  *
- * <p>A missing id counts only where the {@link Rules} require one. A response that is not accepted
- * fails its request with an {@link InvalidResponseException}, unless it is a complete one with the
- * id of the request before and the request cannot be sent again: then it is skipped, and the
- * response to the request is awaited. There must be at most one request at a time on a connection.
+ * <p>A missing id counts only where the {@link Rules} require one. A refusal, which permits another
+ * send of its request, is accepted only with the id of the request in a head that cannot consist of
+ * two, also as the first response on its connection: a server may run the request and send other
+ * bytes before its response.
+ *
+ * <p>A response that is not accepted fails its request with an {@link InvalidResponseException},
+ * unless it is a complete one with the id of the request before and the request cannot be sent
+ * again: then it is skipped, and the response to the request is awaited. There must be at most one
+ * request at a time on a connection.
  *
  * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
  * before the first request is written.
@@ -407,7 +412,7 @@
   private void checkId(ChannelHandlerContext ctx, HttpResponse head) {
     String echoedId = head.headers().get(rules.requestIdHeader());
     if (echoedId == null) {
-      if (rules.requiresId()) {
+      if (rules.requiresId() || isRefusal(head)) {
         acceptOnlyAsFirst(ctx, head, Retirement.NO_ID, "response without an id");
       }
     } else if (echoedId.equals(requestId.get())) {
@@ -422,9 +427,10 @@
     }
   }
 
+  /** Accepts a response that may be ambiguous only where no other one can precede it. */
   private void acceptOnlyAsFirst(
       ChannelHandlerContext ctx, HttpResponse head, Retirement reason, String detail) {
-    if (completeResponses > 0) {
+    if (completeResponses > 0 || isRefusal(head)) {
       reject(ctx, head, reason, detail);
     } else {
       retire(ctx, reason, detail, Optional.of(head));
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -100,6 +100,12 @@
             rejected(number, requiresId, OK + "X-Proof: sig\r\n" + HEADERS.replace("ID", "other")));
         cases.add(rejected(number, requiresId, OK + "Transfer-Encoding: chunked\r\n" + HEADERS));
         cases.add(new TestCase(number, requiresId, OK + HEADERS + "x", List.of("200"), false));
+        String refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n";
+        cases.add(accepted(number, requiresId, refusal + HEADERS, "503"));
+        cases.add(rejected(number, requiresId, refusal + "X-Note: " + FAILED));
+        cases.add(rejected(number, requiresId, refusal + "X-Request-Id: ID\r\n" + HEADERS));
+        cases.add(
+            rejected(number, requiresId, refusal + HEADERS.replace("X-Request-Id: ID\r\n", "")));
       }
       for (String ambiguous :
           List.of("X-Proof: sig\r\n" + HEADERS, "X-Cause: HTTP/1.1 500 S\r\n" + HEADERS)) {
