Refuse at a shutdown what is complete or placed after admission has ended

Callers of an entry that is stopped got 502, or no response: requests that were admitted by their head in time and complete late were sent to an endpoint, of a route that may not run twice also 200 ms before the cut. Requests whose body was still arriving at the end got no response.

Cause: admission was decided once, when the head was read. What followed, the body, a wait for the event loop, for placement or for a second endpoint after a refusal, was not measured against the time that is left.

Change: RequestBodies tracks the requests whose bodies are incomplete, for callers and other entries. When admission ends they are refused at once, with 503 and Connection: close, as is a request that is complete or placed later and that no endpoint has run. The shutdown waits for incomplete requests as for others, and refuses what is left of them at its end.

Why it works: nothing is written to an endpoint for the first time after admission has ended, except over a connection that was being opened then, for 0.9 s at most; what is refused has not run, and the caller can use another entry.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
@@ -15,9 +15,12 @@
 public final class EntryShutdown {
   /** The requests that an entry has started and not finished. */
   public interface RequestsInFlight {
-    /** Returns the number of requests in flight. */
+    /** Returns the number of requests in flight, with those of which the body is incomplete. */
     int inFlight();
 
+    /** Refuses the requests of which the body is incomplete. */
+    void refuseIncomplete();
+
     /** Ends the requests in flight by closing the connections of their senders. */
     void abortInFlight();
   }
@@ -69,8 +72,7 @@
     long startNanos = System.nanoTime();
     long callerDrainNanos = CALLER_DRAIN_PERIOD.toNanos();
     vertx.setTimer(
-        Math.max(1, Math.round(ADMISSION_SHARE * shutdownGrace.toMillis())),
-        id -> node.endAdmission());
+        Math.max(1, Math.round(ADMISSION_SHARE * shutdownGrace.toMillis())), id -> endAdmission());
     long maxNanos = shutdownGrace.minus(KILL_MARGIN).toNanos();
     vertx.setPeriodic(
         CHECK_INTERVAL_MILLIS,
@@ -86,10 +88,16 @@
                 TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
                 "cutRequests",
                 requests.inFlight());
+            endAdmission();
             requests.abortInFlight();
             done.tryComplete();
           }
         });
     return done.future();
   }
+
+  private void endAdmission() {
+    node.endAdmission();
+    requests.refuseIncomplete();
+  }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -60,9 +60,6 @@
    */
   private static final Duration KEY_CHECK_RETRY_AFTER = Duration.ofSeconds(1);
 
-  /** Retry delay sent while this entry shuts down: other entries can serve the request now. */
-  private static final Duration SHUTDOWN_RETRY_AFTER = Duration.ZERO;
-
   /** Retry delay sent before this entry has received its first routes. */
   private static final Duration STARTUP_RETRY_AFTER = Duration.ofMillis(500);
 
@@ -81,6 +78,7 @@
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
   private final OverloadGate overload;
+  private final RequestBodies bodies;
   private final LinkTraffic traffic = new LinkTraffic();
   private final boolean reportsPressure;
   private HttpServer publicServer;
@@ -102,6 +100,7 @@
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
     this.reportsPressure = settings.reportsPressure();
     this.overload = new OverloadGate(node.eventLoop(), reader, metrics, clock);
+    this.bodies = new RequestBodies(vertx, () -> limits().maxBodyBytes());
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
@@ -127,7 +126,7 @@
                         capacity,
                         traffic,
                         node.eventLoop().load()::utilization,
-                        this::inFlight,
+                        () -> context.inFlight().size(),
                         clock)));
   }
 
@@ -222,7 +221,12 @@
 
   @Override
   public int inFlight() {
-    return context.inFlight().size();
+    return context.inFlight().size() + bodies.incomplete();
+  }
+
+  @Override
+  public void refuseIncomplete() {
+    bodies.refuse(EntryServer::sendShuttingDown);
   }
 
   @Override
@@ -285,11 +289,16 @@
     if (node.admitsRequests()) {
       return false;
     }
-    response.closeConnectionAfterResponse();
-    response.sendError(503, "this entry is shutting down", true, Optional.of(SHUTDOWN_RETRY_AFTER));
+    sendShuttingDown(response);
     return true;
   }
 
+  private static void sendShuttingDown(CallerResponse response) {
+    response.closeConnectionAfterResponse();
+    response.sendError(
+        503, "this entry is shutting down", true, Optional.of(ForwardContext.SHUTDOWN_RETRY_AFTER));
+  }
+
   private Handling handlingOf(Route route, CallerAccess.Granted access)
       throws CallerAccess.NoRegionException {
     String service = route.pickService(ThreadLocalRandom.current().nextDouble());
@@ -375,7 +384,12 @@
   }
 
   private static void logRejected(HttpServerRequest request, String reason) {
-    LOG.log(
+    logRejected(LOG, request, reason);
+  }
+
+  /** Logs a request that this entry rejects without forwarding it. */
+  static void logRejected(System.Logger log, HttpServerRequest request, String reason) {
+    log.log(
         System.Logger.Level.INFO,
         "request.rejected",
         "path",
@@ -390,12 +404,11 @@
   }
 
   /**
-   * Reads the body of a request. Responds with 408 if it is not complete in time and with 413 if it
-   * exceeds the size limit.
+   * Reads the body of an admitted request, and passes it on unless the request may no longer
+   * complete by then.
    *
    * @param timeout the time limit, after which the response would be too late for the caller
    * @param sender the kind of sender, for the metrics
-   * @param onBody receives the complete body, unless the sender has disconnected
    */
   private void readBody(
       HttpServerRequest request,
@@ -403,40 +416,19 @@
       Duration timeout,
       String sender,
       Consumer<Buffer> onBody) {
-    int maxBytes = limits().maxBodyBytes();
-    Buffer body = Buffer.buffer();
-    boolean[] tooLarge = {false};
-    long timer =
-        vertx.setTimer(
-            Math.max(1, timeout.toMillis()),
-            id -> {
-              if (!response.isOpen()) {
-                return;
-              }
-              logRejected(request, "its body did not arrive within " + timeout.toMillis() + " ms");
-              response.closeConnectionAfterResponse();
-              response.sendError(408, "the body did not arrive in time", true, Optional.empty());
-            });
-    request.handler(
-        chunk -> {
-          if (body.length() + chunk.length() > maxBytes) {
-            tooLarge[0] = true;
-          } else {
-            body.appendBuffer(chunk);
-          }
-        });
-    request.endHandler(
-        v -> {
-          if (!vertx.cancelTimer(timer)) {
-            return;
-          }
-          if (tooLarge[0]) {
-            response.sendError(
-                413, "the body exceeds " + maxBytes + " bytes", true, Optional.empty());
-          } else {
-            overload.start(response, sender, () -> onBody.accept(body));
-          }
-        });
+    bodies.read(
+        request,
+        response,
+        timeout,
+        body ->
+            overload.start(
+                response,
+                sender,
+                () -> {
+                  if (!refuseAtShutdown(response)) {
+                    onBody.accept(body);
+                  }
+                }));
   }
 
   private void handleRelayed(HttpServerRequest request) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -146,7 +146,7 @@
   }
 
   private void place() {
-    if (steps.isEnded() || endIfDue()) {
+    if (steps.isEnded() || endIfDue() || refuseAtShutdown()) {
       return;
     }
     steps.next();
@@ -345,6 +345,23 @@
     return steps.isEnded();
   }
 
+  /**
+   * Refuses a call that no endpoint has run if it may not complete before this entry ends; returns
+   * whether it did.
+   */
+  private boolean refuseAtShutdown() {
+    if (context.node().admitsRequests() || mayHaveRun) {
+      return false;
+    }
+    response.closeConnectionAfterResponse();
+    finishWithError(
+        Cause.SHUTDOWN,
+        UNAVAILABLE,
+        "the entry is shutting down",
+        Optional.of(ForwardContext.SHUTDOWN_RETRY_AFTER));
+    return true;
+  }
+
   /** Returns the headers added to a request that is now written to its target. */
   private List<Map.Entry<String, String>> headersOfSend(UpstreamTarget target) {
     timing.begin(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardContext.java
@@ -70,6 +70,9 @@
    */
   private static final Duration SHORT_RETRY_AFTER = Duration.ofMillis(400);
 
+  /** Retry delay sent while this entry shuts down: other entries can serve the request now. */
+  static final Duration SHUTDOWN_RETRY_AFTER = Duration.ZERO;
+
   /** Limits the suggested retry delay to this fraction of the time left until the deadline. */
   private static final int REMAINING_TIME_DIVISOR = 3;
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.io.TempDir;
@@ -34,14 +35,7 @@
   })
   void requestsInFlightAreAnswered(
       RouteKind kind, Action action, int expectedStatus, @TempDir Path folder) throws Exception {
-    try (OneServiceFleet fleet =
-        new OneServiceFleet(
-            folder,
-            FleetHarness.BOUNDS,
-            FleetHarness.routeTo(OneServiceFleet.SERVICE, kind, false, 1, Duration.ofSeconds(8)),
-            "north",
-            1,
-            List.of(action))) {
+    try (OneServiceFleet fleet = fleetOf(folder, kind, 1, List.of(action))) {
       final CompletableFuture<Integer> status =
           fleet.call("id").handle((r, failure) -> failure == null ? r.statusCode() : 0);
       fleet.awaitRequest();
@@ -63,24 +57,75 @@
   void requestsAreRefusedWhenLittleTimeIsLeft(RouteKind kind, @TempDir Path folder)
       throws Exception {
     try (OneServiceFleet fleet =
-        new OneServiceFleet(
-            folder,
-            FleetHarness.BOUNDS,
-            FleetHarness.routeTo(OneServiceFleet.SERVICE, kind, false, 1, Duration.ofSeconds(8)),
-            "north",
-            1,
-            List.of(Action.STREAM_STALLS, Action.HANG))) {
+        fleetOf(folder, kind, 1, List.of(Action.STREAM_STALLS, Action.HANG))) {
       final CompletableFuture<HttpResponse<String>> admitted = fleet.call("first");
       fleet.awaitRequest();
-      FleetHarness.Entry entry = fleet.entry();
-      EntryShutdown shutdown =
-          new EntryShutdown(
-              fleet.fleet().vertx(), entry.node(), entry.server(), Duration.ofSeconds(4));
-      fleet.fleet().run(shutdown::run);
+      shutDown(fleet, Duration.ofSeconds(4));
       TimeUnit.MILLISECONDS.sleep(1_550);
       assertThat(fleet.callOnce("second").get().statusCode(), equalTo(503));
       assertThat(admitted.get().statusCode(), equalTo(200));
       assertThat(fleet.endpoints().heads(), hasSize(1));
     }
   }
+
+  /** Guards against requests that are complete late in a shutdown and cut at its end. */
+  @ParameterizedTest
+  @CsvSource({"false, true", "false, false", "true, true", "true, false"})
+  void requestsWithLateBodiesAreRefused(boolean relayed, boolean complete, @TempDir Path folder)
+      throws Exception {
+    RouteKind kind = RouteKind.AT_MOST_ONCE;
+    Duration timeout = Duration.ofSeconds(7);
+    try (OneServiceFleet fleet = fleetOf(folder, kind, 1, List.of(Action.HANG));
+        RawCaller sender =
+            new RawCaller(relayed ? fleet.entry().relayPort() : fleet.entry().publicPort())) {
+      String service = OneServiceFleet.SERVICE;
+      sender.write(
+          RawCaller.head("POST", "/" + service + "/x", "late", timeout)
+              + (relayed ? RawCaller.relayHeaders(service, kind, "late", timeout) : "")
+              + "Content-Length: 4\r\n\r\nab");
+      TimeUnit.MILLISECONDS.sleep(100);
+      // Admission ends after 900 ms, and the shutdown 600 ms later.
+      shutDown(fleet, Duration.ofMillis(2_400));
+      TimeUnit.MILLISECONDS.sleep(1_100);
+      if (complete) {
+        sender.write("cd");
+      }
+      assertThat(
+          sender.readResponse(false).map(RawCaller.Response::status), equalTo(Optional.of(503)));
+      assertThat(fleet.endpoints().heads(), hasSize(0));
+    }
+  }
+
+  /** Guards against requests that are sent again late in a shutdown and cut at its end. */
+  @ParameterizedTest
+  @EnumSource(RouteKind.class)
+  void refusedRequestsAreNotSentAgainWhenLittleTimeIsLeft(RouteKind kind, @TempDir Path folder)
+      throws Exception {
+    try (OneServiceFleet fleet =
+        fleetOf(folder, kind, 2, List.of(Action.LATE_FULL, Action.HANG, Action.HANG))) {
+      final CompletableFuture<HttpResponse<String>> admitted = fleet.callOnce("late");
+      fleet.awaitRequest();
+      shutDown(fleet, Duration.ofSeconds(4));
+      assertThat(admitted.get().statusCode(), equalTo(503));
+      assertThat(fleet.endpoints().heads(), hasSize(1));
+    }
+  }
+
+  private static OneServiceFleet fleetOf(
+      Path folder, RouteKind kind, int endpointCount, List<Action> script) throws Exception {
+    return new OneServiceFleet(
+        folder,
+        FleetHarness.BOUNDS,
+        FleetHarness.routeTo(OneServiceFleet.SERVICE, kind, false, 1, Duration.ofSeconds(8)),
+        "north",
+        endpointCount,
+        script);
+  }
+
+  private static void shutDown(OneServiceFleet fleet, Duration grace) throws Exception {
+    FleetHarness.Entry entry = fleet.entry();
+    EntryShutdown shutdown =
+        new EntryShutdown(fleet.fleet().vertx(), entry.node(), entry.server(), grace);
+    fleet.fleet().run(shutdown::run);
+  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -28,6 +28,8 @@
     ERROR,
     /** Responds with 503 and the header that marks the request as not run. */
     FULL,
+    /** Responds like {@link #FULL}, as late as {@link #SLOW}. */
+    LATE_FULL,
     /** Responds with 503 without that header. */
     PLAIN_503,
     /** Responds with 421, as another incarnation does. */
@@ -174,6 +176,11 @@
       case ANSWER -> socket.write("HTTP/1.1 200 OK\r\n" + signedHeaders + lengthAndBody);
       case ERROR -> socket.write("HTTP/1.1 500 Broken\r\n" + signedHeaders + lengthAndBody);
       case FULL -> socket.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + idHeader + lengthAndBody);
+      case LATE_FULL ->
+          vertx.setTimer(
+              SLOW_RESPONSE_DELAY_MILLIS,
+              t ->
+                  socket.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + idHeader + lengthAndBody));
       case PLAIN_503 -> socket.write("HTTP/1.1 503 Full\r\n" + signedHeaders + lengthAndBody);
       case OTHER_INSTANCE -> socket.write("HTTP/1.1 421 Other\r\n" + idHeader + lengthAndBody);
       case UNSIGNED -> socket.write("HTTP/1.1 200 OK\r\n" + idHeader + lengthAndBody);
