Take the header that states not run from entries only

On the product's own interface, a request that must run once ran twice if an engine sent X-Lacewingcroft-Run: no and had run it.

Cause: Dispatcher read the header, by which entries state that a request was not run, from any response, so that it counted as not run; if the response then did not end by the caller's deadline, its key was released and a repetition ran again. Relayed to the caller, the header stated the same.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.gateway;
 
+import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -18,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.lacewingcroft.endpoint.Endpoint;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.http.AbortedResponses.Cause;
@@ -96,11 +98,14 @@
     this.clock = clock;
     this.hedgeAfter = hedgeAfter;
     this.extraSends = new ExtraSends(clock, metrics);
-    this.endpointClient = createClient(/* requiresId= */ true);
-    this.entryClient = createClient(/* requiresId= */ false);
+    this.endpointClient = createClient(/* requiresId= */ true, head -> false);
+    this.entryClient =
+        createClient(
+            /* requiresId= */ false,
+            head -> EntryGateway.RUN_NO.equals(head.headers().get(EntryGateway.RUN_HEADER)));
   }
 
-  private HttpClient createClient(boolean requiresId) {
+  private HttpClient createClient(boolean requiresId, Predicate<HttpResponse> refusals) {
     HttpClientOptions options =
         new HttpClientOptions()
             .setKeepAlive(true)
@@ -112,7 +117,7 @@
             EntryGateway.REQUEST_ID_HEADER,
             SINGLE_RESPONSE_HEADERS,
             requiresId,
-            head -> EntryGateway.RUN_NO.equals(head.headers().get(EntryGateway.RUN_HEADER)),
+            refusals,
             new ResponseMetrics(metrics));
     return vertx
         .httpClientBuilder()
@@ -348,7 +353,9 @@
     }
     routeChooser.recordResponse(
         attempt, response.statusCode(), RetryAfter.parse(response.getHeader(RetryAfter.HEADER)));
-    if (EntryGateway.RUN_NO.equals(response.getHeader(EntryGateway.RUN_HEADER))) {
+    // Only entries send this header; an engine that does may have run the request.
+    if (!attempt.toEndpoint()
+        && EntryGateway.RUN_NO.equals(response.getHeader(EntryGateway.RUN_HEADER))) {
       exchange.removePossibleRun();
       if (isRefusalByRegion(attempt, response)
           && exchange.attemptCount() < ExtraSends.MAX_ATTEMPTS) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
@@ -26,12 +26,11 @@
   private static final int MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
 
   private static final List<String> RELAYED_HEADERS =
-      List.of(
-          "Content-Type",
-          "Content-Length",
-          "Retry-After",
-          EntryGateway.REPLAY_HEADER,
-          EntryGateway.RUN_HEADER);
+      List.of("Content-Type", "Content-Length", "Retry-After");
+
+  /** Headers that only entries send. */
+  private static final List<String> ENTRY_HEADERS =
+      List.of(EntryGateway.REPLAY_HEADER, EntryGateway.RUN_HEADER);
 
   private final Exchange exchange;
   private final Attempt attempt;
@@ -82,11 +81,9 @@
 
   private void copyResponseHead(HttpServerResponse response) {
     response.setStatusCode(upstreamResponse.statusCode());
-    for (String name : RELAYED_HEADERS) {
-      String value = upstreamResponse.getHeader(name);
-      if (value != null) {
-        response.putHeader(name, value);
-      }
+    copyHeaders(RELAYED_HEADERS, response);
+    if (!attempt.toEndpoint()) {
+      copyHeaders(ENTRY_HEADERS, response);
     }
     String servingRegion = upstreamResponse.getHeader(EntryGateway.REGION_HEADER);
     response.putHeader(
@@ -98,6 +95,15 @@
     response.drainHandler(v -> upstreamResponse.resume());
   }
 
+  private void copyHeaders(List<String> names, HttpServerResponse response) {
+    for (String name : names) {
+      String value = upstreamResponse.getHeader(name);
+      if (value != null) {
+        response.putHeader(name, value);
+      }
+    }
+  }
+
   private void relayChunk(Buffer chunk) {
     if (events.isEmpty()) {
       relayBytes(chunk);
