--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -25,6 +25,7 @@
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.gateway.ErrorReply;
+import org.lacewingcroft.http.ResponseBodies;
 import org.lacewingcroft.peer.Membership;
 
 /**
@@ -45,8 +46,12 @@
 
   private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(4);
   private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final long RELAY_TIMEOUT_MILLIS = 6_000;
+  private static final Duration RELAY_TIMEOUT = Duration.ofSeconds(6);
 
+  /** Maximum size of the leader's response to a change, which holds its result or an error. */
+  private static final int MAX_RELAYED_BODY_BYTES = 64 << 10;
+
+  private final Vertx vertx;
   private final ConfigStore configs;
   private final Membership membership;
   private final HttpClient client;
@@ -60,6 +65,7 @@
       boolean relayed) {}
 
   ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
+    this.vertx = vertx;
     this.configs = configs;
     this.membership = membership;
     // Responses carry no change id: on a connection of its own, a call cannot get another's.
@@ -202,7 +208,7 @@
             .setMethod(request.method())
             .setAbsoluteURI("http://" + address.get() + "/v1/config")
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-            .setIdleTimeout(RELAY_TIMEOUT_MILLIS)
+            .setIdleTimeout(RELAY_TIMEOUT.toMillis())
             .putHeader(CHANGE_ID_HEADER, request.change().changeId())
             .putHeader(EXPECTED_VERSION_HEADER, Long.toString(request.expectedVersion()))
             .putHeader(CONTROL_HOP_HEADER, membership.self().nodeId());
@@ -214,7 +220,10 @@
                 upstream
                     .send(Buffer.buffer(request.body()))
                     .compose(
-                        response -> response.body().map(body -> copyResponse(ctx, response, body)))
+                        response ->
+                            ResponseBodies.read(
+                                    vertx, response, MAX_RELAYED_BODY_BYTES, RELAY_TIMEOUT)
+                                .map(body -> copyResponse(ctx, response, body)))
                     .onFailure(
                         e ->
                             sendError(ctx, ErrorKind.CHANGE_UNKNOWN, "the leader did not answer")));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
@@ -13,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.lacewingcroft.fleet.EntryNode;
+import org.lacewingcroft.http.ResponseBodies;
 import org.lacewingcroft.placement.EndpointTracker;
 import org.lacewingcroft.route.ServiceSpec;
 
@@ -29,7 +29,10 @@
   private static final long CHECK_INTERVAL_MILLIS = 100;
 
   /** Time in which a health check has to be answered; it may wait for a slot of the endpoint. */
-  private static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
+  private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(1);
+
+  /** Maximum size of the body of a response to a health check, which is not used. */
+  private static final int MAX_BODY_BYTES = 64 << 10;
 
   /** Time for which a connection must stay open if nothing can be requested on it. */
   private static final long MIN_OPEN_MILLIS = 100;
@@ -90,9 +93,9 @@
         .request(options)
         .compose(request -> request.send())
         .onSuccess(response -> loadReader.read(endpoint, response))
-        .compose(HttpClientResponse::body)
+        .compose(response -> ResponseBodies.read(vertx, response, MAX_BODY_BYTES, RESPONSE_TIMEOUT))
         .<Void>map((Buffer body) -> null)
-        .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        .timeout(RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private Future<Void> stayOpen(UpstreamConnections.PooledConnection connection) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Exchange.java
@@ -36,6 +36,7 @@
   private boolean refused;
   private boolean callerDisconnected;
   private boolean finished;
+  private Runnable finishHandler = () -> {};
 
   Exchange(
       RoutingContext context,
@@ -202,10 +203,18 @@
     return callerDisconnected;
   }
 
+  /** Sets what runs when the response has ended or the caller has disconnected. */
+  void onFinish(Runnable handler) {
+    finishHandler = handler;
+  }
+
   /** Marks the exchange as finished and returns whether it was not finished before. */
   boolean finish() {
-    boolean wasUnfinished = !finished;
+    if (finished) {
+      return false;
+    }
     finished = true;
-    return wasUnfinished;
+    finishHandler.run();
+    return true;
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/ResponseRelay.java
@@ -13,8 +13,8 @@
  * Relays one upstream response to the caller as it arrives, with backpressure from the caller.
  *
  * <p>The response to a request with a claimed idempotency key is also buffered and is recorded
- * before the caller receives its end. It is read to the end without backpressure, even if the
- * caller disconnects.
+ * before the caller receives its end. It is read without backpressure, even if the caller
+ * disconnects, as long as it is not too large to be recorded.
  */
 final class ResponseRelay {
   private static final System.Logger LOG = System.getLogger(ResponseRelay.class.getName());
@@ -25,6 +25,9 @@
   /** Bound on the buffered body; a key whose response is longer gets an unknown outcome. */
   private static final int MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
 
+  /** Bound on an event that is not complete. */
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private static final List<String> RELAYED_HEADERS =
       List.of("Content-Type", "Content-Length", "Retry-After");
 
@@ -39,7 +42,7 @@
   private final GatewayMetrics metrics;
   private final CallerReply reply;
   private final ContentQuarantine quarantine;
-  private final Optional<Buffer> bufferedBody;
+  private Optional<Buffer> bufferedBody;
   private final Optional<EventSplitter> events;
   private boolean firstByteRelayed;
 
@@ -74,6 +77,8 @@
     if (!exchange.responseCommitted()) {
       copyResponseHead(exchange.response());
     }
+    // A paused response is read on, to find that nobody uses it any more.
+    exchange.onFinish(upstreamResponse::resume);
     upstreamResponse.handler(this::relayChunk);
     upstreamResponse.exceptionHandler(e -> onConnectionLost());
     upstreamResponse.endHandler(v -> onComplete());
@@ -105,10 +110,18 @@
   }
 
   private void relayChunk(Buffer chunk) {
+    if (!attempt.live()) {
+      return;
+    }
     if (events.isEmpty()) {
       relayBytes(chunk);
       return;
     }
+    if (events.get().incompleteBytes() + chunk.length() > MAX_EVENT_BYTES) {
+      attempt.cancel();
+      reply.sendOutcomeUnknown(exchange, cause(), "an event exceeds " + MAX_EVENT_BYTES + " bytes");
+      return;
+    }
     // An event that is broken off must not precede the error event that ends the response.
     byte[] completeEvents = events.get().append(chunk.getBytes());
     if (completeEvents.length > 0) {
@@ -121,11 +134,17 @@
       firstByteRelayed = true;
       metrics.firstByteSeconds.observe(exchange.elapsedSeconds());
     }
-    bufferedBody
-        .filter(body -> body.length() <= MAX_BUFFERED_BODY_BYTES)
-        .ifPresent(body -> body.appendBuffer(chunk));
+    bufferedBody =
+        bufferedBody
+            .filter(body -> body.length() + chunk.length() <= MAX_BUFFERED_BODY_BYTES)
+            .map(body -> body.appendBuffer(chunk));
     HttpServerResponse response = exchange.response();
     if (exchange.callerDisconnected() || response.ended()) {
+      if (bufferedBody.isEmpty()) {
+        // Nobody uses the rest.
+        attempt.cancel();
+        exchange.claimedKey().ifPresent(keys::markUnknown);
+      }
       return;
     }
     response.write(chunk);
@@ -134,13 +153,16 @@
     }
   }
 
+  private Cause cause() {
+    return attempt.toEndpoint() ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED;
+  }
+
   private void onConnectionLost() {
     if (attempt.end()) {
       if (attempt.toEndpoint()) {
         quarantine.onConnectionLost(attempt.target(), exchange.fingerprints());
       }
-      Cause cause = attempt.toEndpoint() ? Cause.ENDPOINT_FAILED : Cause.RELAY_FAILED;
-      reply.sendOutcomeUnknown(exchange, cause, "the answer broke off in the middle");
+      reply.sendOutcomeUnknown(exchange, cause(), "the answer broke off in the middle");
     }
   }
 
@@ -174,12 +196,12 @@
   }
 
   private void recordResponse(String key) {
-    Buffer body = bufferedBody.orElseThrow();
-    if (body.length() > MAX_BUFFERED_BODY_BYTES) {
+    if (bufferedBody.isEmpty()) {
       keys.markUnknown(key);
       return;
     }
     String contentType = Optional.ofNullable(upstreamResponse.getHeader("Content-Type")).orElse("");
-    keys.complete(key, upstreamResponse.statusCode(), contentType, body.getBytes());
+    byte[] body = bufferedBody.get().getBytes();
+    keys.complete(key, upstreamResponse.statusCode(), contentType, body);
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndlessResponseTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndlessResponseTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.net.http.HttpResponse;
@@ -11,17 +12,24 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
+import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.route.RequestLimits;
+import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
+import org.lacewingcroft.route.RouteTable;
+import org.lacewingcroft.route.ServiceSpec;
 
 /** Guards against endpoints that send bytes without end, which filled the heap of an entry. */
 class EndlessResponseTest {
@@ -71,6 +79,43 @@
     }
   }
 
+  /** Guards against health checks whose response does not end. */
+  @Test
+  void endlessHealthCheckIsClosed(@TempDir Path folder) throws Exception {
+    Route route =
+        FleetHarness.routeTo(
+            OneServiceFleet.SERVICE, RouteKind.AT_MOST_ONCE, false, 1, Duration.ofSeconds(5));
+    ServiceSpec service =
+        new ServiceSpec(
+            OneServiceFleet.SERVICE,
+            100,
+            Duration.ZERO,
+            0,
+            Optional.of("/health"),
+            Optional.empty());
+    RouteTable table = new RouteTable(1, List.of(route), List.of(service), RequestLimits.DEFAULT);
+    try (FleetHarness fleet = new FleetHarness(folder, Map.of(1L, table));
+        EndlessEndpoint endpoint =
+            new EndlessEndpoint(
+                fleet.vertx(),
+                "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+                "x".repeat(1 << 16))) {
+      FleetHarness.Entry entry = fleet.startEntry("north", "north");
+      fleet.activateRouteTable(1);
+      fleet.keepAnnouncing("e", OneServiceFleet.SERVICE, "north", endpoint.port());
+      fleet.awaitReady(entry);
+      fleet.awaitEndpoints(entry, OneServiceFleet.SERVICE, 1);
+      fleet.run(() -> entry.node().endpoints().forEach(EndpointTracker::recordConnectFailure));
+      for (int i = 0; i < 100 && endpoint.requests() < 2; i++) {
+        TimeUnit.MILLISECONDS.sleep(50);
+      }
+      fleet.stopEntry(entry);
+      assertThat(endpoint.awaitNoConnection(), equalTo(0));
+      assertThat(endpoint.requests(), greaterThan(1));
+      assertThat(endpoint.writtenBytes(), lessThan(endpoint.requests() * MAX_BYTES_PER_SEND));
+    }
+  }
+
   private static Optional<Integer> status(CompletableFuture<HttpResponse<String>> call)
       throws Exception {
     try {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -87,6 +87,10 @@
     ENDLESS_CONTINUE,
     /** Sends a chunked body that does not end. */
     ENDLESS_BODY,
+    /** Sends a chunk whose extension does not end. */
+    ENDLESS_CHUNK_EXTENSION,
+    /** Sends the last chunk and trailers that do not end. */
+    ENDLESS_TRAILERS,
     /** Sends a body without length that does not end. */
     ENDLESS_UNFRAMED_BODY,
     /** Streams an event that does not end. */
@@ -240,6 +244,16 @@
               socket,
               "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n",
               chunk("x".repeat(ENDLESS_BLOCK_CHARS)));
+      case ENDLESS_CHUNK_EXTENSION ->
+          writeEndlessly(
+              socket,
+              "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n1;",
+              "x".repeat(ENDLESS_BLOCK_CHARS));
+      case ENDLESS_TRAILERS ->
+          writeEndlessly(
+              socket,
+              "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+              "X-A: x\r\n".repeat(100));
       case ENDLESS_UNFRAMED_BODY ->
           writeEndlessly(
               socket,
