Reject a head with a status line within it also as the first response

Callers could get a success for a failure: a server that sends the beginning of a head before its own response, as the first bytes on a connection, had both read as one head, with the status of the first and the rest of the own.

Cause: such a head was accepted if it was the first on its connection, since no response to another request can precede it; but bytes that are no response can.

Change: a head with a status line in its reason or a header is rejected wherever it arrives. A repeated header and a missing id still count only after another response, or in a refusal, as some servers send them.

Of the tests one row is changed, to be stricter: a header with a status line in its value was accepted in the first response on a connection, and rejected in all others; it is now rejected in all, as nothing tells it from a cut head.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -42,9 +42,11 @@
  *
  * <ul>
  *   <li>if bytes arrive on it while no response is outstanding;
- *   <li>if a response has the id of another request, or cannot be parsed;
- *   <li>if the head of a response may consist of two, or has no id. Such a response is accepted
- *       only as the first one on its connection, where no bytes of another one can precede it.
+ *   <li>if a response has the id of another request, cannot be parsed, or has a status line within
+ *       its head;
+ *   <li>if a header of a response is repeated, so that its head may consist of two, or it has no
+ *       id. Such a response is accepted only as the first one on its connection, where no response
+ *       to another request can precede it.
  * </ul>
  *
  * <p>A missing id counts only where the {@link Rules} require one. A refusal, which permits another
@@ -386,8 +388,13 @@
     if (isRefusal(head)) {
       rules.observer().onRefusal(evidenceOf(head));
     }
-    ambiguityOf(head)
-        .ifPresent(detail -> acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, detail));
+    Optional<String> secondHead = secondHeadIn(head);
+    if (secondHead.isPresent()) {
+      reject(ctx, head, Retirement.MALFORMED_HEAD, secondHead.get());
+    } else {
+      repeatedHeaderIn(head)
+          .ifPresent(detail -> acceptOnlyAsFirst(ctx, head, Retirement.MALFORMED_HEAD, detail));
+    }
     if (!ignoringBytes && !informational && requestId.isPresent()) {
       checkId(ctx, head);
     }
@@ -399,7 +406,7 @@
   }
 
   private RefusalEvidence evidenceOf(HttpResponse refusal) {
-    if (ambiguityOf(refusal).isPresent()) {
+    if (secondHeadIn(refusal).or(() -> repeatedHeaderIn(refusal)).isPresent()) {
       return RefusalEvidence.AMBIGUOUS_HEAD;
     }
     Optional<String> echoedId = Optional.ofNullable(refusal.headers().get(rules.requestIdHeader()));
@@ -437,8 +444,8 @@
     }
   }
 
-  /** Returns why a head may consist of the heads of two responses; empty if it cannot. */
-  private Optional<String> ambiguityOf(HttpResponse head) {
+  /** Returns where the head of another response begins within a head, empty if none does. */
+  private static Optional<String> secondHeadIn(HttpResponse head) {
     if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
       return Optional.of("status line within a status line");
     }
@@ -447,6 +454,11 @@
         return Optional.of("status line within the header " + header.getKey());
       }
     }
+    return Optional.empty();
+  }
+
+  /** Returns which header shows that a head may consist of two, empty if none does. */
+  private Optional<String> repeatedHeaderIn(HttpResponse head) {
     return rules.singleHeaders().stream()
         .filter(name -> head.headers().getAll(name).size() > 1)
         .findFirst()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -88,7 +88,7 @@
                   OK + "X-Proof: si\r",
                   OK + "X-Proof: sig\r\n",
                   OK + "X-Proof: sig\r\n ")) {
-            if (!(own.startsWith("\t") && stray.endsWith("\r\n")) && number > 1) {
+            if (!(own.startsWith("\t") && stray.endsWith("\r\n"))) {
               cases.add(rejected(number, requiresId, stray + own));
             }
           }
@@ -107,10 +107,8 @@
         cases.add(
             rejected(number, requiresId, refusal + HEADERS.replace("X-Request-Id: ID\r\n", "")));
       }
-      for (String ambiguous :
-          List.of("X-Proof: sig\r\n" + HEADERS, "X-Cause: HTTP/1.1 500 S\r\n" + HEADERS)) {
-        cases.add(onlyAsFirst(number, OK + ambiguous));
-      }
+      cases.add(onlyAsFirst(number, OK + "X-Proof: sig\r\n" + HEADERS));
+      cases.add(rejected(number, true, OK + "X-Cause: HTTP/1.1 500 S\r\n" + HEADERS));
       cases.add(onlyAsFirst(number, OK + HEADERS.replace("X-Request-Id: ID\r\n", "")));
       cases.add(accepted(number, false, OK + HEADERS.replace("X-Request-Id: ID\r\n", ""), "200"));
     }
