Track admitted requests until they start

A request whose body was complete, and that waited for the event loop when a shutdown ended, was neither counted nor refused, and its caller got no response. Found by reading; no test shows it.

Change: RequestBodies tracks a request until it starts, so that the end of admission refuses it like an incomplete one, and the second check behind the wait goes.

Measured: EntryShutdownTest, ResponseWithoutRequestIdTest, SlowBodyTest and BytesAfterRequestTest pass.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
@@ -8,18 +8,18 @@
 
 /**
  * The graceful shutdown of an entry: it immediately reports that it no longer accepts requests,
- * admits requests of callers whose directory response lists it for a while, and finishes when those
- * responses have expired and no request is in flight, or shortly before the process would be
- * killed.
+ * admits requests of callers whose directory response lists it for a while, refuses those that are
+ * not started when this ends, and finishes when those responses have expired and no request is in
+ * flight, or shortly before the process would be killed.
  */
 public final class EntryShutdown {
   /** The requests that an entry has started and not finished. */
   public interface RequestsInFlight {
-    /** Returns the number of requests in flight, with those of which the body is incomplete. */
+    /** Returns the number of requests in flight, with those that are admitted and not started. */
     int inFlight();
 
-    /** Refuses the requests of which the body is incomplete. */
-    void refuseIncomplete();
+    /** Refuses the requests that are admitted and not started: their bodies are incomplete. */
+    void refuseUnstarted();
 
     /** Ends the requests in flight by closing the connections of their senders. */
     void abortInFlight();
@@ -98,6 +98,6 @@
 
   private void endAdmission() {
     node.endAdmission();
-    requests.refuseIncomplete();
+    requests.refuseUnstarted();
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
@@ -18,7 +17,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.fleet.EntryInfo;
 import org.lacewingcroft.fleet.EntryNode;
@@ -100,7 +98,7 @@
     this.hopAuthenticator = new HopAuthenticator(settings.secret());
     this.reportsPressure = settings.reportsPressure();
     this.overload = new OverloadGate(node.eventLoop(), reader, metrics, clock);
-    this.bodies = new RequestBodies(vertx, () -> limits().maxBodyBytes());
+    this.bodies = new RequestBodies(vertx, () -> limits().maxBodyBytes(), overload);
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
@@ -221,12 +219,12 @@
 
   @Override
   public int inFlight() {
-    return context.inFlight().size() + bodies.incomplete();
+    return context.inFlight().size() + bodies.unstarted();
   }
 
   @Override
-  public void refuseIncomplete() {
-    bodies.refuse(EntryServer::sendShuttingDown);
+  public void refuseUnstarted() {
+    bodies.refuseUnstarted(EntryServer::sendShuttingDown);
   }
 
   @Override
@@ -321,7 +319,7 @@
       return;
     }
     boolean requiresApiKeys = node.routing().table().requiresApiKeys();
-    readBody(
+    bodies.read(
         request,
         response,
         remainingOf(handling, arrivedAt),
@@ -383,13 +381,9 @@
     return host == null ? "" : host.toLowerCase(Locale.ROOT);
   }
 
-  private static void logRejected(HttpServerRequest request, String reason) {
-    logRejected(LOG, request, reason);
-  }
-
   /** Logs a request that this entry rejects without forwarding it. */
-  static void logRejected(System.Logger log, HttpServerRequest request, String reason) {
-    log.log(
+  static void logRejected(HttpServerRequest request, String reason) {
+    LOG.log(
         System.Logger.Level.INFO,
         "request.rejected",
         "path",
@@ -403,34 +397,6 @@
     return handling.timeout().minusMillis(Duration.between(arrivedAt, clock.instant()).toMillis());
   }
 
-  /**
-   * Reads the body of an admitted request, and passes it on unless the request may no longer
-   * complete by then.
-   *
-   * @param timeout the time limit, after which the response would be too late for the caller
-   * @param sender the kind of sender, for the metrics
-   */
-  private void readBody(
-      HttpServerRequest request,
-      CallerResponse response,
-      Duration timeout,
-      String sender,
-      Consumer<Buffer> onBody) {
-    bodies.read(
-        request,
-        response,
-        timeout,
-        body ->
-            overload.start(
-                response,
-                sender,
-                () -> {
-                  if (!refuseAtShutdown(response)) {
-                    onBody.accept(body);
-                  }
-                }));
-  }
-
   private void handleRelayed(HttpServerRequest request) {
     final Instant arrivedAt = overload.arrivalOf(request);
     node.requestArrived();
@@ -468,7 +434,7 @@
       if (!overload.admit(request, response, handling, arrivedAt, ENTRY)) {
         return;
       }
-      readBody(
+      bodies.read(
           request,
           response,
           remainingOf(handling, arrivedAt),
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
@@ -12,19 +12,18 @@
 import java.util.function.IntSupplier;
 
 /**
- * Reads the bodies of admitted requests, and tracks the requests whose bodies are not complete.
+ * Reads the bodies of admitted requests, and tracks the requests until they are started.
  *
- * <p>Confined to the event loop thread, except for {@link #incomplete}.
+ * <p>Confined to the event loop thread, except for {@link #unstarted}.
  */
 final class RequestBodies {
-  private static final System.Logger LOG = System.getLogger(RequestBodies.class.getName());
-
   private final Vertx vertx;
   private final IntSupplier maxBodyBytes;
-  private final Set<IncompleteRequest> incomplete = ConcurrentHashMap.newKeySet();
+  private final OverloadGate overload;
+  private final Set<AdmittedRequest> unstarted = ConcurrentHashMap.newKeySet();
 
   /** A request of which the head has been read. */
-  private final class IncompleteRequest {
+  private final class AdmittedRequest {
     private final HttpServerRequest request;
     private final CallerResponse response;
     private final long timer;
@@ -32,8 +31,7 @@
     private final Buffer body = Buffer.buffer();
     private boolean tooLarge;
 
-    private IncompleteRequest(
-        HttpServerRequest request, CallerResponse response, Duration timeout) {
+    private AdmittedRequest(HttpServerRequest request, CallerResponse response, Duration timeout) {
       this.request = request;
       this.response = response;
       this.timer =
@@ -42,8 +40,7 @@
 
     private void onTimeout(long timeoutMillis) {
       if (remove() && response.isOpen()) {
-        EntryServer.logRejected(
-            LOG, request, "its body did not arrive within " + timeoutMillis + " ms");
+        EntryServer.logRejected(request, "its body did not arrive within " + timeoutMillis + " ms");
         response.closeConnectionAfterResponse();
         response.sendError(408, "the body did not arrive in time", true, Optional.empty());
       }
@@ -57,22 +54,31 @@
       }
     }
 
-    private void onEnd(Consumer<Buffer> onBody) {
-      if (!remove()) {
+    private void onEnd(String sender, Consumer<Buffer> onBody) {
+      vertx.cancelTimer(timer);
+      if (!unstarted.contains(this)) {
         return;
       }
       if (tooLarge) {
+        remove();
         String reason = "the body exceeds " + maxBytes + " bytes";
         response.sendError(413, reason, true, Optional.empty());
-      } else {
-        onBody.accept(body);
+        return;
       }
+      overload.start(
+          response,
+          sender,
+          () -> {
+            if (remove()) {
+              onBody.accept(body);
+            }
+          });
     }
 
     /** Ends the tracking of this request; returns whether it was tracked. */
     private boolean remove() {
       vertx.cancelTimer(timer);
-      return incomplete.remove(this);
+      return unstarted.remove(this);
     }
   }
 
@@ -80,10 +86,12 @@
    * Creates a reader.
    *
    * @param maxBodyBytes returns the maximum size of a body, read when a request arrives
+   * @param overload starts the requests whose bodies are complete
    */
-  RequestBodies(Vertx vertx, IntSupplier maxBodyBytes) {
+  RequestBodies(Vertx vertx, IntSupplier maxBodyBytes, OverloadGate overload) {
     this.vertx = vertx;
     this.maxBodyBytes = maxBodyBytes;
+    this.overload = overload;
   }
 
   /**
@@ -91,31 +99,33 @@
    * exceeds the size limit.
    *
    * @param timeout the time limit, after which the response would be too late for the caller
-   * @param onBody receives the complete body, unless the request has been responded to or its
+   * @param sender the kind of sender, for the metrics
+   * @param onBody starts the request with its complete body, unless it has been responded to or its
    *     sender has disconnected
    */
   void read(
       HttpServerRequest request,
       CallerResponse response,
       Duration timeout,
+      String sender,
       Consumer<Buffer> onBody) {
-    IncompleteRequest reading = new IncompleteRequest(request, response, timeout);
-    incomplete.add(reading);
-    response.onDisconnect(reading::remove);
-    request.handler(reading::append);
-    request.endHandler(v -> reading.onEnd(onBody));
+    AdmittedRequest admitted = new AdmittedRequest(request, response, timeout);
+    unstarted.add(admitted);
+    response.onDisconnect(admitted::remove);
+    request.handler(admitted::append);
+    request.endHandler(v -> admitted.onEnd(sender, onBody));
   }
 
-  /** Returns the number of requests whose bodies are not complete; may be called by any thread. */
-  int incomplete() {
-    return incomplete.size();
+  /** Returns the number of requests that are not started; may be called by any thread. */
+  int unstarted() {
+    return unstarted.size();
   }
 
-  /** Refuses the requests whose bodies are not complete, in the way that is passed. */
-  void refuse(Consumer<CallerResponse> refusal) {
-    for (IncompleteRequest reading : List.copyOf(incomplete)) {
-      reading.remove();
-      refusal.accept(reading.response);
+  /** Refuses the requests that are not started, in the way that is passed. */
+  void refuseUnstarted(Consumer<CallerResponse> refusal) {
+    for (AdmittedRequest admitted : List.copyOf(unstarted)) {
+      admitted.remove();
+      refusal.accept(admitted.response);
     }
   }
 }
