--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/ResponseBodies.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/ResponseBodies.java
@@ -24,12 +24,6 @@
       Vertx vertx, HttpClientResponse response, int maxBytes, Duration timeout) {
     Promise<Buffer> complete = Promise.promise();
     Buffer body = Buffer.buffer();
-    long timer =
-        vertx.setTimer(
-            Math.max(1, timeout.toMillis()),
-            id ->
-                complete.tryFail(
-                    new TimeoutException("no complete body within " + timeout.toMillis() + " ms")));
     response.exceptionHandler(complete::tryFail);
     response.endHandler(v -> complete.tryComplete(body));
     response.handler(
@@ -44,6 +38,12 @@
             body.appendBuffer(chunk);
           }
         });
+    long timer =
+        vertx.setTimer(
+            Math.max(1, timeout.toMillis()),
+            id ->
+                complete.tryFail(
+                    new TimeoutException("no complete body within " + timeout.toMillis() + " ms")));
     return complete
         .future()
         .onComplete(result -> vertx.cancelTimer(timer))
