Test that a copy of a refusal is not taken for a later response

Endpoints refuse the first send of each request with 503, 429, or 421 before a successor takes over the address; the caller returns under the same id; the endpoint writes a copy of the refusal on the connection that had it, and runs the request.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -27,10 +28,21 @@
    * A request that the endpoint has received.
    *
    * @param id its id in lower case, empty if it has none
-   * @param numberOnConnection 1 for the first request on its connection
-   * @param previousId the id of the request before it on its connection
+   * @param previousIds the ids of the requests before it on its connection, in order
    */
-  public record ReceivedRequest(String id, int numberOnConnection, Optional<String> previousId) {}
+  public record ReceivedRequest(String id, List<String> previousIds) {
+    /** Returns 1 for the first request on its connection. */
+    public int numberOnConnection() {
+      return previousIds.size() + 1;
+    }
+
+    /** Returns the id of the request before it on its connection. */
+    public Optional<String> previousId() {
+      return previousIds.isEmpty()
+          ? Optional.empty()
+          : Optional.of(previousIds.get(previousIds.size() - 1));
+    }
+  }
 
   /**
    * Bytes that are written at once.
@@ -122,8 +134,7 @@
   /** A connection of which the requests are counted. */
   private final class Connection {
     private final NetSocket socket;
-    private int requests;
-    private Optional<String> previousId = Optional.empty();
+    private final List<String> previousIds = new ArrayList<>();
 
     private Connection(NetSocket socket) {
       this.socket = socket;
@@ -131,13 +142,12 @@
 
     private void onRequest(String head) {
       String id = RawRequests.header(head, "x-request-id");
-      requests++;
-      if (requests > 1) {
+      if (!previousIds.isEmpty()) {
         requestsOnUsedConnections.incrementAndGet();
       }
       receivedIds.add(id);
-      List<Piece> pieces = script.piecesFor(new ReceivedRequest(id, requests, previousId));
-      previousId = Optional.of(id);
+      List<Piece> pieces = script.piecesFor(new ReceivedRequest(id, List.copyOf(previousIds)));
+      previousIds.add(id);
       unwrittenPieces.addAndGet(pieces.size());
       write(pieces);
     }
