Write a request to no connection on which it was refused

Callers were told that a request was not run, and it had run; a request that may run once ran twice. A refusal is believed if it has the id of the request in progress. The id names the request, not the send: if the request was refused on the connection before, a late copy of that refusal has the id of the send in progress too.

Each connection remembers the ids that were refused on it. A request takes a connection that has not refused it; if all idle ones have, a new one replaces the least recently used of them, so that a caller who returns often does not use up the connections that an endpoint accepts.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -134,7 +134,7 @@
     Future<UpstreamConnections.PooledConnection> connecting =
         unconfirmed
             ? connectionPool.acquireNew(target.address(), peer)
-            : connectionPool.acquire(target.address(), peer);
+            : connectionPool.acquire(target.address(), peer, request.id());
     connecting
         .onFailure(e -> fail(false, Outcome.NOT_RUN, "no connection: " + e.getMessage()))
         .onSuccess(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -79,6 +79,7 @@
   private final HttpClientAgent client;
   private final InstantSource clock;
   private final LinkTraffic traffic;
+  private final GatewayMetrics metrics;
   private final Map<Peer, StrictResponseDecoder.Rules> responseRules = new EnumMap<>(Peer.class);
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
@@ -90,7 +91,7 @@
    * @param bindAddress the local address of new connections, empty for the system's choice
    * @param traffic counts the bytes of the connections
    * @param headerNames the headers of responses
-   * @param metrics counts the connections that are retired
+   * @param metrics counts the connections that are retired or replaced
    */
   UpstreamConnections(
       Vertx vertx,
@@ -101,6 +102,7 @@
       GatewayMetrics metrics) {
     this.clock = clock;
     this.traffic = traffic;
+    this.metrics = metrics;
     HttpClientOptions options =
         new HttpClientOptions()
             .setKeepAlive(true)
@@ -196,6 +198,11 @@
       return traffic;
     }
 
+    /** Returns whether a request was refused on the connection and must not be written to it. */
+    private boolean hasRefused(String requestId) {
+      return responses.hasRefused(requestId);
+    }
+
     /** Returns whether the connection is closed, or is about to be because it is retired. */
     boolean isUnusable() {
       return closed || !responses.isReusable();
@@ -284,21 +291,44 @@
     return connect(address, peer);
   }
 
-  /** Returns an idle connection, or opens a new one if there is none. */
-  Future<PooledConnection> acquire(String address, Peer peer) {
+  /**
+   * Returns an idle connection on which a request was not refused, or opens a new one if there is
+   * none. A new one replaces an idle one on which the request was refused, so that callers who send
+   * a request often do not use up the connections that the peer accepts.
+   */
+  Future<PooledConnection> acquire(String address, Peer peer, String requestId) {
     Deque<PooledConnection> idleConnections = idle.getOrDefault(address, new ArrayDeque<>());
+    Deque<PooledConnection> passedOver = new ArrayDeque<>(1);
     Instant now = clock.instant();
     while (!idleConnections.isEmpty()) {
       PooledConnection pooled = idleConnections.removeFirst();
-      if (pooled.isReusable(now)) {
+      if (!pooled.isReusable(now)) {
+        pooled.close();
+      } else if (pooled.hasRefused(requestId)) {
+        passedOver.addLast(pooled);
+      } else {
+        addIdle(address, passedOver);
         pooled.idleTimeBeforeReuse = pooled.idleSince.map(since -> Duration.between(since, now));
         return Future.succeededFuture(pooled);
       }
-      pooled.close();
+    }
+    if (!passedOver.isEmpty()) {
+      metrics.passedOverConnections.inc();
+      passedOver.removeLast().close();
+      addIdle(address, passedOver);
     }
     return connect(address, peer);
   }
 
+  /** Adds connections before those that are idle, in their order. */
+  private void addIdle(String address, Deque<PooledConnection> connections) {
+    if (!connections.isEmpty()) {
+      Deque<PooledConnection> idleConnections =
+          idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+      connections.descendingIterator().forEachRemaining(idleConnections::addFirst);
+    }
+  }
+
   /**
    * Opens an idle connection to another entry unless there is one already.
    *
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -54,6 +54,9 @@
  * two, also as the first response on its connection: a server may run the request and send other
  * bytes before its response.
  *
+ * <p>A copy of a refusal may arrive while the request is under way again, and then has its id. So a
+ * request must not be written to a connection on which it {@link #hasRefused was refused}.
+ *
  * <p>A response that is not accepted fails its request with an {@link InvalidResponseException},
  * unless it is a complete one with the id of the request before and the request cannot be sent
  * again: then it is skipped, and the response to the request is awaited. There must be at most one
@@ -93,7 +96,9 @@
     /** A response had the id of another request. */
     OTHER_ID,
     /** A response had no id. */
-    NO_ID;
+    NO_ID,
+    /** As many requests were refused on the connection as are remembered. */
+    REFUSALS;
 
     /** Returns the name in logs and metrics. */
     public String label() {
@@ -230,6 +235,14 @@
     return retirement.isEmpty();
   }
 
+  /**
+   * Returns whether a request was refused on the connection, so that it must be written to another
+   * one; may be true for a request that was not. May be called by any thread.
+   */
+  public boolean hasRefused(String requestId) {
+    return refusedRequests.contains(requestId);
+  }
+
   /**
    * Lets the next request on the connection await its response behind a complete one to the request
    * before. For requests that cannot be sent again; others are served sooner by another server.
@@ -415,7 +428,15 @@
       checkId(ctx, head);
     }
     if (!ignoringBytes && skipped.isEmpty() && isRefusal(head)) {
-      refusedRequests.add(requestId.get());
+      rememberRefusal(ctx, head);
+    }
+  }
+
+  private void rememberRefusal(ChannelHandlerContext ctx, HttpResponse head) {
+    refusedRequests.add(requestId.get());
+    if (refusedRequests.isFull()) {
+      String detail = RefusedRequests.CAPACITY + " refusals";
+      retire(ctx, Retirement.REFUSALS, detail, Optional.of(head));
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -197,6 +197,13 @@
           .labelNames("evidence")
           .register(registry);
 
+  /** Idle connections replaced because the request to be written was refused on them before. */
+  public final Counter passedOverConnections =
+      Counter.builder()
+          .name("lwc_connections_passed_over_total")
+          .help("Idle connections replaced because the next request was refused on them before")
+          .register(registry);
+
   /** Requests written to a connection on which they were refused before. */
   public final Counter sentAfterRefusal =
       Counter.builder()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CopiedRefusalTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CopiedRefusalTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -42,6 +43,10 @@
   /** Part of the ids of requests that endpoints refuse. */
   private static final String REFUSED = "refused";
 
+  /** End of the id of a request that is never run. */
+  private static final String ALWAYS_REFUSED = "always-refused";
+
+  private static final int RETURNS_OF_REFUSED = 30;
   private static final int WRONG_INSTANCE = 421;
   private static final int MAX_RETURNS = 150;
   private static final int RETURN_AFTER_MILLIS = 20;
@@ -110,8 +115,9 @@
       this.testCase = testCase;
       for (int i = 0; i < testCase.endpoints(); i++) {
         Set<String> refused = ConcurrentHashMap.newKeySet();
+        AtomicInteger refusals = new AtomicInteger();
         StutteringEndpoint endpoint =
-            new StutteringEndpoint(fleet.vertx(), request -> respond(request, refused));
+            new StutteringEndpoint(fleet.vertx(), request -> respond(request, refused, refusals));
         endpoints.add(endpoint);
         String name = testCase.service() + "-" + i;
         AtomicLong sequence = new AtomicLong();
@@ -122,7 +128,7 @@
                 timer ->
                     fleet.announceNow(
                         // An endpoint that responds with 421 is another one than before.
-                        testCase.status() == WRONG_INSTANCE ? name + "-" + refused.size() : name,
+                        testCase.status() == WRONG_INSTANCE ? name + "-" + refusals.get() : name,
                         testCase.service(),
                         testCase.region(),
                         endpoint.port(),
@@ -130,9 +136,11 @@
       }
     }
 
-    private List<Piece> respond(ReceivedRequest request, Set<String> refused) {
+    private List<Piece> respond(
+        ReceivedRequest request, Set<String> refused, AtomicInteger refusals) {
       String id = request.id();
-      if (id.contains(REFUSED) && refused.add(id)) {
+      if (id.endsWith(ALWAYS_REFUSED) || id.contains(REFUSED) && refused.add(id)) {
+        refusals.incrementAndGet();
         return List.of(Piece.of(testCase.refusalOf(id)));
       }
       runs.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
@@ -149,6 +157,10 @@
               new Piece(moment.millisBeforeResponse, own));
     }
 
+    private int openConnections() {
+      return endpoints.stream().mapToInt(StutteringEndpoint::openConnections).sum();
+    }
+
     private int runsOf(String id) {
       return runs.getOrDefault(id, new AtomicInteger()).get();
     }
@@ -236,4 +248,23 @@
             .build();
     return CLIENT.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
   }
+
+  static Stream<TestCase> casesOfOneMoment() {
+    return testCases().filter(c -> c.moment() == Moment.AFTER_REQUEST);
+  }
+
+  @ParameterizedTest
+  @MethodSource("casesOfOneMoment")
+  void manyReturnsDoNotAccumulateConnections(TestCase testCase) throws Exception {
+    Service service = SERVICES.get(testCase.service());
+    String id = testCase.service() + "-" + ALWAYS_REFUSED;
+    int maxConnections = 0;
+    for (int i = 0; i < RETURNS_OF_REFUSED; i++) {
+      call(testCase.service(), id);
+      maxConnections = Math.max(maxConnections, service.openConnections());
+      Thread.sleep(RETURN_AFTER_MILLIS);
+    }
+    // One to each endpoint, and its predecessor until the endpoint has read the end.
+    assertThat(maxConnections, lessThanOrEqualTo(2 * testCase.endpoints()));
+  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/StutteringEndpoint.java
@@ -193,6 +193,11 @@
     return requestsOnUsedConnections.get();
   }
 
+  /** Returns the number of its open connections. */
+  public int openConnections() {
+    return openConnections.size();
+  }
+
   /** Closes all connections and waits until they are closed. */
   public void closeConnections() throws Exception {
     Future.join(openConnections.stream().map(NetSocket::close).toList())
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -205,6 +206,23 @@
     }
   }
 
+  @Test
+  void remembersTheRefusalsOfConnectionUntilItIsRetired() {
+    String refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + HEADERS;
+    StrictResponseDecoder decoder = newDecoder(/* requiresId= */ true);
+    EmbeddedChannel channel = new EmbeddedChannel(decoder.codec());
+    for (int number = 1; number <= RefusedRequests.CAPACITY; number++) {
+      assertThat("refused " + number, decoder.hasRefused("id-" + number), equalTo(false));
+      assertThat("reusable before " + number, decoder.isReusable(), equalTo(true));
+      exchange(channel, number, refusal, 1_000);
+      assertThat("refused " + number, decoder.hasRefused("id-" + number), equalTo(true));
+    }
+    assertThat("refused first", decoder.hasRefused("id-1"), equalTo(true));
+    assertThat("reusable", decoder.isReusable(), equalTo(false));
+    assertThat("open", channel.isOpen(), equalTo(false));
+    channel.finishAndReleaseAll();
+  }
+
   /** Writes a request and receives bytes in pieces; returns the statuses of the responses. */
   private static List<String> exchange(
       EmbeddedChannel channel, int number, String received, int pieceBytes) {
