Relay a request over no connection on which it was refused

On the product's own interface a caller was told "run: no" of a request that another entry ran. Its pool has the fault that the forwarder's had: a connection on which another entry refused a request is used for the request again, and a late copy of that refusal has the id of the later send. Each connection remembers the ids refused on it; now the dispatcher closes one that has refused the request and takes another.

CopiedEntryRefusalTest failed before with 429 (with 503 the connection was closed already), and holds.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/gateway/Dispatcher.java
@@ -216,8 +216,9 @@
             upstream -> {
               if (!attempt.live()) {
                 upstream.reset();
-              } else if (!StrictResponseDecoder.of(upstream.connection()).isReusable()) {
+              } else if (!mayWrite(exchange, upstream)) {
                 upstream.exceptionHandler(e -> {}).reset();
+                upstream.connection().close();
                 // The connection leaves the pool once it is closed, in a later task.
                 vertx.runOnContext(v -> connect(exchange, attempt, url, onConnected));
               } else {
@@ -226,6 +227,16 @@
             });
   }
 
+  /** Returns whether the connection of an upstream request may be used for a request. */
+  private boolean mayWrite(Exchange exchange, HttpClientRequest upstream) {
+    StrictResponseDecoder responses = StrictResponseDecoder.of(upstream.connection());
+    boolean refused = responses.hasRefused(exchange.requestId());
+    if (refused) {
+      metrics.passedOverConnections.inc();
+    }
+    return responses.isReusable() && !refused;
+  }
+
   private Attempt beginAttempt(Exchange exchange, String target, String region, Attempt.Kind kind) {
     Attempt attempt = new Attempt(target, region, kind, inFlight);
     exchange.addAttempt(attempt);
