Bound the memory that an entry holds for all requests

Clients that each stayed within the limits ended a process: heads of many short lines, and large bodies at once, most of them stopping short of their end. Each request was bounded, their sum was not: a head of 4,000 lines holds most of a megabyte as headers, a body up to twice its size.

RequestMemory bounds what is held over all connections of callers and of other entries to a third of the heap, of which large requests may use three quarters. Heads are charged line by line as they are decoded, bodies before each piece is added. Beyond the bound incomplete requests end, the largest first: with 503 and Retry-After where the head is complete, and the connection is closed. A complete request is never ended for an incomplete one.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -25,6 +25,8 @@
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.AbortedResponses;
 import org.lacewingcroft.http.CallerConnections;
+import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.limit.FairShares;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -77,6 +79,7 @@
   private final CallerConnections callerConnections;
   private final OverloadGate overload;
   private final RequestBodies bodies;
+  private final RequestMemory requestMemory;
   private final LinkTraffic traffic = new LinkTraffic();
   private final boolean reportsPressure;
   private HttpServer publicServer;
@@ -99,6 +102,14 @@
     this.reportsPressure = settings.reportsPressure();
     this.overload = new OverloadGate(node.eventLoop(), reader, metrics, clock);
     this.bodies = new RequestBodies(vertx, () -> limits().maxBodyBytes(), overload);
+    this.requestMemory =
+        new RequestMemory(
+            Runtime.getRuntime().maxMemory(),
+            heldBytes -> {
+              metrics.requestsEndedForMemory.inc();
+              LOG.log(
+                  System.Logger.Level.WARNING, "request.ended_for_memory", "heldBytes", heldBytes);
+            });
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
@@ -137,8 +148,14 @@
             .connectionHandler(
                 connection -> {
                   node.eventLoop().activity();
+                  RequestAccount account =
+                      RequestAccount.install(connection, requestMemory, /* chargesHeads= */ false);
                   StrictRequestDecoder.install(
-                      connection, publicOptions, this::limits, overload::onRequestHead);
+                      connection,
+                      publicOptions,
+                      this::limits,
+                      overload::onRequestHead,
+                      Optional.of(account));
                   countTraffic(connection);
                   callerConnections.onConnectionOpened(connection);
                 })
@@ -151,7 +168,11 @@
                     .setIdleTimeoutUnit(TimeUnit.SECONDS)
                     .setMaxHeaderSize(MAX_RELAY_HEAD_BYTES)
                     .setMaxInitialLineLength(MAX_RELAY_HEAD_BYTES))
-            .connectionHandler(this::countTraffic)
+            .connectionHandler(
+                connection -> {
+                  RequestAccount.install(connection, requestMemory, /* chargesHeads= */ true);
+                  countTraffic(connection);
+                })
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
     new EndpointProber(vertx, node, context.connectionPool(), loadReader, clock).start();
@@ -217,6 +238,11 @@
     return publicServer.actualPort();
   }
 
+  /** Returns the memory that is held for requests without a complete response. */
+  public long requestMemoryBytes() {
+    return requestMemory.totalBytes();
+  }
+
   @Override
   public int inFlight() {
     return context.inFlight().size() + bodies.unstarted();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.lacewingcroft.http.RequestAccount;
 
 /**
  * Reads the bodies of admitted requests, and tracks the requests until they are started.
@@ -17,6 +18,12 @@
  * <p>Confined to the event loop thread, except for {@link #unstarted}.
  */
 final class RequestBodies {
+  /** Retry delay of a request that was ended because of the memory that requests hold. */
+  private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+
+  /** A buffer that grows has up to twice the capacity that it needs. */
+  private static final long HELD_BYTES_PER_BODY_BYTE = 2;
+
   private final Vertx vertx;
   private final IntSupplier maxBodyBytes;
   private final OverloadGate overload;
@@ -26,14 +33,17 @@
   private final class AdmittedRequest {
     private final HttpServerRequest request;
     private final CallerResponse response;
+    private final RequestAccount account;
     private final long timer;
     private final int maxBytes = maxBodyBytes.getAsInt();
-    private final Buffer body = Buffer.buffer();
+    private Buffer body = Buffer.buffer();
     private boolean tooLarge;
 
     private AdmittedRequest(HttpServerRequest request, CallerResponse response, Duration timeout) {
       this.request = request;
       this.response = response;
+      this.account = RequestAccount.of(request);
+      account.onRefusal(this::refuseForMemory);
       this.timer =
           vertx.setTimer(Math.max(1, timeout.toMillis()), id -> onTimeout(timeout.toMillis()));
     }
@@ -46,10 +56,25 @@
       }
     }
 
+    private void refuseForMemory() {
+      // The connection refers to this request until it has handled its end, in a later task.
+      body = Buffer.buffer();
+      if (remove() && response.isOpen()) {
+        EntryServer.logRejected(request, "too much memory is held for requests");
+        response.closeConnectionAfterResponse();
+        response.sendError(
+            503, "too many large requests are in progress", true, Optional.of(MEMORY_RETRY_AFTER));
+      }
+    }
+
     private void append(Buffer chunk) {
       if (body.length() + chunk.length() > maxBytes) {
         tooLarge = true;
-      } else {
+        return;
+      }
+      account.charge(HELD_BYTES_PER_BODY_BYTE * chunk.length());
+      // The charge may have ended this request; one that timed out is not tracked either.
+      if (unstarted.contains(this)) {
         body.appendBuffer(chunk);
       }
     }
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -0,0 +1,182 @@
+package org.lacewingcroft.http;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/**
+ * What is held in {@link RequestMemory} for the requests on one connection, from the first line of
+ * a head until the end of its response.
+ */
+public final class RequestAccount extends ChannelDuplexHandler {
+  /** What a line of a head costs as an entry of the headers, beside its own bytes. */
+  static final int HEADER_LINE_BYTES = 256;
+
+  private static final AttributeKey<RequestAccount> ACCOUNT =
+      AttributeKey.valueOf(RequestAccount.class, "account");
+
+  private final RequestMemory memory;
+  private final boolean chargesHeads;
+
+  /** What is held for each request without a complete response, in the order of their arrival. */
+  private final Deque<Charge> charges = new ArrayDeque<>();
+
+  private ChannelHandlerContext context;
+  private long heldBytes;
+  private boolean ended;
+
+  /** What is held for one request. */
+  private static final class Charge {
+    private long bytes;
+    private boolean complete;
+    private Optional<HttpHeaders> headers = Optional.empty();
+    private Runnable refusal = () -> {};
+  }
+
+  RequestAccount(RequestMemory memory, boolean chargesHeads) {
+    this.memory = memory;
+    this.chargesHeads = chargesHeads;
+  }
+
+  /**
+   * Opens the account of a new connection of a server.
+   *
+   * @param chargesHeads whether the decoder of the connection does not charge heads as it reads
+   *     them
+   */
+  public static RequestAccount install(
+      HttpConnection connection, RequestMemory memory, boolean chargesHeads) {
+    ChannelHandlerContext handler = ((ConnectionBase) connection).channelHandlerContext();
+    RequestAccount account = new RequestAccount(memory, chargesHeads);
+    handler.channel().attr(ACCOUNT).set(account);
+    ChannelPipeline pipeline = handler.pipeline();
+    pipeline.addBefore(handler.name(), null, account);
+    return account;
+  }
+
+  /** Returns the account of the connection of a request. */
+  public static RequestAccount of(HttpServerRequest request) {
+    ConnectionBase connection = (ConnectionBase) request.connection();
+    return connection.channelHandlerContext().channel().attr(ACCOUNT).get();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+    memory.add(this);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    if (chargesHeads && message instanceof HttpRequest head) {
+      beginHead(head.headers());
+      charge((long) head.headers().size() * HEADER_LINE_BYTES);
+    }
+    if (message instanceof LastHttpContent && !charges.isEmpty()) {
+      charges.getLast().complete = true;
+    }
+    super.channelRead(ctx, message);
+  }
+
+  @Override
+  public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
+      throws Exception {
+    if (message instanceof LastHttpContent && !isInformational(message) && !charges.isEmpty()) {
+      release(charges.removeFirst());
+    }
+    super.write(ctx, message, promise);
+  }
+
+  private static boolean isInformational(Object message) {
+    return message instanceof HttpResponse response
+        && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+    close();
+    super.channelInactive(ctx);
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    close();
+  }
+
+  private void close() {
+    charges.forEach(this::release);
+    charges.clear();
+    memory.remove(this);
+  }
+
+  private void release(Charge charge) {
+    heldBytes -= charge.bytes;
+    memory.release(charge.bytes);
+    charge.bytes = 0;
+  }
+
+  /** Begins to charge a request whose head is being read. */
+  void beginHead(HttpHeaders headers) {
+    Charge charge = new Charge();
+    charge.headers = Optional.of(headers);
+    charges.addLast(charge);
+  }
+
+  /** Charges the request that is being read. */
+  public void charge(long bytes) {
+    if (ended || charges.isEmpty()) {
+      return;
+    }
+    charges.getLast().bytes += bytes;
+    heldBytes += bytes;
+    memory.charge(this, bytes);
+  }
+
+  /**
+   * Sets what refuses the request that is being handled, if it has to be ended before it is
+   * complete.
+   */
+  public void onRefusal(Runnable refusal) {
+    if (!charges.isEmpty()) {
+      charges.getFirst().refusal = refusal;
+    }
+  }
+
+  /** Returns whether the connection was closed to release what was held for it. */
+  boolean isEnded() {
+    return ended;
+  }
+
+  long heldBytes() {
+    return heldBytes;
+  }
+
+  /** Returns whether the only request without a response is not complete. */
+  boolean isIncomplete() {
+    return !ended && charges.size() == 1 && !charges.getFirst().complete;
+  }
+
+  /** Refuses the incomplete request, releases what is held for it, and closes the connection. */
+  void end() {
+    ended = true;
+    Charge charge = charges.getFirst();
+    charge.refusal.run();
+    // The connection keeps the headers until it has handled its end, in a later task.
+    charge.headers.ifPresent(HttpHeaders::clear);
+    close();
+    context.close();
+  }
+}
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
@@ -0,0 +1,104 @@
+package org.lacewingcroft.http;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Bounds the memory that a process holds for the requests on all of its connections. Each request
+ * is within the limits of one request, but many at the same time could exhaust the heap.
+ *
+ * <p>If the bound is exceeded, the requests that are not complete are ended, the largest first and
+ * the oldest of equal ones, so that small requests are served beside a crowd of large ones.
+ * Complete requests are kept until they have their response. Requests that are large may use only a
+ * part of the memory, so that some is left for others while large ones are complete.
+ *
+ * <p>Confined to the event loop thread.
+ */
+public final class RequestMemory {
+  /** Part of the heap that requests may use; the rest is for all else that a process holds. */
+  private static final int HEAP_PARTS = 3;
+
+  /** Size of a request above which it is large. */
+  private static final long LARGE_REQUEST_BYTES = 64 << 10;
+
+  /** Part of the memory that large requests may use. */
+  private static final double LARGE_REQUEST_SHARE = 0.75;
+
+  /** Part of a bound to which the memory is reduced, so that this is not repeated at each byte. */
+  private static final double REDUCED_SHARE = 0.9;
+
+  private final long maxBytes;
+  private final Observer observer;
+  private final Set<RequestAccount> accounts = new LinkedHashSet<>();
+  private long totalBytes;
+
+  /** Observes the requests that are ended. */
+  public interface Observer {
+    /**
+     * Called when a request is ended because of the bound.
+     *
+     * @param heldBytes what was held for it
+     */
+    void onEnded(long heldBytes);
+  }
+
+  /**
+   * Creates the memory of a process without requests.
+   *
+   * @param maxHeapBytes the maximum size of the heap, of which requests use a part
+   */
+  public RequestMemory(long maxHeapBytes, Observer observer) {
+    this.maxBytes = maxHeapBytes / HEAP_PARTS;
+    this.observer = observer;
+  }
+
+  /** Returns what is held for all requests. */
+  public long totalBytes() {
+    return totalBytes;
+  }
+
+  void add(RequestAccount account) {
+    accounts.add(account);
+  }
+
+  void remove(RequestAccount account) {
+    accounts.remove(account);
+  }
+
+  /** Charges an account, and ends incomplete requests if a bound is exceeded. */
+  void charge(RequestAccount account, long bytes) {
+    totalBytes += bytes;
+    long largeBytes = Math.round(maxBytes * LARGE_REQUEST_SHARE);
+    if (isLarge(account) && totalBytes > largeBytes) {
+      reduce(largeBytes, accounts.stream().filter(RequestMemory::isLarge).toList());
+    }
+    if (totalBytes > maxBytes) {
+      reduce(maxBytes, List.copyOf(accounts));
+    }
+  }
+
+  void release(long bytes) {
+    totalBytes -= bytes;
+  }
+
+  private static boolean isLarge(RequestAccount account) {
+    return account.heldBytes() > LARGE_REQUEST_BYTES;
+  }
+
+  private void reduce(long bound, List<RequestAccount> candidates) {
+    List<RequestAccount> largestFirst =
+        candidates.stream()
+            .filter(RequestAccount::isIncomplete)
+            .sorted(Comparator.comparingLong(RequestAccount::heldBytes).reversed())
+            .toList();
+    for (RequestAccount account : largestFirst) {
+      if (totalBytes <= bound * REDUCED_SHARE) {
+        return;
+      }
+      observer.onEnded(account.heldBytes());
+      account.end();
+    }
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
@@ -44,6 +45,7 @@
 
   private final Supplier<RequestLimits> limits;
   private final Consumer<Channel> onRequestHead;
+  private final Optional<RequestAccount> account;
   private boolean insideMessage;
   private int requestsInProgress;
   private Optional<Future<?>> headTimer = Optional.empty();
@@ -65,10 +67,14 @@
   }
 
   private StrictRequestDecoder(
-      HttpServerOptions options, Supplier<RequestLimits> limits, Consumer<Channel> onRequestHead) {
+      HttpServerOptions options,
+      Supplier<RequestLimits> limits,
+      Consumer<Channel> onRequestHead,
+      Optional<RequestAccount> account) {
     super(options);
     this.limits = limits;
     this.onRequestHead = onRequestHead;
+    this.account = account;
   }
 
   /**
@@ -81,26 +87,29 @@
    */
   public static void install(
       HttpConnection connection, HttpServerOptions options, Supplier<RequestLimits> limits) {
-    install(connection, options, limits, channel -> {});
+    install(connection, options, limits, channel -> {}, Optional.empty());
   }
 
   /**
    * Replaces the decoder of a newly accepted connection, as the other method does.
    *
    * @param onRequestHead called with the connection's channel for each request head that was read
+   * @param account is charged for the heads that are read, empty to charge none
    */
   public static void install(
       HttpConnection connection,
       HttpServerOptions options,
       Supplier<RequestLimits> limits,
-      Consumer<Channel> onRequestHead) {
+      Consumer<Channel> onRequestHead,
+      Optional<RequestAccount> account) {
     int maxHeadBytes = limits.get().maxHeaderBytes();
     HttpServerOptions boundedOptions =
         new HttpServerOptions(options)
             .setMaxHeaderSize(maxHeadBytes)
             .setMaxInitialLineLength(maxHeadBytes);
     ChannelPipeline pipeline = ((ConnectionBase) connection).channelHandlerContext().pipeline();
-    StrictRequestDecoder decoder = new StrictRequestDecoder(boundedOptions, limits, onRequestHead);
+    StrictRequestDecoder decoder =
+        new StrictRequestDecoder(boundedOptions, limits, onRequestHead, account);
     pipeline.replace(DECODER_NAME, DECODER_NAME, decoder);
     pipeline.addBefore(HANDLER_NAME, null, decoder.new ResponseEnds());
   }
@@ -111,9 +120,34 @@
         "message has both a Content-Length and chunked transfer encoding");
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] requestLine) {
+    HttpMessage message = super.createMessage(requestLine);
+    account.ifPresent(a -> a.beginHead(message.headers()));
+    return message;
+  }
+
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    account.ifPresent(a -> a.charge(RequestAccount.HEADER_LINE_BYTES + length));
+    if (isEnded()) {
+      throw new IllegalStateException("the connection was closed within the head");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
+  /** Returns whether the connection was closed to release what was held for its request. */
+  private boolean isEnded() {
+    return account.filter(RequestAccount::isEnded).isPresent();
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
+    if (isEnded()) {
+      buffer.skipBytes(buffer.readableBytes());
+      return;
+    }
     int sizeBefore = out.size();
     super.decode(ctx, buffer, out);
     for (Object decoded : out.subList(sizeBefore, out.size())) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -150,6 +150,20 @@
           .labelNames("where")
           .register(registry);
 
+  /** Memory that is held for requests without a complete response. */
+  public final Gauge requestMemoryBytes =
+      Gauge.builder()
+          .name("lwc_request_memory_bytes")
+          .help("Memory held for requests without a complete response")
+          .register(registry);
+
+  /** Requests ended before they were complete because of the memory that requests hold. */
+  public final Counter requestsEndedForMemory =
+      Counter.builder()
+          .name("lwc_requests_ended_for_memory_total")
+          .help("Incomplete requests that were ended because requests held too much memory")
+          .register(registry);
+
   /** Requests refused because their organisation exceeds its share of a saturated service. */
   public final Counter shareRefusals =
       Counter.builder()
--- /dev/null
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
@@ -0,0 +1,86 @@
+package org.lacewingcroft.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against memory of requests beyond its bound, and against the wrong requests being ended.
+ */
+class RequestMemoryTest {
+  private static final int KB = 1 << 10;
+
+  /** The bound is 900 KB, of which large requests may use 675 KB. */
+  private static final long MAX_HEAP_BYTES = 2_700 * KB;
+
+  /**
+   * A test case.
+   *
+   * @param kilobytes what is held for each request, in the order in which they arrive
+   * @param complete how many of the first requests are complete
+   * @param ended the numbers of the requests that are ended
+   */
+  record TestCase(List<Integer> kilobytes, int complete, List<Integer> ended) {}
+
+  static Stream<TestCase> testCases() {
+    return Stream.of(
+        new TestCase(List.of(600), 0, List.of()),
+        new TestCase(List.of(676), 0, List.of(0)),
+        new TestCase(List.of(300, 300), 0, List.of()),
+        new TestCase(List.of(300, 200, 100, 100), 0, List.of(0)),
+        new TestCase(List.of(100, 200, 300, 100), 0, List.of(2)),
+        new TestCase(List.of(600, 100), 1, List.of(1)),
+        new TestCase(List.of(600, 60), 1, List.of()),
+        new TestCase(List.of(600, 60, 60, 60, 60, 60), 1, List.of()),
+        new TestCase(List.of(600, 60, 60, 60, 60, 60, 50), 1, List.of(1, 2, 3)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("testCases")
+  void endsTheLargestIncompleteRequests(TestCase testCase) {
+    List<Long> endedBytes = new ArrayList<>();
+    RequestMemory memory = new RequestMemory(MAX_HEAP_BYTES, endedBytes::add);
+    List<EmbeddedChannel> channels = new ArrayList<>();
+    for (int number = 0; number < testCase.kilobytes().size(); number++) {
+      RequestAccount account = new RequestAccount(memory, /* chargesHeads= */ false);
+      EmbeddedChannel channel = new EmbeddedChannel(account);
+      channels.add(channel);
+      account.beginHead(new DefaultHttpHeaders());
+      account.charge((long) testCase.kilobytes().get(number) * KB);
+      if (number < testCase.complete()) {
+        channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+    }
+    List<Integer> ended =
+        IntStream.range(0, channels.size()).filter(n -> !channels.get(n).isOpen()).boxed().toList();
+    assertThat(ended, equalTo(testCase.ended()));
+    assertThat(endedBytes.size(), equalTo(ended.size()));
+    long heldKilobytes =
+        IntStream.range(0, channels.size())
+            .filter(n -> !ended.contains(n))
+            .mapToLong(testCase.kilobytes()::get)
+            .sum();
+    assertThat(memory.totalBytes(), equalTo(heldKilobytes * KB));
+    for (EmbeddedChannel channel : channels) {
+      if (channel.isOpen()) {
+        channel.writeOutbound(
+            new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+            LastHttpContent.EMPTY_LAST_CONTENT);
+        channel.finishAndReleaseAll();
+      }
+    }
+    assertThat(memory.totalBytes(), equalTo(0L));
+  }
+}
