Keep the bound on the memory of requests with pipelined ones

What is held for requests that wait behind another one on their connection was charged, but never released: only a request that is alone on its connection was ended, so that such requests could exceed the bound (two rows of RequestMemoryTest). If no incomplete request is left to end, connections with waiting requests are closed, the largest first.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -15,6 +15,7 @@
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -169,13 +170,21 @@
     return !ended && charges.size() == 1 && !charges.getFirst().complete;
   }
 
-  /** Refuses the incomplete request, releases what is held for it, and closes the connection. */
+  /** Returns whether requests wait behind one that has no complete response. */
+  boolean isPipelined() {
+    return !ended && charges.size() > 1;
+  }
+
+  /**
+   * Refuses the request that is being handled if it is not started, releases what is held for all,
+   * and closes the connection.
+   */
   void end() {
     ended = true;
-    Charge charge = charges.getFirst();
-    charge.refusal.run();
     // The connection keeps the headers until it has handled its end, in a later task.
-    charge.headers.ifPresent(HttpHeaders::clear);
+    List<HttpHeaders> headers = charges.stream().flatMap(c -> c.headers.stream()).toList();
+    charges.getFirst().refusal.run();
+    headers.forEach(HttpHeaders::clear);
     close();
     context.close();
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
@@ -4,15 +4,17 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Bounds the memory that a process holds for the requests on all of its connections. Each request
  * is within the limits of one request, but many at the same time could exhaust the heap.
  *
  * <p>If the bound is exceeded, the requests that are not complete are ended, the largest first and
- * the oldest of equal ones, so that small requests are served beside a crowd of large ones.
- * Complete requests are kept until they have their response. Requests that are large may use only a
- * part of the memory, so that some is left for others while large ones are complete.
+ * the oldest of equal ones, so that small requests are served beside a crowd of large ones. If this
+ * is not enough, connections are closed on which requests wait behind another one. Other complete
+ * requests are kept until they have their response. Requests that are large may use only a part of
+ * the memory, so that some is left for others while large ones are complete.
  *
  * <p>Confined to the event loop thread.
  */
@@ -88,9 +90,15 @@
   }
 
   private void reduce(long bound, List<RequestAccount> candidates) {
+    reduce(bound, candidates, RequestAccount::isIncomplete);
+    reduce(bound, candidates, RequestAccount::isPipelined);
+  }
+
+  private void reduce(
+      long bound, List<RequestAccount> candidates, Predicate<RequestAccount> condition) {
     List<RequestAccount> largestFirst =
         candidates.stream()
-            .filter(RequestAccount::isIncomplete)
+            .filter(condition)
             .sorted(Comparator.comparingLong(RequestAccount::heldBytes).reversed())
             .toList();
     for (RequestAccount account : largestFirst) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
@@ -30,9 +30,14 @@
    *
    * @param kilobytes what is held for each request, in the order in which they arrive
    * @param complete how many of the first requests are complete
+   * @param pipelined how many of the first requests have another one before them
    * @param ended the numbers of the requests that are ended
    */
-  record TestCase(List<Integer> kilobytes, int complete, List<Integer> ended) {}
+  record TestCase(List<Integer> kilobytes, int complete, int pipelined, List<Integer> ended) {
+    private TestCase(List<Integer> kilobytes, int complete, List<Integer> ended) {
+      this(kilobytes, complete, 0, ended);
+    }
+  }
 
   static Stream<TestCase> testCases() {
     return Stream.of(
@@ -44,7 +49,10 @@
         new TestCase(List.of(600, 100), 1, List.of(1)),
         new TestCase(List.of(600, 60), 1, List.of()),
         new TestCase(List.of(600, 60, 60, 60, 60, 60), 1, List.of()),
-        new TestCase(List.of(600, 60, 60, 60, 60, 60, 50), 1, List.of(1, 2, 3)));
+        new TestCase(List.of(600, 60, 60, 60, 60, 60, 50), 1, List.of(1, 2, 3)),
+        new TestCase(List.of(300, 300, 100), 0, 1, List.of(1)),
+        new TestCase(List.of(300, 300, 100), 2, 1, List.of(2)),
+        new TestCase(List.of(500, 200), 2, 2, List.of(0)));
   }
 
   @ParameterizedTest
@@ -57,6 +65,9 @@
       RequestAccount account = new RequestAccount(memory, /* chargesHeads= */ false);
       EmbeddedChannel channel = new EmbeddedChannel(account);
       channels.add(channel);
+      if (number < testCase.pipelined()) {
+        account.beginHead(new DefaultHttpHeaders());
+      }
       account.beginHead(new DefaultHttpHeaders());
       account.charge((long) testCase.kilobytes().get(number) * KB);
       if (number < testCase.complete()) {
@@ -75,9 +86,11 @@
     assertThat(memory.totalBytes(), equalTo(heldKilobytes * KB));
     for (EmbeddedChannel channel : channels) {
       if (channel.isOpen()) {
-        channel.writeOutbound(
-            new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
-            LastHttpContent.EMPTY_LAST_CONTENT);
+        for (int response = 0; response < 2; response++) {
+          channel.writeOutbound(
+              new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+              LastHttpContent.EMPTY_LAST_CONTENT);
+        }
         channel.finishAndReleaseAll();
       }
     }
