Charge the bytes of heads to the memory for requests

The lines of a head were counted, and the bytes of their names, but not those of their values, so that many heads of one long line held up to 16 KiB each beyond the bound. The decoder now charges what it has read of a head. Found by reading.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -129,7 +129,7 @@
 
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-    account.ifPresent(a -> a.charge(RequestAccount.HEADER_LINE_BYTES + length));
+    account.ifPresent(a -> a.charge(RequestAccount.HEADER_LINE_BYTES));
     if (isEnded()) {
       throw new IllegalStateException("the connection was closed within the head");
     }
@@ -149,7 +149,12 @@
       return;
     }
     int sizeBefore = out.size();
+    final boolean readsHead = !insideMessage;
+    final int unreadBefore = buffer.readableBytes();
     super.decode(ctx, buffer, out);
+    if (readsHead) {
+      account.ifPresent(a -> a.charge(unreadBefore - buffer.readableBytes()));
+    }
     for (Object decoded : out.subList(sizeBefore, out.size())) {
       if (decoded instanceof HttpRequest) {
         onRequestHead.accept(ctx.channel());
