Share how the end of a response is told, and derive the bound once

No behaviour changes. RequestAccount told the end of a response as StrictRequestDecoder does, in a copy; both call StrictRequestDecoder.endsResponse. RequestMemory computed the bound of large requests at each charge, that is at each line of a head; it is a field. A charge always has headers, which are no longer optional.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.vertx.core.http.HttpConnection;
@@ -16,7 +14,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 
 /**
  * What is held in {@link RequestMemory} for the requests on one connection, from the first line of
@@ -41,10 +38,14 @@
 
   /** What is held for one request. */
   private static final class Charge {
+    private final HttpHeaders headers;
     private long bytes;
     private boolean complete;
-    private Optional<HttpHeaders> headers = Optional.empty();
     private Runnable refusal = () -> {};
+
+    private Charge(HttpHeaders headers) {
+      this.headers = headers;
+    }
   }
 
   RequestAccount(RequestMemory memory, boolean chargesHeads) {
@@ -95,17 +96,12 @@
   @Override
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
       throws Exception {
-    if (message instanceof LastHttpContent && !isInformational(message) && !charges.isEmpty()) {
+    if (StrictRequestDecoder.endsResponse(message) && !charges.isEmpty()) {
       release(charges.removeFirst());
     }
     super.write(ctx, message, promise);
   }
 
-  private static boolean isInformational(Object message) {
-    return message instanceof HttpResponse response
-        && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) throws Exception {
     close();
@@ -131,9 +127,7 @@
 
   /** Begins to charge a request whose head is being read. */
   void beginHead(HttpHeaders headers) {
-    Charge charge = new Charge();
-    charge.headers = Optional.of(headers);
-    charges.addLast(charge);
+    charges.addLast(new Charge(headers));
   }
 
   /** Charges the request that is being read. */
@@ -182,7 +176,7 @@
   void end() {
     ended = true;
     // The connection keeps the headers until it has handled its end, in a later task.
-    List<HttpHeaders> headers = charges.stream().flatMap(c -> c.headers.stream()).toList();
+    List<HttpHeaders> headers = charges.stream().map(c -> c.headers).toList();
     charges.getFirst().refusal.run();
     headers.forEach(HttpHeaders::clear);
     close();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
@@ -19,8 +19,8 @@
  * <p>Confined to the event loop thread.
  */
 public final class RequestMemory {
-  /** Part of the heap that requests may use; the rest is for all else that a process holds. */
-  private static final int HEAP_PARTS = 3;
+  /** Size of the heap divided by the bound. */
+  private static final int HEAP_PER_BOUND = 3;
 
   /** Size of a request above which it is large. */
   private static final long LARGE_REQUEST_BYTES = 64 << 10;
@@ -32,6 +32,7 @@
   private static final double REDUCED_SHARE = 0.9;
 
   private final long maxBytes;
+  private final long maxLargeBytes;
   private final Observer observer;
   private final Set<RequestAccount> accounts = new LinkedHashSet<>();
   private long totalBytes;
@@ -52,7 +53,8 @@
    * @param maxHeapBytes the maximum size of the heap, of which requests use a part
    */
   public RequestMemory(long maxHeapBytes, Observer observer) {
-    this.maxBytes = maxHeapBytes / HEAP_PARTS;
+    this.maxBytes = maxHeapBytes / HEAP_PER_BOUND;
+    this.maxLargeBytes = Math.round(maxBytes * LARGE_REQUEST_SHARE);
     this.observer = observer;
   }
 
@@ -72,9 +74,8 @@
   /** Charges an account, and ends incomplete requests if a bound is exceeded. */
   void charge(RequestAccount account, long bytes) {
     totalBytes += bytes;
-    long largeBytes = Math.round(maxBytes * LARGE_REQUEST_SHARE);
-    if (isLarge(account) && totalBytes > largeBytes) {
-      reduce(largeBytes, accounts.stream().filter(RequestMemory::isLarge).toList());
+    if (isLarge(account) && totalBytes > maxLargeBytes) {
+      reduce(maxLargeBytes, accounts.stream().filter(RequestMemory::isLarge).toList());
     }
     if (totalBytes > maxBytes) {
       reduce(maxBytes, List.copyOf(accounts));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictRequestDecoder.java
@@ -54,16 +54,19 @@
   private final class ResponseEnds extends ChannelOutboundHandlerAdapter {
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-      if (message instanceof LastHttpContent && !isInformational(message)) {
+      if (endsResponse(message)) {
         requestsInProgress--;
       }
       ctx.write(message, promise);
     }
+  }
 
-    private static boolean isInformational(Object message) {
-      return message instanceof HttpResponse response
-          && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    }
+  /** Returns whether a message that is written is the last part of the response to a request. */
+  static boolean endsResponse(Object message) {
+    boolean informational =
+        message instanceof HttpResponse response
+            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    return message instanceof LastHttpContent && !informational;
   }
 
   private StrictRequestDecoder(
