Send the requests of two tests by one method

CopiedRefusalTest and UnprovenRefusalTest built the same request; the harness sends it for both. Assertions are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CopiedRefusalTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/CopiedRefusalTest.java
@@ -5,10 +5,6 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -55,8 +51,6 @@
 
   @TempDir private static Path folder;
   private static final Map<String, Service> SERVICES = new HashMap<>();
-  private static final HttpClient CLIENT =
-      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private static FleetHarness fleet;
   private static FleetHarness.Entry entry;
 
@@ -221,12 +215,12 @@
       String id = testCase.service() + "-" + REFUSED + "-" + i;
       int status = 0;
       for (int returns = 0; returns < MAX_RETURNS && status != 200; returns++) {
-        status = call(testCase.service(), id);
+        status = entry.call(testCase.service(), id);
         if (NOT_RUN_STATUSES.contains(status) && service.runsOf(id) > 0) {
           violations.add(id + " has run, status " + status);
         }
         if (testCase.served()) {
-          call(testCase.service(), testCase.service() + "-served-" + sent++);
+          entry.call(testCase.service(), testCase.service() + "-served-" + sent++);
         }
         Thread.sleep(RETURN_AFTER_MILLIS);
       }
@@ -237,18 +231,6 @@
     assertThat(violations, is(empty()));
   }
 
-  private static int call(String service, String id) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + service + "/x"))
-            .POST(HttpRequest.BodyPublishers.ofString("body of " + id))
-            .header("X-Request-Id", id)
-            .header("X-Deadline", "3000")
-            .timeout(Duration.ofSeconds(10))
-            .build();
-    return CLIENT.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-  }
-
   static Stream<TestCase> casesOfOneMoment() {
     return testCases().filter(c -> c.moment() == Moment.AFTER_REQUEST);
   }
@@ -260,7 +242,7 @@
     String id = testCase.service() + "-" + ALWAYS_REFUSED;
     int maxConnections = 0;
     for (int i = 0; i < RETURNS_OF_REFUSED; i++) {
-      call(testCase.service(), id);
+      entry.call(testCase.service(), id);
       maxConnections = Math.max(maxConnections, service.openConnections());
       Thread.sleep(RETURN_AFTER_MILLIS);
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -6,6 +6,10 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -86,7 +90,22 @@
 
   /** An entry of the fleet. */
   record Entry(
-      EntryNode node, EntryServer server, GatewayMetrics metrics, int publicPort, int relayPort) {}
+      EntryNode node, EntryServer server, GatewayMetrics metrics, int publicPort, int relayPort) {
+    /** Sends a request to the route named after a service, and returns the status. */
+    int call(String service, String id) throws IOException, InterruptedException {
+      HttpRequest request =
+          HttpRequest.newBuilder(
+                  URI.create("http://127.0.0.1:" + publicPort + "/" + service + "/x"))
+              .POST(HttpRequest.BodyPublishers.ofString("body of " + id))
+              .header("X-Request-Id", id)
+              .header("X-Deadline", "3000")
+              .timeout(Duration.ofSeconds(10))
+              .build();
+      return HttpClient.newHttpClient()
+          .send(request, HttpResponse.BodyHandlers.discarding())
+          .statusCode();
+    }
+  }
 
   /**
    * Starts a control instance of a fleet with default bounds.
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/UnprovenRefusalTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/UnprovenRefusalTest.java
@@ -4,10 +4,6 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -134,7 +130,7 @@
     List<String> violations = new ArrayList<>();
     for (int i = 0; i < MAX_CALLS && runs.size() < RUNS; i++) {
       String id = testCase.service() + "-" + i;
-      int status = call(testCase.service(), id);
+      int status = entry.call(testCase.service(), id);
       int runsOfCall = runs.getOrDefault(id, new AtomicInteger()).get();
       if (runsOfCall > 1 || runsOfCall == 1 && NOT_RUN_STATUSES.contains(status)) {
         violations.add(id + " ran " + runsOfCall + " times, status " + status);
@@ -146,18 +142,4 @@
     assertThat(violations, is(empty()));
     assertThat("requests that ran", runs.size(), is(RUNS));
   }
-
-  private static int call(String service, String id) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + entry.publicPort() + "/" + service + "/x"))
-            .POST(HttpRequest.BodyPublishers.ofString("body of " + id))
-            .header("X-Request-Id", id)
-            .header("X-Deadline", "3000")
-            .timeout(Duration.ofSeconds(10))
-            .build();
-    return HttpClient.newHttpClient()
-        .send(request, HttpResponse.BodyHandlers.discarding())
-        .statusCode();
-  }
 }
