Name the file or folder that is synced

Tests replace DurableFile.Sync to simulate what a disk loses. They could not tell which file a sync covers, so no simulation of renamed and created files was possible. No behaviour changes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -21,17 +21,22 @@
  */
 public final class DurableFile {
   /** Forces data and metadata to the storage device. */
-  static final Sync FORCE_TO_DISK = channel -> channel.force(true);
+  static final Sync FORCE_TO_DISK = (path, channel) -> channel.force(true);
 
   private static final int HEADER_BYTES = 8;
 
   /**
-   * Forces written data to the storage device. Tests replace it to simulate a crash between write
-   * and sync.
+   * Forces written data to the storage device. Tests replace it to simulate a loss of power or a
+   * failure between write and sync.
    */
   interface Sync {
-    /** Syncs the data and the length of a file. */
-    void force(FileChannel channel) throws IOException;
+    /**
+     * Syncs the data and the length of a file, or the names in a folder.
+     *
+     * @param path the file or folder
+     * @param channel an open channel of it
+     */
+    void force(Path path, FileChannel channel) throws IOException;
   }
 
   /** Receives the valid records of a file, in order. */
@@ -132,7 +137,7 @@
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE)) {
       content.writeTo(payload -> writeFully(channel, record(payload)));
-      sync.force(channel);
+      sync.force(temporary, channel);
     }
     Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
     syncFolder(file.getParent(), sync);
@@ -147,7 +152,7 @@
   /** Makes created and renamed files of a folder durable. */
   static void syncFolder(Path folder, Sync sync) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      sync.force(channel);
+      sync.force(folder, channel);
     }
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -149,7 +149,7 @@
           entries.size());
     }
     // The last entries may have been written but not synced by a process that was killed.
-    sync.force(channel);
+    sync.force(file, channel);
     DurableFile.syncFolder(dataDir, sync);
   }
 
@@ -247,7 +247,7 @@
         DurableFile.writeFully(channel, bytes);
         endOffsets.add(offset);
       }
-      sync.force(channel);
+      sync.force(dataDir.resolve(LOG_FILE), channel);
       entries.addAll(newEntries);
     } catch (IOException e) {
       throw new UncheckedIOException("appending to the configuration log failed", e);
@@ -261,7 +261,7 @@
       long retainedBytes = offsetBefore(index);
       channel.truncate(retainedBytes);
       channel.position(retainedBytes);
-      sync.force(channel);
+      sync.force(dataDir.resolve(LOG_FILE), channel);
     } catch (IOException e) {
       throw new UncheckedIOException("truncating the configuration log failed", e);
     }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -138,7 +138,7 @@
     long syncedBytes;
 
     @Override
-    public void force(FileChannel channel) throws IOException {
+    public void force(Path path, FileChannel channel) throws IOException {
       if (failing) {
         throw new IOException("disk failure");
       }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -55,7 +55,7 @@
         DurableLog.open(
             folder,
             true,
-            channel -> {
+            (path, channel) -> {
               if (diskFull.get()) {
                 throw new IOException("no space left");
               }
