Begin the line of a fatal error with a short reason

Operators who got no answer from a control group found in its logs that instances ended in their start, and not why: the line begins with times, names and the logger's class, and in the record it is cut off within the name of the thread. A port in use, a disk that refuses writes, an exhausted heap and data that cannot be decoded looked alike.

process.fatal begins with `reason`, the class and message of the cause without the wrappers of futures, and the logger stands at the end of each line. ErrorReporterTest#beginsWithTheReason checks that each of these four causes shows within the first 200 characters. Readers of the lines parse them as JSON and do not depend on the order.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/ErrorReporter.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/ErrorReporter.java
@@ -1,8 +1,12 @@
 package org.lacewingcroft.lifecycle;
 
 import io.vertx.core.Vertx;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.lacewingcroft.limit.TokenBucket;
 import org.lacewingcroft.logging.LogContext;
@@ -16,6 +20,7 @@
   private static final System.Logger LOG = System.getLogger(ErrorReporter.class.getName());
   private static final String FATAL = "process.fatal";
   private static final int MAX_FRAMES = 8;
+  private static final int MAX_REASON_CHARS = 120;
   private static final double MAX_LINES_PER_SECOND = 5;
   private static final double MAX_LINES_BURST = 20;
   private static final Duration FLUSH_TIMEOUT = Duration.ofMillis(300);
@@ -104,6 +109,8 @@
     LOG.log(
         level,
         event,
+        "reason",
+        reason(error),
         "thread",
         thread.getName(),
         "error",
@@ -114,6 +121,24 @@
         unlogged);
   }
 
+  /** Returns the short class name and the beginning of the message of what caused an error. */
+  static String reason(Throwable error) {
+    Throwable cause = error;
+    while (isWrapper(cause) && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    String message = Optional.ofNullable(cause.getMessage()).orElse("");
+    return cause.getClass().getSimpleName()
+        + (message.isEmpty() ? "" : ": ")
+        + message.substring(0, Math.min(message.length(), MAX_REASON_CHARS));
+  }
+
+  private static boolean isWrapper(Throwable error) {
+    return error instanceof ExecutionException
+        || error instanceof CompletionException
+        || error instanceof UncheckedIOException;
+  }
+
   private Thread startMarking(Throwable error) {
     Thread thread = new Thread(() -> marker.markFailed(error), "mark-failed");
     thread.setDaemon(true);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/logging/JsonLogger.java
@@ -13,8 +13,8 @@
  *
  * <p>By convention, the message is the event name (such as {@code request.served}) and the
  * parameters are key-value pairs ({@code "request", id, "endpoint", e}); each pair becomes a field.
- * Every line contains {@code ts}, {@code hlc}, {@code node}, {@code level}, {@code logger} and
- * {@code event}.
+ * Every line begins with {@code ts}, {@code hlc}, {@code node}, {@code level} and {@code event} and
+ * ends with {@code logger}, so that a line cut short still shows what happened.
  */
 final class JsonLogger implements System.Logger {
   private static final JsonFactory JSON = new JsonFactory();
@@ -65,7 +65,6 @@
       g.writeStringField("hlc", LogContext.clock().tick());
       g.writeStringField("node", LogContext.nodeId());
       g.writeStringField("level", level.getName());
-      g.writeStringField("logger", name);
       g.writeStringField("event", event);
       for (int i = 0; i + 1 < pairs.length; i += 2) {
         g.writeStringField(String.valueOf(pairs[i]), String.valueOf(pairs[i + 1]));
@@ -73,6 +72,7 @@
       if (thrown != null) {
         g.writeStringField("error", thrown.toString());
       }
+      g.writeStringField("logger", name);
       g.writeEndObject();
     } catch (IOException e) {
       throw new IllegalStateException("writing a log line into memory failed", e);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
@@ -10,12 +10,16 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +28,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.logging.LogContext;
+import org.msgpack.core.MessageInsufficientBufferException;
 
 /** Guards against errors that leave no line of the log, or flood it. */
 class ErrorReporterTest {
@@ -120,6 +126,34 @@
     assertThat(recorded, equalTo("failed: java.lang.OutOfMemoryError: Java heap space"));
   }
 
+  static Stream<Arguments> failedStarts() {
+    return Stream.of(
+        Arguments.of(new MessageInsufficientBufferException(), "MessageInsufficientBufferExcep"),
+        Arguments.of(
+            new ExecutionException(new BindException("Address already in use")),
+            "BindException: Address already"),
+        Arguments.of(
+            new UncheckedIOException(new IOException("No space left on device")),
+            "IOException: No space left"),
+        Arguments.of(
+            new OutOfMemoryError("Java heap space"), "OutOfMemoryError: Java heap space"));
+  }
+
+  /** Guards against a line that no longer shows why a process ended once it is cut short. */
+  @ParameterizedTest
+  @MethodSource("failedStarts")
+  void beginsWithTheReason(Throwable error, String reason) throws InterruptedException {
+    String nodeId = LogContext.nodeId();
+    LogContext.setNodeId("core-stgo-hall-a-12");
+    try {
+      errors.reportFatal(new Thread("main"), error);
+    } finally {
+      LogContext.setNodeId(nodeId);
+    }
+    String line = awaitLogged("\"event\":\"process.fatal\"");
+    assertThat(line.substring(0, 200), containsString("\"reason\":\"" + reason));
+  }
+
   static Stream<Throwable> repeatedErrors() {
     return Stream.of(new IllegalStateException("again"), new StackOverflowError());
   }
