Take only a record with a payload that follows the last one for an entry

Operators got no clear answer from a control group: two or three of five control instances ended at each start, so the group had no majority, for as long as they were started again.

A loss of power leaves each write since the last sync present, missing or torn. A missing write at the end of the log is a run of zeros, and eight zero bytes were the header of a valid record: length 0, and the CRC-32C of nothing is 0. Decoding the empty payload threw MessageInsufficientBufferException, the start ended, and the next start read the same file.

A record now has a payload; a length of 0 ends the log like any other torn record, and the rest is cut. Its entries were not synced, so none was acknowledged. A record whose index or term does not follow the one before it ends the log as well: a block of an older file has a valid checksum. The format is unchanged, in both directions: no build has written an empty record.

DurableLogTest#cutsTailLeftByLossOfPower: 40 tails behind two synced entries. Now all are cut, both synced entries are there, and the log can be appended to and opened again.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -15,9 +15,10 @@
 
 /**
  * Reads and writes crash-safe files of checksummed records. A record consists of a 4-byte length, a
- * 4-byte CRC-32C of the payload, and the payload. A file is replaced as a whole by writing a
- * temporary file, syncing it, renaming it and syncing the folder, so that after a crash it has
- * either the old or the new content.
+ * 4-byte CRC-32C of the payload, and the payload, which is never empty: eight zero bytes would be
+ * the header of an empty record, and after a loss of power a file may end with zeros. A file is
+ * replaced as a whole by writing a temporary file, syncing it, renaming it and syncing the folder,
+ * so that after a crash it has either the old or the new content.
  */
 public final class DurableFile {
   /** Forces data and metadata to the storage device. */
@@ -46,8 +47,9 @@
      *
      * @param payload its payload
      * @param endOffset the offset after the record, in bytes
+     * @return whether the record continues the file; if not, it and all bytes after it are ignored
      */
-    void onRecord(byte[] payload, long endOffset) throws IOException;
+    boolean onRecord(byte[] payload, long endOffset) throws IOException;
   }
 
   /** Writes the records of a file one by one, so that they need not be held at once. */
@@ -69,8 +71,15 @@
     return HEADER_BYTES + payload.length;
   }
 
-  /** Encodes a payload as a record with its header. */
+  /**
+   * Encodes a payload as a record with its header.
+   *
+   * @throws IllegalArgumentException if the payload is empty
+   */
   static ByteBuffer record(byte[] payload) {
+    if (payload.length == 0) {
+      throw new IllegalArgumentException("a record has a payload");
+    }
     return ByteBuffer.allocate(HEADER_BYTES + payload.length)
         .putInt(payload.length)
         .putInt(crc32c(payload))
@@ -86,10 +95,11 @@
   }
 
   /**
-   * Reads the records of a file up to the first torn or corrupt one, of which only one is held in
-   * memory at a time; a file that does not exist has no records.
+   * Reads the records of a file up to the first torn or corrupt one, or the first that does not
+   * continue the file, of which only one is held in memory at a time; a file that does not exist
+   * has no records.
    *
-   * @return the length up to the first torn or corrupt record, in bytes
+   * @return the length of the records that were read, in bytes
    */
   static long forEach(Path file, RecordHandler handler) throws IOException {
     if (!Files.exists(file)) {
@@ -102,15 +112,18 @@
       while (fileBytes - validBytes >= HEADER_BYTES) {
         int length = in.readInt();
         int crc = in.readInt();
-        if (length < 0 || length > fileBytes - validBytes - HEADER_BYTES) {
+        if (length <= 0 || length > fileBytes - validBytes - HEADER_BYTES) {
           break;
         }
         byte[] payload = new byte[length];
         if (in.readNBytes(payload, 0, length) < length || crc32c(payload) != crc) {
           break;
         }
-        validBytes += HEADER_BYTES + length;
-        handler.onRecord(payload, validBytes);
+        long endOffset = validBytes + HEADER_BYTES + length;
+        if (!handler.onRecord(payload, endOffset)) {
+          break;
+        }
+        validBytes = endOffset;
       }
     }
     return validBytes;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -27,9 +27,10 @@
  * The log of a control group member in its data folder: the files {@code hard-state}, {@code
  * snapshot} and {@code config.log}, which hold records of {@link DurableFile}.
  *
- * <p>On open, a torn tail of the log, left by a crash between write and sync, is truncated: its
- * entries were never acknowledged. The file may begin with entries that the snapshot covers, after
- * a crash during a compaction. Records are read and written one at a time, so that a start and a
+ * <p>On open, the log ends before the first record that is torn, missing or does not follow the one
+ * before it, and the rest is truncated: a loss of power leaves such a tail of writes that were not
+ * synced, and their entries were never acknowledged. The file may begin with entries that the
+ * snapshot covers, after a crash during a compaction. Records are read and written one at a time, so that a start and a
  * compaction need little more memory than the entries themselves. The id of the data folder is
  * generated once and stored in the hard state. A member with an empty folder is a voter only on the
  * deployment's first start.
@@ -153,14 +154,24 @@
     DurableFile.syncFolder(dataDir, sync);
   }
 
-  private void recoverEntry(byte[] payload, long endOffset) throws IOException {
+  private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
     LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
-    if (entry.index() > snapshot.lastIndex()) {
+    if (entry.index() <= snapshot.lastIndex()) {
+      startOffset = endOffset;
+      return true;
+    }
+    boolean followsLast =
+        entries.isEmpty()
+            || entry.index() == lastEntry().index() + 1 && entry.term() >= lastEntry().term();
+    if (followsLast) {
       entries.add(entry);
       endOffsets.add(endOffset);
-    } else {
-      startOffset = endOffset;
     }
+    return followsLast;
+  }
+
+  private LogEntry lastEntry() {
+    return entries.get(entries.size() - 1);
   }
 
   private void openChannel(Path file) throws IOException {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -6,12 +6,15 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +31,7 @@
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConfigState;
+import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.consensus.ConsensusMember;
 import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
@@ -35,6 +39,8 @@
 import org.lacewingcroft.consensus.LogStorage;
 import org.lacewingcroft.consensus.Output;
 import org.lacewingcroft.consensus.Snapshot;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class DurableLogTest {
   @TempDir Path dataDir;
@@ -115,6 +121,85 @@
     }
   }
 
+  private static byte[] record(long index, long term) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      // Larger than a sector.
+      Command command = new Command.ConfigChange("change-" + index, "x".repeat(1_500));
+      ConsensusCodec.packEntry(packer, new LogEntry(index, term, index, command));
+      return DurableFile.record(packer.toByteArray()).array();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static byte[] zeros(int count) {
+    return new byte[count];
+  }
+
+  private static byte[] random(int count) {
+    byte[] bytes = new byte[count];
+    new Random(count).nextBytes(bytes);
+    return bytes;
+  }
+
+  private static byte[] concat(byte[]... parts) {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    for (byte[] part : parts) {
+      all.writeBytes(part);
+    }
+    return all.toByteArray();
+  }
+
+  private static byte[] withZeros(byte[] bytes, int from, int to) {
+    byte[] copy = bytes.clone();
+    Arrays.fill(copy, from, Math.min(to, copy.length), (byte) 0);
+    return copy;
+  }
+
+  /** What writes that were not synced leave behind two synced entries after a loss of power. */
+  static Stream<Arguments> tails() {
+    byte[] record = record(3, 1);
+    List<Arguments> rows = new ArrayList<>();
+    for (int count : new int[] {1, 4, 7, 8, 9, 15, 16, 17, 511, 512, 513, 4_096, 70_000}) {
+      rows.add(Arguments.of(count + " zeros", zeros(count)));
+      rows.add(Arguments.of(count + " random bytes", random(count)));
+    }
+    for (int from = 0; from < record.length; from += 512) {
+      rows.add(Arguments.of("sector missing at " + from, withZeros(record, from, from + 512)));
+      rows.add(Arguments.of("torn at " + from, Arrays.copyOf(record, from + 256)));
+      rows.add(
+          Arguments.of(
+              "sector missing at " + from + ", next record present",
+              concat(withZeros(record, from, from + 512), record(4, 1))));
+    }
+    rows.add(Arguments.of("record missing", zeros(record.length)));
+    rows.add(
+        Arguments.of(
+            "record missing, next record present", concat(zeros(record.length), record(4, 1))));
+    rows.add(Arguments.of("first record again", record(1, 1)));
+    rows.add(Arguments.of("record of a later index", record(4, 1)));
+    rows.add(Arguments.of("record of an earlier term", record(3, 0)));
+    return rows.stream();
+  }
+
+  /** Guards against a start that fails, or loses synced entries, because of an unsynced tail. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("tails")
+  void cutsTailLeftByLossOfPower(String name, byte[] tail) throws IOException {
+    List<LogEntry> synced = List.of(entry(1, 1), entry(2, 1));
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(synced);
+    }
+    Files.write(dataDir.resolve(DurableLog.LOG_FILE), tail, StandardOpenOption.APPEND);
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      assertThat(reopened.entries(), is(synced));
+      reopened.append(List.of(entry(3, 2)));
+    }
+    try (DurableLog reopenedAgain = DurableLog.open(dataDir, false)) {
+      assertThat(reopenedAgain.entries(), is(List.of(entry(1, 1), entry(2, 1), entry(3, 2))));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void memberWithNewFolderVotesOnlyOnFirstStart(boolean bootstrap) throws IOException {
