--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -51,6 +51,7 @@
   private final List<Long> endOffsets = new ArrayList<>();
   private long startOffset;
   private long snapshotSizeBytes;
+  private boolean superseded;
   private HardState hardState;
   private Snapshot snapshot;
   private FileChannel channel;
@@ -136,6 +137,10 @@
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
+    if (superseded) {
+      validBytes = 0;
+      startOffset = 0;
+    }
     openChannel(file);
     long tornBytes = channel.size() - validBytes;
     if (tornBytes > 0) {
@@ -157,12 +162,19 @@
   private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
     LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
     if (entry.index() <= snapshot.lastIndex()) {
+      // A received snapshot replaces entries that were never committed, and a crash may leave them
+      // in the file.
+      superseded |= entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
       startOffset = endOffset;
       return true;
     }
+    if (superseded) {
+      return false;
+    }
     boolean followsLast =
         entries.isEmpty()
-            || entry.index() == lastEntry().index() + 1 && entry.term() >= lastEntry().term();
+            ? entry.term() >= snapshot.lastTerm()
+            : entry.index() == lastEntry().index() + 1 && entry.term() >= lastEntry().term();
     if (followsLast) {
       entries.add(entry);
       endOffsets.add(endOffset);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -200,6 +200,31 @@
     }
   }
 
+  /** Guards against entries that a crash left in the log behind a snapshot that replaced them. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2})
+  void dropsEntriesThatReceivedSnapshotReplaces(long snapshotTerm) throws IOException {
+    List<LogEntry> old = List.of(entry(1, 1), entry(2, 1), entry(3, 1));
+    byte[] oldLog;
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(old);
+      oldLog = Files.readAllBytes(dataDir.resolve(DurableLog.LOG_FILE));
+      log.compact(new Snapshot(2, snapshotTerm, snapshot(2).state()), List.of());
+    }
+    Files.write(dataDir.resolve(DurableLog.LOG_FILE), oldLog);
+    List<LogEntry> retained = snapshotTerm == 1 ? List.of(entry(3, 1)) : List.of();
+    long next = 3 + retained.size();
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      assertThat(reopened.entries(), is(retained));
+      reopened.append(List.of(entry(next, 3)));
+    }
+    try (DurableLog reopenedAgain = DurableLog.open(dataDir, false)) {
+      List<LogEntry> expected = new ArrayList<>(retained);
+      expected.add(entry(next, 3));
+      assertThat(reopenedAgain.entries(), is(expected));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void memberWithNewFolderVotesOnlyOnFirstStart(boolean bootstrap) throws IOException {
