Report stored data that cannot be read instead of taking it for none

A record with a valid checksum that cannot be decoded, as a newer build may write it, threw one of several exceptions.

No file is changed: to cut such a record could lose what was acknowledged.

DurableLogTest#keepsUnreadableFiles (nine cases) and #memberThatLostItsHardStateIsNoVoter; the latter failed on the code before.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -87,10 +87,19 @@
         .flip();
   }
 
-  /** Returns the payloads of the records of a small file; see {@link #forEach}. */
+  /**
+   * Returns the payloads of the records of a small file that was written by {@link #replace}; none
+   * if the file does not exist.
+   *
+   * @throws UnreadableStorageException if the file does not consist of complete records
+   */
   public static List<byte[]> read(Path file) throws IOException {
     List<byte[]> payloads = new ArrayList<>();
-    forEach(file, (payload, endOffset) -> payloads.add(payload));
+    long validBytes = forEach(file, (payload, endOffset) -> payloads.add(payload));
+    if (Files.exists(file) && (payloads.isEmpty() || validBytes < Files.size(file))) {
+      throw UnreadableStorageException.damaged(
+          file, "only " + validBytes + " of " + Files.size(file) + " bytes are valid");
+    }
     return payloads;
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -30,10 +30,12 @@
  * <p>On open, the log ends before the first record that is torn, missing or does not follow the one
  * before it, and the rest is truncated: a loss of power leaves such a tail of writes that were not
  * synced, and their entries were never acknowledged. The file may begin with entries that the
- * snapshot covers, after a crash during a compaction. Records are read and written one at a time, so that a start and a
- * compaction need little more memory than the entries themselves. The id of the data folder is
- * generated once and stored in the hard state. A member with an empty folder is a voter only on the
- * deployment's first start.
+ * snapshot covers, after a crash during a compaction. Anything else that cannot be read had been
+ * synced; the open fails with {@link UnreadableStorageException} then and changes nothing.
+ *
+ * <p>Records are read and written one at a time, so that a start and a compaction need little more
+ * memory than the entries themselves. The id of the data folder is generated once and stored in the
+ * hard state. A member with an empty folder is a voter only on the deployment's first start.
  *
  * <p>Not thread-safe: confined to the thread of its {@link ConsensusDriver}.
  */
@@ -75,6 +77,7 @@
    * @param dataDir the data folder
    * @param bootstrap true only on the deployment's first start: a member with an empty folder may
    *     vote then
+   * @throws UnreadableStorageException if synced data cannot be used
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog open(Path dataDir, boolean bootstrap) throws IOException {
@@ -99,6 +102,7 @@
    * @param dataDir the data folder
    * @param founders the ids of the founding members if this instance is one of them on the first
    *     start, otherwise empty
+   * @throws UnreadableStorageException if synced data cannot be used
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog openWithFounders(Path dataDir, Set<String> founders) throws IOException {
@@ -113,7 +117,8 @@
   private void recoverHardState(boolean bootstrap) throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE));
     if (records.isEmpty()) {
-      hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), bootstrap);
+      boolean voter = bootstrap && !hasFile(SNAPSHOT_FILE) && !hasFile(LOG_FILE);
+      hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), voter);
       writeHardState(hardState);
       LOG.log(
           System.Logger.Level.INFO,
@@ -121,16 +126,22 @@
           "storage",
           hardState.storageId(),
           "voter",
-          bootstrap);
+          voter);
     } else {
-      hardState = decode(records.get(0), ConsensusCodec::unpackHardState);
+      hardState = decode(HARD_STATE_FILE, records.get(0), ConsensusCodec::unpackHardState);
     }
   }
 
+  private boolean hasFile(String name) {
+    return Files.exists(dataDir.resolve(name));
+  }
+
   private void recoverSnapshot() throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE));
     snapshot =
-        records.isEmpty() ? Snapshot.EMPTY : decode(records.get(0), ConsensusCodec::unpackSnapshot);
+        records.isEmpty()
+            ? Snapshot.EMPTY
+            : decode(SNAPSHOT_FILE, records.get(0), ConsensusCodec::unpackSnapshot);
     snapshotSizeBytes = records.stream().mapToLong(r -> r.length).sum();
   }
 
@@ -160,17 +171,23 @@
   }
 
   private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
-    LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
+    LogEntry entry = decode(LOG_FILE, payload, ConsensusCodec::unpackEntry);
     if (entry.index() <= snapshot.lastIndex()) {
       // A received snapshot replaces entries that were never committed, and a crash may leave them
       // in the file.
-      superseded |= entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
+      superseded |=
+          entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
       startOffset = endOffset;
       return true;
     }
     if (superseded) {
       return false;
     }
+    if (entries.isEmpty() && entry.index() > snapshot.lastIndex() + 1) {
+      throw UnreadableStorageException.damaged(
+          dataDir.resolve(SNAPSHOT_FILE),
+          "it ends at index " + snapshot.lastIndex() + ", the log begins at " + entry.index());
+    }
     boolean followsLast =
         entries.isEmpty()
             ? entry.term() >= snapshot.lastTerm()
@@ -314,9 +331,12 @@
     }
   }
 
-  private static <T> T decode(byte[] payload, UnpackFunction<T> unpackFunction) throws IOException {
+  private <T> T decode(String file, byte[] payload, UnpackFunction<T> unpackFunction)
+      throws UnreadableStorageException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
       return unpackFunction.unpack(unpacker);
+    } catch (IOException | RuntimeException e) {
+      throw UnreadableStorageException.unknownFormat(dataDir.resolve(file), e);
     }
   }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -200,6 +200,42 @@
     }
   }
 
+  private static byte[] undecodable() {
+    return DurableFile.record(new byte[] {1, 1, 1, 99}).array();
+  }
+
+  static Stream<Arguments> unreadableFiles() {
+    return Stream.of(
+        Arguments.of("hard-state", zeros(0), UnreadableStorageException.Kind.DAMAGED),
+        Arguments.of("hard-state", zeros(64), UnreadableStorageException.Kind.DAMAGED),
+        Arguments.of("hard-state", undecodable(), UnreadableStorageException.Kind.UNKNOWN_FORMAT),
+        Arguments.of("snapshot", zeros(0), UnreadableStorageException.Kind.DAMAGED),
+        Arguments.of("snapshot", zeros(64), UnreadableStorageException.Kind.DAMAGED),
+        Arguments.of("snapshot", random(64), UnreadableStorageException.Kind.DAMAGED),
+        Arguments.of("snapshot", undecodable(), UnreadableStorageException.Kind.UNKNOWN_FORMAT),
+        Arguments.of(
+            "config.log",
+            concat(record(3, 1), undecodable()),
+            UnreadableStorageException.Kind.UNKNOWN_FORMAT),
+        Arguments.of("config.log", record(4, 1), UnreadableStorageException.Kind.DAMAGED));
+  }
+
+  /** Guards against synced data that is forgotten without a word because it cannot be read. */
+  @ParameterizedTest
+  @MethodSource("unreadableFiles")
+  void keepsUnreadableFiles(String file, byte[] content, UnreadableStorageException.Kind kind)
+      throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+      log.compact(snapshot(2), List.of(entry(3, 1)));
+    }
+    Files.write(dataDir.resolve(file), content);
+    UnreadableStorageException thrown =
+        assertThrows(UnreadableStorageException.class, () -> DurableLog.open(dataDir, false));
+    assertThat(thrown.kind(), is(kind));
+    assertThat(Files.readAllBytes(dataDir.resolve(file)), is(content));
+  }
+
   /** Guards against entries that a crash left in the log behind a snapshot that replaced them. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2})
@@ -225,6 +261,18 @@
     }
   }
 
+  /** Guards against a member that votes again after its hard state was lost. */
+  @Test
+  void memberThatLostItsHardStateIsNoVoter() throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1)));
+    }
+    Files.delete(dataDir.resolve("hard-state"));
+    try (DurableLog reopened = DurableLog.open(dataDir, true)) {
+      assertThat(reopened.hardState().voter(), is(false));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void memberWithNewFolderVotesOnlyOnFirstStart(boolean bootstrap) throws IOException {
