Run a control instance while its data folder cannot be used

Operators got no clear answer from a control group whose instances ended at each start: a start that fails because of what is on disk fails the same way for ever, and the group loses a vote for good. A disk that refuses writes during a start ended the process as well, and on the product's own interface also later, with status 3.

MemberHost runs the member while its folder can be used. The process and its other roles go on without it, whatever is wrong: - A read, write or sync that fails: the folder is opened again every second. This was so on the platform's interface for a failure after the start only. - Damaged data: the files are moved to a subfolder and the instance rejoins like one whose disk was lost, as a member without a vote until a quorum of the others has readmitted it. It does so only after QuorumObservation has shown, by the messages of one leader over more time than a leader stays without a quorum, that the group has a quorum without it. If more members are damaged at once than may be lost, no leader exists, none sets its files aside, and nothing acknowledged is forgotten. - An intact record that this build cannot decode: the files stay as they are, for the build that can.

control.storage_unusable, control.storage_set_aside and lwc_control_storage{state} say which. The product's daemon still ends with status 3 after an error of the virtual machine.

RoutingControlTest#startsWhileDiskRefusesWrites; its other case now covers the reopening that ControlNode did, with the same assertions.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
@@ -171,6 +171,12 @@
     }
   }
 
+  /** Stops a driver that has not been started. */
+  void shutdown() {
+    executor.shutdown();
+    closeLog();
+  }
+
   @Override
   public void close() throws IOException, InterruptedException {
     executor.shutdown();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.lacewingcroft.config.ConfigPatch;
 import org.lacewingcroft.config.ConfigStore;
@@ -15,9 +14,7 @@
 import org.lacewingcroft.consensus.ConfigState;
 import org.lacewingcroft.consensus.ConsensusMember;
 import org.lacewingcroft.consensus.ConsensusMessage;
-import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.LogEntry;
-import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 
@@ -31,9 +28,9 @@
   private final String nodeId;
   private final ConfigStore configs;
   private final Membership membership;
-  private final ConsensusMember member;
-  private final ConsensusDriver driver;
-  private volatile Status status;
+  private final Consumer<Error> onError;
+  private final MemberHost host;
+  private volatile Status status = Status.UNKNOWN;
 
   /**
    * The state of the control role as reported to operators.
@@ -54,6 +51,20 @@
       long version,
       boolean voter,
       boolean caughtUp) {
+    private static final Status UNKNOWN =
+        new Status(ConsensusMember.Role.FOLLOWER, Optional.empty(), 0, 0, 0, false, false);
+
+    /** Returns this status for an instance that takes no part in the group. */
+    private Status detached() {
+      return new Status(
+          ConsensusMember.Role.FOLLOWER,
+          Optional.empty(),
+          term,
+          commitIndex,
+          version,
+          false,
+          false);
+    }
 
     /**
      * Returns whether a daemon that holds the given version may present it as the active one: the
@@ -65,16 +76,15 @@
   }
 
   /**
-   * Opens the log in the data folder and recovers it. The member takes part in the group only after
-   * {@link #start}.
+   * Opens the log in the data folder and recovers it, now or as soon as the data folder can be
+   * used. The member takes part in the group only after {@link #start}.
    *
    * @param group the node ids of the control group, including this one
    * @param dataDir the data folder
    * @param bootstrap true only on the deployment's first start
    * @param configs the daemon's configuration, updated from the committed log
    * @param membership the membership, used to look up and send to the other members
-   * @param onDiskFailure called once if the data folder fails; the member then no longer responds
-   * @throws IOException if the log cannot be opened
+   * @param onError called if the member stops because of an {@link Error}
    */
   public ControlService(
       List<String> group,
@@ -82,44 +92,29 @@
       boolean bootstrap,
       ConfigStore configs,
       Membership membership,
-      Consumer<Throwable> onDiskFailure)
-      throws IOException {
+      Consumer<Error> onError) {
     this.nodeId = membership.self().nodeId();
     this.configs = configs;
     this.membership = membership;
-    DurableLog log = DurableLog.open(dataDir, bootstrap);
-    this.member =
-        new ConsensusMember(
+    this.onError = onError;
+    this.host =
+        new MemberHost(
             nodeId,
             group,
-            ConsensusTiming.DEFAULT,
-            LogLimits.DEFAULT,
-            log,
-            new SplittableRandom(),
-            ConsensusDriver.monotonicMillis());
-    this.driver = new ConsensusDriver(member, log, new DriverListener(), onDiskFailure);
-    applyCommitted(List.of());
-    LOG.log(
-        System.Logger.Level.INFO,
-        "control.recovered",
-        "lastIndex",
-        member.lastIndex(),
-        "version",
-        member.state().version(),
-        "term",
-        member.term(),
-        "voter",
-        member.voter());
+            dataDir,
+            () -> DurableLog.open(dataDir, bootstrap),
+            () -> DurableLog.open(dataDir, false),
+            new HostListener());
   }
 
   /** Starts taking part in the group. */
   public void start() {
-    driver.start();
+    host.start();
   }
 
   /** Returns whether this member is the leader of its group; may be called from any thread. */
   public boolean isLeader() {
-    return status != null && status.leader().filter(nodeId::equals).isPresent();
+    return status.leader().filter(nodeId::equals).isPresent();
   }
 
   /** Returns the state after the last step. */
@@ -127,9 +122,14 @@
     return status;
   }
 
+  /** Returns whether this instance can use its data folder. */
+  public StorageState storage() {
+    return host.storage();
+  }
+
   /** Passes a message of another member to this one. */
   public void receive(String from, ConsensusMessage message) {
-    driver.enqueue(now -> member.receive(from, message, now));
+    host.receive(from, message);
   }
 
   /**
@@ -142,11 +142,12 @@
    */
   public Future<ChangeResult> propose(
       Command.Change change, long expectedVersion, Duration timeout) {
-    return driver.propose(
-        (proposalId, now) -> member.propose(proposalId, change, expectedVersion, now), timeout);
+    return host.propose(
+        (member, proposalId, now) -> member.propose(proposalId, change, expectedVersion, now),
+        timeout);
   }
 
-  private final class DriverListener implements ConsensusDriver.Listener {
+  private final class HostListener implements MemberHost.Listener {
     @Override
     public void send(String to, ConsensusMessage message) {
       membership
@@ -155,9 +156,33 @@
     }
 
     @Override
-    public void onStep(ConsensusMember steppedMember, List<LogEntry> committed) {
-      applyCommitted(committed);
-      committed.forEach(ControlService.this::logCommitted);
+    public void onAttached(ConsensusMember member) {
+      applyCommitted(member, List.of());
+      LOG.log(
+          System.Logger.Level.INFO,
+          "control.recovered",
+          "lastIndex",
+          member.lastIndex(),
+          "version",
+          member.state().version(),
+          "term",
+          member.term(),
+          "voter",
+          member.voter());
+    }
+
+    @Override
+    public void onStep(ConsensusMember member, List<LogEntry> committed) {
+      applyCommitted(member, committed);
+      committed.forEach(entry -> logCommitted(member, entry));
+    }
+
+    @Override
+    public void onDetached(Throwable cause) {
+      status = status.detached();
+      if (cause instanceof Error error) {
+        onError.accept(error);
+      }
     }
   }
 
@@ -165,7 +190,7 @@
    * Updates the status and activates the committed configuration in this daemon, which then
    * notifies its peers.
    */
-  private void applyCommitted(List<LogEntry> committed) {
+  private void applyCommitted(ConsensusMember member, List<LogEntry> committed) {
     ConfigState state = member.state();
     status =
         new Status(
@@ -189,7 +214,7 @@
     }
   }
 
-  private void logCommitted(LogEntry entry) {
+  private static void logCommitted(ConsensusMember member, LogEntry entry) {
     if (entry.command() instanceof Command.Change change
         && member.role() == ConsensusMember.Role.LEADER) {
       LOG.log(
@@ -214,6 +239,6 @@
 
   @Override
   public void close() throws IOException, InterruptedException {
-    driver.close();
+    host.close();
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -6,6 +6,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
@@ -46,6 +47,7 @@
   private static final System.Logger LOG = System.getLogger(DurableLog.class.getName());
   private static final String HARD_STATE_FILE = "hard-state";
   private static final String SNAPSHOT_FILE = "snapshot";
+  private static final String SET_ASIDE_PREFIX = "unreadable-";
 
   private final Path dataDir;
   private final DurableFile.Sync sync;
@@ -114,6 +116,30 @@
     return log;
   }
 
+  /**
+   * Moves the files of a data folder that cannot be read into a new subfolder, where an operator
+   * finds them. The instance then opens an empty folder, like one whose disk was lost.
+   *
+   * @return the subfolder
+   * @throws IOException if a file cannot be moved
+   */
+  static Path setAside(Path dataDir) throws IOException {
+    int number = 1;
+    while (Files.exists(dataDir.resolve(SET_ASIDE_PREFIX + number))) {
+      number++;
+    }
+    Path target = Files.createDirectory(dataDir.resolve(SET_ASIDE_PREFIX + number));
+    // Without its hard state a member does not vote, whichever other files a crash leaves in place.
+    for (String file : List.of(HARD_STATE_FILE, SNAPSHOT_FILE, LOG_FILE)) {
+      if (Files.exists(dataDir.resolve(file))) {
+        Files.move(dataDir.resolve(file), target.resolve(file), StandardCopyOption.ATOMIC_MOVE);
+        DurableFile.syncFolder(target, DurableFile.FORCE_TO_DISK);
+        DurableFile.syncFolder(dataDir, DurableFile.FORCE_TO_DISK);
+      }
+    }
+    return target;
+  }
+
   private void recoverHardState(boolean bootstrap) throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE));
     if (records.isEmpty()) {
@@ -175,8 +201,7 @@
     if (entry.index() <= snapshot.lastIndex()) {
       // A received snapshot replaces entries that were never committed, and a crash may leave them
       // in the file.
-      superseded |=
-          entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
+      superseded |= entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
       startOffset = endOffset;
       return true;
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -7,17 +7,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConsensusMember;
 import org.lacewingcroft.consensus.ConsensusMessage;
-import org.lacewingcroft.consensus.ConsensusTiming;
 import org.lacewingcroft.consensus.GroupPolicy;
 import org.lacewingcroft.consensus.LogEntry;
-import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.consensus.RoutingState;
 
 /**
@@ -38,9 +35,8 @@
    */
   private static final long REPLACE_AFTER_MILLIS = 1_800;
 
-  private final ConsensusMember member;
-  private final ConsensusDriver driver;
-  private volatile View view;
+  private final MemberHost host;
+  private volatile View view = View.UNKNOWN;
 
   /**
    * The state of the group as known to this instance.
@@ -57,6 +53,8 @@
       Optional<String> leader,
       Set<String> members,
       long term) {
+    private static final View UNKNOWN =
+        new View(RoutingState.EMPTY, false, Optional.empty(), Set.of(), 0);
 
     /**
      * Returns this view without a leader and a majority, for an instance whose data folder has
@@ -68,7 +66,8 @@
   }
 
   /**
-   * Opens the log and starts taking part in the group.
+   * Opens the log and starts taking part in the group, now or as soon as the data folder can be
+   * used.
    *
    * @param self this instance's peer address
    * @param dataDir the data folder
@@ -77,9 +76,6 @@
    * @param toleratedFailures how many members may fail at the same time
    * @param send sends a message to a member
    * @param onRouting receives each newer routing state, on the driver's thread
-   * @param onDiskFailure called once, on the driver's thread, if the data folder fails; this object
-   *     then no longer takes part in the group, and its data folder may be reopened
-   * @throws IOException if the log cannot be opened
    */
   public RoutingControl(
       String self,
@@ -87,35 +83,59 @@
       Set<String> founders,
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
-      Consumer<RoutingState> onRouting,
-      Consumer<Throwable> onDiskFailure)
-      throws IOException {
+      Consumer<RoutingState> onRouting) {
     this(
         self,
-        DurableLog.openWithFounders(dataDir, founders),
+        dataDir,
+        () -> DurableLog.openWithFounders(dataDir, founders),
         toleratedFailures,
         send,
-        onRouting,
-        onDiskFailure);
+        onRouting);
   }
 
   RoutingControl(
       String self,
-      DurableLog log,
+      Path dataDir,
+      MemberHost.Opener opener,
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
-      Consumer<RoutingState> onRouting,
-      Consumer<Throwable> onDiskFailure) {
-    member =
-        new ConsensusMember(
+      Consumer<RoutingState> onRouting) {
+    host =
+        new MemberHost(
             self,
             List.of(),
-            ConsensusTiming.DEFAULT,
-            LogLimits.DEFAULT,
-            log,
-            new SplittableRandom(),
-            ConsensusDriver.monotonicMillis());
-    view = viewOf(member);
+            dataDir,
+            opener,
+            () -> DurableLog.openWithFounders(dataDir, Set.of()),
+            new MemberHost.Listener() {
+              @Override
+              public void send(String to, ConsensusMessage message) {
+                send.accept(to, message);
+              }
+
+              @Override
+              public void onAttached(ConsensusMember member) {
+                view = viewOf(member);
+                logRecovered(member);
+              }
+
+              @Override
+              public void onStep(ConsensusMember member, List<LogEntry> committed) {
+                publish(member, committed, onRouting);
+              }
+
+              @Override
+              public void onDetached(Throwable cause) {
+                view = view.disconnected();
+              }
+            });
+    GroupPolicy policy = new GroupPolicy(2 * toleratedFailures + 1, REPLACE_AFTER_MILLIS);
+    host.scheduleRepeatedly(
+        ADJUST_INTERVAL_MILLIS, (member, now) -> member.adjustGroup(policy, now));
+    host.start();
+  }
+
+  private static void logRecovered(ConsensusMember member) {
     LOG.log(
         System.Logger.Level.INFO,
         "control.recovered",
@@ -127,28 +147,6 @@
         member.voter(),
         "members",
         member.group());
-    driver =
-        new ConsensusDriver(
-            member,
-            log,
-            new ConsensusDriver.Listener() {
-              @Override
-              public void send(String to, ConsensusMessage message) {
-                send.accept(to, message);
-              }
-
-              @Override
-              public void onStep(ConsensusMember steppedMember, List<LogEntry> committed) {
-                publish(committed, onRouting);
-              }
-            },
-            failure -> {
-              view = view.disconnected();
-              onDiskFailure.accept(failure);
-            });
-    driver.start();
-    GroupPolicy policy = new GroupPolicy(2 * toleratedFailures + 1, REPLACE_AFTER_MILLIS);
-    driver.scheduleRepeatedly(ADJUST_INTERVAL_MILLIS, now -> member.adjustGroup(policy, now));
   }
 
   private static View viewOf(ConsensusMember member) {
@@ -160,7 +158,8 @@
         member.term());
   }
 
-  private void publish(List<LogEntry> committed, Consumer<RoutingState> onRouting) {
+  private void publish(
+      ConsensusMember member, List<LogEntry> committed, Consumer<RoutingState> onRouting) {
     View before = view;
     view = viewOf(member);
     committed.forEach(RoutingControl::logCommitted);
@@ -208,25 +207,31 @@
     return view;
   }
 
+  /** Returns whether this instance can use its data folder. */
+  public StorageState storage() {
+    return host.storage();
+  }
+
   /** Passes a message of another member to this one. */
   public void receive(String from, ConsensusMessage message) {
-    driver.enqueue(now -> member.receive(from, message, now));
+    host.receive(from, message);
   }
 
   /** Starts replicating to an instance that is not a member, if this instance is the leader. */
   public void admit(String learner) {
     if (!view.members().contains(learner)) {
-      driver.enqueue(now -> member.addLearner(learner, now));
+      host.enqueue((member, now) -> member.addLearner(learner, now));
     }
   }
 
   /** Submits a command; see {@link ConsensusMember#submit}. */
   public Future<ChangeResult> submit(Command command, Duration timeout) {
-    return driver.propose((proposalId, now) -> member.submit(proposalId, command, now), timeout);
+    return host.propose(
+        (member, proposalId, now) -> member.submit(proposalId, command, now), timeout);
   }
 
   @Override
   public void close() throws IOException, InterruptedException {
-    driver.close();
+    host.close();
   }
 }
--- /dev/null
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
@@ -0,0 +1,23 @@
+package org.lacewingcroft.control;
+
+/** Whether a control group member can use its data folder. */
+public enum StorageState {
+  /** The member runs on its data folder. */
+  OPEN,
+  /** A read, write or sync failed; the folder is opened again at intervals. */
+  FAILED,
+  /** Synced data is damaged; the instance rejoins once the group has a quorum without it. */
+  DAMAGED,
+  /** A record cannot be decoded by this build; the files are kept for a build that can. */
+  UNKNOWN_FORMAT;
+
+  static StorageState after(Throwable cause) {
+    if (cause instanceof UnreadableStorageException unreadable) {
+      return switch (unreadable.kind()) {
+        case DAMAGED -> DAMAGED;
+        case UNKNOWN_FORMAT -> UNKNOWN_FORMAT;
+      };
+    }
+    return FAILED;
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -55,7 +55,7 @@
       new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
 
   private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
-  private static final int DISK_FAILURE_EXIT_CODE = 3;
+  private static final int MEMBER_ERROR_EXIT_CODE = 3;
   private static final int MIN_DRAIN_HEARTBEATS = 4;
 
   private final Settings settings;
@@ -208,7 +208,7 @@
     }
   }
 
-  private void startControl() throws IOException {
+  private void startControl() {
     List<String> group =
         settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
     control =
@@ -218,7 +218,7 @@
             settings.bootstrap(),
             configs,
             membership,
-            failure -> errors.reportAndHalt(failure, DISK_FAILURE_EXIT_CODE));
+            error -> errors.reportAndHalt(error, MEMBER_ERROR_EXIT_CODE));
     control.start();
   }
 
@@ -375,6 +375,9 @@
   }
 
   private void serveMetrics(RoutingContext ctx) {
+    if (control != null) {
+      metrics.setControlStorage(control.storage());
+    }
     ctx.response()
         .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         .end(metrics.scrape());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -19,6 +18,7 @@
 import java.util.stream.Collectors;
 import org.lacewingcroft.consensus.RoutingState;
 import org.lacewingcroft.control.RoutingControl;
+import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.route.RouteDocumentParser;
 import org.lacewingcroft.route.RouteTable;
@@ -75,9 +75,6 @@
    */
   private static final int LEASE_ANNOUNCEMENTS = 4;
 
-  /** Delay before the data folder is reopened after a failure. */
-  private static final long REOPEN_DELAY_MILLIS = 1_000;
-
   /** Time for which requests for the routing state are gathered. */
   private static final long STATE_OFFER_DELAY_MILLIS = 10;
 
@@ -92,7 +89,7 @@
   private final RouteDocumentParser parser;
   private RouteTable routes = RouteTable.EMPTY;
   private final FleetTransport transport;
-  private volatile RoutingControl control;
+  private final RoutingControl control;
   private final OrderRelay orders;
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, TrackedEntry> entries = new TreeMap<>();
@@ -145,17 +142,16 @@
   }
 
   /**
-   * Creates a control instance and opens its data folder.
-   *
-   * @throws IOException if the data folder cannot be used
+   * Creates a control instance and opens its data folder. While the folder cannot be used, the
+   * instance runs without its part in the control group: a full or faulty disk disables neither its
+   * directory nor its roster.
    */
   public ControlNode(
       Context context,
       FleetSettings settings,
       RouteDocumentParser parser,
       InstantSource clock,
-      GatewayMetrics metrics)
-      throws IOException {
+      GatewayMetrics metrics) {
     this.metrics = metrics;
     this.parser = parser;
     this.context = context;
@@ -197,39 +193,15 @@
             () -> entryPeers(e -> e.following),
             new SuspicionStore(settings.dataDir().orElseThrow(), InstantSource.system()));
     boolean foundingMember = settings.firstStart() && seeds.contains(settings.peerAddress());
-    this.control = openControl(foundingMember ? Set.copyOf(seeds) : Set.of());
-    this.orders =
-        new OrderRelay(context, settings.peerAddress(), () -> this.control, transport, metrics);
-  }
-
-  private RoutingControl openControl(Set<String> initialMembers) throws IOException {
-    return new RoutingControl(
-        settings.peerAddress(),
-        settings.dataDir().orElseThrow(),
-        initialMembers,
-        settings.toleratedFailures(),
-        transport::send,
-        state -> context.runOnContext(v -> publishState(state)),
-        failure -> context.runOnContext(v -> scheduleReopen()));
-  }
-
-  /**
-   * Schedules attempts to reopen the data folder after it failed. Until one succeeds, this instance
-   * runs without its control group; afterwards it holds only the state that is on its disk. A full
-   * or faulty disk thus disables one member of the group temporarily, but not its directory and
-   * roster.
-   */
-  private void scheduleReopen() {
-    vertx.setTimer(
-        REOPEN_DELAY_MILLIS,
-        id -> {
-          try {
-            control = openControl(Set.of());
-          } catch (IOException | RuntimeException e) {
-            LOG.log(System.Logger.Level.WARNING, "control.data_folder_unusable", e);
-            scheduleReopen();
-          }
-        });
+    this.control =
+        new RoutingControl(
+            settings.peerAddress(),
+            settings.dataDir().orElseThrow(),
+            foundingMember ? Set.copyOf(seeds) : Set.of(),
+            settings.toleratedFailures(),
+            transport::send,
+            state -> context.runOnContext(v -> publishState(state)));
+    this.orders = new OrderRelay(context, settings.peerAddress(), control, transport, metrics);
   }
 
   /** Starts listening and sending hello messages. */
@@ -259,6 +231,11 @@
     return control.view();
   }
 
+  /** Returns whether this instance can use its data folder. */
+  public StorageState storage() {
+    return control.storage();
+  }
+
   /** Returns the number of recorded endpoints. */
   public int endpoints() {
     return roster.size();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.RoutingState;
@@ -38,7 +37,7 @@
   private final Context context;
   private final Vertx vertx;
   private final String selfAddress;
-  private final Supplier<RoutingControl> control;
+  private final RoutingControl control;
   private final FleetTransport transport;
   private final GatewayMetrics metrics;
   private final Map<Long, Promise<Outcome>> pendingCalls = new HashMap<>();
@@ -87,7 +86,7 @@
   OrderRelay(
       Context context,
       String selfAddress,
-      Supplier<RoutingControl> control,
+      RoutingControl control,
       FleetTransport transport,
       GatewayMetrics metrics) {
     this.metrics = metrics;
@@ -117,7 +116,7 @@
     Promise<Outcome> result = Promise.promise();
     long startNanos = System.nanoTime();
     long deadlineNanos = startNanos + ORDER_TIMEOUT.toNanos();
-    long baseRevision = control.get().view().routing().revision();
+    long baseRevision = control.view().routing().revision();
     attempt(new Order(kind, version, argument, baseRevision, deadlineNanos), result);
     return result
         .future()
@@ -142,13 +141,13 @@
         "done",
         outcome.committed(),
         "leader",
-        control.get().view().leader().orElse("none"),
+        control.view().leader().orElse("none"),
         "term",
-        control.get().view().term());
+        control.view().term());
   }
 
   private void attempt(Order order, Promise<Outcome> result) {
-    Optional<String> leader = control.get().view().leader();
+    Optional<String> leader = control.view().leader();
     if (order.remainingMillis() <= 0) {
       result.tryComplete(Outcome.UNKNOWN);
       return;
@@ -174,14 +173,13 @@
   private Future<Outcome> submitLocally(Order order, long timeoutMillis) {
     Promise<Outcome> promise = Promise.promise();
     control
-        .get()
         .submit(order.command(), Duration.ofMillis(Math.max(1, timeoutMillis)))
         .onSuccess(result -> context.runOnContext(v -> promise.complete(outcome(order, result))));
     return promise.future();
   }
 
   private Outcome outcome(Order order, ChangeResult result) {
-    RoutingState state = control.get().view().routing();
+    RoutingState state = control.view().routing();
     if (!(result instanceof ChangeResult.Accepted) || !order.isInEffect(state)) {
       return Outcome.UNKNOWN;
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -10,7 +10,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.function.ToLongFunction;
+import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.peer.PeerTraffic;
 
@@ -76,6 +78,13 @@
           .help("Configuration offers refused as older or equal")
           .register(registry);
 
+  private final Gauge controlStorage =
+      Gauge.builder()
+          .name("lwc_control_storage")
+          .help("1 for the state of the data folder: open, failed, damaged or unknown_format")
+          .labelNames("state")
+          .register(registry);
+
   /** The number of requests in flight through this daemon. */
   public final Gauge inFlight =
       Gauge.builder().name("lwc_in_flight").help("Requests in flight").register(registry);
@@ -130,6 +139,15 @@
   public final Histogram requestRelaySeconds =
       stageHistogram("lwc_request_relay_seconds", "Seconds for which another entry was awaited");
 
+  /** Records the state of a control instance's data folder. */
+  public void setControlStorage(StorageState current) {
+    for (StorageState state : StorageState.values()) {
+      controlStorage
+          .labelValues(state.name().toLowerCase(Locale.ROOT))
+          .set(state == current ? 1 : 0);
+    }
+  }
+
   private Histogram stageHistogram(String name, String help) {
     return Histogram.builder().name(name).help(help).register(registry);
   }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -8,8 +8,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
@@ -32,8 +32,15 @@
     return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
-  private static RoutingControl open(DurableLog log, CompletableFuture<Throwable> diskFailure) {
-    return new RoutingControl(SELF, log, 0, (to, m) -> {}, state -> {}, diskFailure::complete);
+  private RoutingControl open(MemberHost.Opener opener) {
+    return new RoutingControl(SELF, folder, opener, 0, (to, m) -> {}, state -> {});
+  }
+
+  private static void await(RoutingControl control, boolean inMajority) throws Exception {
+    for (int i = 0; i < 250 && control.view().inMajority() != inMajority; i++) {
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    assertThat(control.view().inMajority(), equalTo(inMajority));
   }
 
   private static ChangeResult submit(RoutingControl control, long version) throws Exception {
@@ -48,37 +55,57 @@
     return result;
   }
 
+  private DurableLog openAsOnlyMember(DurableFile.Sync disk) throws IOException {
+    DurableLog log = DurableLog.open(folder, true, disk);
+    log.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(Set.of(SELF))), List.of());
+    return log;
+  }
+
   @Test
-  void diskFailureLosesMajorityAndFolderCanBeReopened() throws Exception {
+  void diskFailureLosesMajorityUntilFolderIsReopened() throws Exception {
     AtomicBoolean diskFull = new AtomicBoolean();
-    DurableLog log =
-        DurableLog.open(
-            folder,
-            true,
-            (path, channel) -> {
-              if (diskFull.get()) {
-                throw new IOException("no space left");
-              }
-              channel.force(true);
-            });
-    log.compact(
-        new Snapshot(0, 0, ConfigState.EMPTY.withMembers(Set.of(SELF))), java.util.List.of());
-    CompletableFuture<Throwable> diskFailure = new CompletableFuture<>();
-    RoutingControl control = open(log, diskFailure);
-    assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
-    assertThat(control.view().inMajority(), equalTo(true));
+    DurableFile.Sync disk =
+        (path, channel) -> {
+          if (diskFull.get()) {
+            throw new IOException("no space left");
+          }
+          channel.force(true);
+        };
+    try (RoutingControl control = open(() -> openAsOnlyMember(disk))) {
+      assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
+      assertThat(control.view().inMajority(), equalTo(true));
 
-    diskFull.set(true);
-    ChangeResult result =
-        await(control.submit(new Command.RoutingChange(6, "v6"), Duration.ofSeconds(2)));
-    diskFailure.get(5, TimeUnit.SECONDS);
-    assertThat(result, instanceOf(ChangeResult.Unknown.class));
-    assertThat(control.view().inMajority(), equalTo(false));
+      diskFull.set(true);
+      ChangeResult result =
+          await(control.submit(new Command.RoutingChange(6, "v6"), Duration.ofSeconds(2)));
+      assertThat(result, instanceOf(ChangeResult.Unknown.class));
+      await(control, /* inMajority= */ false);
 
-    try (RoutingControl reopened =
-        open(DurableLog.openWithFounders(folder, Set.of()), new CompletableFuture<>())) {
-      assertThat(submit(reopened, 7), instanceOf(ChangeResult.Accepted.class));
-      assertThat(reopened.view().routing().document(), equalTo("v7"));
+      await(control, /* inMajority= */ true);
+      assertThat(submit(control, 7), instanceOf(ChangeResult.Accepted.class));
+      assertThat(control.view().routing().document(), equalTo("v7"));
+    }
+  }
+
+  /** Guards against a start that fails while the disk refuses writes. */
+  @Test
+  void startsWhileDiskRefusesWrites() throws Exception {
+    AtomicBoolean diskFull = new AtomicBoolean(true);
+    DurableFile.Sync disk =
+        (path, channel) -> {
+          if (diskFull.get()) {
+            throw new IOException("no space left");
+          }
+          channel.force(true);
+        };
+    try (RoutingControl control = open(() -> openAsOnlyMember(disk))) {
+      assertThat(control.storage(), equalTo(StorageState.FAILED));
+      assertThat(
+          await(control.submit(new Command.RoutingChange(5, "v5"), Duration.ofSeconds(1))),
+          instanceOf(ChangeResult.NotLeader.class));
+      diskFull.set(false);
+      await(control, /* inMajority= */ true);
+      assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
     }
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/ReplacedControlInstanceTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/ReplacedControlInstanceTest.java
@@ -5,7 +5,6 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -61,18 +60,14 @@
     CompletableFuture<ControlNode> started = new CompletableFuture<>();
     context.runOnContext(
         v -> {
-          try {
-            ControlNode node =
-                new ControlNode(
-                    context,
-                    settings,
-                    document -> RouteTable.EMPTY,
-                    new MonotonicInstantSource(),
-                    new GatewayMetrics());
-            node.start().onSuccess(s -> started.complete(node));
-          } catch (IOException e) {
-            started.completeExceptionally(e);
-          }
+          ControlNode node =
+              new ControlNode(
+                  context,
+                  settings,
+                  document -> RouteTable.EMPTY,
+                  new MonotonicInstantSource(),
+                  new GatewayMetrics());
+          node.start().onSuccess(s -> started.complete(node));
         });
     nodes.put(settings.peerAddress(), started.get(10, TimeUnit.SECONDS));
     return settings.peerAddress();
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/ErrorReporterTest.java
@@ -135,8 +135,7 @@
         Arguments.of(
             new UncheckedIOException(new IOException("No space left on device")),
             "IOException: No space left"),
-        Arguments.of(
-            new OutOfMemoryError("Java heap space"), "OutOfMemoryError: Java heap space"));
+        Arguments.of(new OutOfMemoryError("Java heap space"), "OutOfMemoryError: Java heap space"));
   }
 
   /** Guards against a line that no longer shows why a process ended once it is cut short. */
