Write the files again when a data folder is opened after a failed sync

No operator has reported this; it was found while failures of the disk were examined.

After a sync has failed, an operating system may keep what it did not write as clean pages: it can be read, and the next sync of the file succeeds without writing it. A member whose sync failed opened its folder again a second later, found the entry, synced, and acknowledged it to the leader; a loss of power then removed an acknowledged entry, and everything behind it.

An open that fails closes its channel, which was left to the garbage collector once a second before, and an append whose sync fails leaves the offsets as they were.

A process that is killed within the second before it opens the folder again is not covered: the next process does not know of the failure.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -90,10 +89,51 @@
       throws IOException {
     Files.createDirectories(dataDir);
     DurableLog log = new DurableLog(dataDir, sync);
-    log.recoverHardState(bootstrap);
-    log.recoverSnapshot();
-    log.recoverEntries();
-    return log;
+    return log.closeIfFails(
+        () -> {
+          log.recoverHardState(bootstrap);
+          log.recoverSnapshot();
+          log.recoverEntries();
+        });
+  }
+
+  /**
+   * Opens the log after a write or sync failed or the files were set aside, and writes all of it
+   * again. What a failed sync did not write may still be readable, and a later sync of the same
+   * file reports success without writing it.
+   *
+   * @throws UnreadableStorageException if synced data cannot be used
+   * @throws IOException if the folder or a file cannot be used
+   */
+  static DurableLog reopen(Path dataDir) throws IOException {
+    return reopen(dataDir, DurableFile.FORCE_TO_DISK);
+  }
+
+  static DurableLog reopen(Path dataDir, DurableFile.Sync sync) throws IOException {
+    DurableLog log = open(dataDir, /* bootstrap= */ false, sync);
+    return log.closeIfFails(
+        () -> {
+          log.writeHardState(log.hardState);
+          log.compact(log.snapshot, log.entries());
+        });
+  }
+
+  private interface Recovery {
+    void run() throws IOException;
+  }
+
+  /** Runs a part of the recovery, and leaves no open channel behind if it fails. */
+  private DurableLog closeIfFails(Recovery recovery) throws IOException {
+    boolean done = false;
+    try {
+      recovery.run();
+      done = true;
+      return this;
+    } finally {
+      if (!done) {
+        close();
+      }
+    }
   }
 
   /**
@@ -110,10 +150,11 @@
   public static DurableLog openWithFounders(Path dataDir, Set<String> founders) throws IOException {
     DurableLog log = open(dataDir, !founders.isEmpty());
     boolean empty = log.snapshot.equals(Snapshot.EMPTY) && log.entries.isEmpty();
-    if (!founders.isEmpty() && empty) {
-      log.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founders)), List.of());
+    if (founders.isEmpty() || !empty) {
+      return log;
     }
-    return log;
+    Snapshot founded = new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founders));
+    return log.closeIfFails(() -> log.compact(founded, List.of()));
   }
 
   /**
@@ -305,14 +346,14 @@
   @Override
   public void append(List<LogEntry> newEntries) {
     try {
-      long offset = channel.position();
+      List<Long> offsets = new ArrayList<>();
       for (LogEntry entry : newEntries) {
-        ByteBuffer bytes = DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, entry)));
-        offset += bytes.remaining();
-        DurableFile.writeFully(channel, bytes);
-        endOffsets.add(offset);
+        DurableFile.writeFully(
+            channel, DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, entry))));
+        offsets.add(channel.position());
       }
       sync.force(dataDir.resolve(LOG_FILE), channel);
+      endOffsets.addAll(offsets);
       entries.addAll(newEntries);
     } catch (IOException e) {
       throw new UncheckedIOException("appending to the configuration log failed", e);
@@ -367,6 +408,8 @@
 
   @Override
   public void close() throws IOException {
-    channel.close();
+    if (channel != null) {
+      channel.close();
+    }
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -106,7 +106,7 @@
             List.of(),
             dataDir,
             opener,
-            () -> DurableLog.openWithFounders(dataDir, Set.of()),
+            () -> DurableLog.reopen(dataDir),
             new MemberHost.Listener() {
               @Override
               public void send(String to, ConsensusMessage message) {
