Answer an order that waits behind a disk that hangs or fails

An operator's change or read that reached the leader while a sync hung was not answered until the disk came back, and never if the sync then failed: the step with the order was dropped with the driver's queue, before its promise and its timeout existed, and the relay waited for it without end. This is also how an order can go unanswered in a group that has a majority.

A proposal is registered before its step is queued, the timeout does not depend on the driver's thread, and all proposals are completed when the driver stops.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ConsensusDriver.java
@@ -4,14 +4,16 @@
 import io.vertx.core.Promise;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.lacewingcroft.consensus.ChangeResult;
@@ -60,8 +62,8 @@
             t.setDaemon(true);
             return t;
           });
-  private final Map<Long, Promise<ChangeResult>> pendingProposals = new HashMap<>();
-  private long nextProposalId;
+  private final Map<Long, Promise<ChangeResult>> pendingProposals = new ConcurrentHashMap<>();
+  private final AtomicLong nextProposalId = new AtomicLong();
 
   ConsensusDriver(
       ConsensusMember member,
@@ -101,7 +103,8 @@
   }
 
   /**
-   * Submits a proposal to the member.
+   * Submits a proposal to the member. It is decided within the timeout also if the driver's thread
+   * waits for the disk, or stops before the proposal is made.
    *
    * @param timeout maximum wait for the decision
    * @return the decision; {@link ChangeResult.Unknown} after the timeout, {@link
@@ -109,19 +112,13 @@
    */
   Future<ChangeResult> propose(Proposal proposal, Duration timeout) {
     Promise<ChangeResult> promise = Promise.promise();
-    boolean queued =
-        enqueue(
-            now -> {
-              long proposalId = nextProposalId++;
-              pendingProposals.put(proposalId, promise);
-              executor.schedule(
-                  () -> completeProposal(proposalId, new ChangeResult.Unknown()),
-                  timeout.toMillis(),
-                  TimeUnit.MILLISECONDS);
-              return proposal.propose(proposalId, now);
-            });
-    if (!queued) {
-      promise.complete(new ChangeResult.NotLeader(Optional.empty()));
+    long proposalId = nextProposalId.getAndIncrement();
+    pendingProposals.put(proposalId, promise);
+    if (enqueue(now -> proposal.propose(proposalId, now))) {
+      CompletableFuture.delayedExecutor(timeout.toMillis(), TimeUnit.MILLISECONDS, Runnable::run)
+          .execute(() -> completeProposal(proposalId, new ChangeResult.Unknown()));
+    } else {
+      completeProposal(proposalId, new ChangeResult.NotLeader(Optional.empty()));
     }
     return promise.future();
   }
@@ -139,7 +136,7 @@
       LOG.log(System.Logger.Level.ERROR, "control.stopped", e);
       executor.shutdownNow();
       closeLog();
-      pendingProposals.values().forEach(p -> p.tryComplete(new ChangeResult.Unknown()));
+      pendingProposals.keySet().forEach(id -> completeProposal(id, new ChangeResult.Unknown()));
       onDiskFailure.accept(e);
       return;
     }
