--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -54,7 +54,6 @@
   private final List<Long> endOffsets = new ArrayList<>();
   private long startOffset;
   private long snapshotSizeBytes;
-  private boolean superseded;
   private HardState hardState;
   private Snapshot snapshot;
   private FileChannel channel;
@@ -215,10 +214,6 @@
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
-    if (superseded) {
-      validBytes = 0;
-      startOffset = 0;
-    }
     openChannel(file);
     long tornBytes = channel.size() - validBytes;
     if (tornBytes > 0) {
@@ -240,20 +235,15 @@
   private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
     LogEntry entry = decode(LOG_FILE, payload, ConsensusCodec::unpackEntry);
     if (entry.index() <= snapshot.lastIndex()) {
-      // A received snapshot replaces entries that were never committed, and a crash may leave them
-      // in the file.
-      superseded |= entry.index() == snapshot.lastIndex() && entry.term() != snapshot.lastTerm();
       startOffset = endOffset;
       return true;
     }
-    if (superseded) {
-      return false;
-    }
     if (entries.isEmpty() && entry.index() > snapshot.lastIndex() + 1) {
       throw UnreadableStorageException.damaged(
           dataDir.resolve(SNAPSHOT_FILE),
           "it ends at index " + snapshot.lastIndex() + ", the log begins at " + entry.index());
     }
+    // A received snapshot replaces entries of older terms, and a crash may leave them in the file.
     boolean followsLast =
         entries.isEmpty()
             ? entry.term() >= snapshot.lastTerm()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -265,6 +265,21 @@
     }
   }
 
+  /** Guards against entries lost because the file still begins with ones that were replaced. */
+  @Test
+  void keepsEntriesBehindReplacedOnes() throws IOException {
+    byte[] oldLog;
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1), entry(2, 2), entry(3, 3)));
+      oldLog = Files.readAllBytes(dataDir.resolve(DurableLog.LOG_FILE));
+      log.compact(new Snapshot(2, 3, snapshot(2).state()), List.of());
+    }
+    Files.write(dataDir.resolve(DurableLog.LOG_FILE), oldLog);
+    try (DurableLog reopened = DurableLog.open(dataDir, false)) {
+      assertThat(reopened.entries(), is(List.of(entry(3, 3))));
+    }
+  }
+
   /** Guards against a member that votes again after its hard state was lost. */
   @Test
   void memberThatLostItsHardStateIsNoVoter() throws IOException {
