Write the files again also if the first open of a process failed

If a sync failed while an instance started, the next attempt opened the folder like the first one and did not write the files again. Entries that a killed process had written and not synced then counted as stored after a sync that wrote nothing, and a loss of power removed them after they were acknowledged.

MemberHost writes the files again after any failure, whichever way the folder is opened. The test goes through RoutingControl now, so that it also covers who calls it, and has a case at the start: RoutingControlTest#writesAgainWhatFailedSyncMayHaveLost (it replaces the test of the same name in DurableLogTest, on the same disk). Both cases fail if MemberHost opens without writing.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -103,7 +103,7 @@
             group,
             dataDir,
             () -> DurableLog.open(dataDir, bootstrap),
-            () -> DurableLog.reopen(dataDir),
+            () -> DurableLog.open(dataDir, /* bootstrap= */ false),
             new HostListener());
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -62,6 +62,10 @@
     void pack(MessagePacker packer) throws IOException;
   }
 
+  private interface Recovery {
+    void run() throws IOException;
+  }
+
   private interface UnpackFunction<T> {
     T unpack(MessageUnpacker unpacker) throws IOException;
   }
@@ -97,30 +101,18 @@
   }
 
   /**
-   * Opens the log after a write or sync failed or the files were set aside, and writes all of it
-   * again. What a failed sync did not write may still be readable, and a later sync of the same
-   * file reports success without writing it.
-   *
-   * @throws UnreadableStorageException if synced data cannot be used
-   * @throws IOException if the folder or a file cannot be used
+   * Writes all that was recovered to new files, after a write or sync has failed. What a failed
+   * sync did not write may still be readable, and a later sync of the same file reports success
+   * without writing it.
    */
-  static DurableLog reopen(Path dataDir) throws IOException {
-    return reopen(dataDir, DurableFile.FORCE_TO_DISK);
-  }
-
-  static DurableLog reopen(Path dataDir, DurableFile.Sync sync) throws IOException {
-    DurableLog log = open(dataDir, /* bootstrap= */ false, sync);
-    return log.closeIfFails(
+  DurableLog writeAgain() throws IOException {
+    return closeIfFails(
         () -> {
-          log.writeHardState(log.hardState);
-          log.compact(log.snapshot, log.entries());
+          writeHardState(hardState);
+          compact(snapshot, entries());
         });
   }
 
-  private interface Recovery {
-    void run() throws IOException;
-  }
-
   /** Runs a part of the recovery, and leaves no open channel behind if it fails. */
   private DurableLog closeIfFails(Recovery recovery) throws IOException {
     boolean done = false;
@@ -147,7 +139,12 @@
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog openWithFounders(Path dataDir, Set<String> founders) throws IOException {
-    DurableLog log = open(dataDir, !founders.isEmpty());
+    return openWithFounders(dataDir, founders, DurableFile.FORCE_TO_DISK);
+  }
+
+  static DurableLog openWithFounders(Path dataDir, Set<String> founders, DurableFile.Sync sync)
+      throws IOException {
+    DurableLog log = open(dataDir, !founders.isEmpty(), sync);
     boolean empty = log.snapshot.equals(Snapshot.EMPTY) && log.entries.isEmpty();
     if (founders.isEmpty() || !empty) {
       return log;
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
@@ -90,9 +90,10 @@
             t.setDaemon(true);
             return t;
           });
-  private final Opener later;
+  private final Opener laterOpener;
   private Opener opener;
-  private QuorumObservation observation;
+  private boolean failedBefore;
+  private QuorumObservation observation = new QuorumObservation(ConsensusTiming.DEFAULT);
   private boolean started;
   private boolean closed;
   private volatile Optional<Attached> attached = Optional.empty();
@@ -105,17 +106,22 @@
    * @param id the member's id
    * @param group the ids of all members if they are configured, otherwise empty
    * @param dataDir the data folder
-   * @param first opens it until that has succeeded once
-   * @param later opens it afterwards, when an empty folder is one whose disk was lost
+   * @param firstOpener opens it until that has succeeded once
+   * @param laterOpener opens it afterwards, when an empty folder is one whose disk was lost
    * @param listener receives the results
    */
   MemberHost(
-      String id, List<String> group, Path dataDir, Opener first, Opener later, Listener listener) {
+      String id,
+      List<String> group,
+      Path dataDir,
+      Opener firstOpener,
+      Opener laterOpener,
+      Listener listener) {
     this.id = id;
     this.group = group;
     this.dataDir = dataDir;
-    this.opener = first;
-    this.later = later;
+    this.opener = firstOpener;
+    this.laterOpener = laterOpener;
     this.listener = listener;
     attach();
   }
@@ -183,12 +189,12 @@
   private void attach() {
     DurableLog log;
     try {
-      log = opener.open();
+      log = failedBefore ? opener.open().writeAgain() : opener.open();
     } catch (IOException | UncheckedIOException e) {
       detach(e);
       return;
     }
-    opener = later;
+    opener = laterOpener;
     ConsensusMember member =
         new ConsensusMember(
             id,
@@ -214,6 +220,7 @@
 
   private void detach(Throwable cause) {
     attached = Optional.empty();
+    failedBefore = true;
     StorageState before = storage;
     storage = StorageState.after(cause);
     if (storage != before) {
@@ -251,7 +258,7 @@
       detach(e);
       return;
     }
-    opener = later;
+    opener = laterOpener;
     attach();
   }
 
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -84,29 +84,24 @@
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
       Consumer<RoutingState> onRouting) {
-    this(
-        self,
-        dataDir,
-        () -> DurableLog.openWithFounders(dataDir, founders),
-        toleratedFailures,
-        send,
-        onRouting);
+    this(self, dataDir, founders, toleratedFailures, send, onRouting, DurableFile.FORCE_TO_DISK);
   }
 
   RoutingControl(
       String self,
       Path dataDir,
-      MemberHost.Opener opener,
+      Set<String> founders,
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
-      Consumer<RoutingState> onRouting) {
+      Consumer<RoutingState> onRouting,
+      DurableFile.Sync sync) {
     host =
         new MemberHost(
             self,
             List.of(),
             dataDir,
-            opener,
-            () -> DurableLog.reopen(dataDir),
+            () -> DurableLog.openWithFounders(dataDir, founders, sync),
+            () -> DurableLog.openWithFounders(dataDir, Set.of(), sync),
             new MemberHost.Listener() {
               @Override
               public void send(String to, ConsensusMessage message) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -13,16 +13,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -346,64 +342,6 @@
     }
   }
 
-  /** A disk that loses what a failed sync covered, although it can still be read. */
-  private static final class ForgettingDisk implements DurableFile.Sync {
-    private final Map<Object, byte[]> syncedByFile = new HashMap<>();
-    private final Set<Object> forgotten = new HashSet<>();
-    private boolean failing;
-
-    private static Object key(Path file) throws IOException {
-      return Files.readAttributes(file, BasicFileAttributes.class).fileKey();
-    }
-
-    @Override
-    public void force(Path path, FileChannel channel) throws IOException {
-      if (Files.isDirectory(path)) {
-        return;
-      }
-      if (path.toString().endsWith(".tmp")) {
-        // The number of a removed file may have been used again.
-        forgotten.remove(key(path));
-      }
-      if (failing) {
-        forgotten.add(key(path));
-        throw new IOException("disk failure");
-      }
-      if (!forgotten.contains(key(path))) {
-        syncedByFile.put(key(path), Files.readAllBytes(path));
-      }
-    }
-
-    void losePower(Path folder) throws IOException {
-      try (Stream<Path> files = Files.list(folder)) {
-        for (Path file : files.toList()) {
-          Files.write(file, syncedByFile.getOrDefault(key(file), new byte[0]));
-        }
-      }
-    }
-  }
-
-  /** Guards against entries that are acknowledged after a sync that did not write them. */
-  @Test
-  void writesAgainWhatFailedSyncMayHaveLost() throws IOException {
-    ForgettingDisk disk = new ForgettingDisk();
-    try (DurableLog log = DurableLog.open(dataDir, true, disk)) {
-      log.append(List.of(entry(1, 1)));
-      disk.failing = true;
-      assertThrows(UncheckedIOException.class, () -> log.append(List.of(entry(2, 1))));
-      disk.failing = false;
-    }
-    List<LogEntry> acknowledged;
-    try (DurableLog reopened = DurableLog.reopen(dataDir, disk)) {
-      reopened.append(List.of(entry(reopened.entries().size() + 1, 1)));
-      acknowledged = reopened.entries();
-    }
-    disk.losePower(dataDir);
-    try (DurableLog reopenedAgain = DurableLog.open(dataDir, false)) {
-      assertThat(reopenedAgain.entries(), is(acknowledged));
-    }
-  }
-
   @Test
   void compactsAndReopensAfterHundredsOfChanges() throws IOException {
     try (DurableLog log = DurableLog.open(dataDir, true)) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -14,10 +14,11 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
-import org.lacewingcroft.consensus.ConfigState;
-import org.lacewingcroft.consensus.Snapshot;
+import org.lacewingcroft.consensus.LogEntry;
 
 /**
  * Checks that a control instance stops taking part and reports no majority when its disk fails, and
@@ -32,8 +33,8 @@
     return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
-  private RoutingControl open(MemberHost.Opener opener) {
-    return new RoutingControl(SELF, folder, opener, 0, (to, m) -> {}, state -> {});
+  private RoutingControl open(Set<String> founders, DurableFile.Sync disk) {
+    return new RoutingControl(SELF, folder, founders, 0, (to, m) -> {}, state -> {}, disk);
   }
 
   private static void await(RoutingControl control, boolean inMajority) throws Exception {
@@ -55,12 +56,6 @@
     return result;
   }
 
-  private DurableLog openAsOnlyMember(DurableFile.Sync disk) throws IOException {
-    DurableLog log = DurableLog.open(folder, true, disk);
-    log.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(Set.of(SELF))), List.of());
-    return log;
-  }
-
   @Test
   void diskFailureLosesMajorityUntilFolderIsReopened() throws Exception {
     AtomicBoolean diskFull = new AtomicBoolean();
@@ -71,7 +66,7 @@
           }
           channel.force(true);
         };
-    try (RoutingControl control = open(() -> openAsOnlyMember(disk))) {
+    try (RoutingControl control = open(Set.of(SELF), disk)) {
       assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
       assertThat(control.view().inMajority(), equalTo(true));
 
@@ -81,6 +76,7 @@
       assertThat(result, instanceOf(ChangeResult.Unknown.class));
       await(control, /* inMajority= */ false);
 
+      diskFull.set(false);
       await(control, /* inMajority= */ true);
       assertThat(submit(control, 7), instanceOf(ChangeResult.Accepted.class));
       assertThat(control.view().routing().document(), equalTo("v7"));
@@ -98,7 +94,7 @@
           }
           channel.force(true);
         };
-    try (RoutingControl control = open(() -> openAsOnlyMember(disk))) {
+    try (RoutingControl control = open(Set.of(SELF), disk)) {
       assertThat(control.storage(), equalTo(StorageState.FAILED));
       assertThat(
           await(control.submit(new Command.RoutingChange(5, "v5"), Duration.ofSeconds(1))),
@@ -108,4 +104,49 @@
       assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
     }
   }
+
+  /**
+   * Guards against entries that are acknowledged after a sync that did not write them, at the start
+   * and later.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void writesAgainWhatFailedSyncMayHaveLost(boolean atStart) throws Exception {
+    ForgettingDisk disk = new ForgettingDisk();
+    try (RoutingControl control = open(Set.of(SELF), disk)) {
+      assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
+      if (!atStart) {
+        disk.failSyncs(1);
+        await(control.submit(new Command.RoutingChange(6, "v6"), Duration.ofSeconds(2)));
+        await(control, /* inMajority= */ false);
+        await(control, /* inMajority= */ true);
+        assertThat(submit(control, 7), instanceOf(ChangeResult.Accepted.class));
+      }
+    }
+    if (atStart) {
+      try (DurableLog killed = DurableLog.open(folder, false, (path, channel) -> {})) {
+        killed.append(List.of(routingEntry(killed, 7)));
+      }
+      disk.failSyncs(1);
+      try (RoutingControl control = open(Set.of(), disk)) {
+        await(control, /* inMajority= */ true);
+        // Accepted once the entry of this version, which is in the log, is committed.
+        assertThat(submit(control, 7), instanceOf(ChangeResult.Accepted.class));
+      }
+    }
+    disk.losePower(folder);
+    try (RoutingControl control = open(Set.of(), disk)) {
+      await(control, /* inMajority= */ true);
+      assertThat(control.view().routing().document(), equalTo("v7"));
+    }
+  }
+
+  private static LogEntry routingEntry(DurableLog log, long version) {
+    LogEntry last = log.entries().get(log.entries().size() - 1);
+    return new LogEntry(
+        last.index() + 1,
+        last.term(),
+        last.version(),
+        new Command.RoutingChange(version, "v" + version));
+  }
 }
