Go on opening a data folder after an error in an attempt

An error or an unexpected exception in an attempt to open the folder again, such as OutOfMemoryError for a direct buffer, ended the attempts for good and left no line: the executor kept it to itself.

Each task of the recovery detaches the member again if it fails, which logs and retries.

RoutingControlTest#opensAgainAfterError: a failed sync, then OutOfMemoryError in the next attempt.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/ControlService.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -28,7 +29,7 @@
   private final String nodeId;
   private final ConfigStore configs;
   private final Membership membership;
-  private final Consumer<Error> onError;
+  private final Consumer<Throwable> onError;
   private final MemberHost host;
   private volatile Status status = Status.UNKNOWN;
 
@@ -84,7 +85,7 @@
    * @param bootstrap true only on the deployment's first start
    * @param configs the daemon's configuration, updated from the committed log
    * @param membership the membership, used to look up and send to the other members
-   * @param onError called if the member stops because of an {@link Error}
+   * @param onError called if the member stops for another reason than its data folder
    */
   public ControlService(
       List<String> group,
@@ -92,7 +93,7 @@
       boolean bootstrap,
       ConfigStore configs,
       Membership membership,
-      Consumer<Error> onError) {
+      Consumer<Throwable> onError) {
     this.nodeId = membership.self().nodeId();
     this.configs = configs;
     this.membership = membership;
@@ -180,8 +181,8 @@
     @Override
     public void onDetached(Throwable cause) {
       status = status.detached();
-      if (cause instanceof Error error) {
-        onError.accept(error);
+      if (!(cause instanceof IOException || cause instanceof UncheckedIOException)) {
+        onError.accept(cause);
       }
     }
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
@@ -41,6 +41,8 @@
   /** Delay before a data folder is opened again after a failure. */
   private static final long REOPEN_DELAY_MILLIS = 1_000;
 
+  private static final long CLOSE_TIMEOUT_SECONDS = 2;
+
   /** Opens the data folder. */
   interface Opener {
     /**
@@ -264,15 +266,25 @@
 
   private void reopenLater() {
     try {
-      recovery.schedule(this::attach, REOPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      recovery.schedule(
+          () -> detachIfFails(this::attach), REOPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException closing) {
       LOG.log(System.Logger.Level.DEBUG, "control.not_reopened", closing);
     }
   }
 
+  /** Runs a task of the recovery, which goes on after an error. */
+  private void detachIfFails(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException | Error e) {
+      detach(e);
+    }
+  }
+
   private void onRecoveryThread(Runnable task) {
     try {
-      recovery.execute(task);
+      recovery.execute(() -> detachIfFails(task));
     } catch (RejectedExecutionException closing) {
       LOG.log(System.Logger.Level.DEBUG, "control.not_reopened", closing);
     }
@@ -280,12 +292,15 @@
 
   @Override
   public void close() throws IOException, InterruptedException {
-    recovery.shutdownNow();
     Optional<Attached> running;
     synchronized (this) {
       closed = true;
       running = attached;
     }
+    recovery.shutdownNow();
+    if (!recovery.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+      LOG.log(System.Logger.Level.WARNING, "control.recovery_not_closed");
+    }
     if (running.isPresent()) {
       running.get().driver().close();
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
@@ -4,7 +4,7 @@
 public enum StorageState {
   /** The member runs on its data folder. */
   OPEN,
-  /** A read, write or sync failed; the folder is opened again at intervals. */
+  /** A read, write or sync, or a step of the member failed; it is opened again at intervals. */
   FAILED,
   /** Synced data is damaged; the instance rejoins once the group has a quorum without it. */
   DAMAGED,
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -105,6 +106,29 @@
     }
   }
 
+  /** Guards against a folder that is never opened again after an error of the virtual machine. */
+  @Test
+  void opensAgainAfterError() throws Exception {
+    AtomicInteger failingSyncs = new AtomicInteger();
+    DurableFile.Sync disk =
+        (path, channel) -> {
+          int failing = failingSyncs.getAndUpdate(n -> Math.max(0, n - 1));
+          if (failing == 2) {
+            throw new IOException("no space left");
+          } else if (failing == 1) {
+            throw new OutOfMemoryError("Cannot reserve direct buffer memory");
+          }
+        };
+    try (RoutingControl control = open(Set.of(SELF), disk)) {
+      assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
+      failingSyncs.set(2);
+      await(control.submit(new Command.RoutingChange(6, "v6"), Duration.ofSeconds(2)));
+      await(control, /* inMajority= */ false);
+      await(control, /* inMajority= */ true);
+      assertThat(submit(control, 7), instanceOf(ChangeResult.Accepted.class));
+    }
+  }
+
   /**
    * Guards against entries that are acknowledged after a sync that did not write them, at the start
    * and later.
