Observe a leader without interruption before files are set aside

Two messages of one leader, the second held up for ten seconds by a partition or a frozen receiver, were taken for a leader that lasts, although it may have stepped down in between; a test expected so. A member would have set its damaged files aside without a quorum that could readmit it. Nothing acknowledged is lost by that, but the files are out of place for the operator who has to restore the group.

One term has one leader, so its name is not needed.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
@@ -28,8 +28,8 @@
  * <ul>
  *   <li>If it cannot be read or written, it is opened again at intervals.
  *   <li>If synced data is damaged, its files are set aside and the instance rejoins like one whose
- *       disk was lost, but only once a {@link QuorumObservation} shows that the group has a quorum
- *       without it. While there is none, the damaged files may be needed to restore the group.
+ *       disk was lost, but only once a {@link QuorumObservation} shows a quorum without it. While
+ *       there is none, the damaged files may be needed to restore the group.
  *   <li>If a record cannot be decoded, nothing is done: another build can read it.
  * </ul>
  *
@@ -246,7 +246,7 @@
 
   private void observe(String from, ConsensusMessage message) {
     if (storage == StorageState.DAMAGED
-        && observation.onMessage(from, message, ConsensusDriver.monotonicMillis())) {
+        && observation.onMessage(message, ConsensusDriver.monotonicMillis())) {
       setAsideAndAttach(from);
     }
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/QuorumObservation.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/QuorumObservation.java
@@ -1,15 +1,17 @@
 package org.lacewingcroft.consensus;
 
-import java.util.Optional;
-
 /**
- * Determines from the messages of a leader whether its group has a quorum without the instance that
+ * Determines from the messages of a leader whether its group works without the instance that
  * receives them and does not respond.
  *
  * <p>A leader to which no quorum responds steps down within twice the election timeout. If one
- * leader has sent messages in one term for longer than that, a quorum of the other members has
+ * leader has sent messages in one term without interruption for longer than that, a quorum has
  * responded to it. One more timeout allows for responses that an earlier process of the instance
- * sent before it ended.
+ * sent before it ended. An interruption of an election timeout ends the observation, because a
+ * message may have been delayed since the leader stepped down.
+ *
+ * <p>Members that have lost their disks respond without having a vote, so the quorum may be unable
+ * to commit.
  *
  * <p>Not thread-safe.
  */
@@ -17,9 +19,9 @@
   private static final int ELECTION_TIMEOUTS = 3;
 
   private final ConsensusTiming timing;
-  private Optional<String> leader = Optional.empty();
-  private long term;
+  private long term = -1;
   private long firstMessageMillis;
+  private long lastMessageMillis = Long.MIN_VALUE / 2;
 
   /**
    * Creates an observation without messages.
@@ -33,23 +35,23 @@
   /**
    * Records a message of another member.
    *
-   * @param from the member
    * @param message the message
    * @param nowMillis the current reading of the monotonic clock, in milliseconds
-   * @return whether the messages so far show that the group has a quorum without this instance
+   * @return whether the messages so far show a quorum without this instance
    */
-  public boolean onMessage(String from, ConsensusMessage message, long nowMillis) {
+  public boolean onMessage(ConsensusMessage message, long nowMillis) {
     boolean fromLeader =
         message instanceof ConsensusMessage.AppendRequest
             || message instanceof ConsensusMessage.SnapshotRequest;
     if (!fromLeader || message.term() < term) {
       return false;
     }
-    if (message.term() > term || leader.isEmpty()) {
+    boolean interrupted = nowMillis - lastMessageMillis > timing.electionTimeoutMillis();
+    if (message.term() > term || interrupted) {
       term = message.term();
-      leader = Optional.of(from);
       firstMessageMillis = nowMillis;
     }
+    lastMessageMillis = nowMillis;
     return nowMillis - firstMessageMillis > ELECTION_TIMEOUTS * timing.electionTimeoutMillis();
   }
 }
