Keep files that are set aside together if that is interrupted

The files are moved to a folder that gets its number only when all are there, and an attempt after an interrupted one goes on with it. A folder that has files set aside is none of a first start.

DurableLogTest#completesInterruptedSettingAside interrupts it at each of its seven syncs.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.stream.Stream;
 import org.lacewingcroft.consensus.ConfigState;
 import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.consensus.HardState;
@@ -47,6 +48,7 @@
   private static final String HARD_STATE_FILE = "hard-state";
   private static final String SNAPSHOT_FILE = "snapshot";
   private static final String SET_ASIDE_PREFIX = "unreadable-";
+  private static final String LATER_SUFFIX = ".later";
 
   private final Path dataDir;
   private final DurableFile.Sync sync;
@@ -161,26 +163,38 @@
    * @throws IOException if a file cannot be moved
    */
   static Path setAside(Path dataDir) throws IOException {
+    return setAside(dataDir, DurableFile.FORCE_TO_DISK);
+  }
+
+  static Path setAside(Path dataDir, DurableFile.Sync sync) throws IOException {
+    Path unfinished = Files.createDirectories(dataDir.resolve(SET_ASIDE_PREFIX + "unfinished"));
+    // Without its hard state a member does not vote, whichever other files a crash leaves in place.
+    for (String name : List.of(HARD_STATE_FILE, SNAPSHOT_FILE, LOG_FILE)) {
+      if (Files.exists(dataDir.resolve(name))) {
+        // An earlier attempt that was interrupted may have moved the original file already.
+        boolean moved = Files.exists(unfinished.resolve(name));
+        Files.move(
+            dataDir.resolve(name),
+            unfinished.resolve(moved ? name + LATER_SUFFIX : name),
+            StandardCopyOption.ATOMIC_MOVE);
+        DurableFile.syncFolder(unfinished, sync);
+        DurableFile.syncFolder(dataDir, sync);
+      }
+    }
     int number = 1;
     while (Files.exists(dataDir.resolve(SET_ASIDE_PREFIX + number))) {
       number++;
     }
-    Path target = Files.createDirectory(dataDir.resolve(SET_ASIDE_PREFIX + number));
-    // Without its hard state a member does not vote, whichever other files a crash leaves in place.
-    for (String file : List.of(HARD_STATE_FILE, SNAPSHOT_FILE, LOG_FILE)) {
-      if (Files.exists(dataDir.resolve(file))) {
-        Files.move(dataDir.resolve(file), target.resolve(file), StandardCopyOption.ATOMIC_MOVE);
-        DurableFile.syncFolder(target, DurableFile.FORCE_TO_DISK);
-        DurableFile.syncFolder(dataDir, DurableFile.FORCE_TO_DISK);
-      }
-    }
+    Path target = dataDir.resolve(SET_ASIDE_PREFIX + number);
+    Files.move(unfinished, target, StandardCopyOption.ATOMIC_MOVE);
+    DurableFile.syncFolder(dataDir, sync);
     return target;
   }
 
   private void recoverHardState(boolean bootstrap) throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE));
     if (records.isEmpty()) {
-      boolean voter = bootstrap && !hasFile(SNAPSHOT_FILE) && !hasFile(LOG_FILE);
+      boolean voter = bootstrap && !wasUsed();
       hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), voter);
       writeHardState(hardState);
       LOG.log(
@@ -195,8 +209,17 @@
     }
   }
 
-  private boolean hasFile(String name) {
-    return Files.exists(dataDir.resolve(name));
+  /** Returns whether a folder without a hard state has other files of a member. */
+  private boolean wasUsed() throws IOException {
+    try (Stream<Path> files = Files.list(dataDir)) {
+      return files
+          .map(file -> file.getFileName().toString())
+          .anyMatch(
+              name ->
+                  name.equals(SNAPSHOT_FILE)
+                      || name.equals(LOG_FILE)
+                      || name.startsWith(SET_ASIDE_PREFIX));
+    }
   }
 
   private void recoverSnapshot() throws IOException {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -288,6 +288,50 @@
     }
   }
 
+  /**
+   * Guards against files that are set aside in two places, or a new vote, because setting them
+   * aside was interrupted.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7})
+  void completesInterruptedSettingAside(int interruptedSync) throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1), entry(2, 1)));
+      log.compact(snapshot(1), List.of(entry(2, 1)));
+    }
+    Files.write(dataDir.resolve("snapshot"), zeros(64));
+    byte[] hardState = Files.readAllBytes(dataDir.resolve("hard-state"));
+    int[] syncs = {0};
+    assertThrows(
+        IOException.class,
+        () ->
+            DurableLog.setAside(
+                dataDir,
+                (path, channel) -> {
+                  syncs[0]++;
+                  if (syncs[0] == interruptedSync) {
+                    throw new IOException("interrupted");
+                  }
+                }));
+    try (DurableLog reopened = DurableLog.open(dataDir, true)) {
+      assertThat(reopened.hardState().voter(), is(false));
+      assertThat(reopened.entries(), is(List.of()));
+    } catch (UnreadableStorageException e) {
+      DurableLog.setAside(dataDir);
+    }
+    Path target = dataDir.resolve("unreadable-1");
+    if (Files.exists(dataDir.resolve("unreadable-unfinished"))) {
+      target = dataDir.resolve("unreadable-unfinished");
+    }
+    assertThat(Files.readAllBytes(target.resolve("hard-state")), is(hardState));
+    assertThat(Files.exists(target.resolve("snapshot")), is(true));
+    assertThat(Files.exists(target.resolve("config.log")), is(true));
+    assertThat(Files.exists(dataDir.resolve("unreadable-2")), is(false));
+    try (DurableLog reopened = DurableLog.open(dataDir, true)) {
+      assertThat(reopened.hardState().voter(), is(false));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void memberWithNewFolderVotesOnlyOnFirstStart(boolean bootstrap) throws IOException {
