Lose power also while a data folder is recovered and written again

The check of PowerLossTest opened the folder in place, which cut the tail before the next run, and the power failed after the open only.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/PowerLossTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/PowerLossTest.java
@@ -2,16 +2,17 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasItem;
-import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -52,6 +53,7 @@
 
   @TempDir private Path folder;
   private Random random;
+  private Content content;
   private long term;
 
   static LongStream firstSeeds() {
@@ -77,34 +79,54 @@
     Path current = folder.resolve(seed + "-0");
     try (DurableLog log = DurableLog.open(current, /* bootstrap= */ true, NO_SYNC)) {
       log.save(log.hardState().withVote(1, Optional.of("a")));
+      content = Content.of(log);
     }
     for (int loss = 1; loss <= LOSSES; loss++) {
       Path remainder = folder.resolve(seed + "-" + loss);
+      List<Content> possible;
       try (SimulatedDisk disk = new SimulatedDisk(current, random)) {
-        List<Content> possible = runUntilPowerLoss(current, disk);
+        disk.failAtSync(1 + random.nextInt(MAX_SYNCS));
+        possible = runUntilPowerLoss(current, disk);
         disk.writeRemainderTo(remainder);
-        try (DurableLog reopened = DurableLog.open(remainder, /* bootstrap= */ false, NO_SYNC)) {
-          assertThat(possible, hasItem(Content.of(reopened)));
-        }
+      }
+      try (DurableLog recovered = DurableLog.open(copyOf(remainder), false, NO_SYNC)) {
+        content = Content.of(recovered);
+        assertThat(possible, hasItem(content));
       }
       current = remainder;
     }
   }
 
+  /** Copies a folder, so that the next run recovers it as the loss of power left it. */
+  private static Path copyOf(Path folder) throws IOException {
+    Path copy = Files.createDirectory(folder.resolveSibling(folder.getFileName() + "-copy"));
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.copy(file, copy.resolve(file.getFileName()));
+      }
+    }
+    return copy;
+  }
+
   /** Returns the contents of which one must be there afterwards. */
-  private List<Content> runUntilPowerLoss(Path dataDir, SimulatedDisk disk) throws IOException {
+  private List<Content> runUntilPowerLoss(Path dataDir, SimulatedDisk disk) {
+    List<Content> possible = List.of(content);
     try (DurableLog log = DurableLog.open(dataDir, /* bootstrap= */ false, disk)) {
-      disk.failAtSync(1 + random.nextInt(MAX_SYNCS));
+      if (random.nextBoolean()) {
+        log.writeAgain();
+      }
       while (true) {
         Content before = Content.of(log);
-        List<Content> possible = new ArrayList<>(List.of(before));
-        try {
-          change(log, before, possible);
-        } catch (UncheckedIOException e) {
-          assertThat(e.getCause() instanceof SimulatedDisk.PowerLossException, is(true));
-          return possible;
-        }
+        possible = new ArrayList<>(List.of(before));
+        change(log, before, possible);
+      }
+    } catch (SimulatedDisk.PowerLossException e) {
+      return possible;
+    } catch (IOException | UncheckedIOException e) {
+      if (e.getCause() instanceof SimulatedDisk.PowerLossException) {
+        return possible;
       }
+      throw new AssertionError(e);
     }
   }
 
