Report a log that is missing instead of taking it for an empty one

A member whose config.log was gone opened with the term and vote of its hard state and without its entries, as a voter: it could help to elect a leader without changes that it had acknowledged. The file is created by the same open as the hard state, before the first vote, so no loss of power leaves a later term without it.

Open reports the folder as damaged; the member rejoins like one whose disk was lost. Damage in the middle of the log still cannot be told from an unsynced tail, and the class says so.

DurableLogTest#missingLogIsDamage; a run of the same case before opened with no entry, as a voter.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -31,8 +31,10 @@
  * <p>On open, the log ends before the first record that is torn, missing or does not follow the one
  * before it, and the rest is truncated: a loss of power leaves such a tail of writes that were not
  * synced, and their entries were never acknowledged. The file may begin with entries that the
- * snapshot covers, after a crash during a compaction. Anything else that cannot be read had been
- * synced; the open fails with {@link UnreadableStorageException} then and changes nothing.
+ * snapshot covers, after a crash during a compaction. If anything else is missing or cannot be
+ * read, it had been synced; the open fails with {@link UnreadableStorageException} then and changes
+ * nothing. Damage in the middle of the log cannot be distinguished from such a tail and is
+ * truncated with all entries after it.
  *
  * <p>Records are read and written one at a time, so that a start and a compaction need little more
  * memory than the entries themselves. The id of the data folder is generated once and stored in the
@@ -233,6 +235,9 @@
 
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
+    if (hardState.term() > 0 && !Files.exists(file)) {
+      throw UnreadableStorageException.damaged(file, "it is missing");
+    }
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
     openChannel(file);
     long tornBytes = channel.size() - validBytes;
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -276,6 +276,19 @@
     }
   }
 
+  /** Guards against a voter that has forgotten its log because the file is gone. */
+  @Test
+  void missingLogIsDamage() throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.save(log.hardState().withVote(1, Optional.of("control-1")));
+      log.append(List.of(entry(1, 1)));
+    }
+    Files.delete(dataDir.resolve(DurableLog.LOG_FILE));
+    UnreadableStorageException thrown =
+        assertThrows(UnreadableStorageException.class, () -> DurableLog.open(dataDir, false));
+    assertThat(thrown.kind(), is(UnreadableStorageException.Kind.DAMAGED));
+  }
+
   /** Guards against a member that votes again after its hard state was lost. */
   @Test
   void memberThatLostItsHardStateIsNoVoter() throws IOException {
