Charge a request for its head until it is complete, too

Callers lost an entry to 200 connections with heads of 16 KB in some 4,000 lines "a:" and one byte of a body, if no route matched: it answered 404, and ended with OutOfMemoryError seconds later.

The charge of a request was released with the end of its response. The server keeps the head until the request is complete as well, so that each response to an incomplete request released what was still held. It is now released when both are complete, or with the connection; until then it is among the incomplete requests that may be ended. Parts of a body that are discarded after the response are not charged.

RequestMemoryTest#holdsRequestUntilItAndItsResponseAreComplete failed for a response that precedes the end of its request.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
@@ -72,8 +72,11 @@
         tooLarge = true;
         return;
       }
+      if (!unstarted.contains(this)) {
+        return;
+      }
       account.charge(HELD_BYTES_PER_BODY_BYTE * chunk.length());
-      // The charge may have ended this request; one that timed out is not tracked either.
+      // The charge may have ended this request.
       if (unstarted.contains(this)) {
         body.appendBuffer(chunk);
       }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -17,7 +17,7 @@
 
 /**
  * What is held in {@link RequestMemory} for the requests on one connection, from the first line of
- * a head until the end of its response.
+ * a head until both the request and its response are complete.
  */
 public final class RequestAccount extends ChannelDuplexHandler {
   /** What a line of a head costs as an entry of the headers, beside its own bytes. */
@@ -29,7 +29,7 @@
   private final RequestMemory memory;
   private final boolean chargesHeads;
 
-  /** What is held for each request without a complete response, in the order of their arrival. */
+  /** What is held for each request, in the order of their arrival. */
   private final Deque<Charge> charges = new ArrayDeque<>();
 
   private ChannelHandlerContext context;
@@ -41,6 +41,7 @@
     private final HttpHeaders headers;
     private long bytes;
     private boolean complete;
+    private boolean responded;
     private Runnable refusal = () -> {};
 
     private Charge(HttpHeaders headers) {
@@ -89,6 +90,7 @@
     }
     if (message instanceof LastHttpContent && !charges.isEmpty()) {
       charges.getLast().complete = true;
+      releaseFirstIfDone();
     }
     super.channelRead(ctx, message);
   }
@@ -97,7 +99,8 @@
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
       throws Exception {
     if (StrictRequestDecoder.endsResponse(message) && !charges.isEmpty()) {
-      release(charges.removeFirst());
+      charges.getFirst().responded = true;
+      releaseFirstIfDone();
     }
     super.write(ctx, message, promise);
   }
@@ -119,6 +122,14 @@
     memory.remove(this);
   }
 
+  /** Releases a request only at its own end too, because the server keeps its head until then. */
+  private void releaseFirstIfDone() {
+    Charge first = charges.getFirst();
+    if (first.complete && first.responded) {
+      release(charges.removeFirst());
+    }
+  }
+
   private void release(Charge charge) {
     heldBytes -= charge.bytes;
     memory.release(charge.bytes);
@@ -159,12 +170,12 @@
     return heldBytes;
   }
 
-  /** Returns whether the only request without a response is not complete. */
+  /** Returns whether the only request is not complete. */
   boolean isIncomplete() {
     return !ended && charges.size() == 1 && !charges.getFirst().complete;
   }
 
-  /** Returns whether requests wait behind one that has no complete response. */
+  /** Returns whether requests wait behind another one. */
   boolean isPipelined() {
     return !ended && charges.size() > 1;
   }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -172,7 +172,7 @@
   public final Gauge requestMemoryBytes =
       Gauge.builder()
           .name("lwc_request_memory_bytes")
-          .help("Memory held for requests without a complete response")
+          .help("Memory held for requests that are not complete or have no complete response")
           .register(registry);
 
   /** Requests ended before they were complete because of the memory that requests hold. */
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
@@ -96,4 +96,30 @@
     }
     assertThat(memory.totalBytes(), equalTo(0L));
   }
+
+  static Stream<List<String>> ends() {
+    return Stream.of(List.of("request", "response"), List.of("response", "request"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("ends")
+  void holdsRequestUntilItAndItsResponseAreComplete(List<String> ends) {
+    RequestMemory memory = new RequestMemory(MAX_HEAP_BYTES, heldBytes -> {});
+    RequestAccount account = new RequestAccount(memory, /* chargesHeads= */ false);
+    EmbeddedChannel channel = new EmbeddedChannel(account);
+    account.beginHead(new DefaultHttpHeaders());
+    account.charge(KB);
+    for (String end : ends) {
+      assertThat(memory.totalBytes(), equalTo((long) KB));
+      if (end.equals("request")) {
+        channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT);
+      } else {
+        channel.writeOutbound(
+            new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+            LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+    }
+    assertThat(memory.totalBytes(), equalTo(0L));
+    channel.finishAndReleaseAll();
+  }
 }
