Send the refusal of a request that is ended while it is read

Callers whose request was ended for memory saw their connection close without a response, where OPERATIONS.md promises 503 with Retry-After, if it was the request that was being read. A closed connection does not say that the request has not run.

The server leaves what it writes while it reads from a connection unflushed until the read ends. RequestAccount wrote the refusal and closed the connection within the read, and a close discards what is not flushed. It now flushes in between. A request that is ended while another connection is read was not affected: its refusal was flushed at once.

RequestMemoryTest#sendsRefusalOfRequestThatIsEndedWhileItIsRead: the refusal is sent before the connection closes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -191,6 +191,8 @@
     charges.getFirst().refusal.run();
     headers.forEach(HttpHeaders::clear);
     close();
+    // While the connection is read, the server leaves what it writes unflushed until the read ends.
+    context.flush();
     context.close();
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
@@ -4,8 +4,10 @@
 import static org.hamcrest.Matchers.equalTo;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -15,6 +17,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against memory of requests beyond its bound, and against the wrong requests being ended.
@@ -122,4 +125,22 @@
     assertThat(memory.totalBytes(), equalTo(0L));
     channel.finishAndReleaseAll();
   }
+
+  @ParameterizedTest
+  @ValueSource(ints = {676, 2_000})
+  void sendsRefusalOfRequestThatIsEndedWhileItIsRead(int kilobytes) {
+    RequestMemory memory = new RequestMemory(MAX_HEAP_BYTES, heldBytes -> {});
+    RequestAccount account = new RequestAccount(memory, /* chargesHeads= */ false);
+    EmbeddedChannel channel = new EmbeddedChannel(account);
+    account.beginHead(new DefaultHttpHeaders());
+    account.onRefusal(
+        () ->
+            channel.write(
+                new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE)));
+    account.charge((long) kilobytes * KB);
+    FullHttpResponse sent = channel.readOutbound();
+    assertThat(sent.status(), equalTo(HttpResponseStatus.SERVICE_UNAVAILABLE));
+    assertThat(channel.isOpen(), equalTo(false));
+  }
 }
