Bound the memory of requests on all ports of a process

Callers, endpoints and operators lost a control instance with 96 MB of heap to 400 connections at its directory port, each with a head of 16 KB in some 4,000 lines "a:" and one byte of a body: it ended with OutOfMemoryError some seconds later.

RequestMemory belonged to the servers of an entry. The ports for the directory, control, readiness and metrics decoded heads without it, and bodies of control calls below 64 KiB had no bound for all. The class of fault: a limit for each, and none for all.

Beyond the bound the largest incomplete requests end, so that small ones are served beside a crowd; a control call gets 503 with Retry-After, and the connection closes.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CallBodyReader.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/CallBodyReader.java
@@ -5,10 +5,14 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
+import org.lacewingcroft.http.RetryAfter;
 
 /**
  * Reads the bodies of calls to a control instance within three limits: the size of one body, the
  * size of all bodies that are held for calls without a response, and the time that a body may take.
+ * Bodies are also charged to the {@link RequestAccount} of their connection, which has to exist.
  *
  * <p>A call beyond a limit is answered at once. What still arrives of its body is discarded,
  * because the caller might not read the response if the connection were closed before it has sent
@@ -59,6 +63,7 @@
   private final class Body {
     private final HttpServerRequest request;
     private final Consumer<Buffer> onBody;
+    private final RequestAccount account;
     private final long timer;
     private Buffer received = Buffer.buffer();
     private boolean released;
@@ -66,10 +71,12 @@
     private Body(HttpServerRequest request, Consumer<Buffer> onBody) {
       this.request = request;
       this.onBody = onBody;
+      this.account = RequestAccount.of(request);
       this.timer = vertx.setTimer(timeout.toMillis(), id -> onTimeout());
     }
 
     private void read() {
+      account.onRefusal(this::refuseForMemory);
       request.response().endHandler(v -> release());
       request.response().closeHandler(v -> release());
       request.exceptionHandler(
@@ -102,11 +109,28 @@
       } else if (length > SMALL_BODY_BYTES && heldBytes + chunk.length() > maxTotalBytes) {
         reject(503, "too many calls with large bodies are in progress");
       } else {
+        account.chargeBody(chunk.length());
+        append(chunk);
+      }
+    }
+
+    private void append(Buffer chunk) {
+      // The charge of the chunk may have ended this call.
+      if (!released) {
         heldBytes += chunk.length();
         received.appendBuffer(chunk);
       }
     }
 
+    private void refuseForMemory() {
+      // A complete call may have taken effect already.
+      if (!released && !request.isEnded()) {
+        String retryAfter = Long.toString(RequestMemory.RETRY_AFTER.toSeconds());
+        request.response().putHeader(RetryAfter.HEADER, retryAfter);
+        reject(503, "too many large requests are in progress");
+      }
+    }
+
     private void onEnd() {
       vertx.cancelTimer(timer);
       if (!released) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -85,13 +85,18 @@
   private HttpServer publicServer;
   private HttpServer relayServer;
 
-  /** Creates the servers; {@link #listen} binds them. */
+  /**
+   * Creates the servers; {@link #listen} binds them.
+   *
+   * @param requestMemory the memory of the process, which bounds what is held for requests
+   */
   public EntryServer(
       Vertx vertx,
       FleetSettings settings,
       EntryNode node,
       HeaderNames headerNames,
       GatewayMetrics metrics,
+      RequestMemory requestMemory,
       InstantSource clock) {
     this.vertx = vertx;
     this.node = node;
@@ -102,14 +107,7 @@
     this.reportsPressure = settings.reportsPressure();
     this.overload = new OverloadGate(node.eventLoop(), reader, metrics, clock);
     this.bodies = new RequestBodies(vertx, () -> limits().maxBodyBytes(), overload);
-    this.requestMemory =
-        new RequestMemory(
-            Runtime.getRuntime().maxMemory(),
-            heldBytes -> {
-              metrics.requestsEndedForMemory.inc();
-              LOG.log(
-                  System.Logger.Level.WARNING, "request.ended_for_memory", "heldBytes", heldBytes);
-            });
+    this.requestMemory = requestMemory;
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
     this.context =
@@ -238,11 +236,6 @@
     return publicServer.actualPort();
   }
 
-  /** Returns the memory that is held for requests without a complete response. */
-  public long requestMemoryBytes() {
-    return requestMemory.totalBytes();
-  }
-
   @Override
   public int inFlight() {
     return context.inFlight().size() + bodies.unstarted();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/RequestBodies.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
 
 /**
  * Reads the bodies of admitted requests, and tracks the requests until they are started.
@@ -18,12 +19,6 @@
  * <p>Confined to the event loop thread, except for {@link #unstarted}.
  */
 final class RequestBodies {
-  /** Retry delay of a request that was ended because of the memory that requests hold. */
-  private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
-
-  /** A buffer that grows has up to twice the capacity that it needs. */
-  private static final long HELD_BYTES_PER_BODY_BYTE = 2;
-
   private final Vertx vertx;
   private final IntSupplier maxBodyBytes;
   private final OverloadGate overload;
@@ -63,7 +58,10 @@
         EntryServer.logRejected(request, "too much memory is held for requests");
         response.closeConnectionAfterResponse();
         response.sendError(
-            503, "too many large requests are in progress", true, Optional.of(MEMORY_RETRY_AFTER));
+            503,
+            "too many large requests are in progress",
+            true,
+            Optional.of(RequestMemory.RETRY_AFTER));
       }
     }
 
@@ -75,7 +73,7 @@
       if (!unstarted.contains(this)) {
         return;
       }
-      account.charge(HELD_BYTES_PER_BODY_BYTE * chunk.length());
+      account.chargeBody(chunk.length());
       // The charge may have ended this request.
       if (unstarted.contains(this)) {
         body.appendBuffer(chunk);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/WarmUpStack.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/WarmUpStack.java
@@ -21,6 +21,7 @@
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.fleet.IsolatedEntry;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
@@ -81,7 +82,14 @@
         IsolatedEntry.create(
             context, settings, routeTable(), endpoints(responder.actualPort()), clock);
     EntryServer isolatedServer =
-        new EntryServer(vertx, settings, isolated, headerNames, new GatewayMetrics(), clock);
+        new EntryServer(
+            vertx,
+            settings,
+            isolated,
+            headerNames,
+            new GatewayMetrics(),
+            new RequestMemory(Runtime.getRuntime().maxMemory(), heldBytes -> {}),
+            clock);
     node = Optional.of(isolated);
     server = Optional.of(isolatedServer);
     SocketAddress anyPort = SocketAddress.inetSocketAddress(0, HOST);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -23,6 +23,9 @@
   /** What a line of a head costs as an entry of the headers, beside its own bytes. */
   static final int HEADER_LINE_BYTES = 256;
 
+  /** A buffer that grows has up to twice the capacity that it needs. */
+  private static final long HELD_BYTES_PER_BODY_BYTE = 2;
+
   private static final AttributeKey<RequestAccount> ACCOUNT =
       AttributeKey.valueOf(RequestAccount.class, "account");
 
@@ -141,8 +144,13 @@
     charges.addLast(new Charge(headers));
   }
 
+  /** Charges the request that is being read for a part of its body that is kept. */
+  public void chargeBody(int bytes) {
+    charge(HELD_BYTES_PER_BODY_BYTE * bytes);
+  }
+
   /** Charges the request that is being read. */
-  public void charge(long bytes) {
+  void charge(long bytes) {
     if (ended || charges.isEmpty()) {
       return;
     }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
@@ -1,5 +1,6 @@
 package org.lacewingcroft.http;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -19,6 +20,9 @@
  * <p>Confined to the event loop thread.
  */
 public final class RequestMemory {
+  /** Retry delay of a request that was ended because of the bound. */
+  public static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
   /** Size of the heap divided by the bound. */
   private static final int HEAP_PER_BOUND = 3;
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CallBodyReaderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/CallBodyReaderTest.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.vertx.core.Vertx;
@@ -14,17 +15,22 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
 
 /** Tests the limits of the bodies of calls. Calls to "/hold" get no response. */
 class CallBodyReaderTest {
   private static final int MAX_BODY_BYTES = 100_000;
   private static final int MAX_TOTAL_BYTES = 150_000;
 
+  private static final long AMPLE_HEAP_BYTES = 1L << 30;
+
   private final Vertx vertx = Vertx.vertx();
   private final List<Socket> sockets = new ArrayList<>();
   private int port;
 
-  private void startServer() throws Exception {
+  private void startServer(long maxHeapBytes) throws Exception {
+    RequestMemory memory = new RequestMemory(maxHeapBytes, heldBytes -> {});
     CallBodyReader reader =
         new CallBodyReader(
             vertx,
@@ -35,6 +41,7 @@
     HttpServer server =
         vertx
             .createHttpServer()
+            .connectionHandler(c -> RequestAccount.install(c, memory, /* chargesHeads= */ true))
             .requestHandler(
                 request ->
                     reader.read(
@@ -77,7 +84,7 @@
   })
   void respondsAtOnceBeyondLimits(int heldBodies, int statedBytes, int sentBytes, String status)
       throws Exception {
-    startServer();
+    startServer(AMPLE_HEAP_BYTES);
     for (int i = 0; i < heldBodies; i++) {
       send("/hold", "Content-Length: " + 90_000, "x".repeat(90_000));
       TimeUnit.MILLISECONDS.sleep(200);
@@ -92,6 +99,20 @@
     assertThat(new String(start, StandardCharsets.US_ASCII), startsWith("HTTP/1.1 " + status));
   }
 
+  /** Sends 37,000 bytes of a body, then a part beyond which it may exceed the memory. */
+  @ParameterizedTest
+  @CsvSource({"100, 408, false", "1000, 503, true"})
+  void refusesBodyBeyondMemoryOfRequests(int lastBytes, String status, boolean retryAfter)
+      throws Exception {
+    startServer(300_000);
+    Socket socket = send("/", "Content-Length: 40000", "x".repeat(37_000));
+    TimeUnit.MILLISECONDS.sleep(200);
+    socket.getOutputStream().write("x".repeat(lastBytes).getBytes(StandardCharsets.US_ASCII));
+    String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    assertThat(response, startsWith("HTTP/1.1 " + status));
+    assertThat(response.contains("Retry-After: 1\r\n"), is(retryAfter));
+  }
+
   @AfterEach
   void close() throws Exception {
     for (Socket socket : sockets) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -31,6 +31,7 @@
 import org.lacewingcroft.fleet.EntryNode;
 import org.lacewingcroft.fleet.FleetBounds;
 import org.lacewingcroft.fleet.FleetSettings;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.peer.LoopbackPorts;
@@ -300,7 +301,14 @@
             clock);
     GatewayMetrics metrics = new GatewayMetrics();
     EntryServer server =
-        new EntryServer(entryContext.owner(), settings, node, HEADER_NAMES, metrics, clock);
+        new EntryServer(
+            entryContext.owner(),
+            settings,
+            node,
+            HEADER_NAMES,
+            metrics,
+            new RequestMemory(Runtime.getRuntime().maxMemory(), heldBytes -> {}),
+            clock);
     onContext(
         entryContext,
         () ->
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RequestWarmUpTest.java
@@ -30,6 +30,7 @@
 import org.lacewingcroft.fleet.FleetSettings;
 import org.lacewingcroft.fleet.IsolatedEntry;
 import org.lacewingcroft.fleet.WarmUpPolicy;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.route.RequestLimits;
@@ -185,7 +186,15 @@
     node =
         IsolatedEntry.create(
             context, IsolatedEntry.settings(settings), table, List.of(record), clock);
-    server = new EntryServer(vertx, settings, node, FleetHarness.HEADER_NAMES, metrics, clock);
+    server =
+        new EntryServer(
+            vertx,
+            settings,
+            node,
+            FleetHarness.HEADER_NAMES,
+            metrics,
+            new RequestMemory(Runtime.getRuntime().maxMemory(), heldBytes -> {}),
+            clock);
     SocketAddress anyPort = SocketAddress.inetSocketAddress(0, "127.0.0.1");
     return server.listen(anyPort, anyPort);
   }
