Bound the memory of requests on the product's own interface

A daemon with 96 MB of heap served no ordinary request beside 400 heads of 16 KB in lines "a:", or 200 bodies of 1 MiB less one byte, that stayed open. The cause is the one of the platform's ports: a limit for each request, and none for all.

The daemon's port draws from a RequestMemory. Bodies are charged by RequestAccount as they arrive, because BodyHandler keeps all of them. The largest incomplete requests end beyond the bound, with 503 not_run and Retry-After; a complete one may run already and gets no such response.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -29,6 +29,8 @@
 import org.lacewingcroft.gateway.EntryGateway;
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.lifecycle.EndMarker;
 import org.lacewingcroft.lifecycle.ErrorReporter;
@@ -64,6 +66,8 @@
   private final InstantSource clock = new MonotonicInstantSource();
   private final Vertx vertx;
   private final GatewayMetrics metrics = new GatewayMetrics();
+  private final RequestMemory requestMemory =
+      new RequestMemory(Runtime.getRuntime().maxMemory(), this::onRequestEndedForMemory);
   private final ConfigStore configs = new ConfigStore();
   private final ConfigReceiver configReceiver;
   private final EndpointRegistry endpoints;
@@ -116,6 +120,7 @@
     peerPort = await(transport.listen(settings.host(), settings.peerPort(), this::onPeerMessage));
     final long incarnation = clock.millis();
     Router router = Router.router(vertx);
+    router.route().handler(this::prepareRefusalForMemory);
     router.route().handler(BodyHandler.create().setBodyLimit(settings.maxBodyBytes()));
     router.errorHandler(
         413,
@@ -143,7 +148,16 @@
         vertx
             .createHttpServer(options)
             .connectionHandler(
-                c -> StrictRequestDecoder.install(c, options, () -> RequestLimits.DEFAULT));
+                connection -> {
+                  RequestAccount account =
+                      RequestAccount.installForBodies(connection, requestMemory);
+                  StrictRequestDecoder.install(
+                      connection,
+                      options,
+                      () -> RequestLimits.DEFAULT,
+                      channel -> {},
+                      Optional.of(account));
+                });
     httpPort = await(httpServer.requestHandler(router).listen(settings.httpPort())).actualPort();
     MemberInfo self =
         new MemberInfo(
@@ -208,6 +222,29 @@
     }
   }
 
+  /** Sets the response to a request that is ended for memory before its body is complete. */
+  private void prepareRefusalForMemory(RoutingContext ctx) {
+    RequestAccount.of(ctx.request())
+        .onRefusal(
+            () -> {
+              // A complete request may run already.
+              if (!ctx.response().ended() && !ctx.request().isEnded()) {
+                ErrorReply.setRetryAfter(ctx.response(), RequestMemory.RETRY_AFTER);
+                ErrorReply.send(
+                    ctx.response(),
+                    ErrorKind.NOT_RUN,
+                    "too many large requests are in progress",
+                    Optional.empty());
+              }
+            });
+    ctx.next();
+  }
+
+  private void onRequestEndedForMemory(long heldBytes) {
+    metrics.requestsEndedForMemory.inc();
+    LOG.log(System.Logger.Level.WARNING, "request.ended_for_memory", "heldBytes", heldBytes);
+  }
+
   private void startControl() {
     List<String> group =
         settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
@@ -378,6 +415,7 @@
     if (control != null) {
       metrics.setControlStorage(control.storage());
     }
+    metrics.requestMemoryBytes.set(requestMemory.totalBytes());
     ctx.response()
         .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         .end(metrics.scrape());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -31,6 +32,7 @@
 
   private final RequestMemory memory;
   private final boolean chargesHeads;
+  private final boolean chargesBodies;
 
   /** What is held for each request, in the order of their arrival. */
   private final Deque<Charge> charges = new ArrayDeque<>();
@@ -53,8 +55,13 @@
   }
 
   RequestAccount(RequestMemory memory, boolean chargesHeads) {
+    this(memory, chargesHeads, /* chargesBodies= */ false);
+  }
+
+  private RequestAccount(RequestMemory memory, boolean chargesHeads, boolean chargesBodies) {
     this.memory = memory;
     this.chargesHeads = chargesHeads;
+    this.chargesBodies = chargesBodies;
   }
 
   /**
@@ -65,8 +72,21 @@
    */
   public static RequestAccount install(
       HttpConnection connection, RequestMemory memory, boolean chargesHeads) {
+    return open(connection, new RequestAccount(memory, chargesHeads));
+  }
+
+  /**
+   * Opens the account of a new connection of a server that keeps all bodies; they are charged as
+   * they arrive.
+   */
+  public static RequestAccount installForBodies(HttpConnection connection, RequestMemory memory) {
+    return open(
+        connection,
+        new RequestAccount(memory, /* chargesHeads= */ false, /* chargesBodies= */ true));
+  }
+
+  private static RequestAccount open(HttpConnection connection, RequestAccount account) {
     ChannelHandlerContext handler = ((ConnectionBase) connection).channelHandlerContext();
-    RequestAccount account = new RequestAccount(memory, chargesHeads);
     handler.channel().attr(ACCOUNT).set(account);
     ChannelPipeline pipeline = handler.pipeline();
     pipeline.addBefore(handler.name(), null, account);
@@ -91,6 +111,13 @@
       beginHead(head.headers());
       charge((long) head.headers().size() * HEADER_LINE_BYTES);
     }
+    if (chargesBodies && message instanceof HttpContent part && !isResponded()) {
+      chargeBody(part.content().readableBytes());
+      if (ended) {
+        part.release();
+        return;
+      }
+    }
     if (message instanceof LastHttpContent && !charges.isEmpty()) {
       charges.getLast().complete = true;
       releaseFirstIfDone();
@@ -169,6 +196,10 @@
     }
   }
 
+  private boolean isResponded() {
+    return !charges.isEmpty() && charges.getLast().responded;
+  }
+
   /** Returns whether the connection was closed to release what was held for it. */
   boolean isEnded() {
     return ended;
