Say in the control API that the data folder cannot be used

A control daemon whose data folder cannot be used stays alive, is not ready and shows the state in lwc_control_storage, but an operator who asked it got answers that did not say so: GET /v1/control looked like that of a new follower, and a change was refused with "the control group has no leader that can be reached", while the group had one and accepted changes through its other members.

GET /v1/control shows the state of the storage. A change is refused with the same status and code as before, and the detail names the state and says that another control daemon takes the change. The name of a state is defined once, for metrics and responses.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
@@ -1,5 +1,7 @@
 package org.lacewingcroft.control;
 
+import java.util.Locale;
+
 /** Whether a control group member can use its data folder. */
 public enum StorageState {
   /** The member runs on its data folder. */
@@ -11,6 +13,11 @@
   /** A record cannot be decoded by this build; the files are kept for a build that can. */
   UNKNOWN_FORMAT;
 
+  /** Returns the name that is shown to operators, in metrics and in responses. */
+  public String wireName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
   static StorageState after(Throwable cause) {
     if (cause instanceof UnreadableStorageException unreadable) {
       return switch (unreadable.kind()) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -22,6 +22,7 @@
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.control.ControlService;
+import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.gateway.ErrorReply;
@@ -96,7 +97,7 @@
   void mountControl(Router router, ControlService control) {
     router.put("/v1/config").handler(ctx -> proposeChange(ctx, control));
     router.patch("/v1/config").handler(ctx -> proposeChange(ctx, control));
-    router.get("/v1/control").handler(ctx -> serveStatus(ctx, control.status()));
+    router.get("/v1/control").handler(ctx -> serveStatus(ctx, control));
   }
 
   private void serveConfig(RoutingContext ctx) {
@@ -107,7 +108,8 @@
         .end(current.document());
   }
 
-  private static void serveStatus(RoutingContext ctx, ControlService.Status status) {
+  private static void serveStatus(RoutingContext ctx, ControlService control) {
+    ControlService.Status status = control.status();
     ObjectNode reply = JsonReply.JSON.createObjectNode();
     reply.put("role", status.role().name().toLowerCase(Locale.ROOT));
     reply.put("leader", status.leader().orElse(null));
@@ -116,6 +118,7 @@
     reply.put("version", status.version());
     reply.put("voter", status.voter());
     reply.put("caughtUp", status.caughtUp());
+    reply.put("storage", control.storage().wireName());
     JsonReply.send(ctx, reply);
   }
 
@@ -127,6 +130,17 @@
       sendError(ctx, e.kind(), e.detail());
       return;
     }
+    StorageState storage = control.storage();
+    if (storage != StorageState.OPEN) {
+      sendError(
+          ctx,
+          ErrorKind.NO_QUORUM,
+          "this daemon cannot use its data folder ("
+              + storage.wireName()
+              + ") and takes no part in the control group; send the change to another control"
+              + " daemon");
+      return;
+    }
     control
         .propose(request.change(), request.expectedVersion(), PROPOSAL_TIMEOUT)
         .onSuccess(result -> sendResult(ctx, request, result));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -10,7 +10,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.function.ToLongFunction;
 import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.limit.EventLoopLoad;
@@ -142,9 +141,7 @@
   /** Records the state of a control instance's data folder. */
   public void setControlStorage(StorageState current) {
     for (StorageState state : StorageState.values()) {
-      controlStorage
-          .labelValues(state.name().toLowerCase(Locale.ROOT))
-          .set(state == current ? 1 : 0);
+      controlStorage.labelValues(state.wireName()).set(state == current ? 1 : 0);
     }
   }
 
