Start a control instance while its disk does not respond

A control instance whose disk hangs as it starts listened on no port: a process with a hard state that cannot be read to its end did not accept a connection in 30 s, though its directory, its roster and its relay need no disk. The marker of the previous end was read before anything listened, and the quarantine file and the control group's folder on the event loop, without a limit.

Each of the three now waits for at most a second. The group's folder is opened on the recovery thread, which goes on: the state is `opening` until it is open, and the member takes part then. The instance listens to peers after the quarantine is loaded or the wait is over, because an entry may become ready by its first reply; what is stored is not replaced before it is loaded. An ordinary start hands these reads to another thread and waits for it as before.

RoutingControlTest#startsWhileDiskDoesNotRespond, UnreadableQuarantineTest and EndMarkerTest read named pipes without a writer: the start goes on, and once the pipe is closed the member takes part. Not covered: a settings file or a class archive on such a disk.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/MemberHost.java
@@ -9,10 +9,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.ConsensusMember;
 import org.lacewingcroft.consensus.ConsensusMessage;
@@ -43,6 +47,12 @@
 
   private static final long CLOSE_TIMEOUT_SECONDS = 2;
 
+  /**
+   * Maximum wait for the first open, several times the duration of an ordinary one. The other roles
+   * of an instance start without its member if the disk does not respond.
+   */
+  private static final long FIRST_OPEN_TIMEOUT_MILLIS = 1_000;
+
   /** Opens the data folder. */
   interface Opener {
     /**
@@ -99,11 +109,11 @@
   private boolean started;
   private boolean closed;
   private volatile Optional<Attached> attached = Optional.empty();
-  private volatile StorageState storage = StorageState.OPEN;
+  private volatile StorageState storage = StorageState.OPENING;
 
   /**
-   * Opens the data folder and recovers the member from it, if that is possible. The member takes
-   * part in the group only after {@link #start}.
+   * Opens the data folder and recovers the member from it, now or as soon as that is possible. The
+   * member takes part in the group only after {@link #start}.
    *
    * @param id the member's id
    * @param group the ids of all members if they are configured, otherwise empty
@@ -125,7 +135,31 @@
     this.opener = firstOpener;
     this.laterOpener = laterOpener;
     this.listener = listener;
-    attach();
+    attachInTime();
+  }
+
+  private void attachInTime() {
+    CompletableFuture<Void> attaching = CompletableFuture.runAsync(this::attach, recovery);
+    try {
+      attaching.get(FIRST_OPEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.log(
+          System.Logger.Level.ERROR,
+          "control.storage_unresponsive",
+          "millis",
+          FIRST_OPEN_TIMEOUT_MILLIS,
+          "folder",
+          dataDir);
+      attaching.exceptionally(
+          error -> {
+            onRecoveryThread(() -> detach(error.getCause()));
+            return null;
+          });
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new CompletionException(e.getCause());
+    }
   }
 
   /** Starts taking part in the group. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/StorageState.java
@@ -4,6 +4,8 @@
 
 /** Whether a control group member can use its data folder. */
 public enum StorageState {
+  /** The folder is being opened for the first time; the disk may not respond. */
+  OPENING,
   /** The member runs on its data folder. */
   OPEN,
   /** A read, write or sync, or a step of the member failed; it is opened again at intervals. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -210,12 +210,18 @@
     vertx.setPeriodic(FLUSH_INTERVAL_MILLIS, id -> activeEntries.update());
     vertx.setPeriodic(HELLO_INTERVAL_MILLIS, id -> sendHello());
     vertx.setPeriodic(UpdateAggregator.TICK_INTERVAL.toMillis(), id -> aggregator.sendDue());
-    return transport
-        .listen(this::receive, (from, message) -> control.receive(from, message))
+    // An entry may become ready by this instance's first reply, and then needs the quarantine.
+    return suspicions
+        .load()
+        .compose(v -> listenToPeers())
         .onSuccess(port -> sendHello())
         .mapEmpty();
   }
 
+  private Future<Integer> listenToPeers() {
+    return transport.listen(this::receive, (from, message) -> control.receive(from, message));
+  }
+
   /** Replaces the seed peers after the settings have changed. */
   public void updateSeeds(List<String> peers) {
     seeds = List.copyOf(peers);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/SuspicionExchange.java
@@ -1,7 +1,8 @@
 package org.lacewingcroft.fleet;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.io.IOException;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -23,6 +24,9 @@
 final class SuspicionExchange {
   private static final System.Logger LOG = System.getLogger(SuspicionExchange.class.getName());
 
+  /** Maximum wait for the stored evidence at a start. */
+  private static final long LOAD_TIMEOUT_MILLIS = 1_000;
+
   private final String selfAddress;
   private final FleetTransport transport;
   private final InstantSource clock;
@@ -32,10 +36,10 @@
   private final SuspicionStore store;
   private final SuspicionLedger ledger = new SuspicionLedger();
   private int savedDigest;
-  private boolean saving;
+  private boolean storeInUse;
 
   /**
-   * Creates the exchange and loads the evidence stored on disk.
+   * Creates the exchange, without evidence until {@link #load}.
    *
    * @param otherControls returns the other control instances
    * @param entries returns the entries that follow this instance
@@ -55,24 +59,44 @@
     this.clock = clock;
     this.otherControls = otherControls;
     this.entries = entries;
-    load();
   }
 
-  /** Loads the stored evidence. It is optional: an unreadable file does not prevent the start. */
-  private void load() {
+  /**
+   * Loads the stored evidence. It is optional: neither an unreadable file nor a disk that does not
+   * respond prevents the start.
+   *
+   * @return completes once the evidence is loaded, or after a timeout; never fails
+   */
+  Future<Void> load() {
+    // What is stored must not be replaced before it is loaded.
+    storeInUse = true;
+    Promise<Void> done = Promise.promise();
+    final long timer = vertx.setTimer(LOAD_TIMEOUT_MILLIS, id -> done.tryComplete());
+    vertx
+        .executeBlocking(store::load)
+        .onComplete(
+            (stored, error) -> {
+              if (error == null) {
+                mergeStored(stored);
+              } else {
+                LOG.log(System.Logger.Level.WARNING, "quarantine.not_loaded", error);
+              }
+              storeInUse = false;
+              vertx.cancelTimer(timer);
+              done.tryComplete();
+            });
+    return done.future();
+  }
+
+  private void mergeStored(List<Suspicion> stored) {
     Instant now = clock.instant();
-    try {
-      store
-          .load()
-          .forEach(
-              s ->
-                  ledger
-                      .merge(s, now)
-                      .ifPresent(merged -> QuarantineLog.logChange(merged, "disk")));
-    } catch (IOException e) {
-      LOG.log(System.Logger.Level.WARNING, "quarantine.not_loaded", e);
+    boolean unchanged = ledger.recurringDigest() == savedDigest;
+    for (Suspicion suspicion : stored) {
+      ledger.merge(suspicion, now).ifPresent(merged -> QuarantineLog.logChange(merged, "disk"));
+    }
+    if (unchanged) {
+      savedDigest = ledger.recurringDigest();
     }
-    savedDigest = ledger.recurringDigest();
   }
 
   /**
@@ -81,10 +105,10 @@
    */
   private void save() {
     int digest = ledger.recurringDigest();
-    if (saving || digest == savedDigest) {
+    if (storeInUse || digest == savedDigest) {
       return;
     }
-    saving = true;
+    storeInUse = true;
     List<Suspicion> recurring =
         ledger.withCrashesOrCleared(SuspicionLedger.RECURRING_THRESHOLD, clock.instant());
     vertx
@@ -95,7 +119,7 @@
             })
         .onSuccess(v -> savedDigest = digest)
         .onFailure(e -> LOG.log(System.Logger.Level.WARNING, "quarantine.not_saved", e))
-        .onComplete(v -> saving = false);
+        .onComplete(v -> storeInUse = false);
   }
 
   /** Applies suspicions from an entry or another control instance. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/EndMarker.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/lifecycle/EndMarker.java
@@ -8,6 +8,11 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * A small file in the data folder by which the next process of an instance determines how this one
@@ -21,7 +26,8 @@
  * consensus log. After a power loss it may have its older content or none, and either only says
  * less about the end of the process.
  *
- * <p>The methods may block on the file system and must not be called on an event loop.
+ * <p>The methods wait for the file system for a bounded time, so that a disk that does not respond
+ * prevents neither a start nor a stop; they must not be called on an event loop.
  */
 public final class EndMarker {
   /** Name of the file in the data folder. */
@@ -35,6 +41,9 @@
   private static final int MAX_ERROR_CHARS = 300;
   private static final int FIELD_COUNT = 4;
 
+  /** Maximum wait for the file system. */
+  private static final long TIMEOUT_MILLIS = 1_000;
+
   private final Optional<Path> file;
   private final InstantSource wallClock;
   private volatile long startedAtMillis;
@@ -60,19 +69,38 @@
     if (file.isEmpty()) {
       return PreviousEnd.UNKNOWN;
     }
-    PreviousEnd previous = read(file.get(), firstStart);
-    boolean written = write(RUNNING, "");
-    return written ? previous : PreviousEnd.UNKNOWN;
+    return callInTime(
+            () -> {
+              PreviousEnd previous = read(file.get(), firstStart);
+              return write(RUNNING, "") ? previous : PreviousEnd.UNKNOWN;
+            })
+        .orElse(PreviousEnd.UNKNOWN);
   }
 
   /** Records an orderly stop. */
   public void markStopped() {
-    write(STOPPED, "");
+    callInTime(() -> write(STOPPED, ""));
   }
 
   /** Records that the process ends, or may end, because of an error. */
   public void markFailed(Throwable error) {
-    write(FAILED, describe(error));
+    callInTime(() -> write(FAILED, describe(error)));
+  }
+
+  /** Returns the result of an action on the file system, or nothing if it does not end in time. */
+  private static <T> Optional<T> callInTime(Callable<T> action) {
+    FutureTask<T> task = new FutureTask<>(action);
+    Thread thread = new Thread(task, "end-marker");
+    thread.setDaemon(true);
+    thread.start();
+    try {
+      return Optional.of(task.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    } catch (TimeoutException | ExecutionException e) {
+      LOG.log(System.Logger.Level.WARNING, "end_marker.failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return Optional.empty();
   }
 
   private static String describe(Throwable error) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -80,7 +80,7 @@
   private final Gauge controlStorage =
       Gauge.builder()
           .name("lwc_control_storage")
-          .help("1 for the state of the data folder: open, failed, damaged or unknown_format")
+          .help("1 for the state of the data folder, such as open, opening, failed or damaged")
           .labelNames("state")
           .register(registry);
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThan;
 
 import io.vertx.core.Future;
 import java.io.IOException;
@@ -28,16 +29,19 @@
 class RoutingControlTest {
   private static final String SELF = "10.0.0.1:7660";
 
-  @TempDir private Path folder;
+  /** Longer than a start waits for its disk, on a busy machine. */
+  private static final long MAX_WAIT_SECONDS = 5;
 
-  private static ChangeResult await(Future<ChangeResult> future) throws Exception {
-    return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-  }
+  @TempDir private Path folder;
 
   private RoutingControl open(Set<String> founders, DurableFile.Sync disk) {
     return new RoutingControl(SELF, folder, founders, 0, (to, m) -> {}, state -> {}, disk);
   }
 
+  private static ChangeResult await(Future<ChangeResult> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
   private static void await(RoutingControl control, boolean inMajority) throws Exception {
     for (int i = 0; i < 250 && control.view().inMajority() != inMajority; i++) {
       TimeUnit.MILLISECONDS.sleep(20);
@@ -173,4 +177,25 @@
         last.version(),
         new Command.RoutingChange(version, "v" + version));
   }
+
+  /** Guards against an event loop that waits for a disk that does not respond. */
+  @Test
+  void startsWhileDiskDoesNotRespond() throws Exception {
+    UnresponsiveFile hardState = UnresponsiveFile.create(folder.resolve("hard-state"));
+    long startNanos = System.nanoTime();
+    try (RoutingControl control = open(Set.of(SELF), DurableFile.FORCE_TO_DISK)) {
+      assertThat(
+          TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startNanos),
+          lessThan(MAX_WAIT_SECONDS));
+      assertThat(control.storage(), equalTo(StorageState.OPENING));
+      assertThat(control.view().inMajority(), equalTo(false));
+      assertThat(
+          await(control.submit(new Command.RoutingChange(5, "v5"), Duration.ofSeconds(1))),
+          instanceOf(ChangeResult.NotLeader.class));
+      hardState.close();
+      await(control, /* inMajority= */ true);
+      assertThat(control.storage(), equalTo(StorageState.OPEN));
+      assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
+    }
+  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/UnreadableQuarantineTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/fleet/UnreadableQuarantineTest.java
@@ -21,10 +21,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingcroft.control.DurableFile;
+import org.lacewingcroft.control.UnresponsiveFile;
 import org.lacewingcroft.quarantine.EndpointCrash;
 import org.lacewingcroft.quarantine.Suspicion;
 import org.lacewingcroft.request.RequestFingerprint;
@@ -110,23 +112,36 @@
   @MethodSource("rows")
   void instanceStartsWithoutWhatCannotBeRead(Row row) throws Exception {
     row.content.write(folder.resolve("quarantine"));
-    CompletableFuture<SuspicionExchange> created = new CompletableFuture<>();
+    assertThat(loadedSize(), is(row.loaded));
+  }
+
+  /** A disk that does not respond must not hold up the other roles. */
+  @Test
+  void instanceStartsWhileDiskDoesNotRespond() throws Exception {
+    Path file = folder.resolve("quarantine");
+    try (UnresponsiveFile unresponsive = UnresponsiveFile.create(file)) {
+      assertThat(loadedSize(), is(0));
+    }
+  }
+
+  private int loadedSize() throws Exception {
+    CompletableFuture<Integer> size = new CompletableFuture<>();
     context.runOnContext(
         v -> {
           try {
-            created.complete(exchange());
+            SuspicionExchange exchange = exchange();
+            exchange
+                .load()
+                .onSuccess(
+                    loaded -> {
+                      exchange.expireAndSave();
+                      size.complete(exchange.size());
+                    });
           } catch (RuntimeException e) {
-            created.completeExceptionally(e);
+            size.completeExceptionally(e);
           }
         });
-    SuspicionExchange exchange = created.get(10, TimeUnit.SECONDS);
-    CompletableFuture<Integer> size = new CompletableFuture<>();
-    context.runOnContext(
-        v -> {
-          exchange.expireAndSave();
-          size.complete(exchange.size());
-        });
-    assertThat(size.get(10, TimeUnit.SECONDS), is(row.loaded));
+    return size.get(10, TimeUnit.SECONDS);
   }
 
   private SuspicionExchange exchange() {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/EndMarkerTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/lifecycle/EndMarkerTest.java
@@ -10,9 +10,12 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.control.UnresponsiveFile;
 
 /** Guards against a start that misreports the previous end or fails because of the marker file. */
 class EndMarkerTest {
@@ -95,4 +98,16 @@
                 Optional.of(END).filter(e -> row.ended()))));
     marker.markStopped();
   }
+
+  /** Neither a start nor a stop may wait for a disk that does not respond. */
+  @Test
+  @Timeout(10)
+  void returnsWhileDiskDoesNotRespond() throws Exception {
+    Path file = directory.resolve("data").resolve(EndMarker.FILE_NAME);
+    EndMarker marker = new EndMarker(Optional.of(file.getParent()), () -> START);
+    try (UnresponsiveFile unresponsive = UnresponsiveFile.create(file)) {
+      assertThat(marker.begin(false), equalTo(PreviousEnd.UNKNOWN));
+      marker.markStopped();
+    }
+  }
 }
