--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DamagedMembersTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DamagedMembersTest.java
@@ -152,7 +152,7 @@
   @Test
   void keepsDamagedFilesWithoutQuorum() throws Exception {
     List<String> damaged = MEMBERS.subList(0, TOLERATED + 1);
-    byte[] intact = Files.readAllBytes(dataDir("a:1").resolve("snapshot"));
+    final byte[] intact = Files.readAllBytes(dataDir("a:1").resolve("snapshot"));
     for (String member : damaged) {
       Files.write(dataDir(member).resolve("snapshot"), new byte[64]);
     }
