Reject a frame whose payload has no timestamp length

No operator has reported this; it was found while the messages between instances were examined.

An authenticated frame with a payload of one byte threw a BufferUnderflowException. The receiver logged it as the failure of a handler and kept the connection, while any other frame that cannot be decoded is counted and its connection closed.

FrameCodec#decode checks the length first. FrameCodecTest#rejectsUndecodablePayloads: the case of one byte failed before, the four others held.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/FrameCodec.java
@@ -101,6 +101,9 @@
     if (!MessageDigest.isEqual(tag, tag(payload))) {
       throw new MalformedFrameException("frame tag does not verify; check the shared secret");
     }
+    if (payload.length < Short.BYTES) {
+      throw new MalformedFrameException("the payload has no timestamp length");
+    }
     ByteBuffer in = ByteBuffer.wrap(payload);
     int timestampLength = in.getShort() & 0xffff;
     if (timestampLength > in.remaining()) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -139,4 +141,25 @@
   static Stream<Integer> lengthsOutOfRange() {
     return Stream.of(-1, 0, 32, FrameCodec.MAX_FRAME_BYTES + 1, Integer.MAX_VALUE);
   }
+
+  static Stream<Arguments> undecodablePayloads() {
+    return Stream.of(
+        Arguments.of("one byte", new byte[1]),
+        Arguments.of("timestamp longer than the payload", new byte[] {0, 9, 1}),
+        Arguments.of("no message", new byte[2]),
+        Arguments.of("no type", new byte[] {0, 0, (byte) 0xc1}),
+        Arguments.of("message cut off", new byte[] {0, 0, 11}));
+  }
+
+  /** Guards against a peer's undecodable message that ends the process or keeps its connection. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("undecodablePayloads")
+  void rejectsUndecodablePayloads(String name, byte[] payload) throws Exception {
+    Mac mac = Mac.getInstance("HmacSHA256");
+    mac.init(new SecretKeySpec(SECRET, "HmacSHA256"));
+    byte[] tag = mac.doFinal(payload);
+    byte[] body = Arrays.copyOf(tag, tag.length + payload.length);
+    System.arraycopy(payload, 0, body, tag.length, payload.length);
+    assertThrows(MalformedFrameException.class, () -> CODEC.decode(body));
+  }
 }
