Allocate no more for a peer's message than it contains

No operator has reported this; it was found while the messages between instances were examined.

A message of a few bytes that declares a byte array or a list of up to 2 GiB made its receiver allocate that much before it noticed that the message is shorter. The error of the heap ends an instance. Only a peer that has the secret can send such a message, for instance one with a fault of its own.

A byte array longer than the rest of the message is rejected as malformed, and a list grows with its elements. FrameCodecTest#rejectsUndecodablePayloads: three cases with a declared length of 2 GiB ended the test's process before and are rejected now.

--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/peer/MessageCodec.java
@@ -118,14 +118,13 @@
         case GOSSIP -> unpackGossip(u);
         case CONFIG_PATCHES -> new PeerMessage.ConfigPatches(u.unpackLong(), unpackStrings(u));
         case CONFIG_NOTICE -> new PeerMessage.ConfigNotice(u.unpackLong(), u.unpackString());
-        case FLEET ->
-            new PeerMessage.Fleet(FleetCodec.decode(u.readPayload(u.unpackBinaryHeader())));
+        case FLEET -> new PeerMessage.Fleet(FleetCodec.decode(unpackBinary(u, bytes.length)));
         case PING -> new PeerMessage.Ping();
         case PONG -> new PeerMessage.Pong();
         case ENDPOINT_ANNOUNCE -> new PeerMessage.EndpointAnnounce(unpackEndpoint(u));
         case CONFIG_OFFER -> new PeerMessage.ConfigOffer(u.unpackLong(), u.unpackString());
         case CONFIG_REQUEST -> new PeerMessage.ConfigRequest(u.unpackLong(), u.unpackString());
-        case IDEMPOTENCY_RECORD -> new PeerMessage.IdempotencyRecord(unpackRecord(u));
+        case IDEMPOTENCY_RECORD -> new PeerMessage.IdempotencyRecord(unpackRecord(u, bytes.length));
         case KEY_CLAIM ->
             new PeerMessage.KeyClaim(
                 u.unpackLong(), u.unpackString(), unpackClaimant(u), u.unpackString());
@@ -133,7 +132,7 @@
             new PeerMessage.KeyClaimReply(
                 u.unpackLong(),
                 u.unpackString(),
-                u.unpackBoolean() ? Optional.of(unpackRecord(u)) : Optional.empty());
+                u.unpackBoolean() ? Optional.of(unpackRecord(u, bytes.length)) : Optional.empty());
         case KEY_RELEASE -> new PeerMessage.KeyRelease(u.unpackString(), unpackClaimant(u));
         case CONSENSUS ->
             new PeerMessage.Consensus(u.unpackString(), ConsensusCodec.unpackMessage(u));
@@ -220,14 +219,15 @@
     p.packLong(e.expiresAt().toEpochMilli());
   }
 
-  private static IdempotencyTable.Entry unpackRecord(MessageUnpacker u) throws IOException {
+  private static IdempotencyTable.Entry unpackRecord(MessageUnpacker u, int messageBytes)
+      throws IOException {
     return new IdempotencyTable.Entry(
         u.unpackString(),
         IdempotencyTable.State.valueOf(u.unpackString()),
         unpackClaimant(u),
         u.unpackInt(),
         u.unpackString(),
-        u.readPayload(u.unpackBinaryHeader()),
+        unpackBinary(u, messageBytes),
         Instant.ofEpochMilli(u.unpackLong()));
   }
 
@@ -286,9 +286,18 @@
     }
   }
 
+  /** Returns a byte array, which is not allocated if the message is shorter than it declares. */
+  private static byte[] unpackBinary(MessageUnpacker u, int messageBytes) throws IOException {
+    int length = u.unpackBinaryHeader();
+    if (length > messageBytes - u.getTotalReadBytes()) {
+      throw new MalformedFrameException(length + " bytes are longer than the message");
+    }
+    return u.readPayload(length);
+  }
+
   private static List<String> unpackStrings(MessageUnpacker u) throws IOException {
     int n = u.unpackArrayHeader();
-    List<String> values = new ArrayList<>(n);
+    List<String> values = new ArrayList<>();
     for (int i = 0; i < n; i++) {
       values.add(u.unpackString());
     }
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -148,7 +148,23 @@
         Arguments.of("timestamp longer than the payload", new byte[] {0, 9, 1}),
         Arguments.of("no message", new byte[2]),
         Arguments.of("no type", new byte[] {0, 0, (byte) 0xc1}),
-        Arguments.of("message cut off", new byte[] {0, 0, 11}));
+        Arguments.of("message cut off", new byte[] {0, 0, 11}),
+        Arguments.of("fleet message longer than the frame", declaring(12, 0xc6)),
+        Arguments.of("list longer than the frame", declaring(11, 0, 0xdd)),
+        Arguments.of(
+            "body longer than the frame",
+            declaring(5, 0xa0, 0xa4, 'D', 'O', 'N', 'E', 0xa0, 0, 0, 0xa0, 0xc6)));
+  }
+
+  /** Returns a payload whose message ends with a length of 2 GiB. */
+  private static byte[] declaring(int... message) {
+    byte[] payload = new byte[2 + message.length + Integer.BYTES];
+    for (int i = 0; i < message.length; i++) {
+      payload[2 + i] = (byte) message[i];
+    }
+    Arrays.fill(payload, payload.length - Integer.BYTES, payload.length, (byte) 0xff);
+    payload[payload.length - Integer.BYTES] = 0x7f;
+    return payload;
   }
 
   /** Guards against a peer's undecodable message that ends the process or keeps its connection. */
