--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/RejectedFrameTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/RejectedFrameTest.java
@@ -44,7 +44,10 @@
     byte[] garbage = new byte[GARBAGE_BYTES];
     Arrays.fill(garbage, (byte) 0xff);
     return Stream.of(
-        otherSecret.encode(TIMESTAMP, new PeerMessage.Ping()), new byte[] {0, 0, 0, 1}, garbage);
+        otherSecret.encode(TIMESTAMP, new PeerMessage.Ping()),
+        new byte[] {0, 0, 0, 1},
+        new byte[GARBAGE_BYTES],
+        garbage);
   }
 
   @ParameterizedTest
