--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -96,7 +96,7 @@
   public static List<byte[]> read(Path file) throws IOException {
     List<byte[]> payloads = new ArrayList<>();
     long validBytes = forEach(file, (payload, endOffset) -> payloads.add(payload));
-    if (Files.exists(file) && (payloads.isEmpty() || validBytes < Files.size(file))) {
+    if (!Files.notExists(file) && (payloads.isEmpty() || validBytes < Files.size(file))) {
       throw UnreadableStorageException.damaged(
           file, "only " + validBytes + " of " + Files.size(file) + " bytes are valid");
     }
@@ -111,7 +111,7 @@
    * @return the length of the records that were read, in bytes
    */
   static long forEach(Path file, RecordHandler handler) throws IOException {
-    if (!Files.exists(file)) {
+    if (Files.notExists(file)) {
       return 0;
     }
     long fileBytes = Files.size(file);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -235,7 +235,7 @@
 
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
-    if (hardState.term() > 0 && !Files.exists(file)) {
+    if (hardState.term() > 0 && Files.notExists(file)) {
       throw UnreadableStorageException.damaged(file, "it is missing");
     }
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -276,6 +276,22 @@
     }
   }
 
+  /** Guards against a file taken for none because the disk does not say whether it exists. */
+  @ParameterizedTest
+  @ValueSource(strings = {"hard-state", "snapshot", "config.log"})
+  void fileOfUnknownExistenceIsNotTakenForNone(String name) throws IOException {
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      log.append(List.of(entry(1, 1)));
+      log.compact(snapshot(1), List.of());
+    }
+    // The attributes of a link that points to itself cannot be read.
+    Path file = dataDir.resolve(name);
+    Files.delete(file);
+    Files.createSymbolicLink(file, file);
+    assertThrows(IOException.class, () -> DurableLog.open(dataDir, false));
+    assertThat(Files.isSymbolicLink(file), is(true));
+  }
+
   /** Guards against a voter that has forgotten its log because the file is gone. */
   @Test
   void missingLogIsDamage() throws IOException {
