Reject responses whose status no response to the request can have

Callers got a response with the status 600, 700 or 999 when an endpoint or another entry sent one. On the product's own interface they got no final response for 000, 099, 101, 102 and 199: the connection was closed, or for 102 and 199 nothing came within 20 s.

The decoder of upstream responses required three digits and no more. RFC 9110 defines 100 to 599. Vert.x handles 100 and 103 as informational and passes any other 1xx on as the final response.

StrictResponseDecoder accepts 100, 103 and 200 to 599. Any other status is a malformed head, on both interfaces and between entries: the connection is retired, and the caller hears that the endpoint failed after it received the request (502, outcome unknown). A status that a response may not have says nothing about the request, so it is neither passed on nor taken for a refusal.

StrictResponseDecoderTest: 32 of 244. Now all pass.

AnnouncedEntry is split off from CopiedEntryRefusalTest, whose checks are unchanged.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -42,8 +42,8 @@
  *
  * <ul>
  *   <li>if bytes arrive on it while no response is outstanding;
- *   <li>if a response has the id of another request, cannot be parsed, or has a status line within
- *       its head;
+ *   <li>if a response has the id of another request, cannot be parsed, has a status that no
+ *       response to the request can have, or has a status line within its head;
  *   <li>if a header of a response is repeated, so that its head may consist of two, or it has no
  *       id. Such a response is accepted only as the first one on its connection, where no response
  *       to another request can precede it.
@@ -76,6 +76,13 @@
 
   private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
   private static final Pattern STATUS_CODE = Pattern.compile("\\d{3}");
+
+  /**
+   * The statuses of final responses, and of the informational ones that no request has to ask for.
+   * Vert.x passes any other informational response on as a final one.
+   */
+  private static final Pattern ACCEPTED_STATUS = Pattern.compile("100|103|[2-5]\\d{2}");
+
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}");
   private static final String RESPONSE_START = "HTTP/1.";
 
@@ -287,6 +294,9 @@
     if (!VERSIONS.contains(statusLine[0]) || !STATUS_CODE.matcher(statusLine[1]).matches()) {
       throw new IllegalArgumentException("response begins with bytes that are no status line");
     }
+    if (!ACCEPTED_STATUS.matcher(statusLine[1]).matches()) {
+      throw new IllegalArgumentException("response with the status " + statusLine[1]);
+    }
     return super.createMessage(statusLine);
   }
 
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CopiedEntryRefusalTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/CopiedEntryRefusalTest.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.TestInstance;
@@ -23,12 +22,6 @@
 import org.lacewingcroft.forward.StutteringEndpoint;
 import org.lacewingcroft.forward.StutteringEndpoint.Piece;
 import org.lacewingcroft.forward.StutteringEndpoint.ReceivedRequest;
-import org.lacewingcroft.membership.Heartbeat;
-import org.lacewingcroft.membership.RegionDigest;
-import org.lacewingcroft.peer.FrameCodec;
-import org.lacewingcroft.peer.MemberInfo;
-import org.lacewingcroft.peer.PeerMessage;
-import org.lacewingcroft.peer.PeerTransport;
 
 /**
  * Guards against a copy of another entry's refusal that is taken for its response to a later send
@@ -39,35 +32,32 @@
 class CopiedEntryRefusalTest {
   private static final String REGION = "uusimaa";
   private static final String OTHER_REGION = "pirkanmaa";
-  private static final String OTHER_ENTRY = "entry-2";
   private static final String MODEL = "m";
   private static final int REQUESTS = 3;
-  private static final long GOSSIP_INTERVAL_MILLIS = 100;
   private static final long MILLIS_BEFORE_RESPONSE = 4;
 
   private final Vertx vertx = Vertx.vertx();
-  private final PeerTransport transport =
-      new PeerTransport(vertx, new FrameCodec(TestCluster.SECRET));
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
   private final Set<String> refused = ConcurrentHashMap.newKeySet();
   private volatile int refusalStatus;
   private TestCluster cluster;
   private Daemon entry;
   private StutteringEndpoint other;
+  private AnnouncedEntry announced;
 
   @BeforeAll
   void start(@TempDir Path dir) throws Exception {
     cluster = new TestCluster(dir.resolve("data"), "organisations: [{name: desk}]");
     entry = cluster.startEntry("entry-1", REGION, Duration.ZERO);
     other = new StutteringEndpoint(vertx, this::respond);
-    announceOther();
+    announced = new AnnouncedEntry(vertx, entry, OTHER_REGION, MODEL, other.port());
   }
 
   @AfterAll
   void stop() throws Exception {
     cluster.close();
     other.close();
-    transport.close();
+    announced.close();
     vertx.close();
   }
 
@@ -110,37 +100,4 @@
         ? List.of(Piece.of(refusal), new Piece(MILLIS_BEFORE_RESPONSE, own))
         : List.of(Piece.of(own));
   }
-
-  /** Announces an entry of another region, which serves the model. */
-  private void announceOther() {
-    String address = "127.0.0.1:" + other.port();
-    long incarnation = 1;
-    MemberInfo info =
-        new MemberInfo(
-            OTHER_ENTRY,
-            MemberInfo.ENTRY,
-            OTHER_REGION,
-            OTHER_REGION + "-a",
-            address,
-            address,
-            incarnation);
-    AtomicLong counter = new AtomicLong();
-    vertx.setPeriodic(
-        0,
-        GOSSIP_INTERVAL_MILLIS,
-        timer -> {
-          long number = counter.incrementAndGet();
-          RegionDigest digest =
-              new RegionDigest(OTHER_REGION, OTHER_ENTRY, number, List.of(info), Map.of(MODEL, 4));
-          transport.send(
-              "127.0.0.1:" + entry.peerPort(),
-              new PeerMessage.Gossip(
-                  info,
-                  1,
-                  List.of(new Heartbeat(OTHER_ENTRY, incarnation, number, false)),
-                  List.of(),
-                  List.of(digest),
-                  false));
-        });
-  }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawResponse.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RawResponse.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * A response as the bytes that a raw socket sends.
@@ -10,6 +11,12 @@
  */
 public record RawResponse(
     int status, String id, String signature, String body, Framing framing, IdPosition idPosition) {
+  /** Statuses that no final response has, and some that are no numbers of three digits. */
+  public static final List<String> INVALID_STATUSES =
+      List.of(
+          "000", "099", "101", "102", "199", "600", "700", "999", "20", "2000", "0200", "+200",
+          "abc");
+
   private static final String LINE_END = "\r\n";
 
   /** How the end of the body is marked. */
@@ -38,6 +45,11 @@
     NONE
   }
 
+  /** Returns a signed response with the id {@code ID} that is complete but for its status. */
+  public static String withStatus(String status) {
+    return RawEndpoint.ownResponse(200, "done").replace(" 200 ", " " + status + " ");
+  }
+
   /** Returns the same response with its id elsewhere in the head. */
   public RawResponse withIdPosition(IdPosition newPosition) {
     return new RawResponse(status, id, signature, body, framing, newPosition);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/StrictResponseDecoderTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingcroft.forward.RawResponse;
 import org.lacewingcroft.metrics.GatewayMetrics;
 
 /**
@@ -95,7 +96,9 @@
           }
         }
         cases.add(rejected(number, requiresId, "stray" + OK + HEADERS));
-        cases.add(rejected(number, requiresId, "HTTP/1.1 2000 OK\r\n" + HEADERS));
+        for (String status : RawResponse.INVALID_STATUSES) {
+          cases.add(rejected(number, requiresId, "HTTP/1.1 " + status + " OK\r\n" + HEADERS));
+        }
         cases.add(rejected(number, requiresId, OK + HEADERS.replace("ID", "other")));
         cases.add(
             rejected(number, requiresId, OK + "X-Proof: sig\r\n" + HEADERS.replace("ID", "other")));
