Require a written request for a body that ends with its connection

An endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got that part as a complete response, with status 200, on both interfaces, direct and relayed.

The end of the connection is also the end of a body with neither a length nor chunks. A reset that a read reports fails the response first. During an upload a write meets the reset as well: Netty then closes the connection without an exception in the pipeline, and Netty's decoder takes this for the orderly end of the body. A FIN during the upload had the same result.

StrictResponseDecoder counts the requests whose last part has not been written, and does not emit the end of such a body while there is one; the response then fails as broken off. A write can fail only while something is to be written, so that after the last part a reset always shows in a read. An orderly end during the upload is not believed either: the endpoint cannot have received the request as a whole, and its close is not told from that of a crash. A response with a length or chunks is complete by itself and is passed on as before.

An upload that the operating system has buffered completely counts as written, so that a FIN after it remains the end of the body, as RFC 9112 has it.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/StrictResponseDecoder.java
@@ -62,6 +62,8 @@
  * again: then it is skipped, and the response to the request is awaited. There must be at most one
  * request at a time on a connection.
  *
+ * <p>A body that ends with its connection is complete only if the request was written before.
+ *
  * <p>Vert.x has no setting for this, so the codec of a connection is replaced in its pipeline
  * before the first request is written.
  */
@@ -174,7 +176,11 @@
       if (message instanceof HttpRequest request) {
         decoder.onRequest(request);
       }
-      super.write(ctx, message, promise);
+      ChannelPromise written = promise.unvoid();
+      if (message instanceof LastHttpContent) {
+        written.addListener(result -> decoder.onRequestEnd(result.isSuccess()));
+      }
+      super.write(ctx, message, written);
     }
   }
 
@@ -182,6 +188,10 @@
   private Optional<String> requestId = Optional.empty();
   private Optional<String> previousRequestId = Optional.empty();
   private HttpMethod requestMethod = HttpMethod.GET;
+
+  /** Requests that were begun and have not been written to their end. */
+  private int unwrittenRequests;
+
   private boolean awaitingResponse;
   private boolean informational;
   private volatile boolean skipNext;
@@ -259,6 +269,7 @@
   }
 
   private void onRequest(HttpRequest request) {
+    unwrittenRequests++;
     awaitingResponse = true;
     maySkip = skipNext;
     skipNext = false;
@@ -268,6 +279,12 @@
     requestId.filter(refusedRequests::contains).ifPresent(this::logSentAfterRefusal);
   }
 
+  private void onRequestEnd(boolean written) {
+    if (written) {
+      unwrittenRequests--;
+    }
+  }
+
   private void logSentAfterRefusal(String id) {
     rules.observer().onSentAfterRefusal();
     LOG.log(
@@ -339,6 +356,25 @@
     }
   }
 
+  /**
+   * Decodes the end of the connection. It is also the end of a body with neither a length nor
+   * chunks, but not while the request is being written: the connection may then have been reset,
+   * which shows in a write as well as in a read, and the request has not been received as a whole.
+   */
+  @Override
+  protected void decodeLast(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    super.decodeLast(ctx, buffer, out);
+    int last = out.size() - 1;
+    if (awaitingResponse
+        && unwrittenRequests > 0
+        && last >= 0
+        && out.get(last) instanceof LastHttpContent end) {
+      out.remove(last);
+      ReferenceCountUtil.release(end);
+    }
+  }
+
   /** Drops a part of the response that is being skipped. */
   private void skip(ChannelHandlerContext ctx, Object message, List<Object> out) {
     ReferenceCountUtil.release(message);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/TestCluster.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/TestCluster.java
@@ -25,6 +25,7 @@
   private final HttpClient http =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final List<Daemon> daemons = new ArrayList<>();
+  private final int maxBodyBytes;
   private final Daemon control;
 
   /** A response of a daemon; a body that is not JSON is represented by a JSON null. */
@@ -47,6 +48,12 @@
   }
 
   TestCluster(Path dir, String document) throws Exception {
+    this(dir, document, MAX_BODY_BYTES);
+  }
+
+  /** Starts a control daemon whose entries accept request bodies up to a size. */
+  TestCluster(Path dir, String document, int maxBodyBytes) throws Exception {
+    this.maxBodyBytes = maxBodyBytes;
     control = start(settings(Role.CONTROL, "control-1", "uusimaa", Duration.ZERO, dir));
     await(() -> send(control, "PUT", "/v1/config", change("setup", "0"), document).status() == 200);
   }
@@ -92,7 +99,7 @@
             true,
             SECRET,
             "least-in-flight",
-            MAX_BODY_BYTES,
+            maxBodyBytes,
             MAX_IN_FLIGHT,
             hedgeAfter,
             Duration.ofSeconds(60),
