Decode the control leader's response to a relayed change strictly

An operator's change that a follower relays to the leader got the status of whatever the leader's address sent: 000, 099, 600, 20 and 2000 went to the operator, 0200 and +200 as a 200, that is, as an accepted change; after 102 and 199 the operator heard nothing within 10 s.

The follower's client had the decoder of Vert.x and passed its status on. It now has a StrictResponseDecoder, so that such a response is no result: the operator hears that the outcome of the change is unknown, as for a leader that does not answer.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.lacewingcroft.config.ConfigParser;
 import org.lacewingcroft.config.ConfigPatch;
@@ -26,6 +27,9 @@
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.http.ResponseBodies;
+import org.lacewingcroft.http.ResponseMetrics;
+import org.lacewingcroft.http.StrictResponseDecoder;
+import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.Membership;
 
 /**
@@ -64,12 +68,35 @@
       String body,
       boolean relayed) {}
 
-  ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
+  ConfigApi(Vertx vertx, ConfigStore configs, Membership membership, GatewayMetrics metrics) {
     this.vertx = vertx;
     this.configs = configs;
     this.membership = membership;
     // Responses carry no change id: on a connection of its own, a call cannot get another's.
-    this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+    HttpClientOptions options = new HttpClientOptions().setKeepAlive(false);
+    this.client = createClient(vertx, options, new ResponseMetrics(metrics));
+  }
+
+  private static HttpClient createClient(
+      Vertx vertx, HttpClientOptions options, StrictResponseDecoder.Observer observer) {
+    StrictResponseDecoder.Rules responseRules =
+        new StrictResponseDecoder.Rules(
+            options,
+            CHANGE_ID_HEADER,
+            Set.of(),
+            /* requiresId= */ false,
+            /* refusals= */ head -> false,
+            observer);
+    return vertx
+        .httpClientBuilder()
+        .with(options)
+        .withConnectHandler(
+            connection -> {
+              StrictResponseDecoder.install(connection, responseRules);
+              // The failure is handled for the change, and is no error of the connection.
+              connection.exceptionHandler(e -> {});
+            })
+        .build();
   }
 
   /**
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -156,7 +156,7 @@
             incarnation);
     membership =
         new Membership(self, settings.peers(), transport, clock, settings.heartbeatInterval());
-    ConfigApi configApi = new ConfigApi(vertx, configs, membership);
+    ConfigApi configApi = new ConfigApi(vertx, configs, membership, metrics);
     configApi.mountRead(router, this::isConfigCurrent);
     DirectoryApi directoryApi =
         new DirectoryApi(membership, endpoints, configs, clock, this::acceptsRequests);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/StrayLeaderResponseTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/StrayLeaderResponseTest.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.daemon;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 
 import io.vertx.core.Future;
@@ -23,18 +24,22 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.config.ConfigStore;
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.control.ControlService;
+import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.forward.RawEndpoint;
+import org.lacewingcroft.forward.RawResponse;
 import org.lacewingcroft.membership.Heartbeat;
+import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.FrameCodec;
 import org.lacewingcroft.peer.MemberInfo;
 import org.lacewingcroft.peer.Membership;
 import org.lacewingcroft.peer.PeerMessage;
 import org.lacewingcroft.peer.PeerTransport;
 
-/** Guards against a leader's bytes after one response that are read as the outcome of a change. */
+/** Guards against a leader's bytes that are no response to a change being read as its outcome. */
 class StrayLeaderResponseTest {
   private static final String SELF = "control-1";
   private static final String LEADER = "control-2";
@@ -72,6 +77,17 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "102", "600", "0200"})
+  void invalidStatusOfLeaderIsUnknownOutcome(String status, @TempDir Path folder) throws Exception {
+    try (RawEndpoint leader = new RawEndpoint(vertx, RawResponse.withStatus(status), "");
+        ControlService control = follower(leader.port(), folder)) {
+      HttpResponse<String> response = change(serve(control), "a");
+      assertThat(response.statusCode(), equalTo(ErrorKind.CHANGE_UNKNOWN.httpStatus()));
+      assertThat(response.body(), containsString(ErrorKind.CHANGE_UNKNOWN.code()));
+    }
+  }
+
   private static String cutHead(String status) {
     return status.isEmpty() ? "" : "HTTP/1.1 " + status;
   }
@@ -97,7 +113,7 @@
         t ->
             control.receive(
                 LEADER, new ConsensusMessage.AppendRequest(LEADER_TERM, 0, 0, List.of(), 0, 0)));
-    api = new ConfigApi(vertx, configs, membership);
+    api = new ConfigApi(vertx, configs, membership, new GatewayMetrics());
     while (!control.status().leader().equals(Optional.of(LEADER))) {
       TimeUnit.MILLISECONDS.sleep(10);
     }
