--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -2,16 +2,17 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.stream.Stream;
 import org.lacewingcroft.consensus.ConfigState;
 import org.lacewingcroft.consensus.ConsensusCodec;
 import org.lacewingcroft.consensus.HardState;
@@ -27,12 +28,17 @@
  * The log of a control group member in its data folder: the files {@code hard-state}, {@code
  * snapshot} and {@code config.log}, which hold records of {@link DurableFile}.
  *
- * <p>On open, a torn tail of the log, left by a crash between write and sync, is truncated: its
- * entries were never acknowledged. The file may begin with entries that the snapshot covers, after
- * a crash during a compaction. Records are read and written one at a time, so that a start and a
- * compaction need little more memory than the entries themselves. The id of the data folder is
- * generated once and stored in the hard state. A member with an empty folder is a voter only on the
- * deployment's first start.
+ * <p>On open, the log ends before the first record that is torn, missing or does not follow the one
+ * before it, and the rest is truncated: a loss of power leaves such a tail of writes that were not
+ * synced, and their entries were never acknowledged. The file may begin with entries that the
+ * snapshot covers, after a crash during a compaction. If anything else is missing or cannot be
+ * read, it had been synced; the open fails with {@link UnreadableStorageException} then and changes
+ * nothing. Damage in the middle of the log cannot be distinguished from such a tail and is
+ * truncated with all entries after it.
+ *
+ * <p>Records are read and written one at a time, so that a start and a compaction need little more
+ * memory than the entries themselves. The id of the data folder is generated once and stored in the
+ * hard state. A member with an empty folder is a voter only on the deployment's first start.
  *
  * <p>Not thread-safe: confined to the thread of its {@link ConsensusDriver}.
  */
@@ -43,6 +49,8 @@
   private static final System.Logger LOG = System.getLogger(DurableLog.class.getName());
   private static final String HARD_STATE_FILE = "hard-state";
   private static final String SNAPSHOT_FILE = "snapshot";
+  private static final String SET_ASIDE_PREFIX = "unreadable-";
+  private static final String LATER_SUFFIX = ".later";
 
   private final Path dataDir;
   private final DurableFile.Sync sync;
@@ -58,6 +66,10 @@
     void pack(MessagePacker packer) throws IOException;
   }
 
+  private interface Recovery {
+    void run() throws IOException;
+  }
+
   private interface UnpackFunction<T> {
     T unpack(MessageUnpacker unpacker) throws IOException;
   }
@@ -73,6 +85,7 @@
    * @param dataDir the data folder
    * @param bootstrap true only on the deployment's first start: a member with an empty folder may
    *     vote then
+   * @throws UnreadableStorageException if synced data cannot be used
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog open(Path dataDir, boolean bootstrap) throws IOException {
@@ -83,10 +96,39 @@
       throws IOException {
     Files.createDirectories(dataDir);
     DurableLog log = new DurableLog(dataDir, sync);
-    log.recoverHardState(bootstrap);
-    log.recoverSnapshot();
-    log.recoverEntries();
-    return log;
+    return log.closeIfFails(
+        () -> {
+          log.recoverHardState(bootstrap);
+          log.recoverSnapshot();
+          log.recoverEntries();
+        });
+  }
+
+  /**
+   * Writes all that was recovered to new files, after a write or sync has failed. What a failed
+   * sync did not write may still be readable, and a later sync of the same file reports success
+   * without writing it.
+   */
+  DurableLog writeAgain() throws IOException {
+    return closeIfFails(
+        () -> {
+          writeHardState(hardState);
+          compact(snapshot, entries());
+        });
+  }
+
+  /** Runs a part of the recovery, and leaves no open channel behind if it fails. */
+  private DurableLog closeIfFails(Recovery recovery) throws IOException {
+    boolean done = false;
+    try {
+      recovery.run();
+      done = true;
+      return this;
+    } finally {
+      if (!done) {
+        close();
+      }
+    }
   }
 
   /**
@@ -97,21 +139,65 @@
    * @param dataDir the data folder
    * @param founders the ids of the founding members if this instance is one of them on the first
    *     start, otherwise empty
+   * @throws UnreadableStorageException if synced data cannot be used
    * @throws IOException if the folder or a file cannot be used
    */
   public static DurableLog openWithFounders(Path dataDir, Set<String> founders) throws IOException {
-    DurableLog log = open(dataDir, !founders.isEmpty());
+    return openWithFounders(dataDir, founders, DurableFile.FORCE_TO_DISK);
+  }
+
+  static DurableLog openWithFounders(Path dataDir, Set<String> founders, DurableFile.Sync sync)
+      throws IOException {
+    DurableLog log = open(dataDir, !founders.isEmpty(), sync);
     boolean empty = log.snapshot.equals(Snapshot.EMPTY) && log.entries.isEmpty();
-    if (!founders.isEmpty() && empty) {
-      log.compact(new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founders)), List.of());
+    if (founders.isEmpty() || !empty) {
+      return log;
     }
-    return log;
+    Snapshot founded = new Snapshot(0, 0, ConfigState.EMPTY.withMembers(founders));
+    return log.closeIfFails(() -> log.compact(founded, List.of()));
+  }
+
+  /**
+   * Moves the files of a data folder that cannot be read into a new subfolder, where an operator
+   * finds them. The instance then opens an empty folder, like one whose disk was lost.
+   *
+   * @return the subfolder
+   * @throws IOException if a file cannot be moved
+   */
+  static Path setAside(Path dataDir) throws IOException {
+    return setAside(dataDir, DurableFile.FORCE_TO_DISK);
+  }
+
+  static Path setAside(Path dataDir, DurableFile.Sync sync) throws IOException {
+    Path unfinished = Files.createDirectories(dataDir.resolve(SET_ASIDE_PREFIX + "unfinished"));
+    // Without its hard state a member does not vote, whichever other files a crash leaves in place.
+    for (String name : List.of(HARD_STATE_FILE, SNAPSHOT_FILE, LOG_FILE)) {
+      if (Files.exists(dataDir.resolve(name))) {
+        // An earlier attempt that was interrupted may have moved the original file already.
+        boolean moved = Files.exists(unfinished.resolve(name));
+        Files.move(
+            dataDir.resolve(name),
+            unfinished.resolve(moved ? name + LATER_SUFFIX : name),
+            StandardCopyOption.ATOMIC_MOVE);
+        DurableFile.syncFolder(unfinished, sync);
+        DurableFile.syncFolder(dataDir, sync);
+      }
+    }
+    int number = 1;
+    while (Files.exists(dataDir.resolve(SET_ASIDE_PREFIX + number))) {
+      number++;
+    }
+    Path target = dataDir.resolve(SET_ASIDE_PREFIX + number);
+    Files.move(unfinished, target, StandardCopyOption.ATOMIC_MOVE);
+    DurableFile.syncFolder(dataDir, sync);
+    return target;
   }
 
   private void recoverHardState(boolean bootstrap) throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(HARD_STATE_FILE));
     if (records.isEmpty()) {
-      hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), bootstrap);
+      boolean voter = bootstrap && !wasUsed();
+      hardState = new HardState(0, Optional.empty(), UUID.randomUUID().toString(), voter);
       writeHardState(hardState);
       LOG.log(
           System.Logger.Level.INFO,
@@ -119,21 +205,39 @@
           "storage",
           hardState.storageId(),
           "voter",
-          bootstrap);
+          voter);
     } else {
-      hardState = decode(records.get(0), ConsensusCodec::unpackHardState);
+      hardState = decode(HARD_STATE_FILE, records.get(0), ConsensusCodec::unpackHardState);
+    }
+  }
+
+  /** Returns whether a folder without a hard state has other files of a member. */
+  private boolean wasUsed() throws IOException {
+    try (Stream<Path> files = Files.list(dataDir)) {
+      return files
+          .map(file -> file.getFileName().toString())
+          .anyMatch(
+              name ->
+                  name.equals(SNAPSHOT_FILE)
+                      || name.equals(LOG_FILE)
+                      || name.startsWith(SET_ASIDE_PREFIX));
     }
   }
 
   private void recoverSnapshot() throws IOException {
     List<byte[]> records = DurableFile.read(dataDir.resolve(SNAPSHOT_FILE));
     snapshot =
-        records.isEmpty() ? Snapshot.EMPTY : decode(records.get(0), ConsensusCodec::unpackSnapshot);
+        records.isEmpty()
+            ? Snapshot.EMPTY
+            : decode(SNAPSHOT_FILE, records.get(0), ConsensusCodec::unpackSnapshot);
     snapshotSizeBytes = records.stream().mapToLong(r -> r.length).sum();
   }
 
   private void recoverEntries() throws IOException {
     Path file = dataDir.resolve(LOG_FILE);
+    if (hardState.term() > 0 && Files.notExists(file)) {
+      throw UnreadableStorageException.damaged(file, "it is missing");
+    }
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
     openChannel(file);
     long tornBytes = channel.size() - validBytes;
@@ -149,18 +253,35 @@
           entries.size());
     }
     // The last entries may have been written but not synced by a process that was killed.
-    sync.force(channel);
+    sync.force(file, channel);
     DurableFile.syncFolder(dataDir, sync);
   }
 
-  private void recoverEntry(byte[] payload, long endOffset) throws IOException {
-    LogEntry entry = decode(payload, ConsensusCodec::unpackEntry);
-    if (entry.index() > snapshot.lastIndex()) {
+  private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
+    LogEntry entry = decode(LOG_FILE, payload, ConsensusCodec::unpackEntry);
+    if (entry.index() <= snapshot.lastIndex()) {
+      startOffset = endOffset;
+      return true;
+    }
+    if (entries.isEmpty() && entry.index() > snapshot.lastIndex() + 1) {
+      throw UnreadableStorageException.damaged(
+          dataDir.resolve(SNAPSHOT_FILE),
+          "it ends at index " + snapshot.lastIndex() + ", the log begins at " + entry.index());
+    }
+    // A received snapshot replaces entries of older terms, and a crash may leave them in the file.
+    boolean followsLast =
+        entries.isEmpty()
+            ? entry.term() >= snapshot.lastTerm()
+            : entry.index() == lastEntry().index() + 1 && entry.term() >= lastEntry().term();
+    if (followsLast) {
       entries.add(entry);
       endOffsets.add(endOffset);
-    } else {
-      startOffset = endOffset;
     }
+    return followsLast;
+  }
+
+  private LogEntry lastEntry() {
+    return entries.get(entries.size() - 1);
   }
 
   private void openChannel(Path file) throws IOException {
@@ -240,14 +361,14 @@
   @Override
   public void append(List<LogEntry> newEntries) {
     try {
-      long offset = channel.position();
+      List<Long> offsets = new ArrayList<>();
       for (LogEntry entry : newEntries) {
-        ByteBuffer bytes = DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, entry)));
-        offset += bytes.remaining();
-        DurableFile.writeFully(channel, bytes);
-        endOffsets.add(offset);
+        DurableFile.writeFully(
+            channel, DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, entry))));
+        offsets.add(channel.position());
       }
-      sync.force(channel);
+      sync.force(dataDir.resolve(LOG_FILE), channel);
+      endOffsets.addAll(offsets);
       entries.addAll(newEntries);
     } catch (IOException e) {
       throw new UncheckedIOException("appending to the configuration log failed", e);
@@ -261,7 +382,7 @@
       long retainedBytes = offsetBefore(index);
       channel.truncate(retainedBytes);
       channel.position(retainedBytes);
-      sync.force(channel);
+      sync.force(dataDir.resolve(LOG_FILE), channel);
     } catch (IOException e) {
       throw new UncheckedIOException("truncating the configuration log failed", e);
     }
@@ -291,14 +412,19 @@
     }
   }
 
-  private static <T> T decode(byte[] payload, UnpackFunction<T> unpackFunction) throws IOException {
+  private <T> T decode(String file, byte[] payload, UnpackFunction<T> unpackFunction)
+      throws UnreadableStorageException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
       return unpackFunction.unpack(unpacker);
+    } catch (IOException | RuntimeException e) {
+      throw UnreadableStorageException.unknownFormat(dataDir.resolve(file), e);
     }
   }
 
   @Override
   public void close() throws IOException {
-    channel.close();
+    if (channel != null) {
+      channel.close();
+    }
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/ConfigApi.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.lacewingcroft.config.ConfigParser;
 import org.lacewingcroft.config.ConfigPatch;
@@ -22,10 +23,14 @@
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.LogLimits;
 import org.lacewingcroft.control.ControlService;
+import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.error.ErrorKind;
 import org.lacewingcroft.error.GatewayException;
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.http.ResponseBodies;
+import org.lacewingcroft.http.ResponseMetrics;
+import org.lacewingcroft.http.StrictResponseDecoder;
+import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.peer.Membership;
 
 /**
@@ -64,12 +69,35 @@
       String body,
       boolean relayed) {}
 
-  ConfigApi(Vertx vertx, ConfigStore configs, Membership membership) {
+  ConfigApi(Vertx vertx, ConfigStore configs, Membership membership, GatewayMetrics metrics) {
     this.vertx = vertx;
     this.configs = configs;
     this.membership = membership;
     // Responses carry no change id: on a connection of its own, a call cannot get another's.
-    this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+    HttpClientOptions options = new HttpClientOptions().setKeepAlive(false);
+    this.client = createClient(vertx, options, new ResponseMetrics(metrics));
+  }
+
+  private static HttpClient createClient(
+      Vertx vertx, HttpClientOptions options, StrictResponseDecoder.Observer observer) {
+    StrictResponseDecoder.Rules responseRules =
+        new StrictResponseDecoder.Rules(
+            options,
+            CHANGE_ID_HEADER,
+            Set.of(),
+            /* requiresId= */ false,
+            /* refusals= */ head -> false,
+            observer);
+    return vertx
+        .httpClientBuilder()
+        .with(options)
+        .withConnectHandler(
+            connection -> {
+              StrictResponseDecoder.install(connection, responseRules);
+              // The failure is handled for the change, and is no error of the connection.
+              connection.exceptionHandler(e -> {});
+            })
+        .build();
   }
 
   /**
@@ -96,7 +124,7 @@
   void mountControl(Router router, ControlService control) {
     router.put("/v1/config").handler(ctx -> proposeChange(ctx, control));
     router.patch("/v1/config").handler(ctx -> proposeChange(ctx, control));
-    router.get("/v1/control").handler(ctx -> serveStatus(ctx, control.status()));
+    router.get("/v1/control").handler(ctx -> serveStatus(ctx, control));
   }
 
   private void serveConfig(RoutingContext ctx) {
@@ -107,7 +135,8 @@
         .end(current.document());
   }
 
-  private static void serveStatus(RoutingContext ctx, ControlService.Status status) {
+  private static void serveStatus(RoutingContext ctx, ControlService control) {
+    ControlService.Status status = control.status();
     ObjectNode reply = JsonReply.JSON.createObjectNode();
     reply.put("role", status.role().name().toLowerCase(Locale.ROOT));
     reply.put("leader", status.leader().orElse(null));
@@ -116,6 +145,7 @@
     reply.put("version", status.version());
     reply.put("voter", status.voter());
     reply.put("caughtUp", status.caughtUp());
+    reply.put("storage", control.storage().wireName());
     JsonReply.send(ctx, reply);
   }
 
@@ -127,6 +157,17 @@
       sendError(ctx, e.kind(), e.detail());
       return;
     }
+    StorageState storage = control.storage();
+    if (storage != StorageState.OPEN) {
+      sendError(
+          ctx,
+          ErrorKind.NO_QUORUM,
+          "this daemon cannot use its data folder ("
+              + storage.wireName()
+              + ") and takes no part in the control group; send the change to another control"
+              + " daemon");
+      return;
+    }
     control
         .propose(request.change(), request.expectedVersion(), PROPOSAL_TIMEOUT)
         .onSuccess(result -> sendResult(ctx, request, result));
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -29,6 +29,8 @@
 import org.lacewingcroft.gateway.EntryGateway;
 import org.lacewingcroft.gateway.ErrorReply;
 import org.lacewingcroft.gateway.HopAuthenticator;
+import org.lacewingcroft.http.RequestAccount;
+import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.lifecycle.EndMarker;
 import org.lacewingcroft.lifecycle.ErrorReporter;
@@ -55,7 +57,7 @@
       new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
 
   private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
-  private static final int DISK_FAILURE_EXIT_CODE = 3;
+  private static final int MEMBER_ERROR_EXIT_CODE = 3;
   private static final int MIN_DRAIN_HEARTBEATS = 4;
 
   private final Settings settings;
@@ -64,6 +66,8 @@
   private final InstantSource clock = new MonotonicInstantSource();
   private final Vertx vertx;
   private final GatewayMetrics metrics = new GatewayMetrics();
+  private final RequestMemory requestMemory =
+      new RequestMemory(Runtime.getRuntime().maxMemory(), this::onRequestEndedForMemory);
   private final ConfigStore configs = new ConfigStore();
   private final ConfigReceiver configReceiver;
   private final EndpointRegistry endpoints;
@@ -116,6 +120,7 @@
     peerPort = await(transport.listen(settings.host(), settings.peerPort(), this::onPeerMessage));
     final long incarnation = clock.millis();
     Router router = Router.router(vertx);
+    router.route().handler(this::prepareRefusalForMemory);
     router.route().handler(BodyHandler.create().setBodyLimit(settings.maxBodyBytes()));
     router.errorHandler(
         413,
@@ -143,7 +148,16 @@
         vertx
             .createHttpServer(options)
             .connectionHandler(
-                c -> StrictRequestDecoder.install(c, options, () -> RequestLimits.DEFAULT));
+                connection -> {
+                  RequestAccount account =
+                      RequestAccount.installForBodies(connection, requestMemory);
+                  StrictRequestDecoder.install(
+                      connection,
+                      options,
+                      () -> RequestLimits.DEFAULT,
+                      channel -> {},
+                      Optional.of(account));
+                });
     httpPort = await(httpServer.requestHandler(router).listen(settings.httpPort())).actualPort();
     MemberInfo self =
         new MemberInfo(
@@ -156,7 +170,7 @@
             incarnation);
     membership =
         new Membership(self, settings.peers(), transport, clock, settings.heartbeatInterval());
-    ConfigApi configApi = new ConfigApi(vertx, configs, membership);
+    ConfigApi configApi = new ConfigApi(vertx, configs, membership, metrics);
     configApi.mountRead(router, this::isConfigCurrent);
     DirectoryApi directoryApi =
         new DirectoryApi(membership, endpoints, configs, clock, this::acceptsRequests);
@@ -208,7 +222,30 @@
     }
   }
 
-  private void startControl() throws IOException {
+  /** Sets the response to a request that is ended for memory before its body is complete. */
+  private void prepareRefusalForMemory(RoutingContext ctx) {
+    RequestAccount.of(ctx.request())
+        .onRefusal(
+            () -> {
+              // A complete request may run already.
+              if (!ctx.response().ended() && !ctx.request().isEnded()) {
+                ErrorReply.setRetryAfter(ctx.response(), RequestMemory.RETRY_AFTER);
+                ErrorReply.send(
+                    ctx.response(),
+                    ErrorKind.NOT_RUN,
+                    "too many large requests are in progress",
+                    Optional.empty());
+              }
+            });
+    ctx.next();
+  }
+
+  private void onRequestEndedForMemory(long heldBytes) {
+    metrics.requestsEndedForMemory.inc();
+    LOG.log(System.Logger.Level.WARNING, "request.ended_for_memory", "heldBytes", heldBytes);
+  }
+
+  private void startControl() {
     List<String> group =
         settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
     control =
@@ -218,7 +255,7 @@
             settings.bootstrap(),
             configs,
             membership,
-            failure -> errors.reportAndHalt(failure, DISK_FAILURE_EXIT_CODE));
+            error -> errors.reportAndHalt(error, MEMBER_ERROR_EXIT_CODE));
     control.start();
   }
 
@@ -375,6 +412,10 @@
   }
 
   private void serveMetrics(RoutingContext ctx) {
+    if (control != null) {
+      metrics.setControlStorage(control.storage());
+    }
+    metrics.requestMemoryBytes.set(requestMemory.totalBytes());
     ctx.response()
         .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         .end(metrics.scrape());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -17,19 +18,23 @@
 
 /**
  * What is held in {@link RequestMemory} for the requests on one connection, from the first line of
- * a head until the end of its response.
+ * a head until both the request and its response are complete.
  */
 public final class RequestAccount extends ChannelDuplexHandler {
   /** What a line of a head costs as an entry of the headers, beside its own bytes. */
   static final int HEADER_LINE_BYTES = 256;
 
+  /** A buffer that grows has up to twice the capacity that it needs. */
+  private static final long HELD_BYTES_PER_BODY_BYTE = 2;
+
   private static final AttributeKey<RequestAccount> ACCOUNT =
       AttributeKey.valueOf(RequestAccount.class, "account");
 
   private final RequestMemory memory;
   private final boolean chargesHeads;
+  private final boolean chargesBodies;
 
-  /** What is held for each request without a complete response, in the order of their arrival. */
+  /** What is held for each request, in the order of their arrival. */
   private final Deque<Charge> charges = new ArrayDeque<>();
 
   private ChannelHandlerContext context;
@@ -41,6 +46,7 @@
     private final HttpHeaders headers;
     private long bytes;
     private boolean complete;
+    private boolean responded;
     private Runnable refusal = () -> {};
 
     private Charge(HttpHeaders headers) {
@@ -49,8 +55,13 @@
   }
 
   RequestAccount(RequestMemory memory, boolean chargesHeads) {
+    this(memory, chargesHeads, /* chargesBodies= */ false);
+  }
+
+  private RequestAccount(RequestMemory memory, boolean chargesHeads, boolean chargesBodies) {
     this.memory = memory;
     this.chargesHeads = chargesHeads;
+    this.chargesBodies = chargesBodies;
   }
 
   /**
@@ -61,8 +72,21 @@
    */
   public static RequestAccount install(
       HttpConnection connection, RequestMemory memory, boolean chargesHeads) {
+    return open(connection, new RequestAccount(memory, chargesHeads));
+  }
+
+  /**
+   * Opens the account of a new connection of a server that keeps all bodies; they are charged as
+   * they arrive.
+   */
+  public static RequestAccount installForBodies(HttpConnection connection, RequestMemory memory) {
+    return open(
+        connection,
+        new RequestAccount(memory, /* chargesHeads= */ false, /* chargesBodies= */ true));
+  }
+
+  private static RequestAccount open(HttpConnection connection, RequestAccount account) {
     ChannelHandlerContext handler = ((ConnectionBase) connection).channelHandlerContext();
-    RequestAccount account = new RequestAccount(memory, chargesHeads);
     handler.channel().attr(ACCOUNT).set(account);
     ChannelPipeline pipeline = handler.pipeline();
     pipeline.addBefore(handler.name(), null, account);
@@ -87,8 +111,16 @@
       beginHead(head.headers());
       charge((long) head.headers().size() * HEADER_LINE_BYTES);
     }
+    if (chargesBodies && message instanceof HttpContent part && !isResponded()) {
+      chargeBody(part.content().readableBytes());
+      if (ended) {
+        part.release();
+        return;
+      }
+    }
     if (message instanceof LastHttpContent && !charges.isEmpty()) {
       charges.getLast().complete = true;
+      releaseFirstIfDone();
     }
     super.channelRead(ctx, message);
   }
@@ -97,7 +129,8 @@
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
       throws Exception {
     if (StrictRequestDecoder.endsResponse(message) && !charges.isEmpty()) {
-      release(charges.removeFirst());
+      charges.getFirst().responded = true;
+      releaseFirstIfDone();
     }
     super.write(ctx, message, promise);
   }
@@ -119,6 +152,14 @@
     memory.remove(this);
   }
 
+  /** Releases a request only at its own end too, because the server keeps its head until then. */
+  private void releaseFirstIfDone() {
+    Charge first = charges.getFirst();
+    if (first.complete && first.responded) {
+      release(charges.removeFirst());
+    }
+  }
+
   private void release(Charge charge) {
     heldBytes -= charge.bytes;
     memory.release(charge.bytes);
@@ -130,8 +171,13 @@
     charges.addLast(new Charge(headers));
   }
 
+  /** Charges the request that is being read for a part of its body that is kept. */
+  public void chargeBody(int bytes) {
+    charge(HELD_BYTES_PER_BODY_BYTE * bytes);
+  }
+
   /** Charges the request that is being read. */
-  public void charge(long bytes) {
+  void charge(long bytes) {
     if (ended || charges.isEmpty()) {
       return;
     }
@@ -150,6 +196,10 @@
     }
   }
 
+  private boolean isResponded() {
+    return !charges.isEmpty() && charges.getLast().responded;
+  }
+
   /** Returns whether the connection was closed to release what was held for it. */
   boolean isEnded() {
     return ended;
@@ -159,12 +209,12 @@
     return heldBytes;
   }
 
-  /** Returns whether the only request without a response is not complete. */
+  /** Returns whether the only request is not complete. */
   boolean isIncomplete() {
     return !ended && charges.size() == 1 && !charges.getFirst().complete;
   }
 
-  /** Returns whether requests wait behind one that has no complete response. */
+  /** Returns whether requests wait behind another one. */
   boolean isPipelined() {
     return !ended && charges.size() > 1;
   }
@@ -180,6 +230,8 @@
     charges.getFirst().refusal.run();
     headers.forEach(HttpHeaders::clear);
     close();
+    // While the connection is read, the server leaves what it writes unflushed until the read ends.
+    context.flush();
     context.close();
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.ToLongFunction;
+import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.peer.PeerTraffic;
 
@@ -76,6 +77,13 @@
           .help("Configuration offers refused as older or equal")
           .register(registry);
 
+  private final Gauge controlStorage =
+      Gauge.builder()
+          .name("lwc_control_storage")
+          .help("1 for the state of the data folder, such as open, opening, failed or damaged")
+          .labelNames("state")
+          .register(registry);
+
   /** The number of requests in flight through this daemon. */
   public final Gauge inFlight =
       Gauge.builder().name("lwc_in_flight").help("Requests in flight").register(registry);
@@ -130,6 +138,13 @@
   public final Histogram requestRelaySeconds =
       stageHistogram("lwc_request_relay_seconds", "Seconds for which another entry was awaited");
 
+  /** Records the state of a control instance's data folder. */
+  public void setControlStorage(StorageState current) {
+    for (StorageState state : StorageState.values()) {
+      controlStorage.labelValues(state.wireName()).set(state == current ? 1 : 0);
+    }
+  }
+
   private Histogram stageHistogram(String name, String help) {
     return Histogram.builder().name(name).help(help).register(registry);
   }
@@ -154,7 +169,7 @@
   public final Gauge requestMemoryBytes =
       Gauge.builder()
           .name("lwc_request_memory_bytes")
-          .help("Memory held for requests without a complete response")
+          .help("Memory held for requests that are not complete or have no complete response")
           .register(registry);
 
   /** Requests ended before they were complete because of the memory that requests hold. */
