--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/AnnouncedEntry.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/AnnouncedEntry.java
@@ -22,7 +22,7 @@
   /**
    * Begins to announce an entry.
    *
-   * @param to the entry that is told
+   * @param to the entry that receives the announcements
    * @param region the region of the announced entry, which is the only one there
    * @param model the model that its region serves
    * @param port the port of its HTTP server
