Remove an overload that nothing calls, and a disk that a test had twice

RoutingControl passes the sync to DurableLog.openWithFounders, so that the overload without it had no caller left; its documentation is that of the other now. Two tests of RoutingControlTest built the same failing disk; assertions are unchanged. Formatter, linter and the 104 tests of RoutingControlTest, DurableLogTest, DamagedMembersTest, PowerLossTest and ConsensusDriverTest hold.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -139,13 +139,10 @@
    * @param dataDir the data folder
    * @param founders the ids of the founding members if this instance is one of them on the first
    *     start, otherwise empty
+   * @param sync forces written data to the storage device
    * @throws UnreadableStorageException if synced data cannot be used
    * @throws IOException if the folder or a file cannot be used
    */
-  public static DurableLog openWithFounders(Path dataDir, Set<String> founders) throws IOException {
-    return openWithFounders(dataDir, founders, DurableFile.FORCE_TO_DISK);
-  }
-
   static DurableLog openWithFounders(Path dataDir, Set<String> founders, DurableFile.Sync sync)
       throws IOException {
     DurableLog log = open(dataDir, !founders.isEmpty(), sync);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -61,17 +61,19 @@
     return result;
   }
 
+  private static DurableFile.Sync failingWhile(AtomicBoolean diskFull) {
+    return (path, channel) -> {
+      if (diskFull.get()) {
+        throw new IOException("no space left");
+      }
+      channel.force(true);
+    };
+  }
+
   @Test
   void diskFailureLosesMajorityUntilFolderIsReopened() throws Exception {
     AtomicBoolean diskFull = new AtomicBoolean();
-    DurableFile.Sync disk =
-        (path, channel) -> {
-          if (diskFull.get()) {
-            throw new IOException("no space left");
-          }
-          channel.force(true);
-        };
-    try (RoutingControl control = open(Set.of(SELF), disk)) {
+    try (RoutingControl control = open(Set.of(SELF), failingWhile(diskFull))) {
       assertThat(submit(control, 5), instanceOf(ChangeResult.Accepted.class));
       assertThat(control.view().inMajority(), equalTo(true));
 
@@ -92,14 +94,7 @@
   @Test
   void startsWhileDiskRefusesWrites() throws Exception {
     AtomicBoolean diskFull = new AtomicBoolean(true);
-    DurableFile.Sync disk =
-        (path, channel) -> {
-          if (diskFull.get()) {
-            throw new IOException("no space left");
-          }
-          channel.force(true);
-        };
-    try (RoutingControl control = open(Set.of(SELF), disk)) {
+    try (RoutingControl control = open(Set.of(SELF), failingWhile(diskFull))) {
       assertThat(control.storage(), equalTo(StorageState.FAILED));
       assertThat(
           await(control.submit(new Command.RoutingChange(5, "v5"), Duration.ofSeconds(1))),
