Count only voters as a leader's contact with its quorum

What callers saw: with the disks of three of five control instances lost, the remaining leader stayed leader. It accepted changes that it could never commit, so that they ended only with their timeout, and told entries that it had a majority. Damaged instances took it for the leader of a working group, and set aside files from which the group could have been restored.

Cause: hasQuorumContact counted each member that responded. A member with a new disk responds, but its acknowledgement does not count until it is readmitted, which takes a quorum of voters.

Change: Progress records the last response that was sent as a voter, and only that counts as contact.

Why it works: a leader whose voters are no quorum steps down within twice the election timeout, as one that is partitioned does; nobody can be elected instead, so changes are rejected at once and QuorumObservation ends. Where a quorum of voters remains, their responses keep the leader, and the others are readmitted as before.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DamagedMembersTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DamagedMembersTest.java
@@ -49,7 +49,11 @@
   }
 
   private void start(boolean firstStart) {
-    for (String member : MEMBERS) {
+    start(MEMBERS, firstStart);
+  }
+
+  private void start(List<String> members, boolean firstStart) {
+    for (String member : members) {
       RoutingControl control =
           new RoutingControl(
               member,
@@ -169,6 +173,30 @@
     assertThat(await(() -> accepts(VERSION + 1)), is(true));
   }
 
+  /** The members that lost their disks respond to the leader, but cannot commit with it. */
+  @Test
+  void keepsDamagedFilesWithoutQuorumOfVoters() throws Exception {
+    start(/* firstStart= */ false);
+    assertThat(await(() -> accepts(VERSION + 1)), is(true));
+    assertThat(await(() -> allHave(VERSION + 1)), is(true));
+    String leader = controls.get("a:1").view().leader().orElseThrow();
+    List<String> others = MEMBERS.stream().filter(m -> !m.equals(leader)).toList();
+    for (String member : others) {
+      controls.remove(member).close();
+    }
+    List<String> damaged = others.subList(0, TOLERATED);
+    for (String member : damaged) {
+      Files.write(dataDir(member).resolve("snapshot"), new byte[64]);
+    }
+    for (String member : others.subList(TOLERATED, others.size())) {
+      DurableLog.setAside(dataDir(member));
+    }
+    start(others, /* firstStart= */ false);
+    TimeUnit.MILLISECONDS.sleep(OBSERVED_MILLIS);
+    assertThat(damaged.stream().anyMatch(this::isSetAside), is(false));
+    assertThat(controls.get(leader).view().inMajority(), is(false));
+  }
+
   @Test
   void keepsRecordsOfNewerBuild() throws Exception {
     byte[] record = DurableFile.record(new byte[] {100, 1, 1, 99}).array();
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -21,8 +21,8 @@
  * <ul>
  *   <li>A pre-vote prevents a member that was partitioned from the group from forcing an election
  *       when it reconnects.
- *   <li>A leader that receives no responses from a quorum within the maximum election timeout steps
- *       down, so a partitioned leader stops accepting changes.
+ *   <li>A leader that receives no responses from a quorum of voters within the maximum election
+ *       timeout steps down, so a leader that can commit nothing stops accepting changes.
  *   <li>A member whose data folder is new (a lost disk) neither votes nor counts towards a quorum
  *       until a quorum of the others has committed its {@link Command.StorageRegistration}: the
  *       member may have voted or acknowledged entries of which it no longer has a record.
@@ -362,8 +362,8 @@
   }
 
   /**
-   * Returns whether this member is in contact with a quorum: it leads and a quorum responds to it,
-   * or it has received a message from a leader within an election timeout.
+   * Returns whether this member is in contact with a quorum: it leads and a quorum of voters
+   * responds to it, or it has received a message from a leader within an election timeout.
    */
   public boolean inMajority(long nowMillis) {
     return role == Role.LEADER ? hasQuorumContact(nowMillis) : hasLiveLeader(nowMillis);
@@ -536,6 +536,7 @@
     advanceCommit(nowMillis, out);
   }
 
+  /** Returns whether a quorum of voters, which could commit an entry, responds to this leader. */
   private boolean hasQuorumContact(long nowMillis) {
     long responsive =
         others().stream()
@@ -543,7 +544,8 @@
             .filter(
                 p ->
                     p != null
-                        && nowMillis - p.lastResponseMillis < 2 * timing.electionTimeoutMillis())
+                        && nowMillis - p.lastVoterResponseMillis
+                            < 2 * timing.electionTimeoutMillis())
             .count();
     return responsive + 1 >= quorum();
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
@@ -26,6 +26,7 @@
   boolean awaitingResponse;
   long lastSentMillis;
   long lastResponseMillis;
+  long lastVoterResponseMillis;
   private long inFlightIndex;
   private long inFlightSentMillis;
   private boolean repeated;
@@ -39,6 +40,7 @@
     this.nextIndex = nextIndex;
     this.timing = timing;
     this.lastResponseMillis = nowMillis;
+    this.lastVoterResponseMillis = nowMillis;
     this.roundEndIndex = nextIndex - 1;
     this.roundStartMillis = nowMillis;
   }
@@ -90,6 +92,9 @@
     lastResponseMillis = nowMillis;
     awaitingResponse = false;
     voter = response.voter();
+    if (voter) {
+      lastVoterResponseMillis = nowMillis;
+    }
     session = response.session();
     if (response.accepted()) {
       matchIndex = Math.max(matchIndex, response.matchIndex());
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/QuorumObservation.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/QuorumObservation.java
@@ -4,14 +4,11 @@
  * Determines from the messages of a leader whether its group works without the instance that
  * receives them and does not respond.
  *
- * <p>A leader to which no quorum responds steps down within twice the election timeout. If one
- * leader has sent messages in one term without interruption for longer than that, a quorum has
- * responded to it. One more timeout allows for responses that an earlier process of the instance
- * sent before it ended. An interruption of an election timeout ends the observation, because a
- * message may have been delayed since the leader stepped down.
- *
- * <p>Members that have lost their disks respond without having a vote, so the quorum may be unable
- * to commit.
+ * <p>A leader to which no quorum of voters responds steps down within twice the election timeout.
+ * If one leader has sent messages in one term without interruption for longer than that, a quorum
+ * has responded to it. One more timeout allows for responses that an earlier process of the
+ * instance sent before it ended. An interruption of an election timeout ends the observation,
+ * because a message may have been delayed since the leader stepped down.
  *
  * <p>Not thread-safe.
  */
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ConsensusMemberTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -139,6 +140,27 @@
     assertThat(group.change("next", 1), is(new ChangeResult.Accepted(2, false)));
   }
 
+  /** A leader whose followers cannot acknowledge must not keep proposals and members waiting. */
+  @ParameterizedTest
+  @CsvSource({"3, 1, true", "3, 2, false", "5, 2, true", "5, 3, false", "5, 4, false"})
+  void leadsOnlyWithQuorumOfVoters(int size, int lostDisks, boolean expected) {
+    ControlGroup group = new ControlGroup(size, 23);
+    group.change("accepted", 0);
+    String leader = group.awaitLeader();
+    for (int n = lostDisks - 1; n >= 0; n--) {
+      group.loseDisk(follower(group, n));
+    }
+    long proposalId = group.propose(leader, "next", 1);
+    group.run(5_000);
+    assertThat(group.member(leader).role() == ConsensusMember.Role.LEADER, is(expected));
+    assertThat(
+        group.result(proposalId),
+        is(
+            Optional.of(
+                expected ? new ChangeResult.Accepted(2, false) : new ChangeResult.Unknown())));
+    assertThat(group.ids().stream().anyMatch(group::isInMajority), is(expected));
+  }
+
   @Test
   void catchesUpFromSnapshotAfterHundredsOfChanges() {
     ControlGroup group = new ControlGroup(3, 19);
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -183,6 +183,11 @@
     return members.values().stream().anyMatch(m -> m.role() == ConsensusMember.Role.LEADER);
   }
 
+  /** Returns whether a member is in contact with a quorum. */
+  boolean isInMajority(String id) {
+    return member(id).inMajority(nowMillis);
+  }
+
   void setLossAndDelay(double lossProbability, int maxMillis) {
     dropProbability = lossProbability;
     maxDelayMillis = maxMillis;
