Do not cut damage in front of synced entries like an unsynced tail

What callers would see: a change that had been confirmed comes back older. A control instance whose log is damaged in the middle cut the log there on its next start, with all entries behind, and went on voting. With such a vote a leader that never had the change can be elected.

Cause: the end of the valid records was taken for the beginning of a tail that a loss of power left. Nothing in the file told what had been synced.

Evidence: DurableLogTest#damageInFrontOfSyncedEntriesIsNoTail changes each byte in front of the last record in turn; in all of its five logs the first changed byte was cut in silence before.

Change: a record of the log contains, behind its entry, the length of the log that had been synced before it was written. If an intact record behind the valid ones covers bytes that are no record, the open fails as for any other damage, and the instance rejoins without a vote.

Why it works: writes that are not synced are those of one append, whose records all contain the same length, at which the valid records end or which they exceed. So no loss of power can leave a record that exceeds the valid length. Earlier builds ignore what follows an entry in its record, and their records count as having no length.

Not covered: damage that no intact record follows, and logs that only earlier builds have written.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -2,8 +2,11 @@
 
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,6 +14,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.zip.CRC32C;
 
 /**
@@ -52,6 +56,12 @@
     boolean onRecord(byte[] payload, long endOffset) throws IOException;
   }
 
+  /** Selects records. */
+  interface RecordFilter {
+    /** Returns whether a record with this payload is selected. */
+    boolean accepts(byte[] payload) throws IOException;
+  }
+
   /** Writes the records of a file one by one, so that they need not be held at once. */
   interface Content {
     /** Appends the payload of each record, in order. */
@@ -138,6 +148,48 @@
     return validBytes;
   }
 
+  /**
+   * Searches a file for intact records at any offset, which also finds those behind damaged ones.
+   *
+   * @param file the file, which exists
+   * @param fromOffset the offset at which the search begins, in bytes
+   * @param filter selects a record
+   * @return whether the filter accepts a record
+   */
+  static boolean containsRecord(Path file, long fromOffset, RecordFilter filter)
+      throws IOException {
+    long fileBytes = Files.size(file);
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ);
+        InputStream in =
+            new BufferedInputStream(Channels.newInputStream(channel.position(fromOffset)))) {
+      long header = 0;
+      long offset = fromOffset;
+      for (int next = in.read(); next >= 0; next = in.read()) {
+        header = header << Byte.SIZE | next;
+        offset++;
+        int length = (int) (header >>> Integer.SIZE);
+        boolean isWhole = offset - fromOffset >= HEADER_BYTES && length <= fileBytes - offset;
+        if (length > 0 && isWhole) {
+          byte[] payload = readFully(channel, offset, length);
+          if (crc32c(payload) == (int) header && filter.accepts(payload)) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
+  private static byte[] readFully(FileChannel channel, long offset, int length) throws IOException {
+    ByteBuffer bytes = ByteBuffer.allocate(length);
+    while (bytes.hasRemaining()) {
+      if (channel.read(bytes, offset + bytes.position()) < 0) {
+        throw new EOFException("the file became shorter while it was read");
+      }
+    }
+    return bytes.array();
+  }
+
   /** Replaces a file durably by one with the given records. */
   public static void replace(Path file, List<byte[]> payloads) throws IOException {
     replace(
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -33,8 +33,12 @@
  * synced, and their entries were never acknowledged. The file may begin with entries that the
  * snapshot covers, after a crash during a compaction. If anything else is missing or cannot be
  * read, it had been synced; the open fails with {@link UnreadableStorageException} then and changes
- * nothing. Damage in the middle of the log cannot be distinguished from such a tail and is
- * truncated with all entries after it.
+ * nothing.
+ *
+ * <p>A record of the log is an entry and the length of the log that had been synced before the
+ * record was written. If that covers bytes that are no record, they are damage and not such a tail.
+ * Records of earlier builds do not contain the length. Damage that no intact record follows cannot
+ * be distinguished from a tail.
  *
  * <p>Records are read and written one at a time, so that a start and a compaction need little more
  * memory than the entries themselves. The id of the data folder is generated once and stored in the
@@ -57,6 +61,7 @@
   private final List<LogEntry> entries = new ArrayList<>();
   private final List<Long> endOffsets = new ArrayList<>();
   private long startOffset;
+  private boolean endsWithReplacedEntries;
   private long snapshotSizeBytes;
   private HardState hardState;
   private Snapshot snapshot;
@@ -237,6 +242,7 @@
     }
     long validBytes = DurableFile.forEach(file, this::recoverEntry);
     openChannel(file);
+    checkSyncedBytes(file, validBytes);
     long tornBytes = channel.size() - validBytes;
     if (tornBytes > 0) {
       channel.truncate(validBytes);
@@ -254,6 +260,39 @@
     DurableFile.syncFolder(dataDir, sync);
   }
 
+  /**
+   * Checks that no record behind the valid ones shows that bytes in front of it had been synced.
+   * Replaced entries that a crash has left at the end are intact, and do not count.
+   */
+  private void checkSyncedBytes(Path file, long validBytes) throws IOException {
+    boolean damaged =
+        !endsWithReplacedEntries
+            && DurableFile.containsRecord(
+                file, validBytes, payload -> syncedBytesBefore(payload) > validBytes);
+    if (damaged) {
+      throw UnreadableStorageException.damaged(
+          file, "only " + validBytes + " bytes are valid, and synced entries follow");
+    }
+  }
+
+  private static byte[] encodeEntry(LogEntry entry, long syncedBytes) throws IOException {
+    return encode(
+        packer -> {
+          ConsensusCodec.packEntry(packer, entry);
+          packer.packLong(syncedBytes);
+        });
+  }
+
+  /** Returns the length that had been synced before a record was written; 0 if it is not known. */
+  private static long syncedBytesBefore(byte[] payload) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      ConsensusCodec.unpackEntry(unpacker);
+      return unpacker.hasNext() ? unpacker.unpackLong() : 0;
+    } catch (IOException | RuntimeException unknownFormat) {
+      return 0;
+    }
+  }
+
   private boolean recoverEntry(byte[] payload, long endOffset) throws IOException {
     LogEntry entry = decode(LOG_FILE, payload, ConsensusCodec::unpackEntry);
     if (entry.index() <= snapshot.lastIndex()) {
@@ -274,6 +313,7 @@
       entries.add(entry);
       endOffsets.add(endOffset);
     }
+    endsWithReplacedEntries = !followsLast;
     return followsLast;
   }
 
@@ -296,7 +336,7 @@
         appender -> {
           long offset = 0;
           for (LogEntry entry : retained) {
-            byte[] payload = encode(p -> ConsensusCodec.packEntry(p, entry));
+            byte[] payload = encodeEntry(entry, offset);
             offset += DurableFile.recordBytes(payload);
             offsets.add(offset);
             appender.append(payload);
@@ -359,9 +399,9 @@
   public void append(List<LogEntry> newEntries) {
     try {
       List<Long> offsets = new ArrayList<>();
+      long syncedBytes = channel.position();
       for (LogEntry entry : newEntries) {
-        DurableFile.writeFully(
-            channel, DurableFile.record(encode(p -> ConsensusCodec.packEntry(p, entry))));
+        DurableFile.writeFully(channel, DurableFile.record(encodeEntry(entry, syncedBytes)));
         offsets.add(channel.position());
       }
       sync.force(dataDir.resolve(LOG_FILE), channel);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -176,6 +176,9 @@
     rows.add(
         Arguments.of(
             "record missing, next record present", concat(zeros(record.length), record(4, 1))));
+    rows.add(
+        Arguments.of(
+            "record missing, unknown record present", concat(zeros(record.length), undecodable())));
     rows.add(Arguments.of("first record again", record(1, 1)));
     rows.add(Arguments.of("record of a later index", record(4, 1)));
     rows.add(Arguments.of("record of an earlier term", record(3, 0)));
@@ -200,6 +203,68 @@
     }
   }
 
+  private static void appendOneByOne(LogStorage log, int count) {
+    for (long index = 1; index <= count; index++) {
+      log.append(List.of(entry(index, 1)));
+    }
+  }
+
+  /** Logs with several records, of which the last was written after the others were synced. */
+  static Stream<Arguments> syncedLogs() {
+    return Stream.of(
+        history("appended", log -> appendOneByOne(log, 4)),
+        history(
+            "appended in batches",
+            log -> {
+              log.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+              log.append(List.of(entry(4, 1)));
+            }),
+        history(
+            "compacted",
+            log -> {
+              appendOneByOne(log, 4);
+              log.compact(snapshot(1), List.of(entry(2, 1), entry(3, 1), entry(4, 1)));
+            }),
+        history(
+            "compacted, then appended",
+            log -> {
+              appendOneByOne(log, 3);
+              log.compact(snapshot(1), List.of(entry(2, 1), entry(3, 1)));
+              log.append(List.of(entry(4, 1)));
+            }),
+        history(
+            "truncated, then appended",
+            log -> {
+              appendOneByOne(log, 3);
+              log.truncateFrom(3);
+              log.append(List.of(entry(3, 2)));
+              log.append(List.of(entry(4, 2)));
+            }));
+  }
+
+  /** Guards against a voter that forgets synced entries because of damage in front of others. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("syncedLogs")
+  void damageInFrontOfSyncedEntriesIsNoTail(String name, Consumer<LogStorage> actions)
+      throws IOException {
+    Path file = dataDir.resolve(DurableLog.LOG_FILE);
+    long lastRecordOffset;
+    try (DurableLog log = DurableLog.open(dataDir, true)) {
+      actions.accept(log);
+      lastRecordOffset = Files.size(file) - log.sizeBytes(4, 5);
+    }
+    final byte[] intact = Files.readAllBytes(file);
+    for (int damagedOffset = 0; damagedOffset < lastRecordOffset; damagedOffset++) {
+      byte[] content = intact.clone();
+      content[damagedOffset] ^= 0x55;
+      Files.write(file, content);
+      UnreadableStorageException thrown =
+          assertThrows(UnreadableStorageException.class, () -> DurableLog.open(dataDir, false));
+      assertThat(thrown.kind(), is(UnreadableStorageException.Kind.DAMAGED));
+      assertThat(Files.readAllBytes(file), is(content));
+    }
+  }
+
   private static byte[] undecodable() {
     return DurableFile.record(new byte[] {1, 1, 1, 99}).array();
   }
