Sync the names of data folders that a control daemon creates

What callers would see: a change that had been confirmed is forgotten. The first start of a control daemon creates its data folder; a loss of power could remove that folder with all that had been synced in it, because its name had not been synced.

Cause: Files.createDirectories does not sync. The files in the folder were synced with their names, the folder was not.

Evidence: DurableLogTest#namesOfNewFoldersAreSynced failed before: the first sync was that of the hard state. By reading only: that a file system loses the name.

Change: a folder that does not exist is created one level at a time, and each parent is synced.

Why it works: the hard state, without which a member does not vote, is written after the folders' names are durable. On the platform the folder exists before a process starts, and nothing changes.

Measured: the test holds, with all others of DurableLogTest.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableFile.java
@@ -223,6 +223,21 @@
     }
   }
 
+  /** Creates a folder, and its parents, durably if it does not exist. */
+  static void createFolder(Path folder, Sync sync) throws IOException {
+    if (Files.isDirectory(folder)) {
+      return;
+    }
+    Optional<Path> parent = Optional.ofNullable(folder.toAbsolutePath().getParent());
+    if (parent.isPresent()) {
+      createFolder(parent.get(), sync);
+    }
+    Files.createDirectories(folder);
+    if (parent.isPresent()) {
+      syncFolder(parent.get(), sync);
+    }
+  }
+
   /** Makes created and renamed files of a folder durable. */
   static void syncFolder(Path folder, Sync sync) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/DurableLog.java
@@ -99,7 +99,7 @@
 
   static DurableLog open(Path dataDir, boolean bootstrap, DurableFile.Sync sync)
       throws IOException {
-    Files.createDirectories(dataDir);
+    DurableFile.createFolder(dataDir, sync);
     DurableLog log = new DurableLog(dataDir, sync);
     return log.closeIfFails(
         () -> {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/DurableLogTest.java
@@ -265,6 +265,15 @@
     }
   }
 
+  /** Guards against a data folder that a loss of power removes together with a member's vote. */
+  @Test
+  void namesOfNewFoldersAreSynced() throws IOException {
+    List<Path> synced = new ArrayList<>();
+    Path folder = dataDir.resolve("parent").resolve("folder");
+    DurableLog.open(folder, true, (path, channel) -> synced.add(path)).close();
+    assertThat(synced.subList(0, 2), is(List.of(dataDir, dataDir.resolve("parent"))));
+  }
+
   private static byte[] undecodable() {
     return DurableFile.record(new byte[] {1, 1, 1, 99}).array();
   }
