Bound the connections of clients by the descriptors of the process

What callers would see: connections that send nothing use all descriptors of an instance, on an entry for 15 s, on the ports for control, directory, readiness and metrics until their clients close them. Sockets and data files share the descriptors, so a control instance could neither accept a call nor write its log.

Cause: each connection is small, and nothing bounded their number. It is the class of fault of the crowds of large requests: a limit for each, and none for all.

Change: RequestMemory, which knows all connections of clients and their requests, closes a tenth of them when they exceed three quarters of the descriptors: those that never had a request, then those idle for longest, then incomplete requests; the new connection if all requests are complete. A log line and a counter report it.

Why it works: clients that send nothing are closed before any that were served, a connection whose client has not received all of its response counts as in use, and the rest of the descriptors stays for files and for connections to endpoints and other instances.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/daemon/Daemon.java
@@ -31,9 +31,11 @@
 import org.lacewingcroft.gateway.HopAuthenticator;
 import org.lacewingcroft.http.RequestAccount;
 import org.lacewingcroft.http.RequestMemory;
+import org.lacewingcroft.http.RequestMemoryReporter;
 import org.lacewingcroft.http.StrictRequestDecoder;
 import org.lacewingcroft.lifecycle.EndMarker;
 import org.lacewingcroft.lifecycle.ErrorReporter;
+import org.lacewingcroft.lifecycle.FileDescriptors;
 import org.lacewingcroft.lifecycle.PreviousEnd;
 import org.lacewingcroft.membership.Gossiper;
 import org.lacewingcroft.metrics.GatewayMetrics;
@@ -67,7 +69,10 @@
   private final Vertx vertx;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final RequestMemory requestMemory =
-      new RequestMemory(Runtime.getRuntime().maxMemory(), this::onRequestEndedForMemory);
+      new RequestMemory(
+          Runtime.getRuntime().maxMemory(),
+          FileDescriptors.limit(),
+          new RequestMemoryReporter(metrics));
   private final ConfigStore configs = new ConfigStore();
   private final ConfigReceiver configReceiver;
   private final EndpointRegistry endpoints;
@@ -240,11 +245,6 @@
     ctx.next();
   }
 
-  private void onRequestEndedForMemory(long heldBytes) {
-    metrics.requestsEndedForMemory.inc();
-    LOG.log(System.Logger.Level.WARNING, "request.ended_for_memory", "heldBytes", heldBytes);
-  }
-
   private void startControl() {
     List<String> group =
         settings.controlGroup().isEmpty() ? List.of(settings.nodeId()) : settings.controlGroup();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestAccount.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
@@ -40,6 +41,8 @@
   private ChannelHandlerContext context;
   private long heldBytes;
   private boolean ended;
+  private boolean hadRequest;
+  private long idleSinceUse;
 
   /** What is held for one request. */
   private static final class Charge {
@@ -102,6 +105,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
+    idleSinceUse = memory.nextUse();
     memory.add(this);
   }
 
@@ -157,6 +161,7 @@
     Charge first = charges.getFirst();
     if (first.complete && first.responded) {
       release(charges.removeFirst());
+      idleSinceUse = memory.nextUse();
     }
   }
 
@@ -168,6 +173,7 @@
 
   /** Begins to charge a request whose head is being read. */
   void beginHead(HttpHeaders headers) {
+    hadRequest = true;
     charges.addLast(new Charge(headers));
   }
 
@@ -209,6 +215,23 @@
     return heldBytes;
   }
 
+  /** Returns whether the connection has no request, and the client has all responses. */
+  boolean isIdle() {
+    ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+    boolean sent = unsent == null || unsent.totalPendingWriteBytes() == 0;
+    return !ended && charges.isEmpty() && sent;
+  }
+
+  /** Returns whether the connection has, or had, a request. */
+  boolean hadRequest() {
+    return hadRequest;
+  }
+
+  /** Returns the number of the use since which the connection has no request. */
+  long idleSinceUse() {
+    return idleSinceUse;
+  }
+
   /** Returns whether the only request is not complete. */
   boolean isIncomplete() {
     return !ended && charges.size() == 1 && !charges.getFirst().complete;
@@ -220,18 +243,26 @@
   }
 
   /**
-   * Refuses the request that is being handled if it is not started, releases what is held for all,
-   * and closes the connection.
+   * Refuses the request that is being handled, if there is one and it is not started, releases what
+   * is held for all, and closes the connection.
    */
   void end() {
     ended = true;
     // The connection keeps the headers until it has handled its end, in a later task.
     List<HttpHeaders> headers = charges.stream().map(c -> c.headers).toList();
-    charges.getFirst().refusal.run();
+    if (!charges.isEmpty()) {
+      charges.getFirst().refusal.run();
+    }
     headers.forEach(HttpHeaders::clear);
     close();
     // While the connection is read, the server leaves what it writes unflushed until the read ends.
     context.flush();
     context.close();
   }
+
+  /** Closes a new connection once its server has installed all that has to see the end of it. */
+  void endAfterInstallation() {
+    ended = true;
+    context.executor().execute(this::end);
+  }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/http/RequestMemory.java
@@ -6,16 +6,22 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
- * Bounds the memory that a process holds for the requests on all of its connections. Each request
- * is within the limits of one request, but many at the same time could exhaust the heap.
+ * Bounds the memory that a process holds for the requests on all of its connections, and the number
+ * of these connections. Each request is within the limits of one request, but many at the same time
+ * could exhaust the heap, and many connections the file descriptors.
  *
- * <p>If the bound is exceeded, the requests that are not complete are ended, the largest first and
- * the oldest of equal ones, so that small requests are served beside a crowd of large ones. If this
- * is not enough, connections are closed on which requests wait behind another one. Other complete
- * requests are kept until they have their response. Requests that are large may use only a part of
- * the memory, so that some is left for others while large ones are complete.
+ * <p>If the bound of the memory is exceeded, the requests that are not complete are ended, the
+ * largest first and the oldest of equal ones, so that small requests are served beside a crowd of
+ * large ones. If this is not enough, connections are closed on which requests wait behind another
+ * one. Other complete requests are kept until they have their response. Requests that are large may
+ * use only a part of the memory, so that some is left for others while large ones are complete.
+ *
+ * <p>If there are too many connections, some are closed: first those that have never had a request,
+ * then those that have been without one for longest, then those of incomplete requests, the oldest
+ * connection first. If all requests are complete, the new connection is closed.
  *
  * <p>Confined to the event loop thread.
  */
@@ -35,13 +41,18 @@
   /** Part of a bound to which the memory is reduced, so that this is not repeated at each byte. */
   private static final double REDUCED_SHARE = 0.9;
 
+  /** Part of the file descriptors that connections may use. */
+  private static final double CONNECTION_SHARE = 0.75;
+
   private final long maxBytes;
   private final long maxLargeBytes;
+  private final int maxConnections;
   private final Observer observer;
   private final Set<RequestAccount> accounts = new LinkedHashSet<>();
   private long totalBytes;
+  private long uses;
 
-  /** Observes the requests that are ended. */
+  /** Observes the requests that are ended and the connections that are closed. */
   public interface Observer {
     /**
      * Called when a request is ended because of the bound.
@@ -49,14 +60,33 @@
      * @param heldBytes what was held for it
      */
     void onEnded(long heldBytes);
+
+    /**
+     * Called when connections are closed because there are too many.
+     *
+     * @param closed how many are closed
+     */
+    default void onConnectionsClosed(int closed) {}
   }
 
   /**
-   * Creates the memory of a process without requests.
+   * Creates the memory of a process without requests that has no bound for its connections.
    *
    * @param maxHeapBytes the maximum size of the heap, of which requests use a part
    */
   public RequestMemory(long maxHeapBytes, Observer observer) {
+    this(maxHeapBytes, Long.MAX_VALUE, observer);
+  }
+
+  /**
+   * Creates the memory of a process without requests.
+   *
+   * @param maxHeapBytes the maximum size of the heap, of which requests use a part
+   * @param maxDescriptors how many files and connections the process may have open, of which the
+   *     connections of clients use a part
+   */
+  public RequestMemory(long maxHeapBytes, long maxDescriptors, Observer observer) {
+    this.maxConnections = (int) Math.min(Integer.MAX_VALUE, maxDescriptors * CONNECTION_SHARE);
     this.maxBytes = maxHeapBytes / HEAP_PER_BOUND;
     this.maxLargeBytes = Math.round(maxBytes * LARGE_REQUEST_SHARE);
     this.observer = observer;
@@ -69,6 +99,33 @@
 
   void add(RequestAccount account) {
     accounts.add(account);
+    if (accounts.size() > maxConnections) {
+      closeConnections(account);
+    }
+  }
+
+  private void closeConnections(RequestAccount newest) {
+    Stream<RequestAccount> idle =
+        accounts.stream()
+            .filter(account -> account != newest && account.isIdle())
+            .sorted(
+                Comparator.comparing(RequestAccount::hadRequest)
+                    .thenComparingLong(RequestAccount::idleSinceUse));
+    Stream<RequestAccount> incomplete = accounts.stream().filter(RequestAccount::isIncomplete);
+    List<RequestAccount> unneeded =
+        Stream.concat(idle, incomplete)
+            .limit(accounts.size() - Math.round(maxConnections * REDUCED_SHARE))
+            .toList();
+    observer.onConnectionsClosed(Math.max(1, unneeded.size()));
+    unneeded.forEach(RequestAccount::end);
+    if (unneeded.isEmpty()) {
+      newest.endAfterInstallation();
+    }
+  }
+
+  /** Returns the number of this use, by which the connections' last uses are ordered. */
+  long nextUse() {
+    return uses++;
   }
 
   void remove(RequestAccount account) {
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/metrics/GatewayMetrics.java
@@ -179,6 +179,13 @@
           .help("Incomplete requests that were ended because requests held too much memory")
           .register(registry);
 
+  /** Connections of clients closed because there were too many. */
+  public final Counter connectionsClosedAtLimit =
+      Counter.builder()
+          .name("lwc_connections_closed_at_limit_total")
+          .help("Connections of clients that were closed because there were too many")
+          .register(registry);
+
   /** Requests refused because their organisation exceeds its share of a saturated service. */
   public final Counter shareRefusals =
       Counter.builder()
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/http/RequestMemoryTest.java
@@ -12,10 +12,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -100,6 +102,85 @@
     assertThat(memory.totalBytes(), equalTo(0L));
   }
 
+  /** The state of a connection. */
+  private enum Use {
+    NEW,
+    IDLE,
+    /** The response is complete, and not yet sent. */
+    UNSENT,
+    INCOMPLETE,
+    COMPLETE
+  }
+
+  private static EmbeddedChannel connection(RequestMemory memory, Use use) {
+    RequestAccount account = new RequestAccount(memory, /* chargesHeads= */ false);
+    EmbeddedChannel channel = new EmbeddedChannel(account);
+    channel.runPendingTasks();
+    if (channel.isOpen() && use != Use.NEW) {
+      account.beginHead(new DefaultHttpHeaders());
+      if (use != Use.INCOMPLETE) {
+        channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+      if (use == Use.IDLE || use == Use.UNSENT) {
+        channel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+      if (use == Use.IDLE) {
+        channel.flush();
+      }
+    }
+    return channel;
+  }
+
+  static Stream<Arguments> connections() {
+    return Stream.of(
+        Arguments.of("as many as allowed", uses(10, Use.NEW), List.of()),
+        Arguments.of("new", uses(11, Use.NEW), List.of(0, 1)),
+        Arguments.of("new behind idle", concat(uses(5, Use.IDLE), uses(6, Use.NEW)), List.of(5, 6)),
+        Arguments.of(
+            "idle behind incomplete",
+            concat(uses(9, Use.INCOMPLETE), uses(2, Use.IDLE)),
+            List.of(0, 9)),
+        Arguments.of("incomplete", uses(11, Use.INCOMPLETE), List.of(0, 1)),
+        Arguments.of("unsent", concat(uses(10, Use.UNSENT), uses(1, Use.NEW)), List.of(10)),
+        Arguments.of("complete", uses(11, Use.COMPLETE), List.of(10)));
+  }
+
+  private static List<Use> uses(int count, Use use) {
+    return Collections.nCopies(count, use);
+  }
+
+  private static List<Use> concat(List<Use> first, List<Use> second) {
+    return Stream.concat(first.stream(), second.stream()).toList();
+  }
+
+  /** Guards against connections of clients that use all descriptors of the process. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("connections")
+  void closesUnneededConnections(String name, List<Use> uses, List<Integer> closed) {
+    int[] reported = {0};
+    RequestMemory memory =
+        new RequestMemory(
+            MAX_HEAP_BYTES,
+            /* maxDescriptors= */ 14,
+            new RequestMemory.Observer() {
+              @Override
+              public void onEnded(long heldBytes) {}
+
+              @Override
+              public void onConnectionsClosed(int count) {
+                reported[0] += count;
+              }
+            });
+    List<EmbeddedChannel> channels = uses.stream().map(use -> connection(memory, use)).toList();
+    List<Integer> ended =
+        IntStream.range(0, channels.size()).filter(n -> !channels.get(n).isOpen()).boxed().toList();
+    assertThat(ended, equalTo(closed));
+    assertThat(reported[0], equalTo(closed.size()));
+    channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    assertThat(memory.totalBytes(), equalTo(0L));
+  }
+
   static Stream<List<String>> ends() {
     return Stream.of(List.of("request", "response"), List.of("response", "request"));
   }
