Show and confirm only a routing state that is known to be current

Cause: a control instance showed the state of its disk, and confirmed it to entries, from the first contact with a majority on. A follower that hears its leader but lags behind it confirmed its old state in the same way, for as long as heartbeats arrived.

Change: a member knows at which time its state was last current. A leader takes the time at which it sent a request that a quorum acknowledged in its term, once an entry of that term is committed; a follower the time at which it sent a response, once the leader has confirmed its leadership after receiving it. Requests and responses of the consensus carry the times as optional fields at their end, which older builds ignore. RoutingControl shows no state before the first such time, and confirms entries' leases only while the last one is at most FleetBounds.maxStateAge ago.

Why it works: what was acknowledged before that time is contained in the state, and the age of the state and the lease of an entry together are at most the revocation delay.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -41,7 +42,10 @@
   /**
    * The state of the group as known to this instance.
    *
-   * @param routing the committed routing state
+   * @param routing the committed routing state; the last one shown, or an empty one, until the
+   *     committed state is known to be current
+   * @param currentAtMillis when {@code routing} was last known to be current, by the monotonic
+   *     clock; empty until it is known for a time after this instance's start
    * @param inMajority whether this instance is connected to a majority of the group
    * @param leader the leader, if known
    * @param members the group's members
@@ -49,19 +53,25 @@
    */
   public record View(
       RoutingState routing,
+      OptionalLong currentAtMillis,
       boolean inMajority,
       Optional<String> leader,
       Set<String> members,
       long term) {
     private static final View UNKNOWN =
-        new View(RoutingState.EMPTY, false, Optional.empty(), Set.of(), 0);
+        new View(RoutingState.EMPTY, OptionalLong.empty(), false, Optional.empty(), Set.of(), 0);
+
+    /** Returns whether {@code routing} has been current at any time since this instance started. */
+    public boolean hasCaughtUp() {
+      return currentAtMillis.isPresent();
+    }
 
     /**
      * Returns this view without a leader and a majority, for an instance whose data folder has
      * failed and which therefore receives no newer state.
      */
     private View disconnected() {
-      return new View(routing, false, Optional.empty(), members, term);
+      return new View(routing, OptionalLong.empty(), false, Optional.empty(), members, term);
     }
   }
 
@@ -110,7 +120,7 @@
 
               @Override
               public void onAttached(ConsensusMember member) {
-                view = viewOf(member);
+                view = viewOf(member, view.routing());
                 logRecovered(member);
               }
 
@@ -144,9 +154,14 @@
         member.group());
   }
 
-  private static View viewOf(ConsensusMember member) {
+  /**
+   * Returns the view after a step. A member that was recovered from its disk may have missed
+   * changes that were acknowledged since, so its state is not shown until it has caught up.
+   */
+  private static View viewOf(ConsensusMember member, RoutingState lastShown) {
     return new View(
-        member.state().routing(),
+        member.caughtUp() ? member.state().routing() : lastShown,
+        member.currentAtMillis(),
         member.inMajority(ConsensusDriver.monotonicMillis()),
         member.leader(),
         member.group(),
@@ -156,11 +171,20 @@
   private void publish(
       ConsensusMember member, List<LogEntry> committed, Consumer<RoutingState> onRouting) {
     View before = view;
-    view = viewOf(member);
+    view = viewOf(member, before.routing());
     committed.forEach(RoutingControl::logCommitted);
     if (view.routing().revision() > before.routing().revision()) {
       onRouting.accept(view.routing());
     }
+    if (view.hasCaughtUp() && !before.hasCaughtUp()) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          "control.caught_up",
+          "revision",
+          view.routing().revision(),
+          "term",
+          view.term());
+    }
     if (view.inMajority() != before.inMajority()) {
       LOG.log(
           System.Logger.Level.INFO,
@@ -202,6 +226,16 @@
     return view;
   }
 
+  /**
+   * Returns whether the state in {@link #view()} is known to have been current at most this long
+   * ago.
+   */
+  public boolean isCurrent(Duration maxAge) {
+    OptionalLong currentAtMillis = view.currentAtMillis();
+    return currentAtMillis.isPresent()
+        && ConsensusDriver.monotonicMillis() - currentAtMillis.getAsLong() < maxAge.toMillis();
+  }
+
   /** Returns whether this instance can use its data folder. */
   public StorageState storage() {
     return host.storage();
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -491,7 +491,7 @@
     return new FleetMessage.ControlPulse(
         settings.peerAddress(),
         settings.region(),
-        control.view().inMajority(),
+        control.isCurrent(settings.bounds().maxStateAge()),
         isDiscoveryComplete(clock.instant()),
         control.view().routing().revision(),
         suspicions.quarantineDigest(),
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -99,12 +99,6 @@
    */
   private static final Duration EVACUATION_END_MARGIN = Duration.ofSeconds(1);
 
-  /**
-   * Length of the state lease, as a share of the time for which a revoked key may still be
-   * accepted.
-   */
-  private static final double LEASE_SHARE = 0.6;
-
   /** Share of a cold endpoint's rate bound that the entries use together. */
   private static final double COLD_RATE_SHARE = 0.5;
 
@@ -231,7 +225,7 @@
             this::followedControls,
             entries::names);
     FleetBounds bounds = settings.bounds();
-    this.lease = new StateLease(leaseLength(bounds));
+    this.lease = new StateLease(bounds.stateLease());
     this.membership =
         new EntryMembership(self.name(), bounds.extraSendWindow(), bounds.shutdownGrace());
     this.extraSends =
@@ -239,15 +233,6 @@
             bounds.extraSendRatio(), bounds.extraSendSlack(), bounds.extraSendWindow());
   }
 
-  /**
-   * Returns the length of the state lease. The rest of the revocation delay is left for control
-   * instances to detect that they are themselves disconnected.
-   */
-  private static Duration leaseLength(FleetBounds bounds) {
-    long millis = bounds.revocationDelay().map(Duration::toMillis).orElse(0L);
-    return Duration.ofMillis(Math.round(millis * LEASE_SHARE));
-  }
-
   /** Starts listening to peers and reporting. */
   public Future<Void> start() {
     vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> report());
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetBounds.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/FleetBounds.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.lacewingcroft.consensus.ConsensusTiming;
 
 /**
  * The bounds that a deployment guarantees to its users, as configured.
@@ -26,4 +27,31 @@
     Duration extraSendWindow,
     double warmupOvershoot,
     double warmupSlack,
-    Optional<Duration> revocationDelay) {}
+    Optional<Duration> revocationDelay) {
+  /** Share of the revocation delay for which a reply confirms the state of an entry. */
+  private static final double LEASE_SHARE = 0.6;
+
+  /**
+   * Maximum age of a state that a control instance confirms: an election timeout of the control
+   * group twice over, so that the state stays confirmed while a leader is replaced.
+   */
+  private static final Duration MAX_STATE_AGE =
+      Duration.ofMillis(2 * ConsensusTiming.DEFAULT.electionTimeoutMillis());
+
+  /** Returns how long a reply of a control instance confirms the state that an entry holds. */
+  public Duration stateLease() {
+    long delayMillis = revocationDelay.map(Duration::toMillis).orElse(0L);
+    return Duration.ofMillis(Math.round(delayMillis * LEASE_SHARE));
+  }
+
+  /**
+   * Returns the maximum age of the state that a control instance may confirm to entries. Together
+   * with {@link #stateLease()} it is at most the revocation delay.
+   */
+  public Duration maxStateAge() {
+    return revocationDelay
+        .map(delay -> delay.minus(stateLease()))
+        .filter(rest -> rest.compareTo(MAX_STATE_AGE) < 0)
+        .orElse(MAX_STATE_AGE);
+  }
+}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/OrderRelay.java
@@ -116,8 +116,14 @@
     Promise<Outcome> result = Promise.promise();
     long startNanos = System.nanoTime();
     long deadlineNanos = startNanos + ORDER_TIMEOUT.toNanos();
-    long baseRevision = control.view().routing().revision();
-    attempt(new Order(kind, version, argument, baseRevision, deadlineNanos), result);
+    RoutingControl.View view = control.view();
+    boolean needsBaseRevision = kind == ControlOrder.EVACUATE || kind == ControlOrder.RETURN;
+    if (needsBaseRevision && !view.hasCaughtUp()) {
+      result.complete(Outcome.UNKNOWN);
+    } else {
+      long baseRevision = view.routing().revision();
+      attempt(new Order(kind, version, argument, baseRevision, deadlineNanos), result);
+    }
     return result
         .future()
         .onSuccess(
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/StrayLeaderResponseTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/daemon/StrayLeaderResponseTest.java
@@ -19,6 +19,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -112,7 +113,16 @@
         HEARTBEAT_INTERVAL_MILLIS,
         t ->
             control.receive(
-                LEADER, new ConsensusMessage.AppendRequest(LEADER_TERM, 0, 0, List.of(), 0, 0)));
+                LEADER,
+                new ConsensusMessage.AppendRequest(
+                    LEADER_TERM,
+                    0,
+                    0,
+                    List.of(),
+                    0,
+                    0,
+                    OptionalLong.empty(),
+                    OptionalLong.empty())));
     api = new ConfigApi(vertx, configs, membership, new GatewayMetrics());
     while (!control.status().leader().equals(Optional.of(LEADER))) {
       TimeUnit.MILLISECONDS.sleep(10);
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/SlowPeerTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/peer/SlowPeerTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -126,6 +127,8 @@
 
   private static PeerMessage append(List<LogEntry> entries) {
     return new PeerMessage.Consensus(
-        "leader", new ConsensusMessage.AppendRequest(1, 0, 0, entries, 0, 0));
+        "leader",
+        new ConsensusMessage.AppendRequest(
+            1, 0, 0, entries, 0, 0, OptionalLong.empty(), OptionalLong.empty()));
   }
 }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingcroft.config.ConfigDocument;
 import org.msgpack.core.MessagePacker;
@@ -165,6 +166,21 @@
     return new HardState(term, votedFor, u.unpackString(), u.unpackBoolean());
   }
 
+  private static void packOptionalLong(MessagePacker p, OptionalLong value) throws IOException {
+    if (value.isPresent()) {
+      p.packLong(value.getAsLong());
+    } else {
+      p.packNil();
+    }
+  }
+
+  /** Unpacks an optional number at the end of a message; older builds do not send it. */
+  private static OptionalLong unpackOptionalLong(MessageUnpacker u) throws IOException {
+    return !u.hasNext() || u.tryUnpackNil()
+        ? OptionalLong.empty()
+        : OptionalLong.of(u.unpackLong());
+  }
+
   /** Packs a message. */
   public static void packMessage(MessagePacker p, ConsensusMessage message) throws IOException {
     if (message instanceof ConsensusMessage.VoteRequest m) {
@@ -181,10 +197,14 @@
       for (LogEntry e : m.entries()) {
         packEntry(p, e);
       }
+      packOptionalLong(p, m.sentAtMillis());
+      packOptionalLong(p, m.currentAtMillis());
     } else if (message instanceof ConsensusMessage.AppendResponse m) {
       p.packInt(APPEND_RESPONSE).packLong(m.term()).packBoolean(m.accepted());
       p.packLong(m.matchIndex()).packString(m.storageId()).packBoolean(m.voter());
       p.packLong(m.session());
+      packOptionalLong(p, m.requestSentAtMillis());
+      packOptionalLong(p, m.sentAtMillis());
     } else if (message instanceof ConsensusMessage.SnapshotRequest m) {
       p.packInt(SNAPSHOT_REQUEST).packLong(m.term());
       packSnapshot(p, m.snapshot());
@@ -210,7 +230,14 @@
           entries.add(unpackEntry(u));
         }
         yield new ConsensusMessage.AppendRequest(
-            term, previousIndex, previousTerm, entries, commitIndex, echoedSession);
+            term,
+            previousIndex,
+            previousTerm,
+            entries,
+            commitIndex,
+            echoedSession,
+            unpackOptionalLong(u),
+            unpackOptionalLong(u));
       }
       case APPEND_RESPONSE ->
           new ConsensusMessage.AppendResponse(
@@ -219,7 +246,9 @@
               u.unpackLong(),
               u.unpackString(),
               u.unpackBoolean(),
-              u.unpackLong());
+              u.unpackLong(),
+              unpackOptionalLong(u),
+              unpackOptionalLong(u));
       case SNAPSHOT_REQUEST -> new ConsensusMessage.SnapshotRequest(term, unpackSnapshot(u));
       default -> throw new IOException("unknown consensus message type " + type);
     };
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 
 /**
  * One member of the control group, modelled on Raft as a pure state machine: leader election by
@@ -16,7 +18,7 @@
  * its own. A driver passes in the time, the received messages and operators' proposals, and
  * executes the {@link Output} of each step.
  *
- * <p>It adds four safeguards to the basic algorithm:
+ * <p>It adds five safeguards to the basic algorithm:
  *
  * <ul>
  *   <li>A pre-vote prevents a member that was partitioned from the group from forcing an election
@@ -29,6 +31,9 @@
  *   <li>An operator's expected version is compared with the version after the last entry, committed
  *       or not, so that of two concurrent changes with the same expected version at most one is
  *       accepted.
+ *   <li>A member knows at which time its committed state was current, see {@link
+ *       #currentAtMillis()}, so that neither a restarted member nor one that receives heartbeats
+ *       but lags behind presents an old state as the current one.
  * </ul>
  *
  * <p>Not thread-safe. Each step writes to the {@link LogStorage} before it returns messages, so
@@ -84,7 +89,8 @@
   private long lastLeaderMessageMillis;
   private long electionDeadlineMillis;
   private long termStartIndex;
-  private boolean caughtUp;
+  private long termStartMillis;
+  private OptionalLong currentAtMillis = OptionalLong.empty();
 
   /**
    * Recovers a member from its storage.
@@ -194,14 +200,28 @@
   }
 
   /**
-   * Returns whether the committed state is current: since its start, this member has committed an
-   * entry of the term that it follows or leads and everything that its leader had committed, and it
-   * is a voter. Until then the state may be older than the one last active at this instance and
-   * must not be exposed: the state recovered from disk may lag behind, and a member that lost its
-   * disk may follow a leader that has been deposed.
+   * Returns whether the committed state has been current at any time since this member's start.
+   * Until then it may be older than the one last active at this instance and must not be exposed:
+   * the state recovered from disk may lag behind, and a member that lost its disk may follow a
+   * leader that has been deposed.
    */
   public boolean caughtUp() {
-    return caughtUp;
+    return currentAtMillis.isPresent();
+  }
+
+  /**
+   * Returns the latest time, by the clock whose readings are passed to this member, at which its
+   * committed state is known to have been current: it contains every change that the group had
+   * committed by then. Empty until this is known for a time after the member's start.
+   *
+   * <p>A leader knows it for the time at which it sent a request that a quorum acknowledged in its
+   * term, once an entry of that term is committed (the read index of Raft). A follower knows it for
+   * the time at which it sent a response, once the leader has received the response, has then
+   * confirmed its leadership in this way, and the follower has committed what the leader had
+   * committed. Only readings of the same clock are compared.
+   */
+  public OptionalLong currentAtMillis() {
+    return currentAtMillis;
   }
 
   /** Returns the state after the committed entries. */
@@ -217,6 +237,7 @@
         becomeFollower(hardState.term(), Optional.empty(), nowMillis, out);
         return out;
       }
+      confirmLeadership(nowMillis);
       followers.forEach((member, p) -> replicateWhenDue(member, p, nowMillis, out));
     } else if (nowMillis >= electionDeadlineMillis) {
       restartElectionTimer(nowMillis);
@@ -532,6 +553,7 @@
     Command first =
         configuredGroup.isEmpty() ? new Command.GroupChange(group()) : new Command.Noop();
     termStartIndex = log.append(hardState.term(), first).index();
+    termStartMillis = nowMillis;
     replicateNow(nowMillis, out);
     advanceCommit(nowMillis, out);
   }
@@ -594,7 +616,45 @@
             needsSnapshot ? 0 : log.termAt(previous),
             entries,
             log.commitIndex(),
-            p.session));
+            p.session,
+            OptionalLong.of(nowMillis),
+            p.currentAtMillis(leadershipConfirmedMillis(nowMillis))));
+  }
+
+  /**
+   * Returns the latest known time at which no other member led a later term: when the newest
+   * request was sent that a quorum has acknowledged in this leader's term. {@link Long#MIN_VALUE}
+   * until an entry of the term is committed, as the leader may not know until then what its
+   * predecessors committed.
+   */
+  private long leadershipConfirmedMillis(long nowMillis) {
+    if (log.commitIndex() < termStartIndex) {
+      return Long.MIN_VALUE;
+    }
+    long[] acknowledgedMillis =
+        LongStream.concat(
+                LongStream.of(nowMillis),
+                others().stream()
+                    .map(followers::get)
+                    .mapToLong(p -> p == null ? Long.MIN_VALUE : p.acknowledgedMillis))
+            .sorted()
+            .toArray();
+    long quorumMillis =
+        acknowledgedMillis.length < quorum()
+            ? Long.MIN_VALUE
+            : acknowledgedMillis[acknowledgedMillis.length - quorum()];
+    return Math.max(termStartMillis, quorumMillis);
+  }
+
+  private void confirmLeadership(long nowMillis) {
+    long confirmedMillis = leadershipConfirmedMillis(nowMillis);
+    if (confirmedMillis != Long.MIN_VALUE) {
+      recordCurrentAt(confirmedMillis);
+    }
+  }
+
+  private void recordCurrentAt(long atMillis) {
+    currentAtMillis = OptionalLong.of(Math.max(atMillis, currentAtMillis.orElse(atMillis)));
   }
 
   private void recordLeaderMessage(String from, long nowMillis, Output out) {
@@ -606,7 +666,7 @@
   private void onAppendRequest(
       String from, ConsensusMessage.AppendRequest request, long nowMillis, Output out) {
     if (request.term() < hardState.term()) {
-      respond(from, false, log.lastIndex(), out);
+      respond(from, false, log.lastIndex(), OptionalLong.empty(), nowMillis, out);
       return;
     }
     recordLeaderMessage(from, nowMillis, out);
@@ -614,31 +674,38 @@
         request.previousIndex() <= log.commitIndex()
             || log.termAt(request.previousIndex()) == request.previousTerm();
     if (!matches) {
-      respond(from, false, Math.min(log.lastIndex(), request.previousIndex() - 1), out);
+      long lastPossibleMatch = Math.min(log.lastIndex(), request.previousIndex() - 1);
+      respond(from, false, lastPossibleMatch, request.sentAtMillis(), nowMillis, out);
       return;
     }
     log.merge(request.entries());
     long matchIndex = request.previousIndex() + request.entries().size();
     commit(Math.min(request.commitIndex(), matchIndex), out);
-    if (request.echoedSession() == session) {
-      updateCaughtUp(request.commitIndex());
+    if (request.echoedSession() == session && log.commitIndex() >= request.commitIndex()) {
+      request.currentAtMillis().ifPresent(this::recordCurrentAt);
     }
-    respond(from, true, matchIndex, out);
+    respond(from, true, matchIndex, request.sentAtMillis(), nowMillis, out);
   }
 
   private void onSnapshotRequest(
       String from, ConsensusMessage.SnapshotRequest request, long nowMillis, Output out) {
     if (request.term() < hardState.term()) {
-      respond(from, false, log.lastIndex(), out);
+      respond(from, false, log.lastIndex(), OptionalLong.empty(), nowMillis, out);
       return;
     }
     recordLeaderMessage(from, nowMillis, out);
     log.installSnapshot(request.snapshot());
     becomeVoterIfReadmitted();
-    respond(from, true, request.snapshot().lastIndex(), out);
+    respond(from, true, request.snapshot().lastIndex(), OptionalLong.empty(), nowMillis, out);
   }
 
-  private void respond(String to, boolean accepted, long matchIndex, Output out) {
+  private void respond(
+      String to,
+      boolean accepted,
+      long matchIndex,
+      OptionalLong requestSentAtMillis,
+      long nowMillis,
+      Output out) {
     out.send(
         to,
         new ConsensusMessage.AppendResponse(
@@ -647,7 +714,9 @@
             matchIndex,
             hardState.storageId(),
             hardState.voter(),
-            session));
+            session,
+            requestSentAtMillis,
+            OptionalLong.of(nowMillis)));
   }
 
   private void onAppendResponse(
@@ -679,8 +748,8 @@
    */
   private void advanceCommit(long nowMillis, Output out) {
     long[] matchIndexes =
-        java.util.stream.LongStream.concat(
-                java.util.stream.LongStream.of(log.lastIndex()),
+        LongStream.concat(
+                LongStream.of(log.lastIndex()),
                 others().stream()
                     .map(followers::get)
                     .mapToLong(p -> p != null && p.voter ? p.matchIndex : 0))
@@ -690,7 +759,7 @@
         matchIndexes.length < quorum() ? 0 : matchIndexes[matchIndexes.length - quorum()];
     if (quorumIndex > log.commitIndex() && log.termAt(quorumIndex) == hardState.term()) {
       commit(quorumIndex, out);
-      updateCaughtUp(quorumIndex);
+      confirmLeadership(nowMillis);
       replicateNow(nowMillis, out);
     }
     resolvePendingProposals(out);
@@ -702,11 +771,6 @@
     log.compactIfLong(limits);
   }
 
-  private void updateCaughtUp(long leaderCommitIndex) {
-    caughtUp |=
-        log.commitIndex() >= leaderCommitIndex && log.termAt(log.commitIndex()) == hardState.term();
-  }
-
   private void becomeVoterIfReadmitted() {
     String registered = log.state().storageIdByMember().get(id);
     if (!hardState.voter() && hardState.storageId().equals(registered)) {
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMessage.java
@@ -1,6 +1,7 @@
 package org.lacewingcroft.consensus;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /** The messages between the members of the control group. Each carries a term. */
 public sealed interface ConsensusMessage {
@@ -44,6 +45,11 @@
    * @param echoedSession the session in the last response that the leader received from this
    *     follower, which distinguishes a message sent after the follower's restart from a delayed
    *     one sent before it
+   * @param sentAtMillis when the request was sent, by the leader's clock; empty from a build that
+   *     does not send it
+   * @param currentAtMillis a time by the follower's clock, within {@code echoedSession}: everything
+   *     that the group had committed by then is at or below {@code commitIndex}; empty if the
+   *     leader knows of no such time
    */
   record AppendRequest(
       long term,
@@ -51,7 +57,9 @@
       long previousTerm,
       List<LogEntry> entries,
       long commitIndex,
-      long echoedSession)
+      long echoedSession,
+      OptionalLong sentAtMillis,
+      OptionalLong currentAtMillis)
       implements ConsensusMessage {
     /** Copies the entries so that the message is immutable. */
     public AppendRequest {
@@ -69,9 +77,20 @@
    * @param storageId the id of the follower's data folder
    * @param voter whether the follower is a voter, so that its acknowledgement counts
    * @param session a random number that the follower drew at its start
+   * @param requestSentAtMillis the {@code sentAtMillis} of the request; empty if the request did
+   *     not carry it, was a snapshot or was of an earlier term
+   * @param sentAtMillis when the response was sent, by the follower's clock; empty from a build
+   *     that does not send it
    */
   record AppendResponse(
-      long term, boolean accepted, long matchIndex, String storageId, boolean voter, long session)
+      long term,
+      boolean accepted,
+      long matchIndex,
+      String storageId,
+      boolean voter,
+      long session,
+      OptionalLong requestSentAtMillis,
+      OptionalLong sentAtMillis)
       implements ConsensusMessage {}
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/Progress.java
@@ -1,5 +1,9 @@
 package org.lacewingcroft.consensus;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalLong;
+
 /**
  * The replication progress of one follower, as tracked by the leader.
  *
@@ -17,6 +21,16 @@
 
   private static final int MAX_BACKOFF = 8;
 
+  private static final int MAX_UNCONFIRMED_RESPONSES = 16;
+
+  /**
+   * A response of the follower.
+   *
+   * @param receivedMillis when it was received, by the leader's clock
+   * @param sentAtMillis when it was sent, by the follower's clock
+   */
+  private record Response(long receivedMillis, long sentAtMillis) {}
+
   private final ConsensusTiming timing;
   long nextIndex;
   long matchIndex;
@@ -27,6 +41,14 @@
   long lastSentMillis;
   long lastResponseMillis;
   long lastVoterResponseMillis;
+
+  /** When the newest request was sent that the follower has acknowledged as a voter. */
+  long acknowledgedMillis = Long.MIN_VALUE;
+
+  /** The responses received since leadership was last confirmed, oldest first. */
+  private final Deque<Response> unconfirmed = new ArrayDeque<>();
+
+  private OptionalLong currentAtMillis = OptionalLong.empty();
   private long inFlightIndex;
   private long inFlightSentMillis;
   private boolean repeated;
@@ -77,11 +99,41 @@
         && nowMillis - roundStartMillis < timing.electionTimeoutMillis();
   }
 
+  /**
+   * Returns a time by the follower's clock up to which the leader knows everything that the group
+   * has committed: when the follower sent the newest of its responses that the leader received no
+   * later than at the given time.
+   *
+   * @param leadershipConfirmedMillis a time by the leader's clock at which no other member led a
+   *     later term
+   */
+  OptionalLong currentAtMillis(long leadershipConfirmedMillis) {
+    while (!unconfirmed.isEmpty()
+        && unconfirmed.getFirst().receivedMillis() <= leadershipConfirmedMillis) {
+      currentAtMillis = OptionalLong.of(unconfirmed.removeFirst().sentAtMillis());
+    }
+    return currentAtMillis;
+  }
+
+  private void recordTimes(ConsensusMessage.AppendResponse response, long nowMillis) {
+    if (response.session() != session) {
+      unconfirmed.clear();
+      currentAtMillis = OptionalLong.empty();
+    }
+    if (response.voter() && response.requestSentAtMillis().isPresent()) {
+      acknowledgedMillis = Math.max(acknowledgedMillis, response.requestSentAtMillis().getAsLong());
+    }
+    if (response.sentAtMillis().isPresent() && unconfirmed.size() < MAX_UNCONFIRMED_RESPONSES) {
+      unconfirmed.addLast(new Response(nowMillis, response.sentAtMillis().getAsLong()));
+    }
+  }
+
   /** Updates the progress with a follower's response to a leader with the given commit index. */
   void onResponse(
       ConsensusMessage.AppendResponse response, long leaderCommitIndex, long nowMillis) {
     boolean wasSilent = nowMillis - lastResponseMillis >= timing.electionTimeoutMillis();
     boolean restarted = response.session() != session;
+    recordTimes(response, nowMillis);
     boolean arrived = response.matchIndex() >= inFlightIndex;
     if (arrived && inFlightIndex != 0 && !repeated) {
       backoff = Math.max(1, backoff / 2);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -44,7 +44,8 @@
    *
    * @param from the control instance
    * @param region its region
-   * @param inMajority whether it is connected to a quorum of the control group
+   * @param inMajority whether its routing state is known to have been current a short time ago
+   *     ({@code FleetBounds.maxStateAge}), so that the reply confirms the state of an entry
    * @param discoveryComplete whether it has run long enough to know all endpoints that announce
    *     themselves
    * @param revision the revision of its committed routing state
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/CommitRuleTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -42,18 +43,21 @@
   }
 
   private static Response ack(String from, long matchIndex, String disk, boolean voter) {
-    return new Response(
-        from, new ConsensusMessage.AppendResponse(3, matchIndex > 0, matchIndex, disk, voter, 1));
+    return new Response(from, response(3, matchIndex > 0, matchIndex, disk, voter));
   }
 
   private static Response rejection(String from, long matchIndex) {
-    return new Response(
-        from, new ConsensusMessage.AppendResponse(3, false, matchIndex, "disk", true, 1));
+    return new Response(from, response(3, false, matchIndex, "disk", true));
   }
 
   private static Response staleAck(String from, long matchIndex) {
-    return new Response(
-        from, new ConsensusMessage.AppendResponse(2, true, matchIndex, "disk", true, 1));
+    return new Response(from, response(2, true, matchIndex, "disk", true));
+  }
+
+  private static ConsensusMessage.AppendResponse response(
+      long term, boolean accepted, long matchIndex, String disk, boolean voter) {
+    return new ConsensusMessage.AppendResponse(
+        term, accepted, matchIndex, disk, voter, 1, OptionalLong.empty(), OptionalLong.empty());
   }
 
   @ParameterizedTest(name = "{0}")
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/ControlGroup.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import org.lacewingcroft.peer.FrameCodec;
 
 /**
@@ -15,7 +17,9 @@
  * messages are delayed, dropped, duplicated or blocked by a partition, and members are killed,
  * restarted or restarted with an empty disk. Links may be slow, and carry no message that exceeds
  * the maximum frame size. After each step it checks that no two members commit different entries at
- * the same index, that a term has only one leader and that no accepted version is replaced.
+ * the same index, that a term has only one leader, that no accepted version is replaced and that no
+ * member takes a state for current that lacks what had been accepted. The clocks of the members
+ * have nothing in common but their rate.
  */
 final class ControlGroup {
   static final ConsensusTiming TIMING = new ConsensusTiming(50, 300);
@@ -31,6 +35,10 @@
   private record InFlight(String from, String to, ConsensusMessage message, long deliveryMillis) {}
 
   private final Random random;
+  private final Random clockRandom;
+  private final Map<String, Long> clockOffsetMillis = new HashMap<>();
+  private final TreeMap<Long, Long> acceptedVersionByMillis = new TreeMap<>();
+  private final Set<String> muted = new HashSet<>();
   private final ConsensusTiming timing;
   private LogLimits limits = LIMITS;
   private final List<String> ids = new ArrayList<>();
@@ -62,6 +70,7 @@
 
   ControlGroup(int size, long seed, ConsensusTiming timing) {
     random = new Random(seed);
+    clockRandom = new Random(~seed);
     this.timing = timing;
     for (int i = 1; i <= size; i++) {
       ids.add("control-" + i);
@@ -78,6 +87,7 @@
    */
   ControlGroup(int initialMembers, int standbys, GroupPolicy groupPolicy, long seed) {
     random = new Random(seed);
+    clockRandom = new Random(~seed);
     timing = TIMING;
     policy = Optional.of(groupPolicy);
     for (int i = 1; i <= initialMembers + standbys; i++) {
@@ -107,7 +117,7 @@
     routingVersionByProposalId.put(proposalId, version);
     if (isRunning(id)) {
       Command change = new Command.RoutingChange(version, document);
-      execute(id, member(id).submit(proposalId, change, nowMillis));
+      execute(id, member(id).submit(proposalId, change, clock(id)));
     }
     return proposalId;
   }
@@ -164,10 +174,10 @@
   private void adjustGroup(String id) {
     for (String other : ids) {
       if (isRunning(other) && partitioned.contains(id) == partitioned.contains(other)) {
-        execute(id, member(id).addLearner(other, nowMillis));
+        execute(id, member(id).addLearner(other, clock(id)));
       }
     }
-    execute(id, member(id).adjustGroup(policy.orElseThrow(), nowMillis));
+    execute(id, member(id).adjustGroup(policy.orElseThrow(), clock(id)));
   }
 
   ConsensusMember member(String id) {
@@ -185,7 +195,24 @@
 
   /** Returns whether a member is in contact with a quorum. */
   boolean isInMajority(String id) {
-    return member(id).inMajority(nowMillis);
+    return member(id).inMajority(clock(id));
+  }
+
+  private long clock(String id) {
+    return nowMillis + clockOffsetMillis.get(id);
+  }
+
+  /** Returns how long ago a member's state was last known to be current; empty if not known. */
+  OptionalLong stateAgeMillis(String id) {
+    OptionalLong currentAtMillis = member(id).currentAtMillis();
+    return currentAtMillis.isPresent()
+        ? OptionalLong.of(clock(id) - currentAtMillis.getAsLong())
+        : currentAtMillis;
+  }
+
+  /** Drops the messages that a member sends until the group heals; it still receives others'. */
+  void mute(String id) {
+    muted.add(id);
   }
 
   void setLossAndDelay(double lossProbability, int maxMillis) {
@@ -198,6 +225,7 @@
   }
 
   void restart(String id) {
+    clockOffsetMillis.put(id, clockRandom.nextLong(1_000_000));
     members.put(
         id,
         new ConsensusMember(
@@ -207,7 +235,7 @@
             limits,
             disks.get(id),
             new Random(random.nextLong()),
-            nowMillis));
+            clock(id)));
   }
 
   /**
@@ -226,6 +254,7 @@
 
   void heal() {
     partitioned.clear();
+    muted.clear();
     setLossAndDelay(0, 1);
   }
 
@@ -237,7 +266,7 @@
     long proposalId = nextProposalId++;
     changeByProposalId.put(proposalId, changeId);
     if (isRunning(id)) {
-      execute(id, member(id).propose(proposalId, command(changeId), expectedVersion, nowMillis));
+      execute(id, member(id).propose(proposalId, command(changeId), expectedVersion, clock(id)));
     }
     return proposalId;
   }
@@ -263,7 +292,7 @@
       deliverDue();
       for (String id : ids) {
         if (isRunning(id)) {
-          execute(id, member(id).tick(nowMillis));
+          execute(id, member(id).tick(clock(id)));
           if (policy.isPresent()) {
             adjustGroup(id);
           }
@@ -311,9 +340,11 @@
     network.forEach(m -> (m.deliveryMillis() <= nowMillis ? due : later).add(m));
     network = later;
     for (InFlight m : due) {
-      boolean blocked = partitioned.contains(m.from()) != partitioned.contains(m.to());
+      boolean blocked =
+          partitioned.contains(m.from()) != partitioned.contains(m.to())
+              || muted.contains(m.from());
       if (isRunning(m.to()) && !blocked) {
-        execute(m.to(), member(m.to()).receive(m.from(), m.message(), nowMillis));
+        execute(m.to(), member(m.to()).receive(m.from(), m.message(), clock(m.to())));
       }
     }
   }
@@ -328,6 +359,7 @@
       }
     }
     checkExposedVersion(id);
+    checkCurrentState(id);
     out.committed().forEach(this::checkCommitted);
     out.decisions().forEach(this::checkDecision);
     checkLeader(id);
@@ -370,6 +402,27 @@
     }
   }
 
+  /** Checks that a member's state contains what was accepted before it was last current. */
+  private void checkCurrentState(String id) {
+    ConsensusMember m = members.get(id);
+    OptionalLong ageMillis = m == null ? OptionalLong.empty() : stateAgeMillis(id);
+    if (ageMillis.isPresent()) {
+      Map.Entry<Long, Long> accepted =
+          acceptedVersionByMillis.lowerEntry(nowMillis - ageMillis.getAsLong());
+      if (accepted != null && m.state().version() < accepted.getValue()) {
+        throw new AssertionError(
+            "%s has version %d, current %d ms ago, after %s was accepted at %d, now %d"
+                .formatted(
+                    id,
+                    m.state().version(),
+                    ageMillis.getAsLong(),
+                    accepted.getValue(),
+                    accepted.getKey(),
+                    nowMillis));
+      }
+    }
+  }
+
   private void checkCommitted(LogEntry entry) {
     LogEntry earlier = committedByIndex.putIfAbsent(entry.index(), entry);
     if (earlier != null && !earlier.equals(entry)) {
@@ -381,6 +434,9 @@
     results.put(decision.proposalId(), decision.result());
     if (decision.result() instanceof ChangeResult.Accepted a
         && !routingVersionByProposalId.containsKey(decision.proposalId())) {
+      long highest =
+          acceptedVersionByMillis.isEmpty() ? 0 : acceptedVersionByMillis.lastEntry().getValue();
+      acceptedVersionByMillis.put(nowMillis, Math.max(highest, a.version()));
       String change = changeByProposalId.get(decision.proposalId());
       String earlier = changeByVersion.putIfAbsent(a.version(), change);
       if (earlier != null && !earlier.equals(change)) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/QuorumObservationTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/consensus/QuorumObservationTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -17,7 +18,10 @@
   private record Received(long atMillis, ConsensusMessage message) {}
 
   private static Received append(long atMillis, long term) {
-    return new Received(atMillis, new ConsensusMessage.AppendRequest(term, 0, 0, List.of(), 0, 0));
+    return new Received(
+        atMillis,
+        new ConsensusMessage.AppendRequest(
+            term, 0, 0, List.of(), 0, 0, OptionalLong.empty(), OptionalLong.empty()));
   }
 
   private static Received snapshot(long atMillis, long term) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/peer/FrameCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -66,8 +67,18 @@
                     new LogEntry(4, 2, 2, new Command.PatchChange("p", "a: 1")),
                     new LogEntry(4, 3, 1, new Command.StorageRegistration("m", "disk"))),
                 2,
-                9)),
-        consensus(new ConsensusMessage.AppendResponse(3, true, 4, "disk", true, 9)),
+                9,
+                OptionalLong.of(1_700),
+                OptionalLong.of(-5))),
+        consensus(
+            new ConsensusMessage.AppendRequest(
+                3, 1, 1, List.of(), 2, 9, OptionalLong.empty(), OptionalLong.empty())),
+        consensus(
+            new ConsensusMessage.AppendResponse(
+                3, true, 4, "disk", true, 9, OptionalLong.of(1_700), OptionalLong.of(-5))),
+        consensus(
+            new ConsensusMessage.AppendResponse(
+                3, true, 4, "disk", true, 9, OptionalLong.empty(), OptionalLong.of(-5))),
         consensus(
             new ConsensusMessage.SnapshotRequest(
                 3,
