--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -4,12 +4,15 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConsensusMember;
@@ -17,6 +20,7 @@
 import org.lacewingcroft.consensus.GroupPolicy;
 import org.lacewingcroft.consensus.LogEntry;
 import org.lacewingcroft.consensus.RoutingState;
+import org.lacewingcroft.misc.ClockReadings;
 
 /**
  * The control group of a fleet: replicates the routing document and the evacuations over a number
@@ -37,6 +41,15 @@
   private static final long REPLACE_AFTER_MILLIS = 1_800;
 
   private final MemberHost host;
+  private final Supplier<ClockReadings> clocks;
+  private volatile ClockReadings lastReadings;
+
+  /**
+   * When a suspension of the machine was last detected, by the monotonic clock. Messages received
+   * before it may be older than that clock shows.
+   */
+  private volatile long clocksDivergedAtMillis = Long.MIN_VALUE;
+
   private volatile View view = View.UNKNOWN;
 
   /**
@@ -94,7 +107,15 @@
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
       Consumer<RoutingState> onRouting) {
-    this(self, dataDir, founders, toleratedFailures, send, onRouting, DurableFile.FORCE_TO_DISK);
+    this(
+        self,
+        dataDir,
+        founders,
+        toleratedFailures,
+        send,
+        onRouting,
+        DurableFile.FORCE_TO_DISK,
+        RoutingControl::systemClocks);
   }
 
   RoutingControl(
@@ -104,7 +125,10 @@
       int toleratedFailures,
       BiConsumer<String, ConsensusMessage> send,
       Consumer<RoutingState> onRouting,
-      DurableFile.Sync sync) {
+      DurableFile.Sync sync,
+      Supplier<ClockReadings> clocks) {
+    this.clocks = clocks;
+    this.lastReadings = clocks.get();
     host =
         new MemberHost(
             self,
@@ -140,6 +164,26 @@
     host.start();
   }
 
+  private static ClockReadings systemClocks() {
+    return new ClockReadings(
+        Instant.ofEpochMilli(ConsensusDriver.monotonicMillis()), InstantSource.system().instant());
+  }
+
+  private void readClocks() {
+    ClockReadings now = clocks.get();
+    if (!now.agreeSince(lastReadings)) {
+      clocksDivergedAtMillis = now.monotonic().toEpochMilli();
+      LOG.log(
+          System.Logger.Level.WARNING,
+          "control.clocks_diverged",
+          "monotonic",
+          now.elapsedSince(lastReadings),
+          "wall",
+          Duration.between(lastReadings.wall(), now.wall()));
+    }
+    lastReadings = now;
+  }
+
   private static void logRecovered(ConsensusMember member) {
     LOG.log(
         System.Logger.Level.INFO,
@@ -170,6 +214,7 @@
 
   private void publish(
       ConsensusMember member, List<LogEntry> committed, Consumer<RoutingState> onRouting) {
+    readClocks();
     View before = view;
     view = viewOf(member, before.routing());
     committed.forEach(RoutingControl::logCommitted);
@@ -228,12 +273,15 @@
 
   /**
    * Returns whether the state in {@link #view()} is known to have been current at most this long
-   * ago.
+   * ago, and after the last suspension of the machine.
    */
   public boolean isCurrent(Duration maxAge) {
     OptionalLong currentAtMillis = view.currentAtMillis();
+    ClockReadings now = clocks.get();
     return currentAtMillis.isPresent()
-        && ConsensusDriver.monotonicMillis() - currentAtMillis.getAsLong() < maxAge.toMillis();
+        && currentAtMillis.getAsLong() > clocksDivergedAtMillis
+        && now.monotonic().toEpochMilli() - currentAtMillis.getAsLong() < maxAge.toMillis()
+        && now.agreeSince(lastReadings);
   }
 
   /** Returns whether this instance can use its data folder. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -22,6 +22,7 @@
 import org.lacewingcroft.limit.EventLoopLoad;
 import org.lacewingcroft.limit.FairShares;
 import org.lacewingcroft.limit.FleetQuotas;
+import org.lacewingcroft.misc.ClockReadings;
 import org.lacewingcroft.peer.PeerTraffic;
 import org.lacewingcroft.placement.ConnectionShare;
 import org.lacewingcroft.placement.EndpointRoom;
@@ -672,8 +673,8 @@
     return controlTracker.followed(knownControls(now), now);
   }
 
-  private StateLease.Clocks clocks() {
-    return new StateLease.Clocks(clock.instant(), wallClock.instant());
+  private ClockReadings clocks() {
+    return new ClockReadings(clock.instant(), wallClock.instant());
   }
 
   /**
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RecoveredStateTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RecoveredStateTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -13,9 +14,12 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.ConsensusMessage;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.misc.ClockReadings;
 
 /**
  * Guards against a control instance that shows the state of its disk, or confirms the state of
@@ -32,9 +36,15 @@
   private static final Duration LONG = Duration.ofMinutes(1);
 
   @TempDir private Path folder;
+  private volatile long wallStepMillis;
   private final BlockingQueue<ConsensusMessage.AppendResponse> responses =
       new LinkedBlockingQueue<>();
 
+  private ClockReadings clocks() {
+    Instant monotonic = Instant.ofEpochMilli(ConsensusDriver.monotonicMillis());
+    return new ClockReadings(monotonic, monotonic.plusMillis(wallStepMillis));
+  }
+
   private RoutingControl open() {
     return new RoutingControl(
         SELF,
@@ -46,7 +56,9 @@
             responses.add(response);
           }
         },
-        state -> {});
+        state -> {},
+        DurableFile.FORCE_TO_DISK,
+        this::clocks);
   }
 
   /** Sends a request of the leader and returns the instance's response to it. */
@@ -105,6 +117,30 @@
     }
   }
 
+  /**
+   * The monotonic clock stands still while the machine is suspended, and messages that arrived
+   * meanwhile are read afterwards.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {4_000, -4_000})
+  void stateIsNotCurrentAfterSuspensionUntilConfirmedAgain(long stepMillis) throws Exception {
+    try (RoutingControl control = open()) {
+      ConsensusMessage.AppendResponse before = appendDocument(control);
+      append(control, List.of(), before.session(), before.sentAtMillis());
+      assertThat(control.isCurrent(LONG), is(true));
+
+      wallStepMillis = stepMillis;
+      assertThat(control.isCurrent(LONG), is(false));
+      ConsensusMessage.AppendResponse after =
+          append(control, List.of(), before.session(), before.sentAtMillis());
+      assertThat(control.isCurrent(LONG), is(false));
+      TimeUnit.MILLISECONDS.sleep(10);
+      after = append(control, List.of(), after.session(), after.sentAtMillis());
+      append(control, List.of(), after.session(), after.sentAtMillis());
+      assertThat(control.isCurrent(LONG), is(true));
+    }
+  }
+
   /** A confirmation from before the restart says nothing about the state of the new process. */
   @Test
   void confirmationOfAnEarlierSessionIsIgnored() throws Exception {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/control/RoutingControlTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.lacewingcroft.consensus.ChangeResult;
 import org.lacewingcroft.consensus.Command;
 import org.lacewingcroft.consensus.LogEntry;
+import org.lacewingcroft.misc.ClockReadings;
 
 /**
  * Checks that a control instance stops taking part and reports no majority when its disk fails, and
@@ -35,7 +37,13 @@
   @TempDir private Path folder;
 
   private RoutingControl open(Set<String> founders, DurableFile.Sync disk) {
-    return new RoutingControl(SELF, folder, founders, 0, (to, m) -> {}, state -> {}, disk);
+    return new RoutingControl(
+        SELF, folder, founders, 0, (to, m) -> {}, state -> {}, disk, RoutingControlTest::clocks);
+  }
+
+  private static ClockReadings clocks() {
+    Instant now = Instant.ofEpochMilli(ConsensusDriver.monotonicMillis());
+    return new ClockReadings(now, now);
   }
 
   private static ChangeResult await(Future<ChangeResult> future) throws Exception {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/StateLeaseTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/StateLeaseTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.lacewingcroft.fleet.StateLease.Clocks;
+import org.lacewingcroft.misc.ClockReadings;
 
 class StateLeaseTest {
   private static final Duration VALIDITY = Duration.ofSeconds(3);
@@ -18,8 +18,8 @@
   /**
    * Returns clock readings some time after the start, with the wall clock adjusted by a given step.
    */
-  private static Clocks at(long monotonicMillis, long stepMillis) {
-    return new Clocks(
+  private static ClockReadings at(long monotonicMillis, long stepMillis) {
+    return new ClockReadings(
         Instant.ofEpochMilli(monotonicMillis),
         Instant.ofEpochSecond(1_000_000).plusMillis(monotonicMillis + stepMillis));
   }
