Ask a possibly restarted endpoint whether it is cold before using it in full

Cause: entries knew whether an endpoint is cold from its announcements only, which may be late. A probe took any response for a sign that the endpoint is usable as before, and did not read how long it stays cold. That all connections to an endpoint ended while none had a request went unnoticed, so no probe was due.

Change: the pool reports when the last connection to an endpoint was lost, or one cannot be opened. The endpoint then counts as cold until a health check, made at once, says how long it stays cold (EndpointWarmUp). Probes read the id and the remaining warm-up of every health response. A request placed before is placed again if the endpoint became cold before it was written.

Why it works: a restarted process has none of its predecessor's connections, so an entry with a connection notices the restart before it can write the next request, whatever announcements say.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -131,6 +131,7 @@
   private final InstantSource wallClock = InstantSource.system();
   private volatile List<String> seeds;
   private List<String> controls = List.of();
+  private EndpointConnections connections = new NoConnections();
   private Set<String> unreachableServices = Set.of();
   private boolean hasLargeRegion;
   private volatile RoutingView routing = RoutingView.NONE;
@@ -146,6 +147,26 @@
   private boolean readyReported;
   private boolean readinessHeld;
 
+  /** This entry's connections to endpoints. */
+  public interface EndpointConnections {
+    /** Probes an endpoint, to learn whether it has started again and how long it stays cold. */
+    void verify(EndpointTracker endpoint);
+
+    /** Returns whether a connection to an address is open. */
+    boolean isConnectedTo(String address);
+  }
+
+  /** Stands for no connections, until {@link #useConnections} is called. */
+  private static final class NoConnections implements EndpointConnections {
+    @Override
+    public void verify(EndpointTracker endpoint) {}
+
+    @Override
+    public boolean isConnectedTo(String address) {
+      return false;
+    }
+  }
+
   /** Logs endpoint changes and forwards crashes and recoveries to the quarantine. */
   private final class EndpointListener implements TrackedEndpoints.Listener {
     @Override
@@ -327,6 +348,11 @@
     extraSends.recordFirstSend(service, clock.instant());
   }
 
+  /** Sets this entry's connections to endpoints. */
+  public void useConnections(EndpointConnections endpointConnections) {
+    connections = endpointConnections;
+  }
+
   /** Sets the source of this entry's pressure, which is reported to the control instances. */
   public void usePressure(Supplier<EntryPressure> source) {
     pressure.usePressure(source);
@@ -405,6 +431,7 @@
     Instant now = clock.instant();
     Placer placer = new Placer(coldSenders(spec), ThreadLocalRandom.current());
     List<EndpointTracker> all = endpointsOf(request.service());
+    verifyIfDue(all, now);
     return placer.place(
         request,
         new Placer.Context(
@@ -425,6 +452,16 @@
         now);
   }
 
+  /**
+   * Probes the endpoints of this region that may have started again. It is done when a request
+   * needs one, since a health check takes a slot of the endpoint and each entry needs its own.
+   */
+  private void verifyIfDue(List<EndpointTracker> candidates, Instant now) {
+    candidates.stream()
+        .filter(t -> t.isVerificationDue(now) && settings.inOwnRegion(t.record().failureDomain()))
+        .forEach(connections::verify);
+  }
+
   private boolean hasRelayTargetInOwnRegion(PlacementRequest request, Instant now) {
     Set<String> excluded = request.excludedEndpoints();
     return !entries.relayTargets(settings.region(), request.service(), excluded, now).isEmpty();
@@ -510,6 +547,34 @@
     quarantine.onConnectionLost(endpoint, request, others);
   }
 
+  /**
+   * Records that the last connection to an endpoint was lost, so that the endpoint may have started
+   * again. Without a health path an orderly close is no reason to expect that: endpoints close idle
+   * connections as a matter of course.
+   *
+   * @param address the endpoint's address
+   * @param reset whether a connection was reset
+   */
+  public void connectionsLost(String address, boolean reset) {
+    Instant now = clock.instant();
+    List<EndpointTracker> affected =
+        ownRegionEndpoints()
+            .filter(t -> t.record().address().equals(address))
+            .filter(t -> reset || serviceOf(t).flatMap(ServiceSpec::healthPath).isPresent())
+            .toList();
+    affected.forEach(t -> t.recordConnectionsLost(reset, now));
+    verifyIfDue(affected, now);
+  }
+
+  private Optional<ServiceSpec> serviceOf(EndpointTracker endpoint) {
+    return routing.table().service(endpoint.record().service());
+  }
+
+  /** Returns how long an endpoint is cold after its start. */
+  public Duration warmUpOf(EndpointTracker endpoint) {
+    return serviceOf(endpoint).map(ServiceSpec::warmup).orElse(Duration.ZERO);
+  }
+
   /** Returns this region's endpoints that are to be probed because they do not respond. */
   public List<EndpointTracker> endpointsToProbe() {
     Instant now = clock.instant();
@@ -845,12 +910,7 @@
     Instant now = clock.instant();
     for (EndpointTracker tracker : endpoints.trackers()) {
       if (noLongerEvacuated.contains(tracker.record().failureDomain())) {
-        Duration warmup =
-            routing
-                .table()
-                .service(tracker.record().service())
-                .map(ServiceSpec::warmup)
-                .orElse(Duration.ZERO);
+        Duration warmup = warmUpOf(tracker);
         if (!warmup.isZero()) {
           tracker.extendColdUntil(now.plus(warmup).plus(EVACUATION_END_MARGIN));
         }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -74,6 +74,7 @@
   private final RequestReader reader;
   private final ForwardContext context;
   private final EndpointLoadReader loadReader;
+  private final EndpointProber prober;
   private final InstantSource clock;
   private final HopAuthenticator hopAuthenticator;
   private final CallerConnections callerConnections;
@@ -110,12 +111,22 @@
     this.requestMemory = requestMemory;
     this.callerConnections = new CallerConnections(vertx, clock, () -> limits().idleTimeout());
     this.loadReader = new EndpointLoadReader(headerNames.endpointLoad(), metrics, clock);
+    UpstreamConnections connections =
+        new UpstreamConnections(
+            vertx,
+            settings.upstreamBindAddress(),
+            clock,
+            traffic,
+            headerNames,
+            metrics,
+            node::connectionsLost);
+    this.prober = new EndpointProber(vertx, node, connections, headerNames, loadReader, clock);
+    node.useConnections(prober);
     this.context =
         new ForwardContext(
             vertx,
             node,
-            new UpstreamConnections(
-                vertx, settings.upstreamBindAddress(), clock, traffic, headerNames, metrics),
+            connections,
             headerNames,
             new AdvertisedConditionsReader(headerNames, node, loadReader),
             hopAuthenticator,
@@ -173,7 +184,7 @@
                 })
             .requestHandler(this::handleRelayed);
     vertx.setPeriodic(RELAY_CONNECTION_CHECK_INTERVAL_MILLIS, id -> openRelayConnections());
-    new EndpointProber(vertx, node, context.connectionPool(), loadReader, clock).start();
+    prober.start();
     return relayServer
         .listen(relayAddress)
         .compose(s -> publicServer.listen(publicAddress))
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/ForwardCall.java
@@ -784,7 +784,7 @@
   /** Handles a target to which no connection could be established. */
   private void handleUnreachable(UpstreamAttempt attempt, String detail) {
     recordAttemptFailure(attempt, "unreachable", detail);
-    attempt.target().endpoint().ifPresent(EndpointTracker::recordConnectFailure);
+    attempt.target().endpoint().ifPresent(e -> e.recordConnectFailure(context.now()));
     attempt.target().entry().ifPresent(context.node()::entryUnreachable);
     excludeTarget(attempt);
     sendToAnotherTarget(detail, true);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/HeaderNames.java
@@ -21,6 +21,9 @@
  * @param draining {@code 1} in the responses of an endpoint that is draining
  * @param endpointLoad the load of the endpoint that sends the response: running requests, waiting
  *     requests, slots, and optionally the pace in percent, separated by commas
+ * @param instanceId the id of the endpoint that sends a response to a health check
+ * @param warmUpMillis in a response to a health check, how long the endpoint stays cold, in
+ *     milliseconds
  * @param reservedHeaders headers in lower case that only entries may set; dropped from callers'
  *     requests
  */
@@ -40,4 +43,6 @@
     String rateLimit,
     String draining,
     String endpointLoad,
+    String instanceId,
+    String warmUpMillis,
     Set<String> reservedHeaders) {}
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
@@ -160,7 +161,8 @@
       acquired.release(Optional.empty());
       return;
     }
-    if (target.endpoint().filter(e -> !e.acceptsRequests(clock.instant())).isPresent()) {
+    Instant now = clock.instant();
+    if (target.inFlightRequest().filter(r -> !r.isStillAdmitted(now)).isPresent()) {
       acquired.release(Optional.empty());
       withdraw();
       return;
@@ -329,7 +331,7 @@
     }
     finished = true;
     target.inFlightRequest().ifPresent(r -> r.finish(outcome, clock.instant()));
-    connection.ifPresent(UpstreamConnections.PooledConnection::close);
+    connection.ifPresent(UpstreamConnections.PooledConnection::closeAfterFailure);
     listener.onFailure(sent && requestWritten, detail);
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/UpstreamConnections.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -76,6 +77,25 @@
     }
   }
 
+  /** Receives the loss of connections to endpoints. */
+  interface LossListener {
+    /**
+     * Called when the last connection to an endpoint has ended, unless this pool closed all that it
+     * had since it last had none.
+     *
+     * @param address the endpoint's address
+     * @param reset whether one of the connections was reset
+     */
+    void connectionsLost(String address, boolean reset);
+  }
+
+  /** The open connections to the endpoint at one address. */
+  private static final class OpenConnections {
+    private int count;
+    private boolean closedByPeer;
+    private boolean reset;
+  }
+
   private final HttpClientAgent client;
   private final InstantSource clock;
   private final LinkTraffic traffic;
@@ -83,6 +103,8 @@
   private final Map<Peer, StrictResponseDecoder.Rules> responseRules = new EnumMap<>(Peer.class);
   private final KeepAlivePolicy keepAlivePolicy = new KeepAlivePolicy();
   private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
+  private final Map<String, OpenConnections> openToEndpoints = new HashMap<>();
+  private final LossListener lossListener;
   private long totalHeldBytes;
 
   /**
@@ -92,6 +114,7 @@
    * @param traffic counts the bytes of the connections
    * @param headerNames the headers of responses
    * @param metrics counts the connections that are retired or replaced
+   * @param lossListener receives the loss of connections to endpoints
    */
   UpstreamConnections(
       Vertx vertx,
@@ -99,8 +122,10 @@
       InstantSource clock,
       LinkTraffic traffic,
       HeaderNames headerNames,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      LossListener lossListener) {
     this.clock = clock;
+    this.lossListener = lossListener;
     this.traffic = traffic;
     this.metrics = metrics;
     HttpClientOptions options =
@@ -150,6 +175,7 @@
   /** A connection that is either in use for one request or idle in the pool. */
   final class PooledConnection {
     private final String address;
+    private final Peer peer;
     private final HttpClientConnection connection;
     private final StrictResponseDecoder responses;
     private final int localPort;
@@ -160,22 +186,27 @@
     private int heldBytes;
     private int requests;
     private boolean closed;
+    private boolean closedByPool;
+    private boolean reset;
 
     private PooledConnection(String address, HttpClientConnection connection, Peer peer) {
       this.address = address;
+      this.peer = peer;
       this.connection = connection;
       this.responses = StrictResponseDecoder.install(connection, responseRules.get(peer));
       this.localPort =
           Optional.ofNullable(connection.localAddress()).map(SocketAddress::port).orElse(0);
       traffic.clientConnectionOpened();
+      recordOpened(this);
       connection.closeHandler(
           v -> {
             closed = true;
             releaseHeld();
             traffic.clientConnectionClosed();
             removeIdle(this);
+            recordClosed(this);
           });
-      connection.exceptionHandler(e -> {});
+      connection.exceptionHandler(e -> reset |= e instanceof IOException);
     }
 
     HttpClientConnection connection() {
@@ -275,6 +306,12 @@
 
     /** Closes the connection, which also cancels the request on it. */
     void close() {
+      closedByPool = true;
+      closeAfterFailure();
+    }
+
+    /** Closes the connection after an error, which counts as a loss of the connection. */
+    void closeAfterFailure() {
       closed = true;
       connection.close();
     }
@@ -355,6 +392,33 @@
         .map(connection -> new PooledConnection(address, connection, peer));
   }
 
+  /** Returns whether a connection to the endpoint at an address is open. */
+  boolean isConnectedTo(String address) {
+    return openToEndpoints.containsKey(address);
+  }
+
+  private void recordOpened(PooledConnection pooled) {
+    if (pooled.peer == Peer.ENDPOINT) {
+      openToEndpoints.computeIfAbsent(pooled.address, a -> new OpenConnections()).count++;
+    }
+  }
+
+  private void recordClosed(PooledConnection pooled) {
+    OpenConnections open = openToEndpoints.get(pooled.address);
+    if (pooled.peer != Peer.ENDPOINT || open == null) {
+      return;
+    }
+    open.count--;
+    open.closedByPeer |= !pooled.closedByPool;
+    open.reset |= pooled.reset;
+    if (open.count == 0) {
+      openToEndpoints.remove(pooled.address);
+      if (open.closedByPeer) {
+        lossListener.connectionsLost(pooled.address, open.reset);
+      }
+    }
+  }
+
   private void removeIdle(PooledConnection pooled) {
     Deque<PooledConnection> idleConnections = idle.get(pooled.address);
     if (idleConnections != null) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndlessResponseTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EndlessResponseTest.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -24,7 +25,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
-import org.lacewingcroft.placement.EndpointTracker;
+import org.lacewingcroft.misc.MonotonicInstantSource;
 import org.lacewingcroft.route.RequestLimits;
 import org.lacewingcroft.route.Route;
 import org.lacewingcroft.route.RouteKind;
@@ -105,7 +106,8 @@
       fleet.keepAnnouncing("e", OneServiceFleet.SERVICE, "north", endpoint.port());
       fleet.awaitReady(entry);
       fleet.awaitEndpoints(entry, OneServiceFleet.SERVICE, 1);
-      fleet.run(() -> entry.node().endpoints().forEach(EndpointTracker::recordConnectFailure));
+      Instant now = new MonotonicInstantSource().instant();
+      fleet.run(() -> entry.node().endpoints().forEach(e -> e.recordConnectFailure(now)));
       for (int i = 0; i < 100 && endpoint.requests() < 2; i++) {
         TimeUnit.MILLISECONDS.sleep(50);
       }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/FleetHarness.java
@@ -61,6 +61,8 @@
           "X-Rate-Limit",
           "X-Leaving",
           "X-Load",
+          "X-Instance",
+          "X-Warm-Up",
           Set.of("x-expect", "x-priority", "x-organisation"));
 
   /**
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -46,12 +46,6 @@
    */
   private static final Duration UNRESPONSIVE_TIMEOUT = Duration.ofMillis(800);
 
-  /**
-   * Minimum interval between two requests of one entry to a cold endpoint: its limit applies to
-   * each second, in which one entry then sends at most one request.
-   */
-  private static final Duration MIN_COLD_REQUEST_INTERVAL = Duration.ofMillis(1_100);
-
   /** Time after which a recorded failure has half its weight. */
   private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
 
@@ -59,7 +53,7 @@
   private static final double MAX_SOURCE_FAILURE_SCORE = 0.5;
 
   private EndpointRecord record;
-  private Instant coldUntil;
+  private final EndpointWarmUp warmUp = new EndpointWarmUp();
   private boolean replaced;
   private int inFlight;
   private final PrefillQueue prefillQueue = new PrefillQueue();
@@ -99,7 +93,6 @@
   private Instant lastByteAt = Instant.EPOCH;
 
   private final EndpointReachability reachability = new EndpointReachability();
-  private Instant lastColdRequestAt = Instant.EPOCH;
   private Instant fullUntil = Instant.EPOCH;
 
   /** A request in flight at the endpoint. */
@@ -109,6 +102,7 @@
     private final double queuedPerSlot;
     private final EndpointOccupancy.Tracked tracked;
     private final Instant sentAt;
+    private final boolean admittedCold;
     private Optional<Instant> lastEventAt = Optional.empty();
     private boolean firstByteReceived;
     private boolean finished;
@@ -120,6 +114,15 @@
       this.queuedPerSlot = queuedPerSlot;
       this.tracked = occupancy.requestSent(prompt.sentAt());
       this.sentAt = prompt.sentAt();
+      this.admittedCold = isCold(sentAt);
+    }
+
+    /**
+     * Returns whether the request may still be written to the endpoint: it accepts requests, and
+     * has not become cold since the request was admitted.
+     */
+    public boolean isStillAdmitted(Instant now) {
+      return acceptsRequests(now) && (admittedCold || !isCold(now));
     }
 
     /** Returns when the request was sent. */
@@ -245,13 +248,12 @@
   public void update(EndpointRecord newer, Instant now) {
     record = newer;
     replaced = false;
-    Instant newColdUntil = now.plusMillis(newer.coldMillis());
-    coldUntil = coldUntil == null || newColdUntil.isAfter(coldUntil) ? newColdUntil : coldUntil;
+    warmUp.extendUntil(now.plusMillis(newer.coldMillis()));
   }
 
   /** Treats the endpoint as cold at least until an instant. */
   public void extendColdUntil(Instant until) {
-    coldUntil = until.isAfter(coldUntil) ? until : coldUntil;
+    warmUp.extendUntil(until);
   }
 
   /** Returns the endpoint's newest record. */
@@ -269,9 +271,35 @@
     return conditions.rateLimit();
   }
 
-  /** Returns whether the endpoint is still warming up. */
+  /** Returns whether the endpoint is still warming up, as far as is known. */
   public boolean isCold(Instant now) {
-    return coldUntil.isAfter(now);
+    return warmUp.isCold(now);
+  }
+
+  /**
+   * Records that all of this entry's connections to the endpoint are lost, so that it may have
+   * started again.
+   *
+   * @param reset whether one of them was reset, and not closed in an orderly way
+   */
+  public void recordConnectionsLost(boolean reset, Instant now) {
+    warmUp.recordConnectionsLost(reset, now);
+  }
+
+  /** Returns whether it is unknown whether the endpoint has started again. */
+  public boolean isUnverified() {
+    return warmUp.isUnverified();
+  }
+
+  /**
+   * Returns whether a health check is to show now whether the endpoint has started again: it is in
+   * service, and no probe is under way or deferred after a failed one.
+   */
+  public boolean isVerificationDue(Instant now) {
+    return warmUp.isUnverified()
+        && record.state() == EndpointState.READY
+        && !replaced
+        && reachability.isProbeDue(now);
   }
 
   /**
@@ -337,16 +365,15 @@
     if (!request.parts().isEmpty()) {
       expectedPrefixes.add(request.parts(), kvCapacityTokens);
     }
-    if (isCold(now)) {
-      lastColdRequestAt = now;
-    }
+    warmUp.recordRequest(now);
     rateLimit().recordSend(now);
     return inFlightRequest;
   }
 
   /** Records that a connection to the endpoint could not be established. */
-  public void recordConnectFailure() {
+  public void recordConnectFailure(Instant now) {
     reachability.recordConnectFailure();
+    warmUp.recordConnectionsLost(/* reset= */ true, now);
   }
 
   /** Records a connection that was lost before the first byte of a response. */
@@ -370,10 +397,15 @@
     reachability.startProbe();
   }
 
-  /** Records that the endpoint responded to a probe. */
-  public void recordProbeSuccess(Instant now) {
+  /**
+   * Records that the endpoint responded to a probe.
+   *
+   * @param coldFor how long it stays cold
+   */
+  public void recordProbeSuccess(Duration coldFor, Instant now) {
     lastByteAt = now;
     reachability.recordProbeSuccess();
+    warmUp.recordRemaining(coldFor, now);
   }
 
   /**
@@ -487,7 +519,7 @@
 
   /** Returns whether this entry may send one more request to the endpoint now while it is cold. */
   public boolean admitsColdRequest(Instant now) {
-    return !lastColdRequestAt.plus(MIN_COLD_REQUEST_INTERVAL).isAfter(now);
+    return warmUp.admitsColdRequest(now);
   }
 
   /**
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/CutOffPlacementTest.java
@@ -30,7 +30,7 @@
   /** What has happened to this entry's connections to an endpoint. */
   enum Contact {
     RESPONDS(e -> {}),
-    CONNECT_FAILED(EndpointTracker::recordConnectFailure),
+    CONNECT_FAILED(e -> e.recordConnectFailure(NOW)),
     CONNECT_FAILED_THEN_DATA(Contact::sendDataAfterConnectFailure),
     ONE_CONNECTION_LOST(EndpointTracker::recordLostConnection),
     CONNECTIONS_LOST(Contact::loseConnections),
@@ -46,7 +46,7 @@
 
     private static void sendDataAfterConnectFailure(EndpointTracker endpoint) {
       EndpointTracker.InFlightRequest request = endpoint.startRequest(request(), 0, 0, SENT);
-      endpoint.recordConnectFailure();
+      endpoint.recordConnectFailure(NOW);
       request.bytesReceived(NOW);
       request.finish(Outcome.ANSWERED, NOW);
     }
@@ -65,9 +65,9 @@
     }
 
     private static void answerProbe(EndpointTracker endpoint) {
-      endpoint.recordConnectFailure();
+      endpoint.recordConnectFailure(NOW);
       endpoint.startProbe();
-      endpoint.recordProbeSuccess(NOW);
+      endpoint.recordProbeSuccess(Duration.ZERO, NOW);
     }
 
     private static void fallSilent(EndpointTracker endpoint) {
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/PrefixFetchTest.java
@@ -174,7 +174,7 @@
             true),
         new HolderRow(
             "has an overdue response", (e, now) -> startRequest(e, now.minusSeconds(2)), false),
-        new HolderRow("refuses connections", (e, now) -> e.recordConnectFailure(), false),
+        new HolderRow("refuses connections", (e, now) -> e.recordConnectFailure(now), false),
         new HolderRow(
             "is lost",
             (e, now) -> e.update(record(e.record().id(), "a", EndpointState.LOST), now),
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/UnresponsiveEndpointTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/placement/UnresponsiveEndpointTest.java
@@ -82,7 +82,7 @@
             (endpoint, request) -> {
               request.finish(Outcome.FAILED, at(1_000));
               endpoint.startProbe();
-              endpoint.recordProbeSuccess(at(1_200));
+              endpoint.recordProbeSuccess(Duration.ZERO, at(1_200));
             },
             1_300,
             false,
