Tell the other entries that an endpoint may have started again

An entry that has no connection to an endpoint at the moment of its restart does not notice it, and sends at its full rate until the announcement arrives.

Cause: the loss of connections is known to the entries that had some; the rate of a cold endpoint is shared by all.

Change: an entry that lost its connections to an endpoint sends ConnectionsLost to the control instances that it follows, which pass it on to the entries of its region, once in 200 ms for an address. An entry with an open connection ignores it; another asks the endpoint's health path before its next request to it.

Why it works: it reaches the other entries in two hops; an open connection proves that the process still runs.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/ControlNode.java
@@ -20,6 +20,7 @@
 import org.lacewingcroft.control.RoutingControl;
 import org.lacewingcroft.control.StorageState;
 import org.lacewingcroft.metrics.GatewayMetrics;
+import org.lacewingcroft.misc.BoundedMap;
 import org.lacewingcroft.route.RouteDocumentParser;
 import org.lacewingcroft.route.RouteTable;
 
@@ -81,6 +82,11 @@
   /** Minimum interval between two complete rosters sent to one entry. */
   private static final Duration COMPLETE_ROSTER_INTERVAL = Duration.ofMillis(900);
 
+  /** Minimum interval between two messages about lost connections to the same endpoint. */
+  private static final Duration MIN_LOSS_INTERVAL = Duration.ofMillis(200);
+
+  private static final int MAX_REMEMBERED_LOSSES = 4_096;
+
   private final FleetSettings settings;
   private final InstantSource clock;
   private final Vertx vertx;
@@ -93,6 +99,11 @@
   private final OrderRelay orders;
   private final EndpointRoster roster = new EndpointRoster();
   private final Map<String, TrackedEntry> entries = new TreeMap<>();
+
+  /** When a loss of connections was last passed on, by the endpoint's address. */
+  private final Map<String, Instant> lossPassedOnAt =
+      BoundedMap.evictingOldest(MAX_REMEMBERED_LOSSES);
+
   private final ControlPeers peers;
   private final Map<String, EndpointRecord> pendingAnnouncements = new TreeMap<>();
   private final DepartureReplicator departures;
@@ -377,6 +388,19 @@
                 Optional.ofNullable(entries.get(name)).ifPresent(e -> e.onReach(services, now)));
   }
 
+  /**
+   * Passes the message on to the entries of the region, once for the many that lose their
+   * connections to an endpoint at about the same time.
+   */
+  private void onConnectionsLost(FleetMessage.ConnectionsLost lost) {
+    Instant now = clock.instant();
+    Instant lastPassedOnAt = lossPassedOnAt.getOrDefault(lost.address(), Instant.MIN);
+    if (!lastPassedOnAt.isAfter(now.minus(MIN_LOSS_INTERVAL))) {
+      lossPassedOnAt.put(lost.address(), now);
+      transport.sendAll(entryPeersOfRegion(lost.region()), lost);
+    }
+  }
+
   private List<String> entryPeersOfRegion(String region) {
     Instant now = clock.instant();
     return entryPeers(e -> e.isLive(now) && e.info.region().equals(region));
@@ -391,6 +415,8 @@
       onEntryReport(report);
     } else if (message instanceof FleetMessage.EntryReach reach) {
       onEntryReach(reach);
+    } else if (message instanceof FleetMessage.ConnectionsLost lost) {
+      onConnectionsLost(lost);
     } else if (message instanceof FleetMessage.EntryNews news) {
       activeEntries.onUpdates(news);
       aggregator.onUpdates(news);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -550,7 +550,7 @@
   /**
    * Records that the last connection to an endpoint was lost, so that the endpoint may have started
    * again. Without a health path an orderly close is no reason to expect that: endpoints close idle
-   * connections as a matter of course.
+   * connections as a matter of course. The other entries of the region are told.
    *
    * @param address the endpoint's address
    * @param reset whether a connection was reset
@@ -564,6 +564,28 @@
             .toList();
     affected.forEach(t -> t.recordConnectionsLost(reset, now));
     verifyIfDue(affected, now);
+    affected.stream()
+        .filter(EndpointTracker::isUnverified)
+        .forEach(
+            t ->
+                transport.sendAll(
+                    followedControls(),
+                    new FleetMessage.ConnectionsLost(
+                        self.name(), settings.region(), t.record().id(), address)));
+  }
+
+  /**
+   * Learns that another entry lost its connections to an endpoint. An open connection of this entry
+   * shows that the endpoint has not started again; without one, a health check has to show it
+   * before the next request.
+   */
+  private void onConnectionsLost(FleetMessage.ConnectionsLost lost) {
+    if (!lost.entry().equals(self.name()) && !connections.isConnectedTo(lost.address())) {
+      ownRegionEndpoints()
+          .filter(t -> t.record().id().equals(lost.endpoint()))
+          .filter(t -> t.record().address().equals(lost.address()))
+          .forEach(t -> t.recordConnectionsLost(/* reset= */ true, clock.instant()));
+    }
   }
 
   private Optional<ServiceSpec> serviceOf(EndpointTracker endpoint) {
@@ -775,6 +797,8 @@
       pressure.onActiveEntries(active);
     } else if (message instanceof FleetMessage.EntryReach reach) {
       entries.updateReach(reach, clock.instant());
+    } else if (message instanceof FleetMessage.ConnectionsLost lost) {
+      onConnectionsLost(lost);
     } else if (message instanceof FleetMessage.StateOffer offer) {
       onStateOffer(offer);
     } else if (message instanceof FleetMessage.LoadReport load) {
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RestartedEndpointTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RestartedEndpointTest.java
@@ -21,6 +21,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -166,6 +167,18 @@
         both(greaterThan(0.0)).and(lessThanOrEqualTo(ALLOWED_PER_SECOND)));
   }
 
+  /** Guards against entries that had no connection to the endpoint when it ended. */
+  @Test
+  void entryWithoutConnectionsLearnsFromTheOthers() throws Exception {
+    try (RestartableEndpoint endpoint = startEndpoint(/* resets= */ true)) {
+      callFor(entries.subList(0, 1), Duration.ofSeconds(1));
+      endpoint.restart(Duration.ZERO, WARMUP);
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+      callFor(entries.subList(1, 2), WARMUP.minusMillis(500));
+      assertReceivedWhileCold(endpoint);
+    }
+  }
+
   /** Guards against endpoints that count as cold because they close connections. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetCodec.java
@@ -38,6 +38,7 @@
   private static final int PRESSURE_REPORT = 20;
   private static final int ACTIVE_ENTRIES = 21;
   private static final int ENDPOINT_REPORTS = 22;
+  private static final int CONNECTIONS_LOST = 23;
 
   private FleetCodec() {}
 
@@ -122,6 +123,9 @@
     } else if (message instanceof FleetMessage.EntryReach r) {
       p.packInt(ENTRY_REACH).packString(r.from());
       FleetRecordCodec.packUnreachableServices(p, r.unreachableServices());
+    } else if (message instanceof FleetMessage.ConnectionsLost l) {
+      p.packInt(CONNECTIONS_LOST).packString(l.entry()).packString(l.region());
+      p.packString(l.endpoint()).packString(l.address());
     } else if (message instanceof FleetMessage.PressureReport r) {
       p.packInt(PRESSURE_REPORT).packString(r.entry());
       FleetRecordCodec.packCapacity(p, r.capacity());
@@ -237,6 +241,9 @@
               u.unpackString(),
               u.unpackString(),
               FleetRecordCodec.unpackAll(u, FleetRecordCodec::unpackEndpointReport));
+      case CONNECTIONS_LOST ->
+          new FleetMessage.ConnectionsLost(
+              u.unpackString(), u.unpackString(), u.unpackString(), u.unpackString());
       default -> throw new UnknownMessageTypeException(type);
     };
   }
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -121,6 +121,19 @@
   record EntryReach(String from, Map<String, Set<String>> unreachableServices)
       implements FleetMessage {}
 
+  /**
+   * Tells that an entry lost all its connections to an endpoint, which may have started again. An
+   * entry sends it to the control instances that it follows, which pass it on to the entries of its
+   * region: those without a connection would not notice.
+   *
+   * @param entry the name of the entry that lost its connections
+   * @param region its region
+   * @param endpoint the endpoint's id
+   * @param address the endpoint's address
+   */
+  record ConnectionsLost(String entry, String region, String endpoint, String address)
+      implements FleetMessage {}
+
   /**
    * An entry's capacity and how much of it is in use, sent to the control instances beside its
    * report.
--- a/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
+++ b/lacewingcroft-kernel/src/test/java/org/lacewingcroft/fleet/FleetCodecTest.java
@@ -98,6 +98,7 @@
         new FleetMessage.RosterUpdate("c", 7, true, List.of(ENDPOINT, ENDPOINT)),
         new FleetMessage.RosterAck("c", 7),
         new FleetMessage.EntryList("c", List.of(ENTRY)),
+        new FleetMessage.ConnectionsLost("front-1", "north", "e1", "127.0.0.1:9"),
         new FleetMessage.EntryReach("c", Map.of("front-1", Set.of("model"))),
         new FleetMessage.PressureReport(
             "front-1",
