Wait at a shutdown for responses that are still being sent

Cause: a call ends when its response is queued, and the shutdown waits for calls only. What is queued in the process is lost at its exit.

Change: UnsentResponses counts the responses that are complete and not yet written, to callers and to other entries; for a shutdown they are in flight, up to its grace.

Why it works: the future of a response's end completes when its last byte is written to the socket, from where the system sends it after the exit; it fails if the connection is closed.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryShutdown.java
@@ -15,7 +15,10 @@
 public final class EntryShutdown {
   /** The requests that an entry has started and not finished. */
   public interface RequestsInFlight {
-    /** Returns the number of requests in flight, with those that are admitted and not started. */
+    /**
+     * Returns the number of requests in flight, with those that are admitted and not started, and
+     * those whose response is complete and not yet written.
+     */
     int inFlight();
 
     /** Refuses the requests that are admitted and not started: their bodies are incomplete. */
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerResponse.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/CallerResponse.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.lacewingcroft.http.UnsentResponses;
 
 /**
  * The HTTP response to one caller. It is sent either as one complete message or as a stream; a
@@ -26,6 +27,7 @@
   private final HttpServerResponse response;
   private final String requestIdHeader;
   private final boolean sentToEntry;
+  private final UnsentResponses unsent;
   private boolean finished;
   private int refusalCount;
 
@@ -34,12 +36,18 @@
    *
    * @param requestIdHeader the name of the header with the request's id, which the response echoes
    * @param sentToEntry whether another entry relayed the request
+   * @param unsent counts the response while it is complete and not yet written
    */
-  CallerResponse(HttpServerRequest request, String requestIdHeader, boolean sentToEntry) {
+  CallerResponse(
+      HttpServerRequest request,
+      String requestIdHeader,
+      boolean sentToEntry,
+      UnsentResponses unsent) {
     this.request = request;
     this.response = request.response();
     this.requestIdHeader = requestIdHeader;
     this.sentToEntry = sentToEntry;
+    this.unsent = unsent;
   }
 
   /** Registers a callback that runs once if the connection closes before the response ends. */
@@ -90,7 +98,7 @@
     response.setStatusCode(status);
     headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
     echoRequestId();
-    response.end(body);
+    unsent.track(response.end(body));
   }
 
   /** Prepares a chunked response; the first write sends the response head. */
@@ -128,7 +136,7 @@
   void endStream() {
     if (isOpen()) {
       finished = true;
-      response.end();
+      unsent.track(response.end());
     }
   }
 
@@ -179,6 +187,6 @@
     if (sentToEntry && notRun) {
       response.putHeader(NOT_RUN_HEADER, Integer.toString(refusalCount));
     }
-    response.end(reason + "\n");
+    unsent.track(response.end(reason + "\n"));
   }
 }
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EntryServer.java
@@ -28,6 +28,7 @@
 import org.lacewingcroft.http.RequestAccount;
 import org.lacewingcroft.http.RequestMemory;
 import org.lacewingcroft.http.StrictRequestDecoder;
+import org.lacewingcroft.http.UnsentResponses;
 import org.lacewingcroft.limit.FairShares;
 import org.lacewingcroft.metrics.GatewayMetrics;
 import org.lacewingcroft.route.Organisation;
@@ -82,6 +83,7 @@
   private final RequestBodies bodies;
   private final RequestMemory requestMemory;
   private final LinkTraffic traffic = new LinkTraffic();
+  private final UnsentResponses unsent = new UnsentResponses();
   private final boolean reportsPressure;
   private HttpServer publicServer;
   private HttpServer relayServer;
@@ -249,7 +251,7 @@
 
   @Override
   public int inFlight() {
-    return context.inFlight().size() + bodies.unstarted();
+    return context.inFlight().size() + bodies.unstarted() + unsent.count();
   }
 
   @Override
@@ -265,7 +267,7 @@
   private void handleCaller(HttpServerRequest request) {
     final Instant arrivedAt = overload.arrivalOf(request);
     node.requestArrived();
-    CallerResponse response = new CallerResponse(request, headerNames.requestId(), false);
+    CallerResponse response = new CallerResponse(request, headerNames.requestId(), false, unsent);
     request.exceptionHandler(e -> {});
     callerConnections.onRequest(request);
     if (refuseAtShutdown(response)) {
@@ -430,7 +432,7 @@
   private void handleRelayed(HttpServerRequest request) {
     final Instant arrivedAt = overload.arrivalOf(request);
     node.requestArrived();
-    CallerResponse response = new CallerResponse(request, headerNames.requestId(), true);
+    CallerResponse response = new CallerResponse(request, headerNames.requestId(), true, unsent);
     request.exceptionHandler(e -> {});
     if (refuseAtShutdown(response)) {
       return;
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingcroft.fleet.EntryShutdown;
 import org.lacewingcroft.forward.ScriptedEndpoints.Action;
 import org.lacewingcroft.route.RouteKind;
@@ -24,6 +26,9 @@
   /** Leaves 300 ms before the time reserved for the exit of the process. */
   private static final Duration GRACE = Duration.ofMillis(1_200);
 
+  /** Time after which a shutdown without requests in flight ends. */
+  private static final long MIN_SHUTDOWN_MILLIS = 4_200;
+
   /** The status is 0 if the connection is closed within the response. */
   @ParameterizedTest
   @CsvSource({
@@ -51,6 +56,42 @@
     }
   }
 
+  /** Guards against responses that are cut because the process ends while they are being sent. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void shutdownWaitsForResponsesThatAreReadSlowly(boolean relayed, @TempDir Path folder)
+      throws Exception {
+    RouteKind kind = RouteKind.AT_MOST_ONCE;
+    Duration timeout = Duration.ofSeconds(7);
+    try (OneServiceFleet fleet = fleetOf(folder, kind, 1, List.of(Action.LARGE));
+        RawCaller reader =
+            new RawCaller(relayed ? fleet.entry().relayPort() : fleet.entry().publicPort())) {
+      String service = OneServiceFleet.SERVICE;
+      reader.write(
+          RawCaller.head("POST", "/" + service + "/x", "slow", timeout)
+              + (relayed ? RawCaller.relayHeaders(service, kind, "slow", timeout) : "")
+              + RawCaller.lengthAndBody("body"));
+      fleet.awaitRequest();
+      // The endpoint has responded, and the response waits for its reader.
+      TimeUnit.MILLISECONDS.sleep(500);
+      EntryShutdown shutdown =
+          new EntryShutdown(
+              fleet.fleet().vertx(),
+              fleet.entry().node(),
+              fleet.entry().server(),
+              Duration.ofSeconds(8));
+      CompletableFuture<Void> mayExit = new CompletableFuture<>();
+      fleet.fleet().run(() -> shutdown.run().onSuccess(mayExit::complete));
+      TimeUnit.MILLISECONDS.sleep(MIN_SHUTDOWN_MILLIS + 500);
+      assertThat(mayExit.isDone(), is(false));
+      assertThat(
+          reader.readResponse(false).map(r -> r.body().length()),
+          equalTo(Optional.of(ScriptedEndpoints.LARGE_BODY_BYTES)));
+      mayExit.get(1, TimeUnit.SECONDS);
+      assertThat(fleet.entry().server().inFlight(), equalTo(0));
+    }
+  }
+
   /** Guards against requests that are admitted late in a shutdown and cut at its end. */
   @ParameterizedTest
   @EnumSource(RouteKind.class)
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/ScriptedEndpoints.java
@@ -20,10 +20,15 @@
  * requests reach any of them. They use raw sockets, so that they can also violate the protocol.
  */
 final class ScriptedEndpoints implements AutoCloseable {
+  /** Size of a large body: more than the buffers of a connection hold. */
+  static final int LARGE_BODY_BYTES = 7_900_000;
+
   /** How one request is handled. */
   enum Action {
     /** Sends a complete response. */
     ANSWER,
+    /** Sends a complete response of {@link #LARGE_BODY_BYTES}. */
+    LARGE,
     /** Responds with 500 and a signature. */
     ERROR,
     /** Responds with 503 and the header that marks the request as not run. */
@@ -178,6 +183,14 @@
     String lengthAndBody = "Content-Length: 4\r\n\r\ndone";
     switch (action) {
       case ANSWER -> socket.write("HTTP/1.1 200 OK\r\n" + signedHeaders + lengthAndBody);
+      case LARGE ->
+          socket.write(
+              "HTTP/1.1 200 OK\r\n"
+                  + signedHeaders
+                  + "Content-Length: "
+                  + LARGE_BODY_BYTES
+                  + "\r\n\r\n"
+                  + "x".repeat(LARGE_BODY_BYTES));
       case ERROR -> socket.write("HTTP/1.1 500 Broken\r\n" + signedHeaders + lengthAndBody);
       case FULL -> socket.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + idHeader + lengthAndBody);
       case LATE_FULL ->
