Reuse the count of arrivals and the requests of the shutdown tests

RestartableEndpoint counted its requests in a window as AdvertisingEndpoints does, and lowered the case of a head that RawRequests had lowered; two tests of EntryShutdownTest built the same request and shutdown. Each has one piece of code now; assertions and bounds are unchanged.

--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/AdvertisingEndpoints.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/AdvertisingEndpoints.java
@@ -126,7 +126,8 @@
     return endpoints;
   }
 
-  private static int maxArrivalsWithin(List<Arrival> arrivals, long windowMillis) {
+  /** Returns the maximum number of requests, in order of arrival, in any window. */
+  static int maxArrivalsWithin(List<Arrival> arrivals, long windowMillis) {
     long windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
     int max = 0;
     int start = 0;
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/EntryShutdownTest.java
@@ -66,22 +66,11 @@
     try (OneServiceFleet fleet = fleetOf(folder, kind, 1, List.of(Action.LARGE));
         RawCaller reader =
             new RawCaller(relayed ? fleet.entry().relayPort() : fleet.entry().publicPort())) {
-      String service = OneServiceFleet.SERVICE;
-      reader.write(
-          RawCaller.head("POST", "/" + service + "/x", "slow", timeout)
-              + (relayed ? RawCaller.relayHeaders(service, kind, "slow", timeout) : "")
-              + RawCaller.lengthAndBody("body"));
+      reader.write(head(relayed, kind, "slow", timeout) + RawCaller.lengthAndBody("body"));
       fleet.awaitRequest();
       // The endpoint has responded, and the response waits for its reader.
       TimeUnit.MILLISECONDS.sleep(500);
-      EntryShutdown shutdown =
-          new EntryShutdown(
-              fleet.fleet().vertx(),
-              fleet.entry().node(),
-              fleet.entry().server(),
-              Duration.ofSeconds(8));
-      CompletableFuture<Void> mayExit = new CompletableFuture<>();
-      fleet.fleet().run(() -> shutdown.run().onSuccess(mayExit::complete));
+      CompletableFuture<Void> mayExit = shutDown(fleet, Duration.ofSeconds(8));
       TimeUnit.MILLISECONDS.sleep(MIN_SHUTDOWN_MILLIS + 500);
       assertThat(mayExit.isDone(), is(false));
       assertThat(
@@ -119,11 +108,7 @@
     try (OneServiceFleet fleet = fleetOf(folder, kind, 1, List.of(Action.HANG));
         RawCaller sender =
             new RawCaller(relayed ? fleet.entry().relayPort() : fleet.entry().publicPort())) {
-      String service = OneServiceFleet.SERVICE;
-      sender.write(
-          RawCaller.head("POST", "/" + service + "/x", "late", timeout)
-              + (relayed ? RawCaller.relayHeaders(service, kind, "late", timeout) : "")
-              + "Content-Length: 4\r\n\r\nab");
+      sender.write(head(relayed, kind, "late", timeout) + "Content-Length: 4\r\n\r\nab");
       TimeUnit.MILLISECONDS.sleep(100);
       // Admission ends after 900 ms, and the shutdown 600 ms later.
       shutDown(fleet, Duration.ofMillis(2_400));
@@ -163,10 +148,20 @@
         script);
   }
 
-  private static void shutDown(OneServiceFleet fleet, Duration grace) throws Exception {
+  private static String head(boolean relayed, RouteKind kind, String id, Duration timeout) {
+    String service = OneServiceFleet.SERVICE;
+    return RawCaller.head("POST", "/" + service + "/x", id, timeout)
+        + (relayed ? RawCaller.relayHeaders(service, kind, id, timeout) : "");
+  }
+
+  /** Starts a shutdown; the result completes when the process may exit. */
+  private static CompletableFuture<Void> shutDown(OneServiceFleet fleet, Duration grace)
+      throws Exception {
     FleetHarness.Entry entry = fleet.entry();
     EntryShutdown shutdown =
         new EntryShutdown(fleet.fleet().vertx(), entry.node(), entry.server(), grace);
-    fleet.fleet().run(shutdown::run);
+    CompletableFuture<Void> mayExit = new CompletableFuture<>();
+    fleet.fleet().run(() -> shutdown.run().onSuccess(mayExit::complete));
+    return mayExit;
   }
 }
--- a/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RestartableEndpoint.java
+++ b/lacewingcroft-daemon/src/test/java/org/lacewingcroft/forward/RestartableEndpoint.java
@@ -7,7 +7,6 @@
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -25,7 +24,7 @@
   private final String id;
   private final NetServerOptions options;
   private final Set<NetSocket> sockets = ConcurrentHashMap.newKeySet();
-  private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
+  private final List<AdvertisingEndpoints.Arrival> arrivals = new CopyOnWriteArrayList<>();
   private volatile long coldUntilNanos = System.nanoTime();
   private NetServer server;
 
@@ -64,16 +63,16 @@
   }
 
   private void respond(NetSocket socket, String head) {
-    long nowNanos = System.nanoTime();
+    final long nowNanos = System.nanoTime();
+    String requestId = RawRequests.header(head, "x-request-id");
     String headers;
-    if (head.toLowerCase(Locale.ROOT).startsWith("get " + HEALTH_PATH + " ")) {
+    if (head.startsWith("get " + HEALTH_PATH + " ")) {
       long coldNanos = Math.max(0, coldUntilNanos - nowNanos);
       headers =
           "X-Instance: %s\r\nX-Warm-Up: %d\r\n"
               .formatted(id, TimeUnit.NANOSECONDS.toMillis(coldNanos));
     } else {
-      arrivalNanos.add(nowNanos);
-      String requestId = RawRequests.header(head, "x-request-id");
+      arrivals.add(new AdvertisingEndpoints.Arrival(nowNanos, requestId));
       headers = "X-Request-Id: %s\r\nX-Proof: signed\r\n".formatted(requestId);
     }
     socket.write("HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 4\r\n\r\ndone");
@@ -94,23 +93,14 @@
     closeConnections();
     close();
     TimeUnit.MILLISECONDS.sleep(downTime.toMillis());
-    arrivalNanos.clear();
+    arrivals.clear();
     coldUntilNanos = System.nanoTime() + coldFor.toNanos();
     listen(port);
   }
 
   /** Returns the maximum number of requests in a second since the last restart. */
   int maxRequestsPerSecond() {
-    List<Long> arrivals = List.copyOf(arrivalNanos);
-    int start = 0;
-    int max = 0;
-    for (int end = 0; end < arrivals.size(); end++) {
-      while (arrivals.get(end) - arrivals.get(start) > TimeUnit.SECONDS.toNanos(1)) {
-        start++;
-      }
-      max = Math.max(max, end - start + 1);
-    }
-    return max;
+    return AdvertisingEndpoints.maxArrivalsWithin(List.copyOf(arrivals), 1_000);
   }
 
   @Override
