Use one computation of what a quorum has reached, and one filter of the region

The commit index and the confirmation of a leader each took the value that a quorum has reached in a loop of their own; both call quorumValue now. A placement selected its region's endpoints twice, and the two conditions of a probe repeated each other. Behaviour is unchanged. Measured: StateCurrencyTest, ConsensusPropertyTest, CommitRuleTest, ConsensusMemberTest, GroupGrowthTest, RecoveredStateTest, RestartedEndpointTest, CutOffPlacementTest, UnresponsiveEndpointTest, EndpointReachabilityTest and FleetCodecTest hold; verify without tests is green.

--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/control/RoutingControl.java
@@ -80,8 +80,8 @@
     }
 
     /**
-     * Returns this view without a leader and a majority, for an instance whose data folder has
-     * failed and which therefore receives no newer state.
+     * Returns this view without a leader, a majority and a current state, for an instance whose
+     * data folder has failed and which therefore receives no newer state.
      */
     private View disconnected() {
       return new View(routing, OptionalLong.empty(), false, Optional.empty(), members, term);
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/fleet/EntryNode.java
@@ -150,7 +150,7 @@
   /** This entry's connections to endpoints. */
   public interface EndpointConnections {
     /** Probes an endpoint, to learn whether it has started again and how long it stays cold. */
-    void verify(EndpointTracker endpoint);
+    void probe(EndpointTracker endpoint);
 
     /** Returns whether a connection to an address is open. */
     boolean isConnectedTo(String address);
@@ -159,7 +159,7 @@
   /** Stands for no connections, until {@link #useConnections} is called. */
   private static final class NoConnections implements EndpointConnections {
     @Override
-    public void verify(EndpointTracker endpoint) {}
+    public void probe(EndpointTracker endpoint) {}
 
     @Override
     public boolean isConnectedTo(String address) {
@@ -431,11 +431,13 @@
     Instant now = clock.instant();
     Placer placer = new Placer(coldSenders(spec), ThreadLocalRandom.current());
     List<EndpointTracker> all = endpointsOf(request.service());
-    verifyIfDue(all, now);
+    List<EndpointTracker> inRegion =
+        all.stream().filter(t -> settings.inOwnRegion(t.record().failureDomain())).toList();
+    verifyIfDue(inRegion, now);
     return placer.place(
         request,
         new Placer.Context(
-            all.stream().filter(t -> settings.inOwnRegion(t.record().failureDomain())).toList(),
+            inRegion,
             self.name(),
             membership.isDiscoveryComplete(now) ? entries.regionNames() : List.of(),
             maxInFlightPerEndpoint(spec, entries.regionNames().size()),
@@ -457,9 +459,7 @@
    * needs one, since a health check takes a slot of the endpoint and each entry needs its own.
    */
   private void verifyIfDue(List<EndpointTracker> candidates, Instant now) {
-    candidates.stream()
-        .filter(t -> t.isVerificationDue(now) && settings.inOwnRegion(t.record().failureDomain()))
-        .forEach(connections::verify);
+    candidates.stream().filter(t -> t.isVerificationDue(now)).forEach(connections::probe);
   }
 
   private boolean hasRelayTargetInOwnRegion(PlacementRequest request, Instant now) {
@@ -550,7 +550,7 @@
   /**
    * Records that the last connection to an endpoint was lost, so that the endpoint may have started
    * again. Without a health path an orderly close is no reason to expect that: endpoints close idle
-   * connections as a matter of course. The other entries of the region are told.
+   * connections as a matter of course. The other entries of the region are notified.
    *
    * @param address the endpoint's address
    * @param reset whether a connection was reset
--- a/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
+++ b/lacewingcroft-daemon/src/main/java/org/lacewingcroft/forward/EndpointProber.java
@@ -82,17 +82,13 @@
     vertx.setPeriodic(CHECK_INTERVAL_MILLIS, id -> node.endpointsToProbe().forEach(this::probe));
   }
 
-  @Override
-  public void verify(EndpointTracker endpoint) {
-    probe(endpoint);
-  }
-
   @Override
   public boolean isConnectedTo(String address) {
     return connections.isConnectedTo(address);
   }
 
-  private void probe(EndpointTracker endpoint) {
+  @Override
+  public void probe(EndpointTracker endpoint) {
     endpoint.startProbe();
     String address = endpoint.record().address();
     Optional<String> healthPath =
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/consensus/ConsensusMember.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
 
@@ -631,19 +632,27 @@
     if (log.commitIndex() < termStartIndex) {
       return Long.MIN_VALUE;
     }
-    long[] acknowledgedMillis =
+    return Math.max(
+        termStartMillis, quorumValue(nowMillis, p -> p.acknowledgedMillis, Long.MIN_VALUE));
+  }
+
+  /**
+   * Returns the highest value that a quorum of the members has reached.
+   *
+   * @param own this member's value
+   * @param value returns the value of another member
+   * @param absent the value of a member of which nothing is known
+   */
+  private long quorumValue(long own, ToLongFunction<Progress> value, long absent) {
+    long[] values =
         LongStream.concat(
-                LongStream.of(nowMillis),
+                LongStream.of(own),
                 others().stream()
                     .map(followers::get)
-                    .mapToLong(p -> p == null ? Long.MIN_VALUE : p.acknowledgedMillis))
+                    .mapToLong(p -> p == null ? absent : value.applyAsLong(p)))
             .sorted()
             .toArray();
-    long quorumMillis =
-        acknowledgedMillis.length < quorum()
-            ? Long.MIN_VALUE
-            : acknowledgedMillis[acknowledgedMillis.length - quorum()];
-    return Math.max(termStartMillis, quorumMillis);
+    return values.length < quorum() ? absent : values[values.length - quorum()];
   }
 
   private void confirmLeadership(long nowMillis) {
@@ -747,16 +756,7 @@
    * among them.
    */
   private void advanceCommit(long nowMillis, Output out) {
-    long[] matchIndexes =
-        LongStream.concat(
-                LongStream.of(log.lastIndex()),
-                others().stream()
-                    .map(followers::get)
-                    .mapToLong(p -> p != null && p.voter ? p.matchIndex : 0))
-            .sorted()
-            .toArray();
-    long quorumIndex =
-        matchIndexes.length < quorum() ? 0 : matchIndexes[matchIndexes.length - quorum()];
+    long quorumIndex = quorumValue(log.lastIndex(), p -> p.voter ? p.matchIndex : 0, 0);
     if (quorumIndex > log.commitIndex() && log.termAt(quorumIndex) == hardState.term()) {
       commit(quorumIndex, out);
       confirmLeadership(nowMillis);
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/fleet/FleetMessage.java
@@ -122,7 +122,7 @@
       implements FleetMessage {}
 
   /**
-   * Tells that an entry lost all its connections to an endpoint, which may have started again. An
+   * Reports that an entry lost all its connections to an endpoint, which may have started again. An
    * entry sends it to the control instances that it follows, which pass it on to the entries of its
    * region: those without a connection would not notice.
    *
--- a/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
+++ b/lacewingcroft-kernel/src/main/java/org/lacewingcroft/placement/EndpointTracker.java
@@ -296,10 +296,7 @@
    * service, and no probe is under way or deferred after a failed one.
    */
   public boolean isVerificationDue(Instant now) {
-    return warmUp.isUnverified()
-        && record.state() == EndpointState.READY
-        && !replaced
-        && reachability.isProbeDue(now);
+    return warmUp.isUnverified() && mayProbe(now);
   }
 
   /**
@@ -386,10 +383,11 @@
    * entry fail, and no probe is under way or deferred after a failed one.
    */
   public boolean isProbeDue(Instant now) {
-    return record.state() == EndpointState.READY
-        && !replaced
-        && !isResponding(now)
-        && reachability.isProbeDue(now);
+    return !isResponding(now) && mayProbe(now);
+  }
+
+  private boolean mayProbe(Instant now) {
+    return record.state() == EndpointState.READY && !replaced && reachability.isProbeDue(now);
   }
 
   /** Records the start of a probe. */
